Serve a streamed request from end to end with separate processes

Cause: every later part needs a whole path to grow in. Change: message schema with generated codecs, framed transport, object API client, thin control and entry processes, and stand-ins for the platform, the engine and the plain service.

--- /dev/null
+++ b/cmd/sycamore-control/main.go
@@ -0,0 +1,36 @@
+// Command sycamore-control keeps declarations, membership, placement and claims of a host's cell.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"sycamoredeal/internal/control"
+	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/telemetry"
+)
+
+func main() {
+	app := kingpin.New("sycamore-control", "Keeps declarations, membership, placement and claims of a host's cell.").DefaultEnvars()
+	var o control.Options
+	app.Flag("host", "Name of this host.").Required().StringVar(&o.Host)
+	app.Flag("zone", "Availability zone of this host.").Required().StringVar(&o.Zone)
+	app.Flag("cell", "Cell of this host.").Default("cell-1").StringVar(&o.Cell)
+	app.Flag("listen", "ip:port for the project's own processes.").Required().StringVar(&o.Listen)
+	url := app.Flag("platform", "URL of the platform's object API.").Required().String()
+	token := app.Flag("platform-token", "Bearer token for the platform's object API.").String()
+	level := app.Flag("log-level", "debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	o.Store = platform.NewClient(*url, *token)
+	o.Log = telemetry.NewLogger(os.Stderr, *level, "control")
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := control.New(o).Run(ctx); err != nil {
+		o.Log.Error().Err(err).Msg("Stopped with an error.")
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,38 @@
+// Package telemetry holds logs, metrics and the decision journal of the project's processes.
+package telemetry
+
+import (
+	"io"
+
+	"github.com/phuslu/log"
+)
+
+// Logger writes structured log lines with a fixed prefix for one part of a process.
+type Logger struct {
+	l    *log.Logger
+	part string
+}
+
+// NewLogger returns a logger that writes JSON lines of the given level ("debug", "info", "warn", "error") and above to w.
+func NewLogger(w io.Writer, level, part string) Logger {
+	l := &log.Logger{Level: log.ParseLevel(level), TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: w}}
+	return Logger{l: l, part: part}
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() Logger { return NewLogger(io.Discard, "fatal", "") }
+
+// Part returns a logger of the same output for another part.
+func (g Logger) Part(part string) Logger { return Logger{l: g.l, part: part} }
+
+// Debug starts a line at debug level.
+func (g Logger) Debug() *log.Entry { return g.l.Debug().Str("part", g.part) }
+
+// Info starts a line at info level.
+func (g Logger) Info() *log.Entry { return g.l.Info().Str("part", g.part) }
+
+// Warn starts a line at warn level.
+func (g Logger) Warn() *log.Entry { return g.l.Warn().Str("part", g.part) }
+
+// Error starts a line at error level.
+func (g Logger) Error() *log.Entry { return g.l.Error().Str("part", g.part) }
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,311 @@
+// Package transport carries wire messages between the project's own processes over TCP.
+//
+// A frame is a 4-byte big-endian length, a 1-byte kind, an 8-byte correlation id and the msgpack body. The length counts
+// everything after itself. A reply carries the correlation id of its request; id 0 marks a message that expects none.
+// Both sides send a Hello first.
+package transport
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/ring"
+	"sycamoredeal/internal/wire"
+)
+
+const (
+	// MaxFrame bounds the size of a frame in bytes, so that a malformed length can't exhaust memory.
+	MaxFrame         = 8 << 20
+	headerBytes      = 9
+	outgoingFrames   = 4096
+	handshakeTimeout = 3 * time.Second
+	writeTimeout     = 5 * time.Second
+)
+
+// ErrClosed is returned by calls on a connection that has ended.
+var ErrClosed = errors.New("connection closed")
+
+// ErrOverflow is returned when the outgoing ring of a connection is full.
+var ErrOverflow = errors.New("outgoing ring full")
+
+// Counters counts the bytes of all connections that share it.
+type Counters struct{ Sent, Received atomic.Uint64 }
+
+// Handler receives the messages of a connection in order, on the connection's reading goroutine. It must not block.
+type Handler func(c *Conn, corr uint64, m wire.Message)
+
+// Options are common to both sides of a connection.
+type Options struct {
+	Hello    wire.Hello
+	Handler  Handler
+	OnUp     func(*Conn) // after the handshake, before the first message; may be nil
+	OnDown   func(*Conn) // after the connection ended; may be nil
+	TLS      *tls.Config // nil for plain TCP
+	Counters *Counters   // nil to count nothing
+}
+
+type frame struct {
+	corr uint64
+	m    wire.Message
+}
+
+// Conn is one established connection.
+type Conn struct {
+	nc     net.Conn
+	opts   *Options
+	remote wire.Hello
+	out    *ring.Ring[frame]
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	next    uint64
+	pending map[uint64]chan wire.Message
+}
+
+func newConn(ctx context.Context, nc net.Conn, opts *Options) *Conn {
+	c := &Conn{nc: nc, opts: opts, out: ring.New[frame](outgoingFrames), pending: make(map[uint64]chan wire.Message)}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	return c
+}
+
+// Remote returns the Hello of the other side.
+func (c *Conn) Remote() wire.Hello { return c.remote }
+
+// RemoteAddr returns the network address of the other side.
+func (c *Conn) RemoteAddr() string { return c.nc.RemoteAddr().String() }
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	c.cancel()
+	c.nc.Close()
+}
+
+// Send queues a message that expects no reply.
+func (c *Conn) Send(m wire.Message) error { return c.Reply(0, m) }
+
+// Reply queues the reply to the message with the given correlation id.
+func (c *Conn) Reply(corr uint64, m wire.Message) error {
+	if c.ctx.Err() != nil {
+		return ErrClosed
+	}
+	if !c.out.TryPush(frame{corr, m}) {
+		return ErrOverflow
+	}
+	return nil
+}
+
+// Call sends a request and waits for its reply.
+func (c *Conn) Call(ctx context.Context, m wire.Message) (wire.Message, error) {
+	reply := make(chan wire.Message, 1)
+	c.mu.Lock()
+	c.next++
+	corr := c.next<<1 | 1 // odd ids are requests of this side, so replies can't be confused with requests
+	c.pending[corr] = reply
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.pending, corr)
+		c.mu.Unlock()
+	}()
+	if err := c.Reply(corr, m); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-c.ctx.Done():
+		return nil, ErrClosed
+	}
+}
+
+// isReply tells whether a message kind answers a request, so that a correlation id of ours is looked up for it.
+func isReply(k wire.Kind) bool {
+	switch k {
+	case wire.KindHeadReply, wire.KindFileReply, wire.KindClaimReply, wire.KindAck:
+		return true
+	}
+	return false
+}
+
+func (c *Conn) handshake(r *bufio.Reader) error {
+	c.nc.SetDeadline(time.Now().Add(handshakeTimeout))
+	hello := c.opts.Hello
+	if err := c.write(bufio.NewWriter(c.nc), frame{0, &hello}, true); err != nil {
+		return err
+	}
+	_, m, err := c.read(r)
+	if err != nil {
+		return errors.Annotate(err, "handshake")
+	}
+	h, ok := m.(*wire.Hello)
+	if !ok {
+		return errors.Errorf("handshake: first message has kind %d, want Hello", m.Kind())
+	}
+	c.remote = *h
+	return c.nc.SetDeadline(time.Time{})
+}
+
+// run serves the connection until it ends.
+func (c *Conn) run() error {
+	defer c.Close()
+	r := bufio.NewReaderSize(c.nc, 32<<10)
+	if err := c.handshake(r); err != nil {
+		return err
+	}
+	if c.opts.OnUp != nil {
+		c.opts.OnUp(c)
+	}
+	if c.opts.OnDown != nil {
+		defer c.opts.OnDown(c)
+	}
+	go c.writeLoop()
+	stop := context.AfterFunc(c.ctx, func() { c.nc.Close() })
+	defer stop()
+	for {
+		corr, m, err := c.read(r)
+		if err != nil {
+			return err
+		}
+		if isReply(m.Kind()) {
+			c.mu.Lock()
+			ch := c.pending[corr]
+			c.mu.Unlock()
+			if ch != nil {
+				select {
+				case ch <- m:
+				default:
+				}
+			}
+			continue
+		}
+		c.opts.Handler(c, corr, m)
+	}
+}
+
+func (c *Conn) writeLoop() {
+	defer c.Close()
+	w := bufio.NewWriterSize(c.nc, 32<<10)
+	for {
+		f, err := c.out.Pop(c.ctx)
+		if err != nil {
+			return
+		}
+		if err := c.write(w, f, c.out.Len() == 0); err != nil {
+			return
+		}
+	}
+}
+
+func (c *Conn) write(w *bufio.Writer, f frame, flush bool) error {
+	body, err := f.m.MarshalMsg(make([]byte, 0, f.m.Msgsize()))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if len(body)+headerBytes > MaxFrame {
+		return errors.Errorf("message of kind %d has %d bytes, limit is %d", f.m.Kind(), len(body), MaxFrame-headerBytes)
+	}
+	var h [4 + headerBytes]byte
+	binary.BigEndian.PutUint32(h[:], uint32(len(body)+headerBytes))
+	h[4] = byte(f.m.Kind())
+	binary.BigEndian.PutUint64(h[5:], f.corr)
+	c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := w.Write(h[:]); err != nil {
+		return err
+	}
+	if _, err := w.Write(body); err != nil {
+		return err
+	}
+	if c.opts.Counters != nil {
+		c.opts.Counters.Sent.Add(uint64(len(h) + len(body)))
+	}
+	if flush {
+		return w.Flush()
+	}
+	return nil
+}
+
+func (c *Conn) read(r *bufio.Reader) (uint64, wire.Message, error) {
+	var h [4 + headerBytes]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return 0, nil, err
+	}
+	n := binary.BigEndian.Uint32(h[:])
+	if n < headerBytes || n > MaxFrame {
+		return 0, nil, errors.Errorf("frame of %d bytes is outside %d to %d", n, headerBytes, MaxFrame)
+	}
+	m := wire.New(wire.Kind(h[4]))
+	if m == nil {
+		return 0, nil, errors.Errorf("unknown message kind %d", h[4])
+	}
+	body := make([]byte, n-headerBytes)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return 0, nil, err
+	}
+	if c.opts.Counters != nil {
+		c.opts.Counters.Received.Add(uint64(len(h) + len(body)))
+	}
+	if _, err := m.UnmarshalMsg(body); err != nil {
+		return 0, nil, errors.Annotatef(err, "decode message of kind %d", h[4])
+	}
+	return binary.BigEndian.Uint64(h[5:]), m, nil
+}
+
+// Server accepts connections.
+type Server struct {
+	ln net.Listener
+	wg sync.WaitGroup
+}
+
+// Listen serves connections on the TCP address until ctx ends.
+func Listen(ctx context.Context, addr string, opts Options) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if opts.TLS != nil {
+		ln = tls.NewListener(ln, opts.TLS)
+	}
+	s := &Server{ln: ln}
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		s.accept(ctx, &opts)
+	}()
+	context.AfterFunc(ctx, func() { ln.Close() })
+	return s, nil
+}
+
+func (s *Server) accept(ctx context.Context, opts *Options) {
+	for {
+		nc, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			newConn(ctx, nc, opts).run()
+		}()
+	}
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Wait returns after ctx has ended and all connections are closed.
+func (s *Server) Wait() { s.wg.Wait() }
