--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -21,6 +21,7 @@
 	app.Flag("zone", "Availability zone of this host.").Required().StringVar(&o.Zone)
 	app.Flag("cell", "Cell of this host.").Default("cell-1").StringVar(&o.Cell)
 	app.Flag("listen", "ip:port for the project's own processes.").Required().StringVar(&o.Listen)
+	app.Flag("entry-address", "ip:port of the local entry process for other entry processes.").Required().StringVar(&o.EntryAddress)
 	url := app.Flag("platform", "URL of the platform's object API.").Required().String()
 	token := app.Flag("platform-token", "Bearer token for the platform's object API.").String()
 	level := app.Flag("log-level", "debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
--- a/cmd/sycamore-entry/main.go
+++ b/cmd/sycamore-entry/main.go
@@ -20,6 +20,7 @@
 	app.Flag("zone", "Availability zone of this host.").Required().StringVar(&o.Zone)
 	app.Flag("cell", "Cell of this host.").Default("cell-1").StringVar(&o.Cell)
 	app.Flag("listen", "ip:port for callers.").Required().StringVar(&o.Listen)
+	app.Flag("peer-listen", "ip:port for other entry processes.").Required().StringVar(&o.PeerListen)
 	app.Flag("control", "ip:port of the local control process.").Required().StringVar(&o.Control)
 	app.Flag("max-body", "Longest request body in bytes.").Default("4194304").IntVar(&o.MaxBody)
 	app.Flag("drain-timeout", "Longest time that a stop waits for requests in progress.").Default("10m").DurationVar(&o.DrainTimeout)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,12 +21,13 @@
 
 // Options are the settings of a control process.
 type Options struct {
-	Host   string
-	Zone   string // availability zone
-	Cell   string
-	Listen string // ip:port for the project's own processes
-	Store  platform.Store
-	Log    telemetry.Logger
+	Host         string
+	Zone         string // availability zone
+	Cell         string
+	Listen       string // ip:port for the project's own processes
+	EntryAddress string // ip:port of the local entry process for other entry processes
+	Store        platform.Store
+	Log          telemetry.Logger
 }
 
 // Control is the running process.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	Zone         string // availability zone
 	Cell         string
 	Listen       string        // ip:port for callers
+	PeerListen   string        // ip:port for other entry processes
 	Control      string        // ip:port of the local control process
 	MaxBody      int           // bytes of a request body
 	DrainTimeout time.Duration // longest time that a stop waits for requests in progress
@@ -105,6 +106,8 @@
 			return
 		}
 		next.Placement = &m.Placement
+	case *wire.MembersUpdate:
+		next.Members, next.Holder = m.Members, m.Holder
 	case *wire.EndpointsUpdate:
 		next.Leaving = make(map[string]bool)
 		for _, s := range m.States {
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -51,11 +51,11 @@
 			}
 		})
 	}
-	plat, eng, ctl, ent := testbed.FreeAddr(), testbed.FreeAddr(), testbed.FreeAddr(), testbed.FreeAddr()
+	plat, eng, ctl, ent, peer := testbed.FreeAddr(), testbed.FreeAddr(), testbed.FreeAddr(), testbed.FreeAddr(), testbed.FreeAddr()
 	start("platform", "sycamore-standin", "--listen", plat, "platform")
 	start("engine", "sycamore-standin", "--listen", eng, "engine")
-	start("control", "sycamore-control", "--host", "h1", "--zone", "z1", "--listen", ctl, "--platform", "http://"+plat)
-	start("entry", "sycamore-entry", "--host", "h1", "--zone", "z1", "--listen", ent, "--control", ctl)
+	start("control", "sycamore-control", "--host", "h1", "--zone", "z1", "--listen", ctl, "--entry-address", peer, "--platform", "http://"+plat)
+	start("entry", "sycamore-entry", "--host", "h1", "--zone", "z1", "--listen", ent, "--peer-listen", peer, "--control", ctl)
 	dir := t.TempDir()
 	decl := fmt.Sprintf(`
 ranks: [{name: urgent, order: 0, firstToken: 200ms, betweenToken: 60ms, deadline: 2s}]
