--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,124 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// maxSeries bounds the label sets of one instrument, so that undeclared callers can't exhaust memory.
+const maxSeries = 2000
+
+var (
+	firstTokenBounds = []float64{.01, .02, .05, .1, .15, .2, .3, .37, .5, .75, 1, 2, 5, 10, 30}
+	betweenBounds    = []float64{.005, .01, .02, .03, .04, .05, .061, .08, .1, .15, .2, .5, 1}
+)
+
+// Metrics are the instruments of a process. All durations are exported in seconds.
+type Metrics struct {
+	provider   *sdk.MeterProvider
+	handler    http.Handler
+	meter      metric.Meter
+	firstToken metric.Float64Histogram
+	between    metric.Float64Histogram
+	queue      metric.Float64Histogram
+	requests   metric.Int64Counter
+	retries    metric.Int64Counter
+	resumes    metric.Int64Counter
+}
+
+// NewMetrics returns the instruments of one process and registers them with a Prometheus exporter of its own.
+func NewMetrics() (*Metrics, error) {
+	reg := prometheus.NewRegistry()
+	exp, err := otelprom.New(otelprom.WithRegisterer(reg), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, errors.Annotate(err, "metrics exporter")
+	}
+	m := &Metrics{
+		provider: sdk.NewMeterProvider(sdk.WithReader(exp), sdk.WithCardinalityLimit(maxSeries)),
+		handler:  promhttp.HandlerFor(reg, promhttp.HandlerOpts{}),
+	}
+	m.meter = m.provider.Meter("sycamoredeal")
+	var errs [6]error
+	m.firstToken, errs[0] = m.seconds("sycamore.first.token", "Time from the arrival of a request to its first token.", firstTokenBounds)
+	m.between, errs[1] = m.seconds("sycamore.between.tokens", "Time between two tokens of a stream.", betweenBounds)
+	m.queue, errs[2] = m.seconds("sycamore.queue", "Time that a request waited for an endpoint.", firstTokenBounds)
+	m.requests, errs[3] = m.meter.Int64Counter("sycamore.requests", metric.WithDescription("Requests by final result."))
+	m.retries, errs[4] = m.meter.Int64Counter("sycamore.retries", metric.WithDescription("Attempts after the first."))
+	m.resumes, errs[5] = m.meter.Int64Counter("sycamore.resumes", metric.WithDescription("Streams continued after a break."))
+	for _, err := range errs {
+		if err != nil {
+			return nil, errors.Annotate(err, "metrics instrument")
+		}
+	}
+	return m, nil
+}
+
+func (m *Metrics) seconds(name, help string, bounds []float64) (metric.Float64Histogram, error) {
+	return m.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(bounds...))
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Shutdown releases the instruments.
+func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+// Gauge registers a gauge whose value is read at each collection.
+func (m *Metrics) Gauge(name, help string, read func() float64) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(help),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return errors.Annotate(err, name)
+}
+
+// Series records the measurements of one caller and rank. Create it once for each pair and keep it.
+type Series struct {
+	m     *Metrics
+	attrs attribute.Set
+}
+
+// Series returns the series of a declared caller and rank.
+func (m *Metrics) Series(caller, rank string) *Series {
+	return &Series{m: m, attrs: attribute.NewSet(attribute.String("caller", caller), attribute.String("rank", rank))}
+}
+
+// FirstToken records the time to the first token.
+func (s *Series) FirstToken(d time.Duration) {
+	s.m.firstToken.Record(context.Background(), d.Seconds(), metric.WithAttributeSet(s.attrs))
+}
+
+// BetweenTokens records the time between two tokens.
+func (s *Series) BetweenTokens(d time.Duration) {
+	s.m.between.Record(context.Background(), d.Seconds(), metric.WithAttributeSet(s.attrs))
+}
+
+// Queue records the time that a request waited for an endpoint.
+func (s *Series) Queue(d time.Duration) {
+	s.m.queue.Record(context.Background(), d.Seconds(), metric.WithAttributeSet(s.attrs))
+}
+
+// Request counts a request by its final result, for example "answered", "refused" or "unknown".
+func (s *Series) Request(result string) {
+	s.m.requests.Add(context.Background(), 1, metric.WithAttributeSet(s.attrs), metric.WithAttributes(attribute.String("result", result)))
+}
+
+// Retry counts an attempt after the first.
+func (s *Series) Retry() {
+	s.m.retries.Add(context.Background(), 1, metric.WithAttributeSet(s.attrs))
+}
+
+// Resume counts a stream that continued after a break.
+func (s *Series) Resume() {
+	s.m.resumes.Add(context.Background(), 1, metric.WithAttributeSet(s.attrs))
+}
