Add an open-loop load generator that checks every answer

Cause: the demo and the measurements need service by caller and rank, and proof that no answer was cut, doubled or mixed up.

--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,121 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+)
+
+type run struct {
+	*Scenario
+	balancer *balancer
+	client   *http.Client
+	id       string
+}
+
+// Run plays a scenario and returns its report. It ends at the latest after the duration and the grace of the scenario.
+func Run(ctx context.Context, s *Scenario) (*Report, error) {
+	if err := s.validate(); err != nil {
+		return nil, err
+	}
+	arrivals := schedule(s)
+	ctx, cancel := context.WithTimeout(ctx, s.Duration+s.Grace)
+	defer cancel()
+	r := &run{
+		Scenario: s, balancer: newBalancer(s.Entries), id: uuid.NewString()[:8],
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}},
+	}
+	r.balancer.check(ctx)
+	go r.balancer.run(ctx)
+	movesBefore, movesKnown := r.moves(ctx)
+	results := r.play(ctx, arrivals)
+	rep := newReport(s, results)
+	if after, ok := r.moves(ctx); ok && movesKnown {
+		rep.Moves = after - movesBefore
+	}
+	if len(s.Executions) > 0 {
+		executions, err := r.executions(context.WithoutCancel(ctx))
+		if err != nil {
+			return nil, err
+		}
+		rep.compare(results, executions)
+	}
+	return rep, nil
+}
+
+func (r *run) play(ctx context.Context, arrivals []arrival) []result {
+	results := make([]result, len(arrivals))
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i, a := range arrivals {
+		if wait := a.at - time.Since(start); wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+		}
+		wg.Go(func() {
+			id := fmt.Sprintf("%s-%d", r.id, i)
+			if a.flow < len(r.Streams) {
+				results[i] = r.complete(ctx, a, id)
+			} else {
+				results[i] = r.call(ctx, a, id)
+			}
+			results[i].sent = a.at
+		})
+	}
+	wg.Wait()
+	return results
+}
+
+// moves returns how many load orders the cell's placement has issued so far.
+func (r *run) moves(ctx context.Context) (int, bool) {
+	for _, addr := range r.Control {
+		var st struct {
+			Moves int `json:"moves"`
+		}
+		if getJSON(ctx, "http://"+addr+"/v1/status", &st) == nil {
+			return st.Moves, true
+		}
+	}
+	return 0, false
+}
+
+// executions returns how often each request id was executed by the service stand-ins.
+func (r *run) executions(ctx context.Context) (map[string]int, error) {
+	all := make(map[string]int)
+	for _, addr := range r.Executions {
+		var counts map[string]int
+		if err := getJSON(ctx, "http://"+addr+"/_executions", &counts); err != nil {
+			return nil, err
+		}
+		for id, n := range counts {
+			all[id] += n
+		}
+	}
+	return all, nil
+}
+
+func getJSON(ctx context.Context, url string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("%s: status %d", url, resp.StatusCode)
+	}
+	return errors.Annotate(json.NewDecoder(resp.Body).Decode(v), url)
+}
