Add a fleet for tests and a demo that disturbs it under load

Cause: a new user should see the system survive a graceful stop, the loss of the lease holder and a draining endpoint.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,7 @@
-.PHONY: build test generate lint
+.PHONY: demo build test generate lint
+
+demo:
+	go run ./cmd/sycamore-demo
 
 build:
 	go build -o bin/ ./cmd/...
--- /dev/null
+++ b/cmd/sycamore-demo/main.go
@@ -0,0 +1,30 @@
+// Command sycamore-demo runs a whole fleet with stand-ins on this machine and disturbs it under load.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"sycamoredeal/internal/demo"
+)
+
+func main() {
+	app := kingpin.New("sycamore-demo", "Runs a whole fleet with stand-ins on this machine and disturbs it under load.")
+	o := demo.Options{Out: os.Stdout}
+	app.Flag("declarations", "Folder of declarations.").Default("examples/consorcio").ExistingDirVar(&o.Declarations)
+	app.Flag("duration", "Length of the load.").Default("20s").DurationVar(&o.Duration)
+	limit := app.Flag("limit", "Longest time for the whole demo.").Default("90s").Duration()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, *limit)
+	defer cancel()
+	if err := demo.Run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		os.Exit(1)
+	}
+}
