--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,158 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// object is the lease object of the simulated platform.
+type object struct {
+	rec     Record
+	version int
+}
+
+type proc struct {
+	m      *Machine
+	frozen time.Duration // no step before
+	late   *Action       // write that has been sent and not yet arrived
+}
+
+func (o *object) apply(a Action) bool {
+	if (a.Version == "" && o.version > 0) || (a.Version != "" && a.Version != fmt.Sprint(o.version)) {
+		return false
+	}
+	o.version++
+	o.rec = a.Record
+	return true
+}
+
+func config(i int) Config {
+	return Config{Host: fmt.Sprint("h", i), Incarnation: uint64(i + 1), Term: 600 * time.Millisecond, Renew: 200 * time.Millisecond, Margin: 100 * time.Millisecond, Quiet: 300 * time.Millisecond, Seed: 7}
+}
+
+// step lets one process act on the object. fate: 0 answered, 1 answer lost, 2 request lost, 3 request arrives later.
+func (p *proc) step(now time.Duration, o *object, fate int) {
+	a := p.m.Next(now)
+	switch a.Kind {
+	case Read:
+		switch {
+		case fate != 0:
+			p.m.OnUnsure(now, false)
+		case o.version == 0:
+			p.m.OnAbsent(now)
+		default:
+			p.m.OnRead(now, o.rec, fmt.Sprint(o.version))
+		}
+	case Write:
+		if fate == 3 {
+			p.late = &a
+		}
+		if fate > 1 || !o.apply(a) || fate == 1 {
+			p.m.OnUnsure(now, true)
+			return
+		}
+		p.m.OnWritten(now, a.Record, fmt.Sprint(o.version))
+	}
+}
+
+// TestOneHolder guards against two processes that hold the lease at once, and against epochs that don't grow, with lost
+// answers, lost and late requests, freezes and releases.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var o object
+		ps := []*proc{{m: New(config(0))}, {m: New(config(1))}, {m: New(config(2))}}
+		now := time.Millisecond
+		last, lastBy := uint64(0), -1
+		for range 400 {
+			now += time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond
+			i := rapid.IntRange(0, 2).Draw(t, "process")
+			p := ps[i]
+			switch rapid.IntRange(0, 40).Draw(t, "event") {
+			case 0:
+				p.frozen = now + time.Duration(rapid.IntRange(100, 2000).Draw(t, "freeze"))*time.Millisecond
+			case 1:
+				if p.late != nil {
+					o.apply(*p.late)
+					p.late = nil
+				}
+			case 2:
+				if rapid.IntRange(0, 9).Draw(t, "release") == 0 {
+					p.m.Release()
+				}
+			}
+			if now >= p.frozen {
+				p.step(now, &o, max(0, rapid.IntRange(-6, 3).Draw(t, "fate")))
+			}
+			holder := -1
+			for j, q := range ps {
+				e := q.m.Held(now)
+				if e == 0 {
+					continue
+				}
+				if holder >= 0 {
+					t.Fatalf("processes %d and %d both hold the lease", holder, j)
+				}
+				holder = j
+				if e < last || (e == last && lastBy != j) {
+					t.Fatalf("epoch %d of process %d after epoch %d of process %d", e, j, last, lastBy)
+				}
+				last, lastBy = e, j
+			}
+		}
+	})
+}
+
+// TestTakeover guards against a lease that stays with a dead holder, and against one that is taken before its term and
+// margin have passed.
+func TestTakeover(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		release  bool
+		min, max time.Duration
+	}{
+		{"dead holder", false, 700 * time.Millisecond, 1100 * time.Millisecond},
+		{"released", true, 0, 300 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var o object
+			a, b := &proc{m: New(config(0))}, &proc{m: New(config(1))}
+			now := time.Millisecond
+			for ; a.m.Held(now) == 0 && now < time.Second; now += time.Millisecond {
+				a.step(now, &o, 0)
+			}
+			b.step(now, &o, 0)
+			if c.release {
+				a.m.Release()
+				a.step(now, &o, 0)
+				b.m.Hurry()
+			}
+			start := now
+			for ; b.m.Held(now) == 0 && now < start+2*time.Second; now += time.Millisecond {
+				b.step(now, &o, 0)
+			}
+			if d := now - start; d < c.min || d > c.max || b.m.Held(now) != 2 {
+				t.Fatalf("taken after %s with epoch %d, want %s to %s with epoch 2", d, b.m.Held(now), c.min, c.max)
+			}
+		})
+	}
+}
+
+// TestLostAnswer guards against a holder that steps down because the answer to its own write was lost.
+func TestLostAnswer(t *testing.T) {
+	var o object
+	p := &proc{m: New(config(0))}
+	for now := time.Millisecond; now < 3*time.Second; now += time.Millisecond {
+		a := p.m.writes
+		fate := 0
+		if p.m.known {
+			fate = 1 // only writes are sent from a known state of the holder
+		}
+		p.step(now, &o, fate)
+		if a > 1 && p.m.Held(now) != 1 {
+			t.Fatalf("epoch %d at %s, want 1", p.m.Held(now), now)
+		}
+	}
+}
