--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"sync/atomic"
@@ -61,7 +62,12 @@
 
 // NewClient returns a client of the object API at base, for example "http://127.0.0.1:7000".
 func NewClient(base, token string) *Client {
-	return &Client{base: base, token: token, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	return &Client{base: base, token: token, http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+		MaxIdleConnsPerHost: 8,
+		// A watch answers its header at once, so a platform that hangs is noticed before the watch's own deadline.
+		ResponseHeaderTimeout: callTimeout,
+	}}}
 }
 
 // Calls returns the number of calls made; a watch counts as one.
@@ -134,11 +140,14 @@
 		fn(Event{Type: e.Type, Object: e.Object.object()})
 	}
 	if err := sc.Err(); err != nil && ctx.Err() == nil {
-		return errors.Wrap(err, ErrUnavailable)
+		return unavailable(err)
 	}
 	return nil
 }
 
+// unavailable keeps the cause in the text; errors.Is finds ErrUnavailable.
+func unavailable(err error) error { return fmt.Errorf("%w: %v", ErrUnavailable, err) }
+
 func objectPath(kind, name string) string { return basePath + kind + "/" + url.PathEscape(name) }
 
 func (c *Client) single(ctx context.Context, method, path string, in *Object) (Object, error) {
@@ -164,7 +173,7 @@
 		return nil
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, 64*maxObject)).Decode(out); err != nil {
-		return errors.Wrap(err, ErrUnavailable)
+		return unavailable(err)
 	}
 	return nil
 }
@@ -192,7 +201,7 @@
 	c.calls.Add(1)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(err, ErrUnavailable)
+		return nil, unavailable(err)
 	}
 	return resp, nil
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -44,21 +45,40 @@
 	objects  map[string]object
 	events   []event
 	watchers map[chan event]func(event) bool
+	lagged   map[string]object // what lists show
+	pending  []change          // changes that lists don't show yet
+	faults   Faults
+	stats    Stats
+	rng      *rand.Rand
+	second   int64 // second that the rate limits count
+	reads    int
+	writes   int
 }
 
 // New returns an empty store.
 func New() *Server {
-	return &Server{objects: make(map[string]object), watchers: make(map[chan event]func(event) bool)}
+	return &Server{
+		objects: make(map[string]object), watchers: make(map[chan event]func(event) bool),
+		lagged: make(map[string]object), rng: rand.New(rand.NewPCG(1, 1)),
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/_") {
+		s.admin(w, r)
+		return
+	}
 	rest, ok := strings.CutPrefix(r.URL.Path, prefix)
 	if !ok {
 		http.NotFound(w, r)
 		return
 	}
 	kind, name, _ := strings.Cut(rest, "/")
+	w, ok = s.inject(w, r)
+	if !ok {
+		return
+	}
 	switch {
 	case r.Method == http.MethodGet && r.URL.Query().Get("watch") == "true":
 		s.watch(w, r, kind)
@@ -91,12 +111,16 @@
 func (s *Server) list(w http.ResponseWriter, kind string) {
 	s.mu.Lock()
 	items := []object{}
-	for _, o := range s.objects {
+	s.advance(time.Now())
+	for _, o := range s.lagged {
 		if o.Kind == kind {
 			items = append(items, o)
 		}
 	}
 	version := s.version
+	if len(s.pending) > 0 {
+		version = s.pending[0].version - 1 // a watch from here shows what the list does not
+	}
 	s.mu.Unlock()
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
 	writeJSON(w, http.StatusOK, map[string]any{
@@ -167,6 +191,7 @@
 	o.Metadata.ResourceVersion = strconv.FormatUint(s.version, 10)
 	e := event{Type: typ, Object: o, version: s.version}
 	s.events = append(s.events, e)
+	s.pending = append(s.pending, change{time.Now(), e})
 	if len(s.events) > keptEvents {
 		s.events = append([]event(nil), s.events[len(s.events)-keptEvents/2:]...)
 	}
