Bound what a malformed frame makes the transport allocate

A 13-byte header made the reader allocate up to 8 MB, and an array header made a decoder allocate 4 G elements. Bodies now grow as bytes arrive, and a walk before decoding refuses arrays with more elements than bytes, maps, deep nesting and rest bytes.

--- /dev/null
+++ b/internal/transport/guard_test.go
@@ -0,0 +1,97 @@
+package transport
+
+import (
+	"bytes"
+	"io"
+	"runtime"
+	"testing"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"sycamoredeal/internal/wire"
+)
+
+var samples = []wire.Message{
+	&wire.Hello{Host: "h", Role: wire.RoleEntry, Cell: "c", Zone: "z", Incarnation: 1 << 60},
+	&wire.ConfigUpdate{Head: wire.Head{Revision: 3, Files: []wire.HeadFile{{Name: "a", Digest: "d"}}}, Files: []wire.File{{Name: "a", Content: []byte("x")}}},
+	&wire.PlacementUpdate{Placement: wire.Placement{Endpoints: []wire.EndpointPlacement{{Residents: []wire.Resident{{Name: "m"}}, Intents: []wire.Intent{{ID: 1}}}}}},
+	&wire.MembersUpdate{Members: []wire.Member{{Host: "h"}, {Host: "i", Leaving: true}}},
+	&wire.Resync{Waiting: []wire.Ask{{Exclude: []string{"e"}}}, Running: []wire.Running{{Endpoint: "e"}}},
+	&wire.EntryStatus{Demand: []wire.ModelDemand{{Name: "m", Tokens: 5}}},
+}
+
+// TestGuardPasses guards against limits that refuse the protocol's own messages.
+func TestGuardPasses(t *testing.T) {
+	big := &wire.EndpointsUpdate{}
+	for range 10000 {
+		big.States = append(big.States, wire.EndpointState{Endpoint: "e"})
+	}
+	for _, m := range append(samples, big) {
+		b, _ := m.MarshalMsg(nil)
+		if err := checkBody(b); err != nil {
+			t.Errorf("%T: %v", m, err)
+		}
+	}
+}
+
+// TestGuardRefuses guards against small frames that state huge arrays, deep nesting, maps or rest bytes.
+func TestGuardRefuses(t *testing.T) {
+	head := func(n uint32) []byte { return msgp.AppendArrayHeader(nil, n) }
+	for name, b := range map[string][]byte{
+		"huge array": append(head(1), head(1<<30)...),
+		"deep":       bytes.Repeat(head(1), 4000),
+		"map":        msgp.AppendMapHeader(nil, 1<<30),
+		"rest":       append(head(0), 1, 2, 3),
+		"short":      head(2),
+		"empty":      nil,
+	} {
+		if err := checkBody(b); err == nil {
+			t.Errorf("%s was accepted", name)
+		}
+	}
+}
+
+// TestBodyMemory guards against a frame header that alone makes the reader allocate the stated length.
+func TestBodyMemory(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := readBody(bytes.NewReader(make([]byte, 10)), MaxFrame)
+	runtime.ReadMemStats(&after)
+	if got := after.TotalAlloc - before.TotalAlloc; err != io.ErrUnexpectedEOF || got > 4*bodyChunk {
+		t.Fatalf("%v after %d bytes were allocated", err, got)
+	}
+	want := bytes.Repeat([]byte("0123456789"), 30000)
+	if got, err := readBody(bytes.NewReader(want), len(want)); err != nil || !bytes.Equal(got, want) {
+		t.Fatalf("%d of %d bytes, %v", len(got), len(want), err)
+	}
+}
+
+// FuzzDecode guards every decoder against panics and against memory far beyond the size of the frame.
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples {
+		b, _ := m.MarshalMsg(nil)
+		f.Add(uint8(m.Kind()), b)
+	}
+	for k := wire.KindHello; k <= wire.KindAck; k++ {
+		b, _ := wire.New(k).MarshalMsg(nil)
+		f.Add(uint8(k), b)
+	}
+	f.Fuzz(func(t *testing.T, kind uint8, b []byte) {
+		m := wire.New(wire.Kind(kind))
+		if m == nil || checkBody(b) != nil {
+			return
+		}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := m.UnmarshalMsg(b)
+		runtime.ReadMemStats(&after)
+		if got := after.TotalAlloc - before.TotalAlloc; got > uint64(256*len(b))+1<<20 {
+			t.Fatalf("%d bytes allocated for a body of %d", got, len(b))
+		}
+		if err == nil {
+			if _, err := m.MarshalMsg(nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -252,13 +252,16 @@
 	if m == nil {
 		return 0, nil, errors.Errorf("unknown message kind %d", h[4])
 	}
-	body := make([]byte, n-headerBytes)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBody(r, int(n-headerBytes))
+	if err != nil {
 		return 0, nil, err
 	}
 	if c.opts.Counters != nil {
 		c.opts.Counters.Received.Add(uint64(len(h) + len(body)))
 	}
+	if err := checkBody(body); err != nil {
+		return 0, nil, errors.Annotatef(err, "message of kind %d", h[4])
+	}
 	if _, err := m.UnmarshalMsg(body); err != nil {
 		return 0, nil, errors.Annotatef(err, "decode message of kind %d", h[4])
 	}
