Run the control plane with one goroutine per duty

The control process planned without a lease and knew no other hosts. A core goroutine now owns membership, revision and pushes; other goroutines follow head and placement, keep lease and roster, poll the endpoint list, fetch files and run the planner while the lease is held. The testbed records the sources, so that go test does not take cached results of old programs.

--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -22,10 +23,18 @@
 	app.Flag("cell", "Cell of this host.").Default("cell-1").StringVar(&o.Cell)
 	app.Flag("listen", "ip:port for the project's own processes.").Required().StringVar(&o.Listen)
 	app.Flag("entry-address", "ip:port of the local entry process for other entry processes.").Required().StringVar(&o.EntryAddress)
+	app.Flag("admin-listen", "ip:port of the admin HTTP server.").StringVar(&o.AdminListen)
+	seeds := app.Flag("seeds", "ip:port of control processes, separated by commas, to ask while the platform can't be read.").String()
+	app.Flag("lease-term", "Time that a renewal keeps the cell's lease; renewals are sent three times a term.").Default("6s").DurationVar(&o.Term)
+	app.Flag("heartbeat", "Time between heartbeats.").Default("1s").DurationVar(&o.Heartbeat)
+	app.Flag("poll", "Longest time between two reads of the platform's endpoint list by one host.").Default("1s").DurationVar(&o.Poll)
 	url := app.Flag("platform", "URL of the platform's object API.").Required().String()
 	token := app.Flag("platform-token", "Bearer token for the platform's object API.").String()
 	level := app.Flag("log-level", "debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *seeds != "" {
+		o.Seeds = strings.Split(*seeds, ",")
+	}
 	o.Store = platform.NewClient(*url, *token)
 	o.Log = telemetry.NewLogger(os.Stderr, *level, "control")
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- /dev/null
+++ b/internal/control/admin.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/wire"
+)
+
+const adminExitWait = time.Second
+
+// Status is the answer to GET /v1/status.
+type Status struct {
+	Host             string                   `json:"host"`
+	Zone             string                   `json:"zone"`
+	Cell             string                   `json:"cell"`
+	Incarnation      uint64                   `json:"incarnation"`
+	Revision         uint64                   `json:"revision"`
+	PlacementVersion uint64                   `json:"placementVersion"`
+	PlacementEpoch   uint64                   `json:"placementEpoch"`
+	Lease            LeaseStatus              `json:"lease"`
+	Dispatcher       string                   `json:"dispatcher"`
+	Members          []memberStatus           `json:"members"`
+	Endpoints        []wire.EndpointPlacement `json:"endpoints"`
+	Leaving          []wire.EndpointState     `json:"leaving"` // endpoints that take no new work
+	ControlBytes     ByteStatus               `json:"controlBytes"`
+	PlatformCalls    uint64                   `json:"platformCalls"`
+}
+
+// LeaseStatus tells who holds the cell's lease as far as this process knows.
+type LeaseStatus struct {
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+	Held   uint64 `json:"held"` // epoch that this process holds now by its own clock, 0 for none
+}
+
+// ByteStatus counts the bytes of the project's own control messages since the start of the process.
+type ByteStatus struct {
+	Sent     uint64 `json:"sent"`
+	Received uint64 `json:"received"`
+}
+
+// Status returns the state of the process.
+func (c *Control) Status() Status {
+	v := c.view.Load()
+	s := Status{
+		Host: c.opts.Host, Zone: c.opts.Zone, Cell: c.opts.Cell, Incarnation: c.incarnation.Load(), Revision: v.head.Revision,
+		PlacementVersion: v.placement.Version, PlacementEpoch: v.placement.Epoch,
+		Lease:      LeaseStatus{Holder: v.holder, Epoch: v.epoch, Held: c.lease.held()},
+		Dispatcher: Dispatcher(c.opts.Cell, v.live), Members: v.members, Endpoints: v.placement.Endpoints, Leaving: v.states,
+		ControlBytes: ByteStatus{c.counters.Sent.Load(), c.counters.Received.Load()},
+	}
+	if calls, ok := c.opts.Store.(interface{ Calls() uint64 }); ok {
+		s.PlatformCalls = calls.Calls()
+	}
+	return s
+}
+
+// ready tells whether the process can serve its entry: it has a configuration and is not leaving.
+func (c *Control) ready() bool {
+	v := c.view.Load()
+	return v.snapshot != nil && !v.leaving
+}
+
+// serveAdmin starts the admin HTTP server and returns the function that stops it.
+func (c *Control) serveAdmin() (stop func(), err error) {
+	if c.opts.AdminListen == "" {
+		return func() {}, nil
+	}
+	hlog.SetLevel(hlog.LevelFatal) // the process logs through its own logger
+	h := server.New(server.WithHostPorts(c.opts.AdminListen), server.WithExitWaitTime(adminExitWait), server.WithDisablePrintRoute(true))
+	h.GET("/healthz", func(_ context.Context, r *app.RequestContext) { r.String(http.StatusOK, "ok") })
+	h.GET("/readyz", func(_ context.Context, r *app.RequestContext) {
+		if !c.ready() {
+			r.String(http.StatusServiceUnavailable, "not ready")
+			return
+		}
+		r.String(http.StatusOK, "ready")
+	})
+	h.GET("/v1/status", func(_ context.Context, r *app.RequestContext) { r.JSON(http.StatusOK, c.Status()) })
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := h.Run(); err != nil {
+			c.opts.Log.Error().Err(errors.Annotate(err, c.opts.AdminListen)).Msg("Admin server ended.")
+		}
+	}()
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), adminExitWait)
+		defer cancel()
+		h.Shutdown(ctx)
+		h.Close()
+		<-ended
+	}, nil
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,158 +1,221 @@
 // Package control is the process that keeps declarations, membership, placement and claims of a host's cell.
+//
+// One goroutine, the core, owns all state of the decision packages. The other goroutines have one duty each: they wait
+// for the platform, for other processes or for the time, and exchange typed events with the core over bounded rings.
 package control
 
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/config"
-	"sycamoredeal/internal/engine"
-	"sycamoredeal/internal/planner"
 	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/ring"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
 )
 
-const reportTimeout = 500 * time.Millisecond
+const (
+	reportTimeout  = 500 * time.Millisecond
+	fetchTimeout   = time.Second
+	eventRing      = 4096
+	handoverLimit  = 2 * time.Second // longest time that a stop waits for the platform
+	defaultTerm    = 6 * time.Second
+	defaultPoll    = time.Second
+	defaultBeat    = time.Second
+	missedForQuiet = 3  // heartbeats without which a host is suspect
+	missedForDead  = 10 // heartbeats without which a host is dead
+)
 
-// Options are the settings of a control process.
+// Options are the settings of a control process. Durations that are 0 have the defaults of the design.
 type Options struct {
 	Host         string
 	Zone         string // availability zone
 	Cell         string
-	Listen       string // ip:port for the project's own processes
-	EntryAddress string // ip:port of the local entry process for other entry processes
+	Listen       string   // ip:port for the project's own processes
+	EntryAddress string   // ip:port of the local entry process for other entry processes
+	AdminListen  string   // ip:port of the admin HTTP server, empty for none
+	Seeds        []string // ip:port of control processes to ask while the platform can't be read
+	Term         time.Duration
+	Renew        time.Duration // default: a third of Term
+	Margin       time.Duration // default: a sixth of Term
+	Heartbeat    time.Duration
+	Poll         time.Duration // longest time between two reads of the endpoint list by one host
 	Store        platform.Store
 	Log          telemetry.Logger
 }
 
-// Control is the running process.
-type Control struct {
-	opts Options
+func (o *Options) setDefaults() {
+	set := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	set(&o.Term, defaultTerm)
+	set(&o.Renew, o.Term/3)
+	set(&o.Margin, o.Term/6)
+	set(&o.Heartbeat, defaultBeat)
+	set(&o.Poll, defaultPoll)
+}
 
-	mu        sync.Mutex
-	head      wire.Head
-	files     []wire.File
+// view is what the core publishes for the other goroutines. It is immutable.
+type view struct {
 	snapshot  *config.Snapshot
+	head      wire.Head
 	placement wire.Placement
-	entries   map[*transport.Conn]bool
+	members   []memberStatus
+	live      []wire.Member
+	holder    string
+	epoch     uint64
+	states    []wire.EndpointState
+	roster    bool // the roster has been read from the platform
+	leaving   bool
+}
+
+// Control is the running process.
+type Control struct {
+	opts        Options
+	start       time.Time
+	incarnation atomic.Uint64
+	counters    transport.Counters
+	events      *ring.Ring[any]
+	fetches     *ring.Ring[fetchJob]
+	rosterHints *ring.Ring[struct{}]
+	lease       *leaseDuty
+	demand      demandSum
+	view        atomic.Pointer[view]
 }
 
 // New returns a control process that is not yet running.
 func New(opts Options) *Control {
-	return &Control{opts: opts, entries: make(map[*transport.Conn]bool)}
+	opts.setDefaults()
+	c := &Control{
+		opts: opts, start: time.Now(), events: ring.New[any](eventRing), fetches: ring.New[fetchJob](1),
+		rosterHints: ring.New[struct{}](1),
+	}
+	c.incarnation.Store(uint64(time.Now().UnixNano()))
+	c.lease = newLeaseDuty(c)
+	c.view.Store(&view{})
+	return c
 }
 
-// Run serves until ctx ends.
-func (c *Control) Run(ctx context.Context) error {
-	srv, err := transport.Listen(ctx, c.opts.Listen, transport.Options{
-		Hello:   wire.Hello{Host: c.opts.Host, Role: wire.RoleControl, Cell: c.opts.Cell, Zone: c.opts.Zone, Incarnation: uint64(time.Now().UnixNano())},
-		Handler: c.onMessage,
-		OnDown:  c.onDown,
-	})
-	if err != nil {
-		return errors.Trace(err)
-	}
-	go c.followHead(ctx)
-	go planner.Run(ctx, 1, planner.Deps{
-		Cell: c.opts.Cell, Store: c.opts.Store, Engines: engine.NewClient(reportTimeout),
-		Snapshot: c.currentSnapshot, Valid: func() bool { return true },
-		Demand: func() map[string]wire.ModelDemand { return nil }, Publish: c.publish, Log: c.opts.Log.Part("planner"),
-	})
-	srv.Wait()
-	return nil
+// now is the monotonic time since the start of the process.
+func (c *Control) now() time.Duration { return time.Since(c.start) }
+
+func (c *Control) hello() wire.Hello {
+	return wire.Hello{Host: c.opts.Host, Role: wire.RoleControl, Cell: c.opts.Cell, Zone: c.opts.Zone, Incarnation: c.incarnation.Load()}
 }
 
-func (c *Control) currentSnapshot() *config.Snapshot {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.snapshot
+// transport returns the options of connections of one kind. Messages go to the core in order.
+func (c *Control) transport(onUp func(*transport.Conn)) transport.Options {
+	return transport.Options{
+		Hello: c.hello(), Counters: &c.counters, OnUp: onUp,
+		Handler: func(conn *transport.Conn, corr uint64, m wire.Message) { c.events.TryPush(evMessage{conn, corr, m}) },
+		OnDown:  func(conn *transport.Conn) { c.events.TryPush(evDown{conn}) },
+	}
 }
 
-func (c *Control) onMessage(conn *transport.Conn, _ uint64, m wire.Message) {
-	if _, ok := m.(*wire.Subscribe); !ok {
-		return
+// Run serves until ctx ends. It then hands over the lease, tells the cell, leaves the roster and returns.
+func (c *Control) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	srv, err := transport.Listen(life, c.opts.Listen, c.transport(nil))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var wg sync.WaitGroup
+	duty := func(f func(context.Context)) { wg.Go(func() { f(life) }) }
+	core := newCore(c, life)
+	duty(core.run)
+	duty(c.watchHead)
+	duty(c.watchPlacement)
+	duty(c.runFetches)
+	duty(c.keepRoster)
+	duty(c.pollEndpoints)
+	duty(c.lease.run)
+	stopAdmin, err := c.serveAdmin()
+	if err != nil {
+		end()
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.entries[conn] = true
-	if c.snapshot != nil {
-		conn.Send(&wire.ConfigUpdate{Head: c.head, Files: c.files})
+	select {
+	case <-ctx.Done():
+	case <-life.Done():
 	}
-	if c.placement.Version > 0 {
-		conn.Send(&wire.PlacementUpdate{Placement: c.placement})
+	if err == nil {
+		c.leave(life)
 	}
+	end()
+	stopAdmin()
+	wg.Wait()
+	srv.Wait()
+	return errors.Trace(err)
 }
 
-func (c *Control) onDown(conn *transport.Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.entries, conn)
+// leave hands everything over that other hosts would otherwise have to time out.
+func (c *Control) leave(life context.Context) {
+	ctx, cancel := context.WithTimeout(life, handoverLimit)
+	defer cancel()
+	c.opts.Log.Info().Msg("Leaving the cell.")
+	c.events.Push(ctx, evLeave{})
+	c.lease.handOver(ctx)
+	c.sync(ctx, evBeat{})
+	if err := c.leaveRoster(ctx); err != nil {
+		c.opts.Log.Warn().Err(err).Msg("Roster not left.")
+	}
 }
 
-func (c *Control) publish(p wire.Placement) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.placement = p
-	for conn := range c.entries {
-		conn.Send(&wire.PlacementUpdate{Placement: p})
+// sync pushes an event and waits until the core has handled it.
+func (c *Control) sync(ctx context.Context, e any) {
+	done := make(chan struct{})
+	if c.events.Push(ctx, e) != nil || c.events.Push(ctx, evSync{done}) != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
 	}
 }
 
-// followHead keeps the configuration up to date with the platform.
-func (c *Control) followHead(ctx context.Context) {
-	for ctx.Err() == nil {
-		o, err := c.opts.Store.Get(ctx, platform.KindHead, "head")
-		if err == nil {
-			err = c.install(ctx, o)
-		}
+// watchHead follows the configuration head.
+func (c *Control) watchHead(ctx context.Context) {
+	log := c.opts.Log.Part("head")
+	platform.Follow(ctx, c.opts.Store, platform.KindHead, "head", func(o platform.Object) {
+		head, err := platform.Decode[wire.Head](o)
 		if err != nil {
-			c.opts.Log.Debug().Err(err).Msg("No configuration from the platform.")
-			time.Sleep(200 * time.Millisecond)
-			continue
+			log.Error().Err(err).Msg("Head not readable.")
+			return
 		}
-		c.opts.Store.Watch(ctx, platform.KindHead, "head", o.Version, func(ev platform.Event) {
-			if err := c.install(ctx, ev.Object); err != nil {
-				c.opts.Log.Warn().Err(err).Msg("Configuration not installed.")
-			}
-		})
-	}
+		c.events.Push(ctx, evHead{head})
+	}, func(err error) { log.Warn().Err(err).Msg("Head not followed.") })
 }
 
-func (c *Control) install(ctx context.Context, o platform.Object) error {
-	head, err := platform.Decode[wire.Head](o)
-	if err != nil {
-		return err
-	}
-	if s := c.currentSnapshot(); s != nil && head.Revision <= s.Revision {
-		return nil
-	}
-	var files []wire.File
-	for _, f := range head.Files {
-		o, err := c.opts.Store.Get(ctx, platform.KindFile, f.Digest)
-		if err != nil {
-			return errors.Annotate(err, f.Name)
-		}
-		file, err := platform.Decode[wire.File](o)
+// watchPlacement follows the cell's placement.
+func (c *Control) watchPlacement(ctx context.Context) {
+	log := c.opts.Log.Part("placement")
+	platform.Follow(ctx, c.opts.Store, platform.KindPlacement, c.opts.Cell, func(o platform.Object) {
+		p, err := platform.Decode[wire.Placement](o)
 		if err != nil {
-			return err
+			log.Error().Err(err).Msg("Placement not readable.")
+			return
 		}
-		files = append(files, file)
-	}
-	snap, err := config.Build(head.Revision, files)
+		c.events.Push(ctx, evPlacement{p})
+	}, func(err error) { log.Warn().Err(err).Msg("Placement not followed.") })
+}
+
+// publishPlacement receives the placements that the planner of this process has stored.
+func (c *Control) publishPlacement(p wire.Placement) {
+	// The planner keeps changing its copy, so the core gets one that shares nothing with it.
+	b, err := p.MarshalMsg(nil)
 	if err != nil {
-		return err
+		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.head, c.files, c.snapshot = head, files, snap
-	for conn := range c.entries {
-		conn.Send(&wire.ConfigUpdate{Head: head, Files: files})
+	var own wire.Placement
+	if _, err := own.UnmarshalMsg(b); err == nil {
+		c.events.TryPush(evPlacement{own})
 	}
-	c.opts.Log.Info().Uint64("revision", head.Revision).Msg("Configuration in force.")
-	return nil
 }
--- /dev/null
+++ b/internal/control/leaseduty.go
@@ -0,0 +1,232 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/engine"
+	"sycamoredeal/internal/lease"
+	"sycamoredeal/internal/planner"
+	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/ring"
+	"sycamoredeal/internal/telemetry"
+)
+
+type leaseHint uint8
+
+const (
+	leaseHeard leaseHint = iota // the holder is alive
+	leaseHurry                  // the holder has released the lease
+)
+
+const (
+	leaseTick = 20 * time.Millisecond // resolution of the lease's times
+	hintRing  = 64
+)
+
+// leaseDuty keeps the cell's lease and runs the planner while it is held.
+type leaseDuty struct {
+	c       *Control
+	log     telemetry.Logger
+	hints   *ring.Ring[leaseHint]
+	release chan struct{} // closed to hand over
+	done    chan struct{} // closed after the hand-over
+	epoch   atomic.Uint64 // of the running planner
+	until   atomic.Int64  // end of the held term on the clock of Control.now, 0 for none
+	plan    *plan
+}
+
+// plan is one run of the planner.
+type plan struct {
+	epoch uint64
+	stop  context.CancelFunc
+	lapse *time.Timer // stops the plan at the end of the term, even while the duty waits for the platform
+	ended chan struct{}
+}
+
+func (p *plan) over() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func newLeaseDuty(c *Control) *leaseDuty {
+	return &leaseDuty{c: c, log: c.opts.Log.Part("lease"), hints: ring.New[leaseHint](hintRing), release: make(chan struct{}), done: make(chan struct{})}
+}
+
+func (l *leaseDuty) hint(h leaseHint) { l.hints.TryPush(h) }
+
+// valid tells whether the lease is held with this epoch at this moment by the process's own clock.
+func (l *leaseDuty) valid(epoch uint64) bool {
+	return l.epoch.Load() == epoch && l.c.now() < time.Duration(l.until.Load())
+}
+
+// held returns the held epoch, or 0.
+func (l *leaseDuty) held() uint64 {
+	if e := l.epoch.Load(); e > 0 && l.valid(e) {
+		return e
+	}
+	return 0
+}
+
+// handOver releases the lease and waits until that is stored or ctx ends.
+func (l *leaseDuty) handOver(ctx context.Context) {
+	close(l.release)
+	select {
+	case <-l.done:
+	case <-ctx.Done():
+	}
+}
+
+func (l *leaseDuty) run(ctx context.Context) {
+	o := l.c.opts
+	m := lease.New(lease.Config{
+		Host: o.Host, Incarnation: l.c.incarnation.Load(), Term: o.Term, Renew: o.Renew, Margin: o.Margin,
+		Quiet: missedForQuiet * o.Heartbeat, Seed: uint64(time.Now().UnixNano()),
+	})
+	t := time.NewTicker(leaseTick)
+	defer t.Stop()
+	defer l.stopPlan()
+	release := l.release
+	for ctx.Err() == nil {
+		select {
+		case h := <-l.hints.C():
+			if h == leaseHurry {
+				m.Hurry()
+			} else {
+				m.Heard(l.c.now())
+			}
+		case <-release:
+			release = nil
+			l.stopPlan()
+			m.Release()
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		l.step(ctx, m)
+		l.follow(ctx, m)
+		if m.Released() && release == nil {
+			close(l.done)
+			return
+		}
+	}
+}
+
+// step carries out the action that is due.
+func (l *leaseDuty) step(ctx context.Context, m *lease.Machine) {
+	a := m.Next(l.c.now())
+	if a.Kind == lease.None {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, max(l.c.opts.Renew, 100*time.Millisecond))
+	defer cancel()
+	before := m.Latest()
+	rec, version, err := l.call(call, a)
+	now := l.c.now()
+	switch {
+	case err == nil && a.Kind == lease.Write:
+		m.OnWritten(now, rec, version)
+	case err == nil:
+		m.OnRead(now, rec, version)
+	case errors.Is(err, platform.ErrNotFound) && a.Kind == lease.Read:
+		m.OnAbsent(now)
+	default:
+		m.OnUnsure(now, a.Kind == lease.Write)
+		l.log.Debug().Err(err).Msg("Lease call failed.")
+	}
+	if r := m.Latest(); r.Holder != before.Holder || r.Epoch != before.Epoch {
+		l.c.events.Push(ctx, evLease{r})
+	}
+}
+
+func (l *leaseDuty) call(ctx context.Context, a lease.Action) (lease.Record, string, error) {
+	var o platform.Object
+	var err error
+	if a.Kind == lease.Read {
+		o, err = l.c.opts.Store.Get(ctx, platform.KindLease, l.c.opts.Cell)
+	} else if o, err = platform.Encode(platform.KindLease, l.c.opts.Cell, a.Version, a.Record); err == nil {
+		if a.Version == "" {
+			o, err = l.c.opts.Store.Create(ctx, o)
+		} else {
+			o, err = l.c.opts.Store.Update(ctx, o)
+		}
+	}
+	if err != nil {
+		return lease.Record{}, "", err
+	}
+	rec, err := platform.Decode[lease.Record](o)
+	return rec, o.Version, err
+}
+
+// follow starts, extends or stops the planner so that it runs only while the lease is held.
+func (l *leaseDuty) follow(ctx context.Context, m *lease.Machine) {
+	now := l.c.now()
+	epoch := m.Held(now)
+	if l.plan != nil && (l.plan.epoch != epoch || l.plan.over()) {
+		l.stopPlan()
+	}
+	if epoch == 0 {
+		return
+	}
+	l.until.Store(int64(m.Until()))
+	if l.plan == nil {
+		l.startPlan(ctx, epoch)
+	}
+	l.plan.lapse.Reset(m.Until() - now)
+}
+
+func (l *leaseDuty) startPlan(ctx context.Context, epoch uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &plan{epoch: epoch, stop: cancel, lapse: time.AfterFunc(l.c.opts.Term, cancel), ended: make(chan struct{})}
+	l.plan = p
+	l.epoch.Store(epoch)
+	l.log.Info().Uint64("epoch", epoch).Msg("Lease held.")
+	l.c.events.TryPush(evBeat{})
+	directory := make(chan struct{})
+	go func() {
+		defer close(directory)
+		l.c.keepDirectory(ctx)
+	}()
+	go func() {
+		defer close(p.ended)
+		l.c.demand.take() // demand of an earlier term is out of date
+		err := planner.Run(ctx, epoch, l.deps(epoch))
+		if ctx.Err() == nil {
+			l.log.Error().Err(err).Msg("Planner ended early.")
+			platform.Sleep(ctx, time.Second)
+		}
+		cancel()
+		<-directory
+	}()
+}
+
+func (l *leaseDuty) deps(epoch uint64) planner.Deps {
+	return planner.Deps{
+		Cell: l.c.opts.Cell, Store: l.c.opts.Store, Engines: engine.NewClient(reportTimeout),
+		Snapshot: func() *config.Snapshot { return l.c.view.Load().snapshot },
+		Valid:    func() bool { return l.valid(epoch) },
+		Demand:   l.c.demand.take, Publish: l.c.publishPlacement, Log: l.c.opts.Log.Part("planner"),
+	}
+}
+
+// stopPlan ends the planner and waits for it, so that two epochs never run at the same time in one process.
+func (l *leaseDuty) stopPlan() {
+	if l.plan == nil {
+		return
+	}
+	l.until.Store(0)
+	l.plan.stop()
+	l.plan.lapse.Stop()
+	<-l.plan.ended
+	l.log.Info().Uint64("epoch", l.plan.epoch).Msg("Lease no longer held.")
+	l.plan = nil
+	l.epoch.Store(0)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,11 +11,8 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/juju/errors"
 
-	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/routing"
 	"sycamoredeal/internal/telemetry"
-	"sycamoredeal/internal/transport"
-	"sycamoredeal/internal/wire"
 )
 
 // Options are the settings of an entry process.
@@ -41,7 +38,7 @@
 	inFlight atomic.Int64
 	leaving  atomic.Bool
 	http     *server.Hertz
-	control  *transport.Client
+	demand   Demand
 }
 
 // New returns an entry process that is not yet running.
@@ -56,11 +53,16 @@
 func (e *Entry) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	e.control = transport.Dial(background, e.opts.Control, transport.Options{
-		Hello:   wire.Hello{Host: e.opts.Host, Role: wire.RoleEntry, Cell: e.opts.Cell, Zone: e.opts.Zone, Incarnation: uint64(time.Now().UnixNano())},
-		Handler: e.onControl,
-		OnUp:    func(c *transport.Conn) { c.Send(&wire.Subscribe{}) },
-	})
+	link := newLink(background, e)
+	linked := make(chan struct{})
+	go func() {
+		defer close(linked)
+		link.run(background)
+	}()
+	defer func() {
+		cancel()
+		<-linked
+	}()
 	hlog.SetLevel(hlog.LevelFatal) // the process logs through its own logger
 	e.http = server.New(
 		server.WithHostPorts(e.opts.Listen),
@@ -84,41 +86,6 @@
 	return errors.Trace(e.http.Shutdown(stop))
 }
 
-// onControl applies the updates that the control process pushes.
-func (e *Entry) onControl(c *transport.Conn, _ uint64, m wire.Message) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	next := *e.view.Load()
-	switch m := m.(type) {
-	case *wire.ConfigUpdate:
-		if next.Snapshot != nil && m.Head.Revision <= next.Snapshot.Revision {
-			return
-		}
-		snap, err := config.Build(m.Head.Revision, m.Files)
-		if err != nil {
-			e.opts.Log.Error().Err(err).Uint64("revision", m.Head.Revision).Msg("Configuration refused.")
-			return
-		}
-		next.Snapshot = snap
-		e.opts.Log.Info().Uint64("revision", snap.Revision).Msg("Configuration in force.")
-	case *wire.PlacementUpdate:
-		if next.Placement != nil && m.Placement.Version < next.Placement.Version {
-			return
-		}
-		next.Placement = &m.Placement
-	case *wire.MembersUpdate:
-		next.Members, next.Holder = m.Members, m.Holder
-	case *wire.EndpointsUpdate:
-		next.Leaving = make(map[string]bool)
-		for _, s := range m.States {
-			if s.Leaving {
-				next.Leaving[s.Endpoint] = true
-			}
-		}
-	}
-	e.view.Store(&next)
-}
-
 func (e *Entry) ready() bool {
 	return !e.leaving.Load() && e.view.Load().Snapshot != nil
 }
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -56,6 +56,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := recordSources(root); err != nil {
+		return nil, err
+	}
 	cmd := exec.CommandContext(ctx, "go", "build", "-o", dir+string(os.PathSeparator), "./cmd/...")
 	cmd.Dir = root
 	if out, err := cmd.CombinedOutput(); err != nil {
@@ -64,6 +67,23 @@
 	return &Bed{bin: dir}, nil
 }
 
+// recordSources opens the folders of the programs' source and looks at each file. The go command records that and runs a
+// test again after a change; without it, it would take the cached result of a test of old programs.
+func recordSources(root string) error {
+	for _, dir := range []string{"cmd", "internal"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ os.DirEntry, err error) error {
+			if err == nil {
+				_, err = os.Stat(path)
+			}
+			return err
+		})
+		if err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
 // Root returns the root folder of the module.
 func Root() string {
 	root, _ := moduleRoot()
