--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -24,6 +24,7 @@
 	app.Flag("listen", "ip:port for the project's own processes.").Required().StringVar(&o.Listen)
 	app.Flag("entry-address", "ip:port of the local entry process for other entry processes.").Required().StringVar(&o.EntryAddress)
 	app.Flag("admin-listen", "ip:port of the admin HTTP server.").StringVar(&o.AdminListen)
+	app.Flag("admin-token", "Operators' bearer token for the /v1 paths of the admin server.").StringVar(&o.AdminToken)
 	seeds := app.Flag("seeds", "ip:port of control processes, separated by commas, to ask while the platform can't be read.").String()
 	app.Flag("lease-term", "Time that a renewal keeps the cell's lease; renewals are sent three times a term.").Default("6s").DurationVar(&o.Term)
 	app.Flag("heartbeat", "Time between heartbeats.").Default("1s").DurationVar(&o.Heartbeat)
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"net/http"
 	"time"
 
@@ -68,6 +69,14 @@
 	return v.snapshot != nil && !v.leaving
 }
 
+// authenticate refuses requests without the operators' token.
+func (c *Control) authenticate(_ context.Context, r *app.RequestContext) {
+	want := "Bearer " + c.opts.AdminToken
+	if c.opts.AdminToken != "" && subtle.ConstantTimeCompare(r.GetHeader("Authorization"), []byte(want)) != 1 {
+		r.AbortWithStatus(http.StatusUnauthorized)
+	}
+}
+
 // serveAdmin starts the admin HTTP server and returns the function that stops it.
 func (c *Control) serveAdmin() (stop func(), err error) {
 	if c.opts.AdminListen == "" {
@@ -83,7 +92,8 @@
 		}
 		r.String(http.StatusOK, "ready")
 	})
-	h.GET("/v1/status", func(_ context.Context, r *app.RequestContext) { r.JSON(http.StatusOK, c.Status()) })
+	v1 := h.Group("/v1", c.authenticate)
+	v1.GET("/status", func(_ context.Context, r *app.RequestContext) { r.JSON(http.StatusOK, c.Status()) })
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,15 +21,16 @@
 )
 
 const (
-	reportTimeout  = 500 * time.Millisecond
-	fetchTimeout   = time.Second
-	eventRing      = 4096
-	handoverLimit  = 2 * time.Second // longest time that a stop waits for the platform
-	defaultTerm    = 6 * time.Second
-	defaultPoll    = time.Second
-	defaultBeat    = time.Second
-	missedForQuiet = 3  // heartbeats without which a host is suspect
-	missedForDead  = 10 // heartbeats without which a host is dead
+	reportTimeout    = 500 * time.Millisecond
+	fetchTimeout     = time.Second
+	eventRing        = 4096
+	handoverLimit    = 2 * time.Second // longest time that a stop waits for the platform
+	defaultTerm      = 6 * time.Second
+	defaultPoll      = time.Second
+	defaultBeat      = time.Second
+	missedForQuiet   = 2  // heartbeats without which a challenger reads the lease
+	missedForSuspect = 3  // heartbeats without which a host is suspect
+	missedForDead    = 10 // heartbeats without which a host is dead
 )
 
 // Options are the settings of a control process. Durations that are 0 have the defaults of the design.
@@ -40,6 +41,7 @@
 	Listen       string   // ip:port for the project's own processes
 	EntryAddress string   // ip:port of the local entry process for other entry processes
 	AdminListen  string   // ip:port of the admin HTTP server, empty for none
+	AdminToken   string   // operators' bearer token for /v1 paths, empty to ask for none
 	Seeds        []string // ip:port of control processes to ask while the platform can't be read
 	Term         time.Duration
 	Renew        time.Duration // default: a third of Term
@@ -161,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(life, handoverLimit)
 	defer cancel()
 	c.opts.Log.Info().Msg("Leaving the cell.")
-	c.events.Push(ctx, evLeave{})
+	c.sync(ctx, evLeave{})
 	c.lease.handOver(ctx)
 	c.sync(ctx, evBeat{})
 	if err := c.leaveRoster(ctx); err != nil {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -60,7 +60,7 @@
 	self := wire.Member{Host: c.opts.Host, Zone: c.opts.Zone, Incarnation: c.incarnation.Load(), ControlAddress: c.opts.Listen, EntryAddress: c.opts.EntryAddress}
 	k := &core{
 		Control: c, ctx: ctx, rev: revision.New(),
-		table: membership.New(membership.Config{Self: self, Suspect: missedForQuiet * c.opts.Heartbeat, Dead: missedForDead * c.opts.Heartbeat}),
+		table: membership.New(membership.Config{Self: self, Suspect: missedForSuspect * c.opts.Heartbeat, Dead: missedForDead * c.opts.Heartbeat}),
 		subs:  make(map[*transport.Conn]bool), peers: make(map[string]*transport.Client),
 		sources: make(map[string]stateSource), pending: make(map[string]wire.ModelDemand),
 	}
@@ -206,20 +206,22 @@
 	return &r
 }
 
+// subscribe sends the whole state. The configuration comes last: it makes an entry ready, which should then know the
+// leaving endpoints and the other members already.
 func (k *core) subscribe(conn *transport.Conn, s wire.Subscribe) {
 	k.subs[conn] = true
-	if k.rev.Revision() > s.Revision {
-		conn.Send(&wire.ConfigUpdate{Head: k.rev.Head(), Files: k.rev.Files()})
-	}
-	if k.placement.Version > s.Placement {
-		conn.Send(&wire.PlacementUpdate{Placement: k.placement})
-	}
 	if members := k.sentMembers; len(members.Members) > 0 {
 		conn.Send(&members)
 	}
 	if states := k.sentStates; k.statesKnown {
 		conn.Send(&states)
 	}
+	if k.placement.Version > s.Placement {
+		conn.Send(&wire.PlacementUpdate{Placement: k.placement})
+	}
+	if k.rev.Revision() > s.Revision {
+		conn.Send(&wire.ConfigUpdate{Head: k.rev.Head(), Files: k.rev.Files()})
+	}
 }
 
 // settling tells whether a process that has just started may still miss heartbeats and endpoint states. It then pushes
@@ -286,8 +288,10 @@
 }
 
 func (k *core) onFetched(e evFetched) {
+	ok := e.err == nil
 	for _, f := range e.files {
 		if !k.rev.OnFile(f) {
+			ok = false
 			k.opts.Log.Warn().Str("file", f.Name).Str("source", e.fetch.Source).Msg("File content does not match its digest.")
 		}
 	}
@@ -297,7 +301,7 @@
 	if e.err != nil {
 		k.opts.Log.Debug().Err(e.err).Str("source", e.fetch.Source).Msg("Fetch failed.")
 	}
-	k.rev.Settle(k.now(), e.fetch.Source, e.err == nil)
+	k.rev.Settle(k.now(), e.fetch.Source, ok)
 }
 
 // advance does what is due after each event and tick.
@@ -344,6 +348,7 @@
 	for conn := range k.subs {
 		if conn.Send(m) != nil {
 			conn.Close() // it subscribes again and gets the whole state
+			delete(k.subs, conn)
 		}
 	}
 }
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -87,6 +87,9 @@
 			out = append(out, m)
 		}
 	}
+	if v.leaving {
+		return out
+	}
 	out = append(out, wire.Member{
 		Host: c.opts.Host, Zone: c.opts.Zone, Incarnation: c.incarnation.Load(), ControlAddress: c.opts.Listen, EntryAddress: c.opts.EntryAddress,
 	})
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -224,3 +224,6 @@
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
 	return errors.Errorf("platform answered %d: %s", resp.StatusCode, bytes.TrimSpace(b))
 }
+
+// Close ends the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -28,7 +28,7 @@
 }
 
 type source struct {
-	revision uint64 // newest revision that the source has said it has
+	revision uint64 // that the source has said it has
 	retryAt  time.Duration
 	backoff  time.Duration
 }
@@ -71,11 +71,9 @@
 	return s.sources[name]
 }
 
-// Seen records that a source has a revision.
-func (s *State) Seen(name string, revision uint64) {
-	src := s.source(name)
-	src.revision = max(src.revision, revision)
-}
+// Seen records which revision a source has. It may be lower than before, for example after a restart; the source is then
+// no longer asked for the higher one.
+func (s *State) Seen(name string, revision uint64) { s.source(name).revision = revision }
 
 // Forget removes a source.
 func (s *State) Forget(name string) { delete(s.sources, name) }
