--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -16,6 +17,9 @@
 
 const adminExitWait = time.Second
 
+// quietHertz silences hertz's logger, which is one for the whole process: the process logs through its own.
+var quietHertz = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
+
 // Status is the answer to GET /v1/status.
 type Status struct {
 	Host             string                   `json:"host"`
@@ -82,7 +86,7 @@
 	if c.opts.AdminListen == "" {
 		return func() {}, nil
 	}
-	hlog.SetLevel(hlog.LevelFatal) // the process logs through its own logger
+	quietHertz()
 	h := server.New(server.WithHostPorts(c.opts.AdminListen), server.WithExitWaitTime(adminExitWait), server.WithDisablePrintRoute(true))
 	h.GET("/healthz", func(_ context.Context, r *app.RequestContext) { r.String(http.StatusOK, "ok") })
 	h.GET("/readyz", func(_ context.Context, r *app.RequestContext) {
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	rosterInterval    = 10 * time.Second // between reads without a hint
+	rosterInterval    = 30 * time.Second // between reads without a hint; an unknown host's heartbeat is a hint
 	rosterPause       = time.Second      // least time between reads
 	directoryInterval = time.Second      // between comparisons; a read is made only after a change
 	forgetAfter       = 6                // times the dead limit after which the holder removes a host
