Let challengers of the lease write only after a second look

A challenger that heard the holder's heartbeats did not read for long, then took its old reading for a version that had not changed and sent an update, which the platform refused. The version must now be read again at the end of the wait.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -57,6 +57,7 @@
 	rec       Record
 	version   string
 	firstSeen time.Duration // when the current version was first seen
+	lastSeen  time.Duration // when it was last seen
 
 	sent      map[uint64]time.Duration // send times of writes whose outcome is unsettled
 	writes    uint64
@@ -122,7 +123,8 @@
 	case m.version == "" || m.rec.Holder == "" || m.own():
 		// An own record whose term has lapsed is acquired again with a new epoch: work of the old epoch was cancelled.
 		return m.write(now, m.cfg.Host, m.rec.Epoch+1)
-	case now-m.firstSeen > m.wait():
+	case m.lastSeen-m.firstSeen > m.wait():
+		// The version was read again at the end of the wait: a process that has not read for long sends no vain write.
 		return m.write(now, m.cfg.Host, m.rec.Epoch+1)
 	case now-m.heard < m.cfg.Quiet:
 		m.nextAt = m.heard + m.cfg.Quiet
@@ -193,6 +195,7 @@
 }
 
 func (m *Machine) observe(now time.Duration, rec Record, version string) {
+	m.lastSeen = now
 	if !m.known || version != m.version {
 		if version != m.version || m.firstSeen == 0 {
 			m.firstSeen = now
@@ -203,8 +206,9 @@
 		m.epoch = 0
 		if rec.Holder == "" {
 			m.nextAt = now + time.Duration(m.rng.Int64N(int64(m.cfg.Renew)/8+1))
-		} else if left := m.firstSeen + m.wait() - now; left > 0 {
-			m.nextAt = min(m.nextAt, now+left+1)
+		} else {
+			left := max(m.firstSeen+m.wait()-now, 0)
+			m.nextAt = min(m.nextAt, now+left+1+time.Duration(m.rng.Int64N(int64(m.cfg.Renew)/8+1)))
 		}
 		return
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -156,3 +156,22 @@
 		}
 	}
 }
+
+// TestChallengersWriteNothing guards against challengers that try to take the lease from a holder that renews: a cell
+// has many of them and the platform's write budget is small.
+func TestChallengersWriteNothing(t *testing.T) {
+	var o object
+	a, b := &proc{m: New(config(0))}, &proc{m: New(config(1))}
+	for now := time.Millisecond; now < 20*time.Second; now += time.Millisecond {
+		a.step(now, &o, 0)
+		if now%(100*time.Millisecond) == 0 && now < 10*time.Second && a.m.Held(now) > 0 {
+			b.m.Heard(now) // heartbeats arrive for half of the time
+		}
+		if now > time.Second {
+			b.step(now, &o, 0)
+		}
+	}
+	if b.m.writes > 0 || a.m.Held(20*time.Second) != 1 {
+		t.Fatalf("the challenger wrote %d times, the holder has epoch %d", b.m.writes, a.m.Held(20*time.Second))
+	}
+}
