Scale the lease duty's tick with the renewal interval

A fixed tick of 20 ms woke an idle process 50 times a second; the end of a term has a timer of its own, so a twentieth of the renewal interval is enough.

go test ./internal/control ./test/integration: ok, 23.9 s.

--- a/internal/control/leaseduty.go
+++ b/internal/control/leaseduty.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	leaseTick = 20 * time.Millisecond // resolution of the lease's times
-	hintRing  = 64
+	ticksPerRenewal = 20 // resolution of the lease's times; the end of a term has its own timer
+	hintRing        = 64
 )
 
 // leaseDuty keeps the cell's lease and runs the planner while it is held.
@@ -91,7 +91,7 @@
 		Host: o.Host, Incarnation: l.c.incarnation.Load(), Term: o.Term, Renew: o.Renew, Margin: o.Margin,
 		Quiet: missedForQuiet * o.Heartbeat, Seed: uint64(time.Now().UnixNano()),
 	})
-	t := time.NewTicker(leaseTick)
+	t := time.NewTicker(max(o.Renew/ticksPerRenewal, time.Millisecond))
 	defer t.Stop()
 	defer l.stopPlan()
 	release := l.release
