Store claims of idempotency keys, and rebuild the request path of the entry

Cause: a keyed request could be executed by two hosts, and a broken stream was cut. Bodies are streamed so that an oversized one gets a problem.

--- /dev/null
+++ b/internal/entry/claimclient.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/attempt"
+	"sycamoredeal/internal/claims"
+	"sycamoredeal/internal/routing"
+	"sycamoredeal/internal/transport"
+	"sycamoredeal/internal/wire"
+)
+
+const (
+	maxKey         = 256                     // bytes of an idempotency key
+	claimTimeout   = 1500 * time.Millisecond // for one owner; covers a lost answer of the platform and reading back
+	claimTotal     = 3 * time.Second         // for all owners
+	finishTimeout  = 2 * time.Second         // for one try to record a result
+	finishTries    = 5
+	maxFinishing   = 1024                   // results being recorded; further ones are dropped, which leaves their outcome unknown
+	claimOwners    = 3                      // owners that are tried
+	claimConnected = 200 * time.Millisecond // for a connection to an owner
+)
+
+var errNoConnection = errors.New("no connection to the claim owner")
+
+// claimer stores claims of idempotency keys.
+type claimer interface {
+	// Claim claims a key for an attempt. The attempt may be sent only if the reply says granted.
+	Claim(ctx context.Context, r wire.ClaimRequest) wire.ClaimReply
+	// Finish records how a claimed attempt ended. For one that was not run it waits for a short time, so that the
+	// caller can use the key again as soon as it has its answer.
+	Finish(r wire.ClaimResult)
+	// Close waits until results are recorded, or ctx ends.
+	Close(ctx context.Context)
+}
+
+// claimClient is the claimer that asks the shard owners of the cell.
+type claimClient struct {
+	view  func() *routing.View
+	local string // control address that is used while the members are not known
+	hello wire.Hello
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	clients map[string]*transport.Client
+	slots   chan struct{}
+	running sync.WaitGroup
+}
+
+func newClaimClient(view func() *routing.View, o Options) *claimClient {
+	c := &claimClient{
+		view: view, local: o.Control, clients: make(map[string]*transport.Client), slots: make(chan struct{}, maxFinishing),
+		hello: wire.Hello{Host: o.Host, Role: wire.RoleEntry, Cell: o.Cell, Zone: o.Zone, Incarnation: uint64(time.Now().UnixNano())},
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+// owners returns control addresses in rendezvous order for a shard. Hosts that leave come last.
+func owners(v *routing.View, shard int, local string) []string {
+	type scored struct {
+		addr    string
+		leaving bool
+		score   uint64
+	}
+	var list []scored
+	for _, m := range v.Members {
+		if m.ControlAddress != "" {
+			list = append(list, scored{m.ControlAddress, m.Leaving, xxhash.Sum64String(m.Host + "\x00" + claims.Name(shard, 0))})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].leaving != list[j].leaving {
+			return list[j].leaving
+		}
+		return list[i].score > list[j].score
+	})
+	if len(list) == 0 {
+		return []string{local}
+	}
+	out := make([]string, 0, claimOwners)
+	for _, s := range list[:min(len(list), claimOwners)] {
+		out = append(out, s.addr)
+	}
+	return out
+}
+
+// Claim implements claimer. The same attempt may be claimed at several owners: it is granted to this attempt only.
+func (c *claimClient) Claim(ctx context.Context, r wire.ClaimRequest) wire.ClaimReply {
+	ctx, cancel := context.WithTimeout(ctx, claimTotal)
+	defer cancel()
+	sent := false
+	for _, addr := range owners(c.view(), claims.ShardOf(r.Caller, r.Key), c.local) {
+		m, err := c.call(ctx, addr, &r, claimTimeout)
+		if reply, ok := m.(*wire.ClaimReply); ok && err == nil {
+			if reply.State == wire.ClaimUnavailable {
+				c.abandon(r)
+			}
+			return *reply
+		}
+		sent = sent || err != errNoConnection
+	}
+	if sent {
+		c.abandon(r)
+	}
+	return wire.ClaimReply{State: wire.ClaimUnavailable, RetryAfterMs: uint32(defaultRetryAfter.Milliseconds())}
+}
+
+// abandon releases a claim that may have been stored although no grant arrived. The attempt is not sent.
+func (c *claimClient) abandon(r wire.ClaimRequest) {
+	c.record(wire.ClaimResult{Caller: r.Caller, Key: r.Key, Attempt: r.Attempt, Outcome: uint8(attempt.NotSent)})
+}
+
+// Finish implements claimer.
+func (c *claimClient) Finish(r wire.ClaimResult) {
+	done := c.record(r)
+	if !attempt.Outcome(r.Outcome).NotRun() {
+		return
+	}
+	t := time.NewTimer(claimTimeout)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+	}
+}
+
+// record stores a result in the background.
+func (c *claimClient) record(r wire.ClaimResult) <-chan struct{} {
+	done := make(chan struct{})
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		close(done)
+		return done
+	}
+	c.running.Go(func() {
+		defer func() { <-c.slots }()
+		defer close(done)
+		deadline := time.Now().Add(finishTries * finishTimeout)
+		for n := range finishTries {
+			for _, addr := range owners(c.view(), claims.ShardOf(r.Caller, r.Key), c.local) {
+				if _, err := c.call(c.ctx, addr, &r, finishTimeout); err == nil {
+					return
+				}
+			}
+			if !backoff(c.ctx, n+2, deadline) {
+				return
+			}
+		}
+	})
+	return done
+}
+
+// call sends one message to an owner. It returns errNoConnection if the message was not sent.
+func (c *claimClient) call(ctx context.Context, addr string, m wire.Message, limit time.Duration) (wire.Message, error) {
+	conn := c.connection(ctx, addr)
+	if conn == nil {
+		return nil, errNoConnection
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return conn.Call(ctx, m)
+}
+
+// connection returns a connection to an owner, waiting for it for a short time.
+func (c *claimClient) connection(ctx context.Context, addr string) *transport.Conn {
+	c.mu.Lock()
+	cl := c.clients[addr]
+	if cl == nil {
+		cl = transport.Dial(c.ctx, addr, transport.Options{Hello: c.hello, Handler: func(*transport.Conn, uint64, wire.Message) {}})
+		c.clients[addr] = cl
+	}
+	c.mu.Unlock()
+	for end := time.Now().Add(claimConnected); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 2*time.Millisecond) {
+		if conn := cl.Conn(); conn != nil {
+			return conn
+		}
+	}
+	return nil
+}
+
+// Close implements claimer.
+func (c *claimClient) Close(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		c.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	c.cancel()
+	<-done
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cl := range c.clients {
+		cl.Close()
+	}
+}
--- /dev/null
+++ b/internal/entry/completions.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/attempt"
+	"sycamoredeal/internal/routing"
+	"sycamoredeal/internal/wire"
+)
+
+const (
+	defaultDeadline = 30 * time.Second // for a rank without a deadline
+	// resumeLimit bounds the time without a new token after which a broken stream is given up. It covers the load of a
+	// new copy of a model whose only endpoint died.
+	resumeLimit = 30 * time.Second
+)
+
+// completion is one completion request with all its attempts.
+type completion struct {
+	e        *Entry
+	x        *exchange
+	body     *completionBody
+	ask      wire.Ask
+	upstream string // request id sent to endpoints, unique even if callers repeat theirs
+	seq      *sequence
+	sink     sink
+	outcome  attempt.Outcome // of all attempts so far
+	progress time.Time       // when the last token was accepted
+	tries    int             // attempts since then
+	last     error           // why the latest attempt ended
+}
+
+func (e *Entry) completions(ctx context.Context, x *exchange) {
+	raw, p := x.body(e.opts.MaxBody)
+	if p != nil {
+		x.fail(p)
+		return
+	}
+	body, err := parseCompletion(raw)
+	if err != nil {
+		x.fail(refusal(http.StatusBadRequest, "Malformed request body", err.Error(), 0))
+		return
+	}
+	// A model that the caller may not use is reported like one that does not exist, so that names are not disclosed.
+	if !x.snap.Serves(body.Model) || !mayUseModel(x.snap, body.Model, x.caller.Name) {
+		x.fail(refusal(http.StatusNotFound, "Unknown model", body.Model, 0))
+		return
+	}
+	r := newCompletion(e, x, body)
+	if p := r.run(ctx); p != nil {
+		r.fail(p)
+	}
+}
+
+func newCompletion(e *Entry, x *exchange, body *completionBody) *completion {
+	prompt := len(body.Messages) / 4
+	r := &completion{
+		e: e, x: x, body: body, upstream: x.id + "-" + uuid.NewString()[:8], seq: newSequence(body.N),
+		ask: wire.Ask{
+			Caller: x.caller.Name, Rank: x.rank.Name, Model: body.Model, PromptTokens: uint32(prompt), MaxTokens: body.MaxTokens,
+		},
+	}
+	if body.Stream {
+		r.sink = &streamSink{x: x}
+	} else {
+		r.sink = newWholeSink(x, body.N, prompt)
+	}
+	return r
+}
+
+func (r *completion) fail(p *problem) {
+	if s, ok := r.sink.(*streamSink); ok && s.started() {
+		r.e.opts.Log.Warn().Str("request", r.x.id).Str("detail", p.Detail).Msg("Stream given up.")
+		s.abort(p)
+		return
+	}
+	r.x.fail(p)
+}
+
+// run makes attempts until the answer is complete. It returns the problem to report, or nil if the caller has its
+// answer or is gone.
+func (r *completion) run(ctx context.Context) *problem {
+	r.e.retries.first()
+	for {
+		b, p := r.bind(ctx)
+		if p != nil {
+			return p
+		}
+		if b == nil {
+			if r.again(ctx) {
+				continue
+			}
+			return r.giveUp(ctx)
+		}
+		before := r.seq.last()
+		res := r.once(ctx, b)
+		if res.outcome != 0 {
+			r.outcome = attempt.Combine(r.outcome, res.outcome)
+		}
+		if r.seq.last() > before {
+			r.progress, r.tries = time.Now(), 0
+			r.ask.Exclude = nil
+		}
+		switch {
+		case res.err == errFinished || ctx.Err() != nil || res.callerGone:
+			return nil
+		case res.problem != nil:
+			return res.problem
+		case res.preempted:
+			continue
+		}
+		r.last = res.err
+		r.exclude(b.Endpoint())
+		r.e.opts.Log.Debug().Str("request", r.x.id).Str("endpoint", b.Endpoint()).Err(res.err).Msg("Attempt failed.")
+		if !r.again(ctx) {
+			return r.giveUp(ctx)
+		}
+	}
+}
+
+func (r *completion) exclude(endpoint string) {
+	for _, x := range r.ask.Exclude {
+		if x == endpoint {
+			return
+		}
+	}
+	r.ask.Exclude = append(r.ask.Exclude, endpoint)
+}
+
+// bind returns the binding for the next attempt. It returns nil without a problem if an answer that has begun has no
+// endpoint at present.
+func (r *completion) bind(ctx context.Context) (routing.Binding, *problem) {
+	r.ask.ID = r.e.asks.Add(1)
+	r.ask.Resumed = r.seq.last() > 0
+	if left := time.Until(r.x.deadline()); !r.ask.Resumed {
+		r.ask.DeadlineMs = uint32(max(left.Milliseconds(), 1))
+	}
+	b, err := r.e.binder.Bind(ctx, r.ask)
+	if err == nil {
+		return b, nil
+	}
+	var refused *routing.Refusal
+	switch {
+	case ctx.Err() != nil:
+		return nil, nil
+	case len(r.ask.Exclude) > 0:
+		// No other endpoint serves the model: the same ones may be tried again.
+		r.ask.Exclude, r.last = nil, err
+		return nil, nil
+	case r.ask.Resumed:
+		r.last = err
+		return nil, nil
+	case errors.As(err, &refused):
+		return nil, newProblem(http.StatusServiceUnavailable, "Not served in time", refused.Reason,
+			attempt.Combine(r.outcome, attempt.NotSent), time.Duration(refused.RetryAfterMs)*time.Millisecond)
+	}
+	return nil, newProblem(http.StatusServiceUnavailable, "No endpoint", err.Error(), attempt.Combine(r.outcome, attempt.NotSent), defaultRetryAfter)
+}
+
+// again waits before the next attempt. It returns false if there must be none. An answer that has begun is resumed
+// without regard to the retry budget as long as each attempt yields a token, because the caller already counts on it.
+func (r *completion) again(ctx context.Context) bool {
+	deadline := r.x.deadline()
+	if r.seq.last() > 0 {
+		deadline = r.progress.Add(resumeLimit)
+	} else if !r.e.retries.take() {
+		return false
+	}
+	r.tries++
+	return backoff(ctx, r.tries-1, deadline)
+}
+
+func (r *completion) giveUp(ctx context.Context) *problem {
+	if ctx.Err() != nil {
+		return nil
+	}
+	detail := ""
+	if r.last != nil {
+		detail = r.last.Error()
+	}
+	if r.outcome == 0 {
+		r.outcome = attempt.NotSent
+	}
+	return newProblem(http.StatusBadGateway, "No endpoint completed the request", detail, r.outcome, defaultRetryAfter)
+}
--- /dev/null
+++ b/internal/entry/drain.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	bodyReadAhead      = 64 << 10               // bytes
+	callerWriteTimeout = time.Minute            // for a caller that does not read its answer
+	exitWait           = 500 * time.Millisecond // for answers that are written but not yet flushed
+	drainPoll          = 20 * time.Millisecond
+)
+
+// drain ends the work of the process in the order of a graceful shutdown: the health check fails while requests are
+// still served, then new requests are refused as not run, then the requests in progress are finished.
+func (e *Entry) drain(ctx context.Context) {
+	e.leaving.Store(true)
+	e.opts.Log.Info().Int64("inFlight", e.inFlight.Load()).Msg("Stopping.")
+	sleep(ctx, e.opts.ReadyDelay)
+	e.draining.Store(true)
+	deadline := time.Now().Add(e.opts.DrainTimeout)
+	for e.inFlight.Load() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+		sleep(ctx, drainPoll)
+	}
+	if n := e.inFlight.Load(); n > 0 {
+		e.opts.Log.Error().Int64("inFlight", n).Msg("Drain timeout cuts requests.")
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/juju/errors"
+	"github.com/panjf2000/ants/v2"
 
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/routing"
@@ -27,8 +29,15 @@
 	PeerListen   string        // ip:port for other entry processes
 	Control      string        // ip:port of the local control process
 	MaxBody      int           // bytes of a request body
+	MaxAnswer    int           // bytes of a plain service's answer
+	MaxRequests  int           // requests in progress
+	ReadyDelay   time.Duration // time between the failing health check and the end of new work in a stop
 	DrainTimeout time.Duration // longest time that a stop waits for requests in progress
-	Log          telemetry.Logger
+
+	FirstTokenTimeout time.Duration // an endpoint that sends no first event for so long is left
+	IdleTimeout       time.Duration // an endpoint that sends no further event for so long is left
+
+	Log telemetry.Logger
 }
 
 // Entry is the running process.
@@ -38,20 +47,39 @@
 	mu       sync.Mutex // serialises changes of the view
 	binder   routing.Binder
 	outbound outbound
+	claims   claimer
+	retries  *retryBudget
+	workers  *ants.Pool
 	inFlight atomic.Int64
-	leaving  atomic.Bool
+	leaving  atomic.Bool // the health check fails
+	draining atomic.Bool // new requests are refused
 	http     *server.Hertz
 	control  *transport.Client
+
+	asks        atomic.Uint64 // id of the latest Ask
+	serviceTurn atomic.Uint64
 }
 
 // New returns an entry process that is not yet running.
 func New(opts Options) *Entry {
-	e := &Entry{opts: opts, outbound: newOutbound()}
+	opts.setDefaults()
+	e := &Entry{opts: opts, outbound: newOutbound(), retries: newRetryBudget()}
 	e.view.Store(&routing.View{})
 	e.binder = &routing.RoundRobin{View: e.view.Load}
+	e.claims = newClaimClient(e.view.Load, opts)
 	return e
 }
 
+// setDefaults fills in the options that have a usable default.
+func (o *Options) setDefaults() {
+	o.MaxBody = cmp.Or(o.MaxBody, 4<<20)
+	o.MaxAnswer = cmp.Or(o.MaxAnswer, 16<<20)
+	o.MaxRequests = cmp.Or(o.MaxRequests, 4096)
+	o.DrainTimeout = cmp.Or(o.DrainTimeout, 10*time.Minute)
+	o.FirstTokenTimeout = cmp.Or(o.FirstTokenTimeout, 20*time.Second)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, 5*time.Second)
+}
+
 // Run serves until ctx ends, then finishes the requests in progress and returns.
 func (e *Entry) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -61,11 +89,29 @@
 		Handler: e.onControl,
 		OnUp:    func(c *transport.Conn) { c.Send(&wire.Subscribe{}) },
 	})
+	defer e.control.Close()
+	return e.serve(ctx, background)
+}
+
+// serve answers callers until ctx ends and their requests are finished.
+func (e *Entry) serve(ctx, background context.Context) error {
+	workers, err := ants.NewPool(e.opts.MaxRequests, ants.WithNonblocking(true))
+	if err != nil {
+		return errors.Annotate(err, "request workers")
+	}
+	e.workers = workers
+	defer workers.Release()
+	defer e.outbound.close()
 	hlog.SetLevel(hlog.LevelFatal) // the process logs through its own logger
 	e.http = server.New(
 		server.WithHostPorts(e.opts.Listen),
-		server.WithMaxRequestBodySize(e.opts.MaxBody),
-		server.WithExitWaitTime(e.opts.DrainTimeout),
+		// Bodies are streamed, so that the entry answers one that is too large with a problem. hertz only uses its
+		// limit for how much it reads ahead then.
+		server.WithStreamBody(true),
+		server.WithMaxRequestBodySize(min(e.opts.MaxBody, bodyReadAhead)),
+		// The entry waits for its requests before the shutdown. The default of 5 s would also wait for idle connections.
+		server.WithExitWaitTime(exitWait),
+		server.WithWriteTimeout(callerWriteTimeout),
 		server.WithSenseClientDisconnection(true),
 		server.WithDisablePrintRoute(true),
 	)
@@ -77,11 +123,16 @@
 		return errors.Annotate(err, "serve callers")
 	case <-ctx.Done():
 	}
-	e.leaving.Store(true)
-	e.opts.Log.Info().Int64("inFlight", e.inFlight.Load()).Msg("Stopping.")
-	stop, done := context.WithTimeout(background, e.opts.DrainTimeout)
+	e.drain(background)
+	results, recorded := context.WithTimeout(background, finishTimeout)
+	defer recorded()
+	e.claims.Close(results)
+	stop, done := context.WithTimeout(background, exitWait)
 	defer done()
-	return errors.Trace(e.http.Shutdown(stop))
+	if err := e.http.Shutdown(stop); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return errors.Trace(err)
+	}
+	return nil
 }
 
 // onControl applies the updates that the control process pushes.
--- a/internal/entry/outbound.go
+++ b/internal/entry/outbound.go
@@ -5,10 +5,14 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
+
+	"sycamoredeal/internal/attempt"
 )
 
 const (
@@ -16,11 +20,24 @@
 	maxEventBytes  = 1 << 20
 )
 
-// outbound sends requests to endpoints.
-type outbound struct{ engines *http.Client }
+// outbound sends requests to endpoints. It uses transports directly, because http.Client would follow a redirect and
+// thereby send a request a second time.
+type outbound struct {
+	kept  *http.Transport // may reuse connections
+	fresh *http.Transport // one connection for each request, which net/http never sends twice
+}
 
 func newOutbound() outbound {
-	return outbound{engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, ResponseHeaderTimeout: time.Minute}}}
+	dial := attempt.Dialer((&net.Dialer{Timeout: connectTimeout}).DialContext)
+	return outbound{
+		kept:  &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true},
+		fresh: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+	}
+}
+
+func (o *outbound) close() {
+	o.kept.CloseIdleConnections()
+	o.fresh.CloseIdleConnections()
 }
 
 // event is one server-sent event.
@@ -56,12 +73,17 @@
 	return io.ErrUnexpectedEOF
 }
 
-func (o *outbound) complete(ctx context.Context, addr, requestID string, body []byte) (*http.Response, error) {
+// complete opens a completion stream at an endpoint. last is the id of the last event that was accepted, 0 for none.
+func (o *outbound) complete(ctx context.Context, addr, requestID string, last uint64, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
 	req.Header.Set("X-Request-Id", requestID)
-	return o.engines.Do(req)
+	if last > 0 {
+		req.Header.Set("Last-Event-ID", strconv.FormatUint(last, 10))
+	}
+	return o.kept.RoundTrip(req)
 }
