--- a/cmd/sycamore-standin/main.go
+++ b/cmd/sycamore-standin/main.go
@@ -31,7 +31,11 @@
 	prefill := eng.Flag("prefill", "Time for 1000 prompt tokens.").Default("50ms").Duration()
 
 	svc := app.Command("service", "A plain service.")
-	delay := svc.Flag("delay", "Time for each request.").Default("5ms").Duration()
+	var so service.Options
+	svc.Flag("delay", "Time before a request is executed.").Default("5ms").DurationVar(&so.Delay)
+	svc.Flag("answer-delay", "Time between execution and answer.").Default("0s").DurationVar(&so.AnswerDelay)
+	svc.Flag("close-before", "Close the connection instead of executing a request.").BoolVar(&so.CloseBefore)
+	svc.Flag("close-after", "Close the connection instead of answering an executed request.").BoolVar(&so.CloseAfter)
 
 	var h http.Handler
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
@@ -46,7 +50,7 @@
 			Log: func(f string, a ...any) { fmt.Fprintf(os.Stderr, f+"\n", a...) },
 		})
 	case "service":
-		h = service.New(*delay)
+		h = service.New(so)
 	}
 	srv := &http.Server{Addr: *listen, Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	app.FatalIfError(srv.ListenAndServe(), "serve")
--- a/internal/claims/machine_test.go
+++ b/internal/claims/machine_test.go
@@ -19,7 +19,6 @@
 	version  int
 	late     []Write // writes whose answer was lost and that may take effect later
 	machines []*owner
-	history  []string // per key: who was granted and who was released
 	holder   map[string]string
 	released map[string]bool // attempts that the platform shows as released
 	failed   string
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,9 @@
 	"sycamoredeal/internal/wire"
 )
 
+// quiet silences hertz's own log once: the process logs through its own logger.
+var quiet sync.Once
+
 // Options are the settings of an entry process.
 type Options struct {
 	Host         string
@@ -102,7 +105,7 @@
 	e.workers = workers
 	defer workers.Release()
 	defer e.outbound.close()
-	hlog.SetLevel(hlog.LevelFatal) // the process logs through its own logger
+	quiet.Do(func() { hlog.SetLevel(hlog.LevelFatal) })
 	e.http = server.New(
 		server.WithHostPorts(e.opts.Listen),
 		// Bodies are streamed, so that the entry answers one that is too large with a problem. hertz only uses its
