Give service calls their own connections and test claims through the entry

Cause: a late answer on a kept connection of a service without request ids could reach another caller, and a caller that left cancelled a call whose outcome was to be recorded.

--- a/internal/claims/machine.go
+++ b/internal/claims/machine.go
@@ -72,6 +72,7 @@
 type Machine struct {
 	shard     int
 	retention time.Duration
+	sealBytes int // SealBytes; smaller in tests
 
 	index    map[keyID]*holding
 	segments []Stored // sealed, oldest first
@@ -93,7 +94,7 @@
 	if retention <= 0 {
 		retention = DefaultRetention
 	}
-	return &Machine{shard: shard, retention: retention, index: make(map[keyID]*holding), all: true}
+	return &Machine{shard: shard, retention: retention, sealBytes: SealBytes, index: make(map[keyID]*holding), all: true}
 }
 
 // Claim takes in a claim. Its Reply carries the token.
@@ -346,6 +347,6 @@
 	for i := range s.Records {
 		size += s.Records[i].size()
 	}
-	s.Sealed = size >= SealBytes || s.UnixTime-s.Started > int64(m.retention/time.Second)
+	s.Sealed = size >= m.sealBytes || s.UnixTime-s.Started > int64(m.retention/time.Second)
 	return s
 }
--- a/internal/claims/machine_test.go
+++ b/internal/claims/machine_test.go
@@ -118,6 +118,10 @@
 func TestNoKeyIsGrantedTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(2, 0)
+		seal := rapid.SampledFrom([]int{100, 250, SealBytes}).Draw(t, "seal") // a record has about 50 bytes
+		for _, o := range w.machines {
+			o.m.sealBytes = seal
+		}
 		var token uint64
 		var granted []wire.ClaimRequest
 		steps := rapid.IntRange(20, 150).Draw(t, "steps")
@@ -154,6 +158,7 @@
 					w.late = append(w.late, x)
 				}
 				*o = owner{m: NewMachine(3, 0), pending: make(map[uint64]wire.ClaimRequest)}
+				o.m.sealBytes = seal
 			default:
 				w.finish(o, rapid.SampledFrom([]int{0, 0, 0, 1, 2, 3}).Draw(t, "how"))
 			}
--- a/internal/entry/bed_test.go
+++ b/internal/entry/bed_test.go
@@ -28,17 +28,33 @@
 	ended chan error
 }
 
-// fakeClaims grants everything and keeps the results.
+// fakeClaims answers as told and keeps the results, unless it stands for a real client.
 type fakeClaims struct {
 	reply   atomic.Pointer[wire.ClaimReply]
 	results chan wire.ClaimResult
+	real    atomic.Pointer[claimClient]
 }
 
-func (f *fakeClaims) Claim(context.Context, wire.ClaimRequest) wire.ClaimReply {
+func (f *fakeClaims) Claim(ctx context.Context, r wire.ClaimRequest) wire.ClaimReply {
+	if c := f.real.Load(); c != nil {
+		return c.Claim(ctx, r)
+	}
 	return *f.reply.Load()
 }
-func (f *fakeClaims) Finish(r wire.ClaimResult) { f.results <- r }
-func (f *fakeClaims) Close(context.Context)     {}
+
+func (f *fakeClaims) Finish(r wire.ClaimResult) {
+	if c := f.real.Load(); c != nil {
+		c.Finish(r)
+		return
+	}
+	f.results <- r
+}
+
+func (f *fakeClaims) Close(ctx context.Context) {
+	if c := f.real.Load(); c != nil {
+		c.Close(ctx)
+	}
+}
 
 // binding is a Binding whose release can be awaited.
 type binding struct {
--- /dev/null
+++ b/internal/entry/claimclient_test.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sycamoredeal/internal/claimstore"
+	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/routing"
+	standin "sycamoredeal/internal/standin/platform"
+	"sycamoredeal/internal/telemetry"
+	"sycamoredeal/internal/transport"
+	"sycamoredeal/internal/wire"
+)
+
+// claimOwner hosts a claim store like a control process does.
+func claimOwner(t *testing.T, url string) (addr string, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := claimstore.New(claimstore.Deps{Store: platform.NewClient(url, ""), Log: telemetry.Discard()})
+	go s.Run(ctx)
+	srv, err := transport.Listen(ctx, "127.0.0.1:0", transport.Options{Handler: func(c *transport.Conn, corr uint64, m wire.Message) { s.Handle(c, corr, m) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cancel)
+	return srv.Addr(), cancel
+}
+
+// TestKeyedCalls guards against keyed calls that run twice, that run during an outage of the platform, or whose key is
+// lost although they were not run; and against unkeyed calls that an outage stops.
+func TestKeyedCalls(t *testing.T) {
+	var down atomic.Bool
+	inner := standin.New()
+	plat := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if down.Load() {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		inner.ServeHTTP(w, r)
+	}))
+	t.Cleanup(plat.Close)
+	ex := &executions{n: make(map[string]int)}
+	addr := rawEndpoint(t, func(conn net.Conn, r *http.Request, _ int) {
+		ex.add(r.Header.Get("Idempotency-Key"))
+		if r.Header.Get("X-Cut") != "" {
+			conn.Close()
+			return
+		}
+		io.WriteString(conn, "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n")
+	})
+	d := service("127.0.0.1:1") // nothing listens on this port
+	b := newBed(t, Options{}, nil, d)
+	snap := b.e.view.Load().Snapshot
+	one, stopOne := claimOwner(t, plat.URL)
+	two, stopTwo := claimOwner(t, plat.URL)
+	b.e.view.Store(&routing.View{Snapshot: snap, Members: []wire.Member{{Host: "h1", ControlAddress: one}, {Host: "h2", ControlAddress: two}}})
+	b.e.claims.(*fakeClaims).real.Store(newClaimClient(b.e.view.Load, b.e.opts))
+	post := func(key, body string, headers ...string) problem {
+		t.Helper()
+		resp := b.do("POST", "/svc/registry/x", body, append(headers, "Idempotency-Key", key)...)
+		if resp.StatusCode == http.StatusCreated {
+			return problem{Status: resp.StatusCode}
+		}
+		return readProblem(t, resp)
+	}
+	expect := func(what string, p problem, status int, executed string) {
+		t.Helper()
+		if p.Status != status || p.Executed != executed {
+			t.Errorf("%s: %+v, want %d and executed %q", what, p, status, executed)
+		}
+	}
+	expect("no server listens", post("k1", "x"), 503, "no")
+	next := *b.e.view.Load()
+	next.Snapshot = config.NewSnapshot(2, config.Declarations{
+		Ranks: snap.Ranks, Callers: snap.Callers, Models: snap.Models, Services: service(addr).Services,
+	})
+	b.e.view.Store(&next)
+	expect("the same key after it was not run", post("k1", "x"), 201, "")
+	if p := post("k1", "x"); p.Status != 409 {
+		t.Errorf("repeated key: %+v, want 409", p)
+	}
+	expect("other request", post("k1", "y"), 422, "no")
+	expect("killed", post("k2", "x", "X-Cut", "1"), 502, "unknown")
+	expect("repeated after unknown", post("k2", "x"), 409, "unknown")
+	down.Store(true)
+	if p := post("k3", "x"); p.Status != 503 || p.Executed != "no" || p.RetryAfterMs == 0 {
+		t.Errorf("outage: %+v, want 503, no and a time", p)
+	}
+	if resp := b.do("POST", "/svc/registry/x", "x"); resp.StatusCode != 201 {
+		t.Errorf("unkeyed call in the outage: status %d, want 201", resp.StatusCode)
+	}
+	down.Store(false)
+	if owners(b.e.view.Load(), 0, "")[0] == one { // whichever owner is first for shard 0 dies
+		stopOne()
+	} else {
+		stopTwo()
+	}
+	for _, key := range []string{"a", "b", "c", "d", "e", "f"} { // of several shards
+		p := post(key, "x")
+		for end := time.Now().Add(4 * time.Second); p.Status == 503 && time.Now().Before(end); p = post(key, "x") {
+			time.Sleep(100 * time.Millisecond) // a shard is unavailable for a second after it has seen an outage
+		}
+		expect("one owner dead", p, 201, "")
+	}
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for key, n := range ex.n {
+		if key != "" && n > 1 {
+			t.Errorf("key %s executed %d times", key, n)
+		}
+	}
+	if ex.n["k3"] != 0 {
+		t.Error("a call that was told not run was executed")
+	}
+}
--- a/internal/entry/outbound.go
+++ b/internal/entry/outbound.go
@@ -23,8 +23,8 @@
 // outbound sends requests to endpoints. It uses transports directly, because http.Client would follow a redirect and
 // thereby send a request a second time.
 type outbound struct {
-	kept  *http.Transport // may reuse connections
-	fresh *http.Transport // one connection for each request, which net/http never sends twice
+	kept  *http.Transport // for engines; reuses connections
+	fresh *http.Transport // for services; one connection for each request, which net/http never sends twice
 }
 
 func newOutbound() outbound {
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -133,6 +133,19 @@
 	}
 }
 
+// TestMisdirectedAnswer guards against a caller that gets the answer to another request.
+func TestMisdirectedAnswer(t *testing.T) {
+	wrong := rawEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Request-Id: other\r\n\r\nsecret")
+	})
+	b := newBed(t, Options{}, nil, service(wrong))
+	for _, method := range []string{"GET", "POST"} {
+		if p := readProblem(t, b.do(method, "/svc/registry/x", "x")); p.Status != 502 || p.Executed != attempt.ExecutedUnknown {
+			t.Errorf("%s: %+v, want 502 and unknown", method, p)
+		}
+	}
+}
+
 // TestKeyed guards against a keyed call that runs without a claim, or whose end is not recorded.
 func TestKeyed(t *testing.T) {
 	ex := &executions{n: make(map[string]int)}
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -55,6 +55,10 @@
 	if timeout <= 0 {
 		timeout = defaultServiceTimeout
 	}
+	if !s.idempotent {
+		// The call goes on if the caller leaves, so that its outcome is known and recorded.
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	key := string(x.c.GetHeader("Idempotency-Key"))
@@ -171,8 +175,9 @@
 	return nil
 }
 
-// once sends the request to one endpoint. A request that is not idempotent gets a connection of its own, because
-// net/http may send a request again on a kept connection.
+// once sends the request to one endpoint on a connection of its own: net/http may send a request again on a kept
+// connection, and a late answer to another request could arrive there, which a service that returns no request id would
+// not reveal.
 func (s *serviceCall) once(ctx context.Context, ep *config.ServiceEndpoint) (*serviceAnswer, attempt.Outcome, error) {
 	var trace attempt.Trace
 	req, err := http.NewRequestWithContext(trace.With(ctx), s.method, "http://"+ep.Address+s.target, bytes.NewReader(s.body))
@@ -182,11 +187,7 @@
 	copyRequestHeaders(s.x.c, req.Header)
 	req.Header.Set("X-Request-Id", s.x.id)
 	req.Header.Set("X-Caller", s.x.caller.Name)
-	tr := s.e.outbound.fresh
-	if s.idempotent {
-		tr = s.e.outbound.kept
-	}
-	resp, err := tr.RoundTrip(req)
+	resp, err := s.e.outbound.fresh.RoundTrip(req)
 	if err != nil {
 		return nil, trace.Failed(), err
 	}
@@ -222,6 +223,7 @@
 		return
 	}
 	c := s.x.c
+	c.Response.Header.SetNoDefaultContentType(true)
 	copyAnswerHeaders(ans.header, &c.Response.Header)
 	c.Response.Header.Set("X-Request-Id", s.x.id)
 	c.Status(ans.status)
