Limit each claim shard to about 10 writes per second

Cause: a busy shard wrote as fast as the platform answered; 16 of them exceed several hundred writes/s. Change: claims that come within 100 ms of the previous write are batched; a lone claim is still written at once, and known answers do not wait. Results that find the shard full no longer leave an entry behind.

--- a/internal/claims/machine.go
+++ b/internal/claims/machine.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	maxPending  = 4096            // claims and results that wait
-	maxBatch    = 128             // records of one write; bounds a segment well below the platform's limit
+	maxPending = 4096 // claims and results that wait
+	maxBatch   = 128  // records of one write; bounds a segment well below the platform's limit
+	// writeGap is the least time between the starts of two writes of a shard, so that 16 busy shards make at most 160
+	// writes/s of the several hundred that the platform allows. A lone claim finds the gap over and is written at once.
+	writeGap    = 100 * time.Millisecond
 	outagePause = 1 * time.Second // claims are answered at once for so long after the platform failed
 )
 
@@ -40,7 +43,15 @@
 // Confirm tells that a result is recorded or is of no consequence.
 type Confirm struct{ Token uint64 }
 
+// Wake asks for a Tick at a time.
+type Wake struct{ At time.Time }
+
+// Drop tells that a result could not be kept. It gets no Confirm.
+type Drop struct{ Token uint64 }
+
 func (Load) action()    {}
+func (Wake) action()    {}
+func (Drop) action()    {}
 func (Write) action()   {}
 func (Delete) action()  {}
 func (Reply) action()   {}
@@ -80,6 +91,8 @@
 	loaded   bool
 	all      bool // the next load reads all segments
 	synced   time.Time
+	written  time.Time // start of the latest write
+	wake     time.Time // latest Wake asked for
 	down     time.Time // until then, claims are answered as unavailable at once
 
 	busy    bool
@@ -107,10 +120,10 @@
 }
 
 // Result takes in how a claimed attempt ended. Its Confirm carries the token. A result that can't be stored now is
-// kept for a later write; it is dropped without a Confirm if too many wait.
+// kept for a later write, unless too many wait.
 func (m *Machine) Result(now time.Time, token uint64, r wire.ClaimResult) []Action {
 	if len(m.waiting) >= maxPending {
-		return nil
+		return []Action{Drop{token}}
 	}
 	m.waiting = append(m.waiting, pending{token: token, result: &r})
 	return m.step(now, nil)
@@ -254,11 +267,19 @@
 		m.busy = true
 		return append(out, Load{All: m.all, From: m.open.Seq})
 	}
-	out = m.stage(out)
+	if next := m.written.Add(writeGap); now.Before(next) {
+		out = m.stage(out, 0)
+		if len(m.waiting) > 0 && m.wake != next {
+			m.wake = next
+			out = append(out, Wake{next})
+		}
+		return out
+	}
+	out = m.stage(out, maxBatch)
 	if len(m.records) == 0 {
 		return out
 	}
-	m.busy = true
+	m.busy, m.written = true, now
 	m.writing = m.next(now)
 	return append(out, Write{m.writing})
 }
@@ -271,15 +292,14 @@
 	return m.segments[0], true
 }
 
-// stage answers what the index already decides and moves the rest into the next write, up to its size. A claim or
+// stage answers what the index already decides and moves the rest into the next write, up to room records. A claim or
 // result of a key that is already part of the write waits for the next one.
-func (m *Machine) stage(out []Action) []Action {
+func (m *Machine) stage(out []Action, room int) []Action {
 	var rest []pending
 	touched := make(map[keyID]bool)
 	for _, p := range m.waiting {
 		id := p.id()
-		if touched[id] || len(m.records) >= maxBatch {
-			touched[id] = true // later ones of the key keep their order
+		if touched[id] {
 			rest = append(rest, p)
 			continue
 		}
@@ -288,7 +308,11 @@
 			out = append(out, done)
 			continue
 		}
-		touched[id] = true
+		touched[id] = true // later ones of the key keep their order
+		if len(m.records) >= room {
+			rest = append(rest, p)
+			continue
+		}
 		m.staged, m.records = append(m.staged, p), append(m.records, r)
 	}
 	m.waiting = rest
--- a/internal/claims/machine_test.go
+++ b/internal/claims/machine_test.go
@@ -20,7 +20,8 @@
 	late     []Write // writes whose answer was lost and that may take effect later
 	machines []*owner
 	holder   map[string]string
-	released map[string]bool // attempts that the platform shows as released
+	released map[string]bool  // attempts that the platform shows as released
+	last     *wire.ClaimReply // latest reply to a claim
 	failed   string
 }
 
@@ -70,6 +71,7 @@
 	for _, a := range as {
 		switch a := a.(type) {
 		case Reply:
+			w.last = &a.ClaimReply
 			c := o.pending[a.Token]
 			if a.State != wire.ClaimGranted {
 				continue
@@ -78,7 +80,7 @@
 				w.failed = fmt.Sprintf("key %s granted to %s while %s holds it", c.Key, c.Attempt, h)
 			}
 			w.holder[c.Key] = c.Attempt
-		case Confirm:
+		case Confirm, Wake, Drop:
 		default:
 			if o.io != nil {
 				w.failed = "two outstanding actions"
@@ -183,20 +185,15 @@
 	w := newWorld(1, time.Hour)
 	o := w.machines[0]
 	claim := func(token uint64, key, attempt string, fingerprint uint64) *wire.ClaimReply {
-		var got *wire.ClaimReply
-		for _, a := range o.m.Claim(w.now, token, wire.ClaimRequest{Caller: "c", Key: key, Attempt: attempt, Fingerprint: fingerprint}) {
-			if r, ok := a.(Reply); ok {
-				got = &r.ClaimReply
-			} else {
-				o.io = a
-			}
-		}
-		return got
+		w.last = nil
+		w.now = w.now.Add(2 * writeGap)
+		w.take(o, o.m.Claim(w.now, token, wire.ClaimRequest{Caller: "c", Key: key, Attempt: attempt, Fingerprint: fingerprint}))
+		w.settle()
+		return w.last
 	}
 	padded := strings.Repeat("a", 200)
 	for i := range 700 {
 		claim(uint64(i), fmt.Sprint("key", i), padded, 1)
-		w.settle()
 	}
 	if len(w.objects) < 2 {
 		t.Fatalf("%d segments, want several", len(w.objects))
@@ -212,7 +209,6 @@
 	}
 	o.m = NewMachine(3, time.Hour)
 	claim(1, "other", "a", 1)
-	w.settle()
 	if r := claim(1, "key3", "b", 1); r == nil || r.State != wire.ClaimTaken {
 		t.Errorf("second claim after a reload: %+v, want taken", r)
 	}
@@ -221,7 +217,6 @@
 	}
 	w.now = w.now.Add(2 * time.Hour)
 	claim(2, "last", "a", 1)
-	w.settle()
 	w.take(o, o.m.Tick(w.now))
 	w.settle()
 	if len(w.objects) > 2 {
@@ -237,6 +232,8 @@
 	w.take(o, o.m.Claim(w.now, 1, c))
 	w.settle()
 	w.take(o, o.m.Result(w.now, 2, wire.ClaimResult{Caller: "c", Key: "k", Attempt: "a", Outcome: uint8(attempt.NotSent)}))
+	w.now = w.now.Add(writeGap)
+	w.take(o, o.m.Tick(w.now))
 	w.finish(o, 3) // unclear
 	w.finish(o, 3) // the read fails as well
 	as := o.m.Claim(w.now, 3, wire.ClaimRequest{Caller: "c", Key: "k2", Attempt: "b"})
@@ -250,3 +247,43 @@
 		t.Error("the release was not stored after the outage")
 	}
 }
+
+// TestBatching guards against one write per claim, which the platform's rate limit does not allow, against a lone claim
+// that waits, and against a known answer that waits for a write.
+func TestBatching(t *testing.T) {
+	w := newWorld(1, 0)
+	o := w.machines[0]
+	claim := func(token uint64, key string) []Action {
+		as := o.m.Claim(w.now, token, wire.ClaimRequest{Caller: "c", Key: key, Attempt: fmt.Sprint(token)})
+		w.take(o, as)
+		return as
+	}
+	claim(1, "lone")
+	w.settle()
+	if w.last == nil || w.last.State != wire.ClaimGranted {
+		t.Fatal("a lone claim waits")
+	}
+	before := w.version
+	var wake time.Time
+	for i := range 50 {
+		for _, a := range claim(uint64(10+i), fmt.Sprint("k", i)) {
+			if x, ok := a.(Wake); ok {
+				wake = x.At
+			}
+		}
+	}
+	w.last = nil
+	claim(100, "lone")
+	if w.last == nil || w.last.State != wire.ClaimTaken {
+		t.Error("a known answer waits for the next write")
+	}
+	if o.io != nil || !wake.Equal(w.now.Add(writeGap)) {
+		t.Errorf("outstanding %v, wake at %v; want none and one gap later", o.io, wake)
+	}
+	w.now = wake
+	w.take(o, o.m.Tick(w.now))
+	w.settle()
+	if w.version-before != 1 || len(o.m.waiting) != 0 {
+		t.Errorf("%d writes for 50 claims, %d left; want 1 and 0", w.version-before, len(o.m.waiting))
+	}
+}
--- a/internal/claimstore/claimstore.go
+++ b/internal/claimstore/claimstore.go
@@ -94,24 +94,28 @@
 	ends    chan ended
 	origins map[uint64]origin
 	token   uint64
+	wake    *time.Timer
 }
 
 func newShard(id int, deps Deps) *shard {
 	return &shard{
 		id: id, deps: deps, machine: claims.NewMachine(id, deps.Retention), in: ring.New[input](inputs),
-		orders: make(chan claims.Action, 1), ends: make(chan ended, 1), origins: make(map[uint64]origin),
+		orders: make(chan claims.Action, 1), ends: make(chan ended, 1), origins: make(map[uint64]origin), wake: time.NewTimer(0),
 	}
 }
 
 func (s *shard) run(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	defer s.wake.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 			s.perform(s.machine.Tick(time.Now()))
+		case <-s.wake.C:
+			s.perform(s.machine.Tick(time.Now()))
 		case in := <-s.in.C():
 			s.take(in)
 		case e := <-s.ends:
@@ -137,6 +141,10 @@
 		switch a := a.(type) {
 		case claims.Reply:
 			s.reply(a.Token, &a.ClaimReply)
+		case claims.Drop:
+			delete(s.origins, a.Token)
+		case claims.Wake:
+			s.wake.Reset(time.Until(a.At))
 		case claims.Confirm:
 			s.reply(a.Token, &wire.Ack{})
 		default:
