Answer faults of handlers, and bound the claim client's connections

Cause: a panic in a worker left an empty answer with status 200; connections to departed control processes stayed open. Change: a recovered handler answers 500 with executed unknown; the claim client closes connections to hosts that have left; events are parsed without the optional space; asks carry a hash of the prompt's prefix. Result: go test ./... passes.

--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -175,6 +175,7 @@
 	c.mu.Lock()
 	cl := c.clients[addr]
 	if cl == nil {
+		c.prune()
 		cl = transport.Dial(c.ctx, addr, transport.Options{Hello: c.hello, Handler: func(*transport.Conn, uint64, wire.Message) {}})
 		c.clients[addr] = cl
 	}
@@ -187,6 +188,20 @@
 	return nil
 }
 
+// prune closes the connections to control processes that have left the cell. The caller holds the lock.
+func (c *claimClient) prune() {
+	live := map[string]bool{c.local: true}
+	for _, m := range c.view().Members {
+		live[m.ControlAddress] = true
+	}
+	for addr, cl := range c.clients {
+		if !live[addr] {
+			delete(c.clients, addr)
+			go cl.Close()
+		}
+	}
+}
+
 // Close implements claimer.
 func (c *claimClient) Close(ctx context.Context) {
 	done := make(chan struct{})
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
@@ -18,6 +19,7 @@
 	// resumeLimit bounds the time without a new token after which a broken stream is given up. It covers the load of a
 	// new copy of a model whose only endpoint died.
 	resumeLimit = 30 * time.Second
+	prefixBytes = 1 << 10 // of the messages, whose hash lets equal prompts meet at an endpoint that has cached them
 )
 
 // completion is one completion request with all its attempts.
@@ -63,6 +65,7 @@
 		e: e, x: x, body: body, upstream: x.id + "-" + uuid.NewString()[:8], seq: newSequence(body.N),
 		ask: wire.Ask{
 			Caller: x.caller.Name, Rank: x.rank.Name, Model: body.Model, PromptTokens: uint32(prompt), MaxTokens: body.MaxTokens,
+			PrefixHash: xxhash.Sum64(body.Messages[:min(len(body.Messages), prefixBytes)]),
 		},
 	}
 	if body.Stream {
--- /dev/null
+++ b/internal/entry/events.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+const maxEventBytes = 1 << 20 // longest line of a stream
+
+// event is one server-sent event.
+type event struct {
+	id   string
+	data []byte
+}
+
+// readEvents calls fn for each event of a stream until it ends or fn returns an error. An event counts once the empty
+// line after it has arrived. The end of the stream is io.ErrUnexpectedEOF, because a complete one ends in fn.
+func readEvents(r io.Reader, fn func(event) error) error {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(make([]byte, 16<<10), maxEventBytes)
+	var e event
+	for sc.Scan() {
+		line := sc.Bytes()
+		if len(line) > 0 {
+			e.add(line)
+			continue
+		}
+		if e.data != nil {
+			if err := fn(e); err != nil {
+				return err
+			}
+		}
+		e = event{}
+	}
+	if err := sc.Err(); err != nil {
+		return errors.Trace(err)
+	}
+	return io.ErrUnexpectedEOF
+}
+
+// add takes in one line of an event; other fields and comments are skipped.
+func (e *event) add(line []byte) {
+	field, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(field) {
+	case "id":
+		e.id = string(value)
+	case "data":
+		if e.data != nil {
+			e.data = append(e.data, '\n')
+		}
+		e.data = append(append([]byte{}, e.data...), value...)
+	}
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/google/uuid"
 
+	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/config"
 )
 
@@ -83,6 +85,7 @@
 		done := make(chan struct{})
 		err := e.workers.Submit(func() {
 			defer close(done)
+			defer e.recoverFrom(x)
 			if p := e.admit(x); p != nil {
 				x.fail(p)
 				return
@@ -97,6 +100,20 @@
 	}
 }
 
+// recoverFrom answers a request whose handler has panicked. The pool would recover as well, but leave an empty answer
+// with status 200.
+func (e *Entry) recoverFrom(x *exchange) {
+	r := recover()
+	if r == nil {
+		return
+	}
+	e.opts.Log.Error().Str("request", x.id).Any("panic", r).Str("stack", string(debug.Stack())).Msg("Handler failed.")
+	x.c.SetConnectionClose()
+	if x.c.Response.GetHijackWriter() == nil {
+		x.fail(newProblem(http.StatusInternalServerError, "Internal error", "", attempt.Unknown, 0))
+	}
+}
+
 // admit fills in who sends the request and at what rank.
 func (e *Entry) admit(x *exchange) *problem {
 	x.snap = e.view.Load().Snapshot
