--- a/internal/entry/panic_test.go
+++ b/internal/entry/panic_test.go
@@ -12,7 +12,9 @@
 
 type panicBinder struct{}
 
-func (panicBinder) Bind(context.Context, wire.Ask) (routing.Binding, error) { panic("fault in a handler") }
+func (panicBinder) Bind(context.Context, wire.Ask) (routing.Binding, error) {
+	panic("fault in a handler")
+}
 
 // TestPanic guards against an empty answer with status 200 after a fault in a handler.
 func TestPanic(t *testing.T) {
