Leave an endpoint that is frozen before its first token in time for another

Cause: a frozen endpoint held a request for 20 s, past its deadline. Change: the first token may take half of the time left to the deadline, at least 1 s and at most the setting. Result: TestResume with an endpoint frozen at once gets the whole answer from the next one within its deadline of 2 s.

--- a/internal/entry/completions_test.go
+++ b/internal/entry/completions_test.go
@@ -59,6 +59,9 @@
 		return
 	case "cut at once":
 		panic(http.ErrAbortHandler)
+	case "freeze at once":
+		<-r.Context().Done()
+		return
 	case "other request":
 		id = "other"
 	}
@@ -170,7 +173,7 @@
 // endpoint fails in any of these ways.
 func TestResume(t *testing.T) {
 	for _, c := range []struct{ fault, last string }{
-		{"status 503", ""}, {"status 500", ""}, {"cut at once", ""}, {"other request", ""}, {"cut", "3"}, {"cut in event", "3"},
+		{"status 503", ""}, {"status 500", ""}, {"cut at once", ""}, {"freeze at once", ""}, {"other request", ""}, {"cut", "3"}, {"cut in event", "3"},
 		{"gap", "3"}, {"repeat", "3"}, {"other completion", "3"}, {"early end", "3"}, {"freeze", "3"}, {"cut before end", "6"},
 	} {
 		for _, stream := range []bool{true, false} {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	minFirstToken = time.Second            // prefill of a long prompt is not cut short by a deadline that is almost over
 	maxErrorBody  = 4 << 10                // bytes of an endpoint's error answer that are passed on
 	trailingLimit = 100 * time.Millisecond // for the end of the body after the end marker
 )
@@ -84,7 +85,7 @@
 	defer cancel(nil)
 	stop := watchPreemption(actx, b.Preempted(), cancel)
 	defer stop()
-	idle := time.AfterFunc(r.e.opts.FirstTokenTimeout, func() { cancel(errIdle) })
+	idle := time.AfterFunc(r.firstTokenTimeout(), func() { cancel(errIdle) })
 	defer idle.Stop()
 	var trace attempt.Trace
 	resp, err := r.e.outbound.complete(trace.With(actx), ep.Address, r.upstream, r.seq.last(), body)
@@ -116,6 +117,15 @@
 	return r.ended(actx, attempt.Unknown, err)
 }
 
+// firstTokenTimeout returns how long an endpoint may take for its first event. Before an answer has begun it leaves half
+// of the time to the deadline for another endpoint, because a first token after the deadline is of no use.
+func (r *completion) firstTokenTimeout() time.Duration {
+	if r.seq.last() > 0 {
+		return r.e.opts.FirstTokenTimeout
+	}
+	return min(max(time.Until(r.x.deadline())/2, minFirstToken), r.e.opts.FirstTokenTimeout)
+}
+
 // ended classifies a broken attempt by what ended it.
 func (r *completion) ended(actx context.Context, o attempt.Outcome, err error) result {
 	var gone callerError
