Send no Idempotency-Key in the tests of unkeyed second sends

Cause: the cases without a key sent an empty header, which net/http takes for a key. Change: empty headers are left out.

--- a/internal/entry/bed_test.go
+++ b/internal/entry/bed_test.go
@@ -144,7 +144,9 @@
 	}
 	req.Header.Set("Authorization", "Bearer secret")
 	for i := 0; i+1 < len(headers); i += 2 {
-		req.Header.Set(headers[i], headers[i+1])
+		if headers[i+1] != "" { // net/http also sends a request again that has an empty Idempotency-Key
+			req.Header.Set(headers[i], headers[i+1])
+		}
 	}
 	return (&http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 }
