--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -29,6 +29,7 @@
 	app.Flag("lease-term", "Time that a renewal keeps the cell's lease; renewals are sent three times a term.").Default("6s").DurationVar(&o.Term)
 	app.Flag("heartbeat", "Time between heartbeats.").Default("1s").DurationVar(&o.Heartbeat)
 	app.Flag("poll", "Longest time between two reads of the platform's endpoint list by one host.").Default("1s").DurationVar(&o.Poll)
+	app.Flag("key-retention", "Shortest time for which idempotency keys are remembered.").Default("24h").DurationVar(&o.Retention)
 	url := app.Flag("platform", "URL of the platform's object API.").Required().String()
 	token := app.Flag("platform-token", "Bearer token for the platform's object API.").String()
 	level := app.Flag("log-level", "debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/claimstore"
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/ring"
@@ -48,6 +49,7 @@
 	Margin       time.Duration // default: a sixth of Term
 	Heartbeat    time.Duration
 	Poll         time.Duration // longest time between two reads of the endpoint list by one host
+	Retention    time.Duration // how long idempotency keys are remembered
 	Store        platform.Store
 	Log          telemetry.Logger
 }
@@ -90,6 +92,7 @@
 	rosterHints *ring.Ring[struct{}]
 	lease       *leaseDuty
 	demand      demandSum
+	claims      *claimstore.ClaimStore
 	view        atomic.Pointer[view]
 }
 
@@ -102,6 +105,7 @@
 	}
 	c.incarnation.Store(uint64(time.Now().UnixNano()))
 	c.lease = newLeaseDuty(c)
+	c.claims = claimstore.New(claimstore.Deps{Store: opts.Store, Retention: opts.Retention, Log: opts.Log.Part("claims")})
 	c.view.Store(&view{})
 	return c
 }
@@ -117,7 +121,11 @@
 func (c *Control) transport(onUp func(*transport.Conn)) transport.Options {
 	return transport.Options{
 		Hello: c.hello(), Counters: &c.counters, OnUp: onUp,
-		Handler: func(conn *transport.Conn, corr uint64, m wire.Message) { c.events.TryPush(evMessage{conn, corr, m}) },
+		Handler: func(conn *transport.Conn, corr uint64, m wire.Message) {
+			if !c.claims.Handle(conn, corr, m) {
+				c.events.TryPush(evMessage{conn, corr, m})
+			}
+		},
 		OnDown:  func(conn *transport.Conn) { c.events.TryPush(evDown{conn}) },
 	}
 }
@@ -134,6 +142,7 @@
 	duty := func(f func(context.Context)) { wg.Go(func() { f(life) }) }
 	core := newCore(c, life)
 	duty(core.run)
+	duty(c.claims.Run)
 	duty(c.watchHead)
 	duty(c.watchPlacement)
 	duty(c.runFetches)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -17,7 +17,7 @@
 	eng := engine.New(engine.Options{MemoryBytes: 1 << 30, Slots: 64, TokenTime: time.Millisecond})
 	load := httptest.NewRecorder()
 	eng.ServeHTTP(load, httptest.NewRequest("POST", "/v1/orders", strings.NewReader(`{"id":1,"action":"load","name":"m1","bytes":1}`)))
-	s := service.New(0)
+	s := service.New(service.Options{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("/readyz", func(http.ResponseWriter, *http.Request) {})
 	mux.Handle("/svc/app/", http.StripPrefix("/svc/app", s))
