Merge declarations by entry name and report all findings at once

The folder was concatenated, so a later file could not change or withdraw an entry of an earlier one, and the first problem hid all others.

Files are parsed with bounds on size, structure and depth, decoded from the syntax tree and merged by entry name. Check returns every finding with file, line, column and field; Build refuses errors and keeps warnings.

--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -5,9 +5,6 @@
 	"encoding/hex"
 	"sort"
 
-	"github.com/goccy/go-yaml"
-	"github.com/juju/errors"
-
 	"sycamoredeal/internal/wire"
 )
 
@@ -15,6 +12,7 @@
 type Snapshot struct {
 	Revision uint64
 	Declarations
+	Warnings  Findings
 	ranks     map[string]*Rank
 	callers   map[string]*Caller
 	byKey     map[string]*Caller
@@ -30,28 +28,16 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Build merges files in the order of their names into a snapshot.
+// Build merges files in the order of their names into a snapshot. The error of a refused configuration is Findings with
+// all errors; warnings are kept in the snapshot.
 func Build(revision uint64, files []wire.File) (*Snapshot, error) {
-	sorted := append([]wire.File(nil), files...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Name < sorted[j].Name })
-	var all Declarations
-	for _, f := range sorted {
-		var d Declarations
-		if err := yaml.UnmarshalWithOptions(f.Content, &d, yaml.Strict()); err != nil {
-			return nil, errors.Annotate(err, f.Name)
-		}
-		all.Ranks = append(all.Ranks, d.Ranks...)
-		all.Callers = append(all.Callers, d.Callers...)
-		all.Models = append(all.Models, d.Models...)
-		all.Adapters = append(all.Adapters, d.Adapters...)
-		all.Endpoints = append(all.Endpoints, d.Endpoints...)
-		all.Services = append(all.Services, d.Services...)
-		all.Maintenance = append(all.Maintenance, d.Maintenance...)
-		if d.WeightStore != (WeightStore{}) {
-			all.WeightStore = d.WeightStore
-		}
+	all, findings := Check(files)
+	if err := findings.Err(); err != nil {
+		return nil, err
 	}
-	return NewSnapshot(revision, all), nil
+	s := NewSnapshot(revision, all)
+	s.Warnings = findings
+	return s, nil
 }
 
 // NewSnapshot indexes declarations.
