Let operators change declarations without reverting each other

apply stored the whole folder over the head, so an operator with an older copy of a file reverted the edits of others, and a lost answer left the outcome open.

Each folder records the digests it was last in step with. apply, diff and pull compare three ways per file; a collision names the file, author and revision.

--- /dev/null
+++ b/internal/operator/commands.go
@@ -0,0 +1,273 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/config"
+)
+
+const (
+	timeLayout  = "2006-01-02 15:04:05Z07:00"
+	maxKeyBytes = 4096
+)
+
+func (c *CLI) table(header string, rows func(add func(cells ...any))) {
+	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, header)
+	rows(func(cells ...any) {
+		text := make([]string, len(cells))
+		for i, cell := range cells {
+			text[i] = fmt.Sprint(cell)
+		}
+		fmt.Fprintln(w, strings.Join(text, "\t"))
+	})
+	w.Flush()
+}
+
+func (c *CLI) check(context.Context) error {
+	files, err := ReadFolder(c.dir)
+	if err != nil {
+		return err
+	}
+	_, fs := config.Check(files)
+	c.printFindings(fs)
+	if len(fs) > 0 {
+		return errFindings
+	}
+	return nil
+}
+
+func (c *CLI) diff(ctx context.Context) error {
+	store, err := c.store()
+	if err != nil {
+		return err
+	}
+	states, stored, err := Diff(ctx, store, c.dir)
+	if err != nil {
+		return err
+	}
+	local := map[string]string{}
+	if files, err := ReadFolder(c.dir); err == nil {
+		for _, f := range files {
+			local[f.Name] = string(f.Content)
+		}
+	}
+	err = c.show(states, func() {
+		for _, f := range states {
+			if f.State == StateSame {
+				continue
+			}
+			fmt.Fprintf(c.Out, "%s: %s%s\n", f.Name, f.State, by(f))
+			for _, line := range lineDiff(string(stored[f.Name].Content), local[f.Name]) {
+				fmt.Fprintln(c.Out, "  "+line)
+			}
+		}
+	})
+	if err == nil {
+		err = conflicts(states)
+	}
+	return err
+}
+
+func by(f FileState) string {
+	if f.Revision == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (%s, revision %d)", f.Author, f.Revision)
+}
+
+func (c *CLI) apply(ctx context.Context) error {
+	store, err := c.store()
+	if err != nil {
+		return err
+	}
+	res, err := Apply(ctx, store, ApplyRequest{Dir: c.dir, Author: c.Author, Only: c.only})
+	if err != nil {
+		return err
+	}
+	return c.show(res, func() {
+		for _, f := range res.Warnings {
+			fmt.Fprintln(c.Err, f)
+		}
+		if len(res.Changed) == 0 {
+			fmt.Fprintf(c.Out, "nothing to change, revision %d is stored\n", res.Revision)
+			return
+		}
+		for _, f := range res.Changed {
+			fmt.Fprintf(c.Out, "%s %s\n", verb(f), f.Name)
+		}
+		fmt.Fprintf(c.Out, "revision %d stored\n", res.Revision)
+	})
+}
+
+func verb(f FileChange) string {
+	switch {
+	case f.Before == "":
+		return "added"
+	case f.After == "":
+		return "removed"
+	}
+	return "changed"
+}
+
+func (c *CLI) pull(ctx context.Context) error {
+	store, err := c.store()
+	if err != nil {
+		return err
+	}
+	res, err := Pull(ctx, store, c.dir, c.resolved)
+	var conflict *ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		return err
+	}
+	if serr := c.show(res, func() {
+		for _, f := range res.Files {
+			fmt.Fprintf(c.Out, "%s: %s%s\n", f.Name, f.State, by(f))
+		}
+		fmt.Fprintf(c.Out, "in step with revision %d except for local edits\n", res.Revision)
+	}); serr != nil {
+		return serr
+	}
+	return err
+}
+
+func (c *CLI) history(ctx context.Context) error {
+	store, err := c.store()
+	if err != nil {
+		return err
+	}
+	head, err := LoadHead(ctx, store)
+	if err != nil {
+		return err
+	}
+	return c.show(head.History, func() {
+		c.table("REVISION\tTIME\tAUTHOR\tFILES", func(add func(...any)) {
+			for i := len(head.History) - 1; i >= 0; i-- {
+				h := head.History[i]
+				var files []string
+				for _, f := range h.Files {
+					files = append(files, verb(f)+" "+f.Name)
+				}
+				add(h.Revision, time.Unix(h.UnixTime, 0).UTC().Format(timeLayout), h.Author, strings.Join(files, ", "))
+			}
+		})
+	})
+}
+
+func (c *CLI) status(ctx context.Context) error {
+	admin, err := c.admin()
+	if err != nil {
+		return err
+	}
+	s, raw, err := admin.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return c.show(raw, func() {
+		fmt.Fprintf(c.Out, "host %s, availability zone %s, revision %d, placement version %d, lease holder %s, epoch %d\n\n",
+			s.Host, s.Zone, s.Revision, s.PlacementVersion, s.LeaseHolder, s.Epoch)
+		c.table("MEMBER\tZONE\tREVISION\tLEAVING", func(add func(...any)) {
+			for _, m := range s.Members {
+				add(m.Host, m.Zone, m.Revision, m.Leaving)
+			}
+		})
+		fmt.Fprintln(c.Out)
+		c.endpointTable(s.Endpoints)
+	})
+}
+
+func (c *CLI) endpointTable(list []EndpointStatus) {
+	c.table("ENDPOINT\tRUNNING\tRESIDENTS\tINTENTS", func(add func(...any)) {
+		for _, e := range list {
+			add(e.Name, e.Running, strings.Join(e.Residents, " "), strings.Join(e.Intents, " "))
+		}
+	})
+}
+
+func (c *CLI) explain(ctx context.Context) error {
+	admin, err := c.admin()
+	if err != nil {
+		return err
+	}
+	entries, err := admin.Explain(ctx, c.subject)
+	if err != nil {
+		return err
+	}
+	return c.show(entries, func() {
+		if len(entries) == 0 {
+			fmt.Fprintf(c.Out, "no decisions about %s are recorded\n", c.subject)
+		}
+		for _, e := range entries {
+			fmt.Fprintln(c.Out, entryLine(e))
+		}
+	})
+}
+
+// entryLine prints the time first and the other fields in the order of their names.
+func entryLine(e map[string]any) string {
+	var parts []string
+	for k, v := range e {
+		if k != "time" {
+			parts = append(parts, fmt.Sprintf("%s=%v", k, v))
+		}
+	}
+	sort.Strings(parts)
+	if t, ok := e["time"]; ok {
+		parts = append([]string{fmt.Sprint(t)}, parts...)
+	}
+	return strings.Join(parts, "  ")
+}
+
+func (c *CLI) maintenance(ctx context.Context) error {
+	store, err := c.store()
+	if err != nil {
+		return err
+	}
+	d, err := StoredDeclarations(ctx, store)
+	if err != nil {
+		return err
+	}
+	var status *Status
+	var unreachable error
+	if admin, err := c.admin(); err == nil {
+		if s, _, err := admin.Status(ctx); err == nil {
+			status = &s
+		} else {
+			unreachable = err
+		}
+	}
+	windows := Windows(d, status, time.Now())
+	if err := c.show(windows, func() {
+		for _, w := range windows {
+			fmt.Fprintf(c.Out, "%s: %s, %s to %s, drain %s, hosts %s\n", w.Name, w.State,
+				w.Start.Format(timeLayout), w.End.Format(timeLayout), w.Drain, strings.Join(w.Hosts, " "))
+			if status != nil {
+				c.endpointTable(w.Endpoints)
+			}
+		}
+	}); err != nil {
+		return err
+	}
+	return unreachable
+}
+
+func (c *CLI) hashKey(context.Context) error {
+	b, err := io.ReadAll(io.LimitReader(c.In, maxKeyBytes+1))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	key := strings.TrimRight(string(b), "\r\n")
+	if key == "" || len(key) > maxKeyBytes || strings.ContainsAny(key, " \t\r\n") {
+		return usageError{fmt.Sprintf("standard input must hold one key of at most %d bytes without spaces", maxKeyBytes)}
+	}
+	_, err = fmt.Fprintln(c.Out, config.Digest([]byte(key)))
+	return errors.Trace(err)
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -134,7 +134,7 @@
 		fn(Event{Type: e.Type, Object: e.Object.object()})
 	}
 	if err := sc.Err(); err != nil && ctx.Err() == nil {
-		return errors.Wrap(err, ErrUnavailable)
+		return unavailable(err)
 	}
 	return nil
 }
@@ -164,7 +164,7 @@
 		return nil
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, 64*maxObject)).Decode(out); err != nil {
-		return errors.Wrap(err, ErrUnavailable)
+		return unavailable(err)
 	}
 	return nil
 }
@@ -192,11 +192,14 @@
 	c.calls.Add(1)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(err, ErrUnavailable)
+		return nil, unavailable(err)
 	}
 	return resp, nil
 }
 
+// unavailable keeps the cause and matches ErrUnavailable in errors.Is, which errors.Wrap of juju/errors does not.
+func unavailable(cause error) error { return fmt.Errorf("%w: %w", ErrUnavailable, cause) }
+
 func statusError(resp *http.Response) error {
 	switch {
 	case resp.StatusCode < 300:
