Generate settings from a schema and report all wrong ones together

Each main declared its flags by hand, the first wrong flag hid the others, and the platform token was a flag that shows in process lists.

Validate reports all findings with flag and environment variable.

--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -7,27 +7,19 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/alecthomas/kingpin/v2"
-
 	"sycamoredeal/internal/control"
 	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/settings"
 	"sycamoredeal/internal/telemetry"
 )
 
 func main() {
-	app := kingpin.New("sycamore-control", "Keeps declarations, membership, placement and claims of a host's cell.").DefaultEnvars()
-	var o control.Options
-	app.Flag("host", "Name of this host.").Required().StringVar(&o.Host)
-	app.Flag("zone", "Availability zone of this host.").Required().StringVar(&o.Zone)
-	app.Flag("cell", "Cell of this host.").Default("cell-1").StringVar(&o.Cell)
-	app.Flag("listen", "ip:port for the project's own processes.").Required().StringVar(&o.Listen)
-	app.Flag("entry-address", "ip:port of the local entry process for other entry processes.").Required().StringVar(&o.EntryAddress)
-	url := app.Flag("platform", "URL of the platform's object API.").Required().String()
-	token := app.Flag("platform-token", "Bearer token for the platform's object API.").String()
-	level := app.Flag("log-level", "debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	o.Store = platform.NewClient(*url, *token)
-	o.Log = telemetry.NewLogger(os.Stderr, *level, "control")
+	var s settings.SycamoreControl
+	settings.MustParse(&s, nil)
+	o := control.Options{
+		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Listen: s.Listen, EntryAddress: s.EntryAddress,
+		Store: platform.NewClient(s.Platform, s.PlatformToken), Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "control"),
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := control.New(o).Run(ctx); err != nil {
--- a/cmd/sycamore-entry/main.go
+++ b/cmd/sycamore-entry/main.go
@@ -7,26 +7,18 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/alecthomas/kingpin/v2"
-
 	"sycamoredeal/internal/entry"
+	"sycamoredeal/internal/settings"
 	"sycamoredeal/internal/telemetry"
 )
 
 func main() {
-	app := kingpin.New("sycamore-entry", "Takes callers' requests and streams the answers of endpoints back.").DefaultEnvars()
-	var o entry.Options
-	app.Flag("host", "Name of this host.").Required().StringVar(&o.Host)
-	app.Flag("zone", "Availability zone of this host.").Required().StringVar(&o.Zone)
-	app.Flag("cell", "Cell of this host.").Default("cell-1").StringVar(&o.Cell)
-	app.Flag("listen", "ip:port for callers.").Required().StringVar(&o.Listen)
-	app.Flag("peer-listen", "ip:port for other entry processes.").Required().StringVar(&o.PeerListen)
-	app.Flag("control", "ip:port of the local control process.").Required().StringVar(&o.Control)
-	app.Flag("max-body", "Longest request body in bytes.").Default("4194304").IntVar(&o.MaxBody)
-	app.Flag("drain-timeout", "Longest time that a stop waits for requests in progress.").Default("10m").DurationVar(&o.DrainTimeout)
-	level := app.Flag("log-level", "debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	o.Log = telemetry.NewLogger(os.Stderr, *level, "entry")
+	var s settings.SycamoreEntry
+	settings.MustParse(&s, nil)
+	o := entry.Options{
+		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Listen: s.Listen, PeerListen: s.PeerListen, Control: s.Control,
+		MaxBody: s.MaxBody, DrainTimeout: s.DrainTimeout, Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "entry"),
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := entry.New(o).Run(ctx); err != nil {
--- a/cmd/sycamore-standin/main.go
+++ b/cmd/sycamore-standin/main.go
@@ -7,47 +7,30 @@
 	"os"
 	"time"
 
-	"github.com/alecthomas/kingpin/v2"
-
-	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/settings"
 	"sycamoredeal/internal/standin/engine"
 	"sycamoredeal/internal/standin/platform"
 	"sycamoredeal/internal/standin/service"
 )
 
 func main() {
-	app := kingpin.New("sycamore-standin", "Plays the systems around sycamoredeal in tests and in the demo.")
-	listen := app.Flag("listen", "ip:port to serve.").Required().String()
-
-	app.Command("platform", "The platform's object API.")
-
-	eng := app.Command("engine", "A model engine.")
-	memory := eng.Flag("memory", "Accelerator memory, for example 24GiB.").Default("24GiB").String()
-	slots := eng.Flag("slots", "Requests in one batch.").Default("8").Int()
-	fencing := eng.Flag("checks-fencing", "Refuse orders with an old fencing token.").Bool()
-	load := eng.Flag("load-time", "Time to load a model.").Default("100ms").Duration()
-	adapter := eng.Flag("adapter-time", "Time to load an adapter.").Default("8ms").Duration()
-	token := eng.Flag("token-time", "Time between tokens.").Default("10ms").Duration()
-	prefill := eng.Flag("prefill", "Time for 1000 prompt tokens.").Default("50ms").Duration()
-
-	svc := app.Command("service", "A plain service.")
-	delay := svc.Flag("delay", "Time for each request.").Default("5ms").Duration()
-
+	var s settings.SycamoreStandin
 	var h http.Handler
-	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	switch settings.MustParse(&s, nil) {
 	case "platform":
 		h = platform.New()
 	case "engine":
-		bytes, err := config.ParseBytes(*memory)
-		app.FatalIfError(err, "memory")
 		h = engine.New(engine.Options{
-			MemoryBytes: int64(bytes), Slots: *slots, ChecksFencing: *fencing, LoadTime: *load, AdapterTime: *adapter,
-			TokenTime: *token, Prefill: *prefill,
+			MemoryBytes: s.EngineMemory, Slots: s.EngineSlots, ChecksFencing: s.EngineChecksFencing, LoadTime: s.EngineLoadTime,
+			AdapterTime: s.EngineAdapterTime, TokenTime: s.EngineTokenTime, Prefill: s.EnginePrefill,
 			Log: func(f string, a ...any) { fmt.Fprintf(os.Stderr, f+"\n", a...) },
 		})
 	case "service":
-		h = service.New(*delay)
+		h = service.New(s.ServiceDelay)
+	}
+	srv := &http.Server{Addr: s.Listen, Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	if err := srv.ListenAndServe(); err != nil {
+		fmt.Fprintf(os.Stderr, "sycamore-standin: serve: %v\n", err)
+		os.Exit(1)
 	}
-	srv := &http.Server{Addr: *listen, Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	app.FatalIfError(srv.ListenAndServe(), "serve")
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+func parse(t *testing.T, p Program, args ...string) error {
+	t.Helper()
+	if _, err := p.Application().Parse(args); err != nil {
+		t.Fatal(err)
+	}
+	return p.Validate()
+}
+
+// TestAllFindings guards against reporting only the first wrong setting or leaving out its flag or variable.
+func TestAllFindings(t *testing.T) {
+	var s SycamoreEntry
+	t.Setenv("SYCAMORE_ENTRY_MAX_BODY", "12")
+	err := parse(t, &s, "--host", "h", "--listen", "localhost:80", "--drain-timeout", "soon", "--log-level", "loud", "--cell", "")
+	var got Findings
+	if !errors.As(err, &got) {
+		t.Fatalf("error %v", err)
+	}
+	want := []string{
+		"--zone (SYCAMORE_ENTRY_ZONE): is required", "--cell (SYCAMORE_ENTRY_CELL): must not be empty", "--listen (SYCAMORE_ENTRY_LISTEN): \"localhost:80\" is not",
+		"--peer-listen (SYCAMORE_ENTRY_PEER_LISTEN): is required", "--control (SYCAMORE_ENTRY_CONTROL): is required",
+		"--max-body (SYCAMORE_ENTRY_MAX_BODY): 12 is below", "--drain-timeout (SYCAMORE_ENTRY_DRAIN_TIMEOUT): \"soon\" is not",
+		"--log-level (SYCAMORE_ENTRY_LOG_LEVEL): \"loud\" is not one of",
+	}
+	lines := strings.Split(err.Error(), "\n")
+	for i, l := range lines {
+		if i >= len(want) || !strings.HasPrefix(l, want[i]) {
+			t.Errorf("finding %d: %s", i, l)
+		}
+	}
+	if len(lines) != len(want) {
+		t.Errorf("%d findings, want %d", len(lines), len(want))
+	}
+}
+
+// TestValues guards against a wrong order of flag, environment and default, and against commands without defaults.
+func TestValues(t *testing.T) {
+	var s SycamoreStandin
+	t.Setenv("SYCAMORE_STANDIN_ENGINE_SLOTS", "3")
+	t.Setenv("SYCAMORE_STANDIN_LISTEN", "127.0.0.1:1")
+	if err := parse(t, &s, "--listen", "127.0.0.1:2", "engine", "--checks-fencing"); err != nil {
+		t.Fatal(err)
+	}
+	if s.Listen != "127.0.0.1:2" || s.EngineSlots != 3 || !s.EngineChecksFencing || s.EngineMemory != 24<<30 || s.EngineLoadTime != 100*time.Millisecond {
+		t.Errorf("settings %+v", s)
+	}
+}
+
+// TestSecrets guards against a secret that is accepted as a flag, shown in a message or not read from its file.
+func TestSecrets(t *testing.T) {
+	var s Sycamorectl
+	app := s.Application()
+	app.Command("x", "")
+	if _, err := app.Parse([]string{"--platform-token", "abc", "x"}); err == nil {
+		t.Error("a secret was accepted as a flag")
+	}
+	t.Setenv("SYCAMORECTL_PLATFORM_TOKEN", "from-env")
+	path := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(path, []byte("from-file\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct{ flag, want string }{{"", "from-env"}, {path, "from-file"}} {
+		var s Sycamorectl
+		app := s.Application()
+		app.Command("x", "")
+		args := []string{"x"}
+		if tc.flag != "" {
+			args = append(args, "--platform-token-file", tc.flag)
+		}
+		if _, err := app.Parse(args); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Validate(); err != nil || s.PlatformToken != tc.want {
+			t.Errorf("token %q, error %v, want %q", s.PlatformToken, err, tc.want)
+		}
+	}
+	t.Setenv("SYCAMORECTL_PLATFORM_TOKEN", "two\nlines")
+	if err := s.Validate(); err == nil || strings.Contains(err.Error(), "two") {
+		t.Errorf("error %v", err)
+	}
+}
