--- a/internal/config/check_test.go
+++ b/internal/config/check_test.go
@@ -64,6 +64,13 @@
 		{"deep", "a: " + strings.Repeat("[", 100_000), []string{"1:34 error (file): nesting"}},
 		{"deep block", strings.Repeat("- ", 1000), []string{"1:65 error (file): nesting"}},
 		{"large", strings.Repeat("#", MaxFileBytes+1), []string{"1:1 error (file): limit"}},
+		{"control character", "a:\n b\x00", []string{"2:3 error (file): control"}},
+		{"carriage return", "a: \r b", []string{"1:4 error (file): control"}},
+		{"lines of another system", "models:\r\n- {name: m2, memory: 1GiB}\r\n", nil},
+		{"invalid token", "a: @b\n", []string{"1:4 error (file): YAML syntax"}},
+		{"text block", "# a > b\nmodels: # x | y\n  - name: >-\n      x\n", []string{"3:1 error (file): text blocks"}},
+		{"many fields", strings.Repeat("a: b\n", 1000), []string{"101:2 error (file): more than 100 fields"}},
+		{"many flow fields", "a: {" + strings.Repeat("b: c, ", 1000) + "}", []string{"1:606 error (file): more than 100 fields"}},
 		{"many marks", strings.Repeat("[],", 100_000), []string{"1:1 error (file): structural"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -117,6 +124,21 @@
 	}
 }
 
+// TestHostileInput guards against parsing time that grows with the square of the size: before they were
+// refused, these inputs took from 1 s to more than 15 s.
+func TestHostileInput(t *testing.T) {
+	for _, unit := range []string{"\"", "'a' ", "@", "`", "\r", "'a'bbbbbb "} {
+		for _, prefix := range []string{"a: [", "a: |\n "} {
+			start := time.Now()
+			Check(files(prefix + strings.Repeat(unit, (MaxFileBytes-8)/len(unit))))
+			Check(files(prefix + strings.Repeat(unit, 100_000/len(unit))))
+			if d := time.Since(start); d > 4*time.Second {
+				t.Errorf("%q repeated after %q took %s", unit, prefix, d)
+			}
+		}
+	}
+}
+
 // FuzzCheck guards against panics and unbounded recursion on any input.
 func FuzzCheck(f *testing.F) {
 	for _, seed := range []string{base, "models: [{name: m1, remove: true}]", "a: &x [*x]", "? [a]: b", "- - - a", "models: [[]]", "services: [{name: s, endpoints: [{name: e}, 3]}]", "weightStore: 3", "a: |\n  x\n b", "{"} {
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -1,13 +1,15 @@
 package config
 
 import (
+	"bytes"
 	"fmt"
+	"regexp"
+	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
-	"github.com/goccy/go-yaml/token"
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/wire"
@@ -24,8 +26,14 @@
 	maxDepth = 32
 	// maxMarks bounds the structural characters of a file, because each becomes a token of some 200 bytes.
 	maxMarks = 250_000
+	// maxKeys bounds the fields of one mapping: the parser takes quadratic time for them, 4 s for 40,000. Declarations
+	// need 10.
+	maxKeys = 100
 )
 
+// blockScalar matches the start of a literal or folded text, for which the lexer takes quadratic time.
+var blockScalar = regexp.MustCompile(`(?m)^(?:[^#\n]|[^\s#]#)*?(?:^|[ \t])[|>][-+0-9]*(?:[ \t#\r]|$)`)
+
 // parseFile returns the top-level mapping of a file, nil for an empty file, or the finding that prevents it.
 func parseFile(f wire.File) (*ast.MappingNode, *Finding) {
 	fail := func(line, column int, format string, args ...any) (*ast.MappingNode, *Finding) {
@@ -37,13 +45,20 @@
 	if n := countMarks(f.Content); n > maxMarks {
 		return fail(1, 1, "the file has %d structural characters, the limit is %d; split it", n, maxMarks)
 	}
+	if line, column := badCharacter(f.Content); line > 0 {
+		return fail(line, column, "a control character or a character that is not UTF-8")
+	}
+	if at := blockScalar.FindIndex(f.Content); at != nil {
+		return fail(1+bytes.Count(f.Content[:at[0]], []byte("\n")), 1, "text blocks with | or > are not supported; write the text in quotes")
+	}
 	tokens := lexer.Tokenize(string(f.Content))
 	if tk, msg := checkTokens(tokens); tk != nil {
 		return fail(tk.Position.Line, tk.Position.Column, "%s", msg)
 	}
 	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
-		line, column, msg := 1, 1, err.Error()
+		// The error's own text quotes the source, which takes quadratic time for a long line.
+		line, column, msg := 1, 1, "the file cannot be parsed"
 		var ye yaml.Error
 		if errors.As(err, &ye) {
 			msg = ye.GetMessage()
@@ -89,44 +104,31 @@
 	return nil
 }
 
+// badCharacter returns the line and column of the first character that a declaration may not hold, or 0. The lexer takes
+// quadratic time for carriage returns that end no line.
+func badCharacter(b []byte) (line, column int) {
+	line, start := 1, 0
+	for i := 0; i < len(b); {
+		r, size := utf8.DecodeRune(b[i:])
+		switch {
+		case r == '\n':
+			line, start = line+1, i+1
+		case r == '\t' || r == '\r' && i+1 < len(b) && b[i+1] == '\n':
+		case r < ' ' || r == 0x7f || r == utf8.RuneError && size == 1:
+			return line, i - start + 1
+		}
+		i += size
+	}
+	return 0, 0
+}
+
 func countMarks(b []byte) int {
 	n := 0
 	for _, c := range b {
 		switch c {
-		case '[', ']', '{', '}', ',', ':', '-', '?', '\n', '&', '*', '!', '#', '|', '>':
+		case '[', ']', '{', '}', ',', ':', '-', '?', '\n', '&', '*', '!', '#', '|', '>', '"', '\'', '%', '@', '`':
 			n++
 		}
 	}
 	return n
 }
-
-// checkTokens refuses what could make the parser recurse deeply or expand: deep nesting, anchors, aliases, tags and
-// complex keys.
-func checkTokens(tokens token.Tokens) (*token.Token, string) {
-	flow := 0
-	var columns []int // columns of the open block collections and of the tokens before this one in its line
-	for _, tk := range tokens {
-		switch tk.Type {
-		case token.AnchorType, token.AliasType, token.MergeKeyType:
-			return tk, "anchors, aliases and merge keys are not supported; write the value out"
-		case token.TagType, token.DirectiveType, token.MappingKeyType:
-			return tk, "tags, directives and complex keys are not supported"
-		case token.MappingStartType, token.SequenceStartType:
-			flow++
-		case token.MappingEndType, token.SequenceEndType:
-			flow--
-		case token.CommentType:
-			continue
-		}
-		if flow == 0 {
-			for len(columns) > 0 && columns[len(columns)-1] >= tk.Position.Column {
-				columns = columns[:len(columns)-1]
-			}
-			columns = append(columns, tk.Position.Column)
-		}
-		if flow+len(columns) > maxDepth {
-			return tk, fmt.Sprintf("nesting is deeper than %d levels", maxDepth)
-		}
-	}
-	return nil, ""
-}
