--- a/cmd/sycamorectl/main.go
+++ b/cmd/sycamorectl/main.go
@@ -3,25 +3,22 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-
-	"github.com/alecthomas/kingpin/v2"
+	"os/signal"
 
 	"sycamoredeal/internal/operator"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/settings"
 )
 
 func main() {
-	app := kingpin.New("sycamorectl", "Operators' tool of sycamoredeal.").DefaultEnvars()
-	url := app.Flag("platform", "URL of the platform's object API.").Required().String()
-	author := app.Flag("author", "Name recorded with a change.").Default(os.Getenv("USER")).String()
-	apply := app.Command("apply", "Store a folder of declarations as the next revision.")
-	dir := apply.Arg("dir", "Folder of declaration files.").Required().ExistingDir()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	files, err := operator.ReadFolder(*dir)
-	app.FatalIfError(err, "read")
-	rev, err := operator.Apply(context.Background(), platform.NewClient(*url, ""), *author, files)
-	app.FatalIfError(err, "apply")
-	fmt.Printf("revision %d stored\n", rev)
+	var s settings.Sycamorectl
+	cli := operator.CLI{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	command := settings.MustParse(&s, cli.Register)
+	cli.Options = &operator.Options{
+		Platform: s.Platform, PlatformToken: s.PlatformToken, Author: s.Author, Control: s.Control,
+		OperatorToken: s.OperatorToken, Output: s.Output,
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	os.Exit(cli.Run(ctx, command))
 }
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -36,6 +36,7 @@
 	Leaving          []wire.EndpointState     `json:"leaving"` // endpoints that take no new work
 	ControlBytes     ByteStatus               `json:"controlBytes"`
 	PlatformCalls    uint64                   `json:"platformCalls"`
+	Orders           uint64                   `json:"orders"` // orders to engines since the cell exists
 }
 
 // LeaseStatus tells who holds the cell's lease as far as this process knows.
@@ -59,7 +60,7 @@
 		PlacementVersion: v.placement.Version, PlacementEpoch: v.placement.Epoch,
 		Lease:      LeaseStatus{Holder: v.holder, Epoch: v.epoch, Held: c.lease.held()},
 		Dispatcher: Dispatcher(c.opts.Cell, v.live), Members: v.members, Endpoints: v.placement.Endpoints, Leaving: v.states,
-		ControlBytes: ByteStatus{c.counters.Sent.Load(), c.counters.Received.Load()},
+		ControlBytes: ByteStatus{c.counters.Sent.Load(), c.counters.Received.Load()}, Orders: v.placement.NextIntent,
 	}
 	if calls, ok := c.opts.Store.(interface{ Calls() uint64 }); ok {
 		s.PlatformCalls = calls.Calls()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -126,7 +126,7 @@
 				c.events.TryPush(evMessage{conn, corr, m})
 			}
 		},
-		OnDown:  func(conn *transport.Conn) { c.events.TryPush(evDown{conn}) },
+		OnDown: func(conn *transport.Conn) { c.events.TryPush(evDown{conn}) },
 	}
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -205,10 +205,12 @@
 	var name string
 	for _, h := range d.fleet.Hosts[:hosts-1] {
 		var st struct {
-			Holder string `json:"holder"`
+			Lease struct {
+				Holder string `json:"holder"`
+			} `json:"lease"`
 		}
-		if err := getJSON(ctx, "http://"+h.AdminAddr+"/v1/status", &st); err == nil && st.Holder != "" {
-			name = st.Holder
+		if err := getJSON(ctx, "http://"+h.AdminAddr+"/v1/status", &st); err == nil && st.Lease.Holder != "" {
+			name = st.Lease.Holder
 		}
 	}
 	for _, h := range d.fleet.Hosts[:hosts-1] {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -50,7 +50,7 @@
 	Seconds                float64  `json:"seconds"`
 	Rows                   []*Row   `json:"rows"`
 	AttainedPerAccelerator float64  `json:"attainedPerAccelerator"` // worth attained a second for each accelerator
-	Moves                  int      `json:"moves"`                  // load orders during the run, -1 if unknown
+	Moves                  int      `json:"moves"`                  // orders to engines during the run, -1 if unknown
 	Details                []string `json:"details"`                // first requests that went wrong
 	rows                   map[[2]string]*Row
 	scenario               *Scenario
@@ -215,7 +215,7 @@
 		fmt.Fprintf(w, "worth attained per second and accelerator: %.3f\n", r.AttainedPerAccelerator)
 	}
 	if r.Moves >= 0 {
-		fmt.Fprintf(w, "load orders during the run: %d\n", r.Moves)
+		fmt.Fprintf(w, "orders to engines during the run: %d\n", r.Moves)
 	}
 	for _, d := range r.Details {
 		fmt.Fprintln(w, "  ", d)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -74,14 +74,14 @@
 	return results
 }
 
-// moves returns how many load orders the cell's placement has issued so far.
+// moves returns how many orders to engines the cell has decided so far.
 func (r *run) moves(ctx context.Context) (int, bool) {
 	for _, addr := range r.Control {
 		var st struct {
-			Moves int `json:"moves"`
+			Orders int `json:"orders"`
 		}
 		if getJSON(ctx, "http://"+addr+"/v1/status", &st) == nil {
-			return st.Moves, true
+			return st.Orders, true
 		}
 	}
 	return 0, false
--- a/test/integration/control_test.go
+++ b/test/integration/control_test.go
@@ -40,6 +40,7 @@
 	bed      *testbed.Bed
 	platform string
 	engine   string
+	dir      string // declarations; one folder, since apply refuses to replace files that a folder has never seen
 	nodes    []*node
 }
 
@@ -51,7 +52,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(bed.Close)
-	c := &cell{t: t, ctx: ctx, bed: bed, platform: testbed.FreeAddr(), engine: testbed.FreeAddr()}
+	c := &cell{t: t, ctx: ctx, bed: bed, platform: testbed.FreeAddr(), engine: testbed.FreeAddr(), dir: t.TempDir()}
 	c.start("platform", "sycamore-standin", "--listen", c.platform, "platform")
 	c.start("engine", "sycamore-standin", "--listen", c.engine, "engine")
 	if err := testbed.WaitHTTP(ctx, "http://"+c.platform+"/_stats"); err != nil {
@@ -97,11 +98,10 @@
 	for i := range models {
 		decl += fmt.Sprintf("- {name: m%d, memory: 1GiB, minReplicas: 1}\n", i+1)
 	}
-	dir := c.t.TempDir()
-	if err := os.WriteFile(filepath.Join(dir, "10.yaml"), []byte(decl), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(c.dir, "10.yaml"), []byte(decl), 0o644); err != nil {
 		c.t.Fatal(err)
 	}
-	if out, err := c.bed.Run(c.ctx, "sycamorectl", "--platform", "http://"+c.platform, "--author", "test", "apply", dir); err != nil {
+	if out, err := c.bed.Run(c.ctx, "sycamorectl", "--platform", "http://"+c.platform, "--author", "test", "apply", c.dir); err != nil {
 		c.t.Fatal(out, err)
 	}
 }
