--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -111,6 +111,7 @@
 type EndpointPlacement struct {
 	Endpoint    string     `json:"endpoint"`
 	Incarnation string     `json:"incarnation,omitempty"` // of the engine process whose reports proved the residents
+	Sequence    uint64     `json:"sequence,omitempty"`    // of the report that proved the residents
 	Residents   []Resident `json:"residents,omitempty"`
 	Intents     []Intent   `json:"intents,omitempty"`
 	Leaving     bool       `json:"leaving,omitempty"`
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -639,10 +639,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointPlacement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Endpoint)
 	o = msgp.AppendString(o, z.Incarnation)
+	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Residents)))
 	for za0001 := range z.Residents {
 		// array header, size 3
@@ -671,8 +672,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
@@ -685,6 +686,11 @@
 		err = msgp.WrapError(err, "Incarnation")
 		return
 	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -752,7 +758,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointPlacement) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.StringPrefixSize + len(z.Incarnation) + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.StringPrefixSize + len(z.Incarnation) + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Residents {
 		s += 1 + msgp.StringPrefixSize + len(z.Residents[za0001].Name) + msgp.BoolSize + msgp.Int64Size
 	}
