--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -189,7 +189,12 @@
 
 // Settled tells whether no copy of the order that loaded the name can still be on its way to a restarted engine.
 func (l *Ledger) Settled(endpoint, name string, now time.Time) bool {
-	return now.Sub(l.info[endpoint].since[name]) >= LateBound
+	return l.age(endpoint, name, now) >= LateBound
+}
+
+// age returns the time since the load of a name may last have been sent.
+func (l *Ledger) age(endpoint, name string, now time.Time) time.Duration {
+	return now.Sub(l.info[endpoint].since[name])
 }
 
 func (l *Ledger) add(ep *wire.EndpointPlacement, in wire.Intent, now time.Time) wire.Intent {
--- a/internal/placement/ledger_test.go
+++ b/internal/placement/ledger_test.go
@@ -63,17 +63,23 @@
 
 // progress ends all loads.
 func (e *modelEngine) progress(fail bool) {
-	for id, name := range e.loading {
-		e.sequence++
-		if r, ok := e.residents[name]; fail || !ok {
-			delete(e.residents, name)
-			e.results[id] = "failed"
-		} else {
-			r.State = "ready"
-			e.residents[name], e.results[id] = r, "done"
-		}
+	for id := range e.loading {
+		e.end(id, fail)
 	}
-	clear(e.loading)
+}
+
+// end ends the load of an order.
+func (e *modelEngine) end(id uint64, fail bool) {
+	e.sequence++
+	name := e.loading[id]
+	if r, ok := e.residents[name]; fail || !ok {
+		delete(e.residents, name)
+		e.results[id] = "failed"
+	} else {
+		r.State = "ready"
+		e.residents[name], e.results[id] = r, "done"
+	}
+	delete(e.loading, id)
 }
 
 func (e *modelEngine) report() engine.Report {
--- /dev/null
+++ b/internal/placement/maintenance.go
@@ -0,0 +1,47 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"sycamoredeal/internal/config"
+)
+
+// DefaultDrain is the time between the end of new work on a host and the start of its maintenance window if the
+// declaration gives none.
+const DefaultDrain = 2 * time.Minute
+
+// stage tells how far an endpoint is on its way out.
+type stage uint8
+
+const (
+	stageServing  stage = iota
+	stageVacating       // serves, but its copies don't count and it gets no new ones
+	stageLeaving        // gets no new work
+)
+
+// maintenanceStage returns the stage of an endpoint by the declared windows. Copying starts so early that all of the
+// endpoint's copies can be loaded elsewhere at half the rate of the weight store before new work stops.
+func maintenanceStage(snap *config.Snapshot, e *config.Endpoint, copies int, rate float64, now time.Time) stage {
+	out := stageServing
+	for i := range snap.Maintenance {
+		m := &snap.Maintenance[i]
+		if !slices.Contains(m.Hosts, e.Host) || !now.Before(m.End) {
+			continue
+		}
+		drain := m.Drain
+		if drain <= 0 {
+			drain = DefaultDrain
+		}
+		hosts := max(1, len(m.Hosts))
+		lead := time.Minute + time.Duration(2*float64(copies*hosts)/rate*float64(time.Second))
+		stop := m.Start.Add(-drain)
+		if !now.Before(stop) {
+			return stageLeaving
+		}
+		if !now.Before(stop.Add(-lead)) {
+			out = stageVacating
+		}
+	}
+	return out
+}
