Run the placement state machines and let stand-in engines fail

Cause: the planner polled endpoints one after another, lost track of an update whose answer was lost, and did not notice a later holder. The stand-in engine had no faults, one waiting order for all priorities and a fixed token time.

Change: internal/planner writes the placement with its epoch first, stores intents before sending, settles open updates by reading back, stops at a higher epoch, and calls engines from a bounded non-blocking pool. The stand-in has fault switches (PUT /_faults, POST /_restart), remembers 1024 order ids, a queue by priority, a batch slowdown, and a prefix cache, off by default.

Result: two planners in one process, the old one paused between storing and sending until its memory has been given to other models: no violation with and without fencing tokens. On scratch copies the same test reports "e0 was overcommitted 1 times" without fencing when a new holder drops inherited intents, and when the engine forgets order ids. Lost, delayed and duplicated orders, lagging reports, lost answers, an outage and a restart: all models placed, no violation. 50 endpoints with 60 residents and 32 intents each take 470 kB in the placement object.

--- a/cmd/sycamore-standin/main.go
+++ b/cmd/sycamore-standin/main.go
@@ -29,6 +29,8 @@
 	adapter := eng.Flag("adapter-time", "Time to load an adapter.").Default("8ms").Duration()
 	token := eng.Flag("token-time", "Time between tokens.").Default("10ms").Duration()
 	prefill := eng.Flag("prefill", "Time for 1000 prompt tokens.").Default("50ms").Duration()
+	slowdown := eng.Flag("batch-slowdown", "Relative growth of the time between tokens from an empty to a full batch.").Default("0").Float64()
+	cache := eng.Flag("cache-tokens", "Prompt tokens in the prefix cache.").Default("0").Int()
 
 	svc := app.Command("service", "A plain service.")
 	delay := svc.Flag("delay", "Time for each request.").Default("5ms").Duration()
@@ -42,7 +44,7 @@
 		app.FatalIfError(err, "memory")
 		h = engine.New(engine.Options{
 			MemoryBytes: int64(bytes), Slots: *slots, ChecksFencing: *fencing, LoadTime: *load, AdapterTime: *adapter,
-			TokenTime: *token, Prefill: *prefill,
+			TokenTime: *token, Prefill: *prefill, BatchSlowdown: *slowdown, CacheTokens: *cache,
 			Log: func(f string, a ...any) { fmt.Fprintf(os.Stderr, f+"\n", a...) },
 		})
 	case "service":
--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -45,6 +45,8 @@
 type Ledger struct {
 	// Base returns the base model of an adapter, which the stored residents lack.
 	Base func(adapter string) string
+	// Bound is LateBound, or less in tests.
+	Bound time.Duration
 
 	p     *wire.Placement
 	index map[string]int
@@ -62,7 +64,7 @@
 // NewLedger returns a ledger over a stored placement. Copies and intents that it inherits count as ordered now, because
 // the holder before may have sent their orders up to this time.
 func NewLedger(p *wire.Placement, now time.Time) *Ledger {
-	l := &Ledger{Base: func(string) string { return "" }, p: p, index: make(map[string]int), info: make(map[string]*endpointInfo)}
+	l := &Ledger{Base: func(string) string { return "" }, Bound: LateBound, p: p, index: make(map[string]int), info: make(map[string]*endpointInfo)}
 	for i := range p.Endpoints {
 		ep := &p.Endpoints[i]
 		l.index[ep.Endpoint] = i
@@ -189,7 +191,7 @@
 
 // Settled tells whether no copy of the order that loaded the name can still be on its way to a restarted engine.
 func (l *Ledger) Settled(endpoint, name string, now time.Time) bool {
-	return l.age(endpoint, name, now) >= LateBound
+	return l.age(endpoint, name, now) >= l.Bound
 }
 
 // age returns the time since the load of a name may last have been sent.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -272,7 +272,7 @@
 	free := e.free.Models + e.freed
 	var cost float64
 	var out []int
-	for _, n := range v.spareCopies(e, LateBound) {
+	for _, n := range v.spareCopies(e) {
 		if free >= bytes {
 			break
 		}
@@ -286,13 +286,13 @@
 	return out, cost
 }
 
-// spareCopies returns the models whose copy on an endpoint is at least of an age and may be unloaded without leaving the
-// model or one of its adapters with too few ready copies, those with the least work per remaining copy first.
-func (v *view) spareCopies(e *endpointView, age time.Duration) []int {
+// spareCopies returns the models whose copy on an endpoint is settled and may be unloaded without leaving the model or
+// one of its adapters with too few ready copies, those with the least work per remaining copy first.
+func (v *view) spareCopies(e *endpointView) []int {
 	var out []int
 	for _, n := range e.holds {
 		mv := &v.models[n]
-		if mv.ready > mv.need && !e.busy[mv.decl.Name] && v.l.age(e.decl.Name, mv.decl.Name, v.now) >= age && v.adaptersCopied(e, mv.decl.Name) {
+		if mv.ready > mv.need && !e.busy[mv.decl.Name] && v.l.Settled(e.decl.Name, mv.decl.Name, v.now) && v.adaptersCopied(e, mv.decl.Name) {
 			out = append(out, n)
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -1,20 +1,42 @@
 // Package planner is the duty of the holder of a cell's lease: it keeps the cell's placement and orders engines.
+//
+// It is the I/O around package placement. Every intent is stored before its order is sent, and nothing is sent while it
+// is open whether the placement in memory is the stored one.
 package planner
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/panjf2000/ants/v2"
 
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/engine"
+	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/wire"
 )
 
-const roundInterval = 200 * time.Millisecond
+const (
+	roundInterval = 200 * time.Millisecond
+	// reportTimeout is shorter than the rounds in which an endpoint counts as dead, so that a lost report is asked again.
+	reportTimeout = 400 * time.Millisecond
+	orderTimeout  = time.Second
+	storeTimeout  = time.Second
+	// deadAfter is the age of the latest report from which on the copies of an endpoint don't count.
+	deadAfter = 3 * time.Second
+	// sendWindow is the longest time between the decision to send an order and its sending. It is half of
+	// placement.LateBound; the rest is for the network.
+	sendWindow = placement.LateBound / 2
+	// workers bounds concurrent calls to engines: a cell of 50 endpoints has at most one report and a few orders each.
+	workers = 64
+)
+
+// ErrSuperseded is returned by Run when the stored placement has a higher epoch than the planner's own.
+var ErrSuperseded = errors.New("placement belongs to a later holder")
 
 // Deps are what the planner needs of its process.
 type Deps struct {
@@ -22,22 +44,32 @@
 	Store    platform.Store
 	Engines  *engine.Client
 	Snapshot func() *config.Snapshot            // latest configuration, nil before the first
-	Valid    func() bool                        // whether the lease is still held by the process's own clock
+	Valid    func() bool                        // whether the lease is still held by the process's own clock; called concurrently
 	Demand   func() map[string]wire.ModelDemand // demand since the previous call
-	Publish  func(wire.Placement)               // called after each stored placement
+	Publish  func(wire.Placement)               // called after each stored placement with a copy
 	Log      telemetry.Logger
+	Policy   placement.Policy // PolicyMixed but for measurements of the baselines
+	// LateBound replaces placement.LateBound in tests, which can't wait for it.
+	LateBound time.Duration
 }
 
-// Run plans until ctx ends. The caller starts it when it has acquired the lease with the given epoch and ends ctx when
-// it loses it.
+// Run plans until ctx ends or a later holder has written the placement. The caller starts it when it has acquired the
+// lease with the given epoch and ends ctx when it loses it.
 func Run(ctx context.Context, epoch uint64, d Deps) error {
-	p := &planner{Deps: d, epoch: epoch}
+	pool, err := ants.NewPool(workers, ants.WithNonblocking(true))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer pool.Release()
+	p := &planner{Deps: d, epoch: epoch, pool: pool, started: time.Now(), polls: newPolls(), rounds: placement.Planner{Policy: d.Policy}}
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
 	for {
-		if err := p.round(ctx); err != nil && ctx.Err() == nil {
-			p.Log.Warn().Err(err).Msg("Planning round failed.")
-			p.version = ""
+		if err := p.round(ctx); errors.Is(err, ErrSuperseded) {
+			p.Log.Info().Uint64("epoch", epoch).Msg("A later holder plans.")
+			return err
+		} else if err != nil && ctx.Err() == nil {
+			p.Log.Warn().Err(err).Msg("Placement is frozen.")
 		}
 		select {
 		case <-t.C:
@@ -50,152 +82,104 @@
 type planner struct {
 	Deps
 	epoch   uint64
-	version string // resource version of the placement object, empty if it has to be read
-	state   wire.Placement
+	pool    *ants.Pool
+	started time.Time
+	polls   *polls
+
+	object object
+	ledger *placement.Ledger
+	rounds placement.Planner
+	sender placement.Sender
+	stale  atomic.Bool // an engine refused an order because of its fencing token
 }
 
-// round loads missing models one by one: every endpoint that has room gets every model.
+// round observes, plans, stores and sends, in this order.
 func (p *planner) round(ctx context.Context) error {
 	snap := p.Snapshot()
 	if snap == nil || !p.Valid() {
 		return nil
 	}
-	if p.version == "" {
-		if err := p.read(ctx); err != nil {
-			return err
-		}
+	p.poll(ctx, snap)
+	if p.stale.Swap(false) {
+		p.object.known = false
 	}
-	changed := false
-	var send []func() error
-	for i := range snap.Endpoints {
-		e := &snap.Endpoints[i]
-		ep := p.endpoint(e.Name)
-		rep, err := p.Engines.Report(ctx, e.Address)
-		if err != nil {
-			continue
-		}
-		changed = resolve(ep, rep) || changed
-		if in := nextIntent(snap, e, ep); in != nil {
-			p.state.NextIntent++
-			in.ID, in.Epoch = p.state.NextIntent, p.epoch
-			ep.Intents = append(ep.Intents, *in)
-			changed = true
-			o := engine.Order{ID: in.ID, Fence: in.Epoch, Action: engine.ActionLoad, Name: in.Name, Adapter: in.Adapter, Base: in.Base, Bytes: in.Bytes}
-			send = append(send, func() error { return p.Engines.Order(ctx, e.Address, o) })
-		}
-	}
-	if !changed {
-		return nil
-	}
-	if err := p.write(ctx); err != nil {
+	if err := p.settle(ctx); err != nil {
 		return err
 	}
-	for _, f := range send {
-		if !p.Valid() {
-			return nil
-		}
-		if err := f(); err != nil {
-			p.Log.Warn().Err(err).Msg("Order failed.")
-		}
+	now := time.Now()
+	changed := p.observe(snap, now)
+	alive, draining, all := p.polls.states(snap, now)
+	if all || now.Sub(p.started) >= deadAfter {
+		changed = p.rounds.Round(placement.Input{Now: now, Snapshot: snap, Ledger: p.ledger, Alive: alive, Draining: draining, Demand: p.Demand()}) || changed
 	}
-	return nil
-}
-
-// resolve updates residents from a report and drops the intents that the report shows as ended.
-func resolve(ep *wire.EndpointPlacement, rep engine.Report) bool {
-	before := len(ep.Residents) + 1000*len(ep.Intents)
-	ep.Incarnation = rep.Incarnation
-	ep.Residents = ep.Residents[:0]
-	for _, r := range rep.Residents {
-		if r.State == "ready" {
-			ep.Residents = append(ep.Residents, wire.Resident{Name: r.Name, Adapter: r.Adapter, Bytes: r.Bytes})
+	if changed {
+		if err := p.store(ctx); err != nil {
+			return err
 		}
 	}
-	kept := ep.Intents[:0]
-	for _, in := range ep.Intents {
-		ended := false
-		for _, o := range rep.Orders {
-			ended = ended || o.ID == in.ID
-		}
-		if !ended {
-			kept = append(kept, in)
-		}
+	for _, s := range p.sender.Due(now, snap, p.ledger, alive) {
+		p.send(ctx, snap.Endpoint(s.Endpoint).Address, s.Intent)
 	}
-	ep.Intents = kept
-	return before != len(ep.Residents)+1000*len(ep.Intents)
+	return nil
 }
 
-func nextIntent(snap *config.Snapshot, e *config.Endpoint, ep *wire.EndpointPlacement) *wire.Intent {
-	if len(ep.Intents) > 0 {
-		return nil
-	}
-	have := make(map[string]bool)
-	var used, adapters int64
-	for _, r := range ep.Residents {
-		have[r.Name] = true
-		if r.Adapter {
-			adapters += r.Bytes
-		} else {
-			used += r.Bytes
-		}
-	}
-	for _, m := range snap.Models {
-		if !have[m.Name] && used+int64(m.Memory) <= int64(e.Memory) {
-			return &wire.Intent{Action: wire.ActionLoad, Name: m.Name, Bytes: int64(m.Memory)}
+// observe applies the latest reports to the ledger.
+func (p *planner) observe(snap *config.Snapshot, now time.Time) bool {
+	changed := false
+	p.ledger.Base = func(adapter string) string {
+		if a := snap.Adapter(adapter); a != nil {
+			return a.Model
 		}
+		return ""
 	}
-	for _, a := range snap.Adapters {
-		if !have[a.Name] && have[a.Model] && adapters+int64(a.Memory) <= int64(e.AdapterMemory) {
-			return &wire.Intent{Action: wire.ActionLoad, Name: a.Name, Adapter: true, Base: a.Model, Bytes: int64(a.Memory)}
+	reports := p.polls.take()
+	for i := range snap.Endpoints {
+		e := &snap.Endpoints[i]
+		rep, ok := reports[e.Name]
+		p.ledger.Declare(e.Name, capacity(e, p.polls.memory(e.Name)))
+		if ok {
+			changed = p.ledger.Observe(e.Name, rep, now) || changed
 		}
 	}
-	return nil
+	return changed
 }
 
-func (p *planner) endpoint(name string) *wire.EndpointPlacement {
-	for i := range p.state.Endpoints {
-		if p.state.Endpoints[i].Endpoint == name {
-			return &p.state.Endpoints[i]
-		}
-	}
-	p.state.Endpoints = append(p.state.Endpoints, wire.EndpointPlacement{Endpoint: name})
-	return &p.state.Endpoints[len(p.state.Endpoints)-1]
+// capacity returns the declared memory, or less if the engine reports that it has less.
+func capacity(e *config.Endpoint, reported int64) placement.Capacity {
+	c := placement.Capacity{Models: int64(e.Memory), Adapters: int64(e.AdapterMemory)}
+	if reported > 0 {
+		c.Adapters = min(c.Adapters, reported)
+		c.Models = min(c.Models, reported-c.Adapters)
+	}
+	return c
 }
 
-func (p *planner) read(ctx context.Context) error {
-	o, err := p.Store.Get(ctx, platform.KindPlacement, p.Cell)
-	if errors.Is(err, platform.ErrNotFound) {
-		first, err := platform.Encode(platform.KindPlacement, p.Cell, "", wire.Placement{Cell: p.Cell, Epoch: p.epoch})
-		if err != nil {
-			return err
-		}
-		o, err = p.Store.Create(ctx, first)
-		if err != nil {
-			return errors.Trace(err)
-		}
-	} else if err != nil {
-		return errors.Trace(err)
-	}
-	p.state, err = platform.Decode[wire.Placement](o)
+// send hands an order to a worker. If none is free, or the call fails, the order is sent again after ResendAfter.
+func (p *planner) send(ctx context.Context, addr string, in wire.Intent) {
+	decided := time.Now()
+	err := p.pool.Submit(func() {
+		if ctx.Err() != nil || !p.Valid() || time.Since(decided) > sendWindow {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		err := p.Engines.Order(ctx, addr, order(in))
+		if errors.Is(err, engine.ErrStaleFence) {
+			p.stale.Store(true)
+		}
+		if err != nil && ctx.Err() == nil {
+			p.Log.Warn().Err(err).Uint64("order", in.ID).Msg("Order failed.")
+		}
+	})
 	if err != nil {
-		return err
+		p.Log.Warn().Err(err).Uint64("order", in.ID).Msg("No worker for an order.")
 	}
-	p.version = o.Version
-	return nil
 }
 
-func (p *planner) write(ctx context.Context) error {
-	p.state.Epoch = p.epoch
-	p.state.Version++
-	o, err := platform.Encode(platform.KindPlacement, p.Cell, p.version, p.state)
-	if err != nil {
-		return err
-	}
-	o, err = p.Store.Update(ctx, o)
-	if err != nil {
-		return errors.Trace(err)
+func order(in wire.Intent) engine.Order {
+	action := engine.ActionLoad
+	if in.Action == wire.ActionUnload {
+		action = engine.ActionUnload
 	}
-	p.version = o.Version
-	p.Publish(p.state)
-	return nil
+	return engine.Order{ID: in.ID, Fence: in.Epoch, Action: action, Name: in.Name, Adapter: in.Adapter, Base: in.Base, Bytes: in.Bytes}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -3,6 +3,7 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -17,7 +18,10 @@
 	"sycamoredeal/internal/engine"
 )
 
-const keptOrders = 64
+const (
+	keptOrders = 64   // ended orders in a report
+	keptIDs    = 1024 // order ids that the engine remembers; it executes an order again whose id it has forgotten
+)
 
 // Options set the size and speed of an engine.
 type Options struct {
@@ -27,7 +31,9 @@
 	LoadTime      time.Duration // for a model
 	AdapterTime   time.Duration // for an adapter
 	Prefill       time.Duration // for each 1000 prompt tokens
-	TokenTime     time.Duration // between tokens of one stream
+	TokenTime     time.Duration // between tokens of a stream that runs alone
+	BatchSlowdown float64       // relative growth of TokenTime from an empty to a full batch
+	CacheTokens   int           // prompt tokens in the prefix cache, 0 for none
 	Log           func(format string, args ...any)
 }
 
@@ -35,9 +41,16 @@
 type Server struct {
 	opts  Options
 	mux   *http.ServeMux
-	slots chan struct{}
+	queue *queue
 
 	mu          sync.Mutex
+	faults      Faults
+	life        context.Context // ends with the incarnation
+	endLife     context.CancelFunc
+	history     []snapshot
+	known       map[uint64]bool // order ids
+	knownOrder  []uint64
+	cache       prefixCache
 	incarnation string
 	sequence    uint64
 	residents   map[string]*engine.Resident
@@ -51,26 +64,48 @@
 
 // New returns an engine without residents.
 func New(opts Options) *Server {
-	s := &Server{
-		opts: opts, mux: http.NewServeMux(), slots: make(chan struct{}, opts.Slots),
-		incarnation: uuid.NewString(), residents: make(map[string]*engine.Resident),
-	}
+	s := &Server{opts: opts, mux: http.NewServeMux(), queue: newQueue(opts.Slots)}
+	s.begin()
 	if s.opts.Log == nil {
 		s.opts.Log = func(string, ...any) {}
 	}
 	s.mux.HandleFunc("GET /v1/report", s.report)
 	s.mux.HandleFunc("POST /v1/orders", s.order)
 	s.mux.HandleFunc("POST /v1/chat/completions", s.complete)
+	s.mux.HandleFunc("PUT /_faults", s.setFaults)
+	s.mux.HandleFunc("POST /_restart", s.restart)
 	return s
 }
 
+// begin starts an incarnation with empty memory. The caller holds the lock, except in New.
+func (s *Server) begin() {
+	if s.endLife != nil {
+		s.endLife()
+	}
+	s.life, s.endLife = context.WithCancel(context.Background())
+	s.incarnation, s.sequence, s.maxFence = uuid.NewString(), 0, 0
+	s.residents, s.known = make(map[string]*engine.Resident), make(map[uint64]bool)
+	s.orders, s.knownOrder, s.history = nil, nil, nil
+	s.cache = newPrefixCache(s.opts.CacheTokens)
+	s.changed()
+}
+
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.currentFaults().RefuseConnections && !strings.HasPrefix(r.URL.Path, "/_") {
+		panic(http.ErrAbortHandler)
+	}
+	s.mux.ServeHTTP(w, r)
+}
 
-// Report returns the engine's account of its state.
+// Report returns the engine's account of its state, without lag.
 func (s *Server) Report() engine.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.account()
+}
+
+func (s *Server) account() engine.Report {
 	r := engine.Report{
 		Incarnation: s.incarnation, Sequence: s.sequence, MemoryBytes: s.opts.MemoryBytes, Running: s.running,
 		Waiting: s.waiting, Draining: s.draining, Orders: append([]engine.OrderResult(nil), s.orders...),
@@ -84,7 +119,10 @@
 }
 
 func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.Report())
+	s.mu.Lock()
+	rep := s.lagging(time.Now())
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, rep)
 }
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
@@ -93,25 +131,50 @@
 		http.Error(w, "malformed order: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	if o.Action != engine.ActionLoad && o.Action != engine.ActionUnload {
+		http.Error(w, fmt.Sprintf("unknown action %q", o.Action), http.StatusBadRequest)
+		return
+	}
+	f := s.takeOrderFaults()
+	if f.DropOrders > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	if f.DuplicateAfter > 0 {
+		time.AfterFunc(f.DuplicateAfter.D(), func() { s.execute(o) })
+	}
+	if f.OrderDelay > 0 {
+		time.AfterFunc(f.OrderDelay.D(), func() { s.execute(o) })
+	} else if !s.execute(o) {
+		http.Error(w, "stale fencing token", http.StatusPreconditionFailed)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// execute carries out an order unless its id is known. It returns false for a stale fencing token.
+func (s *Server) execute(o engine.Order) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.opts.ChecksFencing && o.Fence < s.maxFence {
-		http.Error(w, "stale fencing token", http.StatusPreconditionFailed)
-		return
+		return false
 	}
 	s.maxFence = max(s.maxFence, o.Fence)
-	s.sequence++
-	switch o.Action {
-	case engine.ActionLoad:
+	if s.known[o.ID] {
+		return true
+	}
+	s.known[o.ID] = true
+	if s.knownOrder = append(s.knownOrder, o.ID); len(s.knownOrder) > keptIDs {
+		delete(s.known, s.knownOrder[0])
+		s.knownOrder = s.knownOrder[1:]
+	}
+	if o.Action == engine.ActionLoad {
 		s.load(o)
-	case engine.ActionUnload:
+	} else {
 		delete(s.residents, o.Name)
 		s.finish(o.ID, "done", "")
-	default:
-		http.Error(w, fmt.Sprintf("unknown action %q", o.Action), http.StatusBadRequest)
-		return
 	}
-	w.WriteHeader(http.StatusAccepted)
+	s.changed()
+	return true
 }
 
 // load starts loading a model. Memory is taken at once. The caller holds the lock.
@@ -134,10 +197,14 @@
 	if o.Adapter {
 		wait = s.opts.AdapterTime
 	}
+	life := s.life
 	time.AfterFunc(wait, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.sequence++
+		if life.Err() != nil {
+			return
+		}
+		defer s.changed()
 		if s.residents[o.Name] == res {
 			res.State = "ready"
 			s.finish(o.ID, "done", "")
@@ -192,23 +259,28 @@
 	if ready {
 		s.waiting++
 	}
+	life := s.life
 	s.mu.Unlock()
 	if !ready {
 		http.Error(w, fmt.Sprintf("model %q is not loaded", c.Model), http.StatusNotFound)
 		return
 	}
-	select {
-	case s.slots <- struct{}{}:
-	case <-r.Context().Done():
+	if !s.queue.enter(r.Context(), c.Priority) {
 		s.count(-1, 0)
 		return
 	}
 	s.count(-1, 1)
 	defer func() {
 		s.count(0, -1)
-		<-s.slots
+		s.queue.leave()
 	}()
-	s.generate(w, r, &c)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(life, cancel)()
+	s.generate(w, r.WithContext(ctx), &c)
+	if life.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (s *Server) count(waiting, running int) {
@@ -224,14 +296,14 @@
 		c.MaxTokens = 16
 	}
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
-	if !sleep(r, s.opts.Prefill*time.Duration(len(prompt)/4)/1000) {
+	if !sleep(r, s.opts.Prefill*time.Duration(s.uncached(c.Model, prompt))/1000) {
 		return
 	}
 	id := "chatcmpl-" + r.Header.Get("X-Request-Id")
 	if !c.Stream {
 		var text strings.Builder
 		for n := 1; n <= c.MaxTokens; n++ {
-			if !sleep(r, s.opts.TokenTime) {
+			if !sleep(r, s.tokenTime()) {
 				return
 			}
 			text.WriteString(Token(c.Model, prompt, n))
@@ -248,7 +320,10 @@
 	w.WriteHeader(http.StatusOK)
 	f := w.(http.Flusher)
 	for n := from + 1; n <= c.MaxTokens; n++ {
-		if !sleep(r, s.opts.TokenTime) {
+		if limit := s.currentFaults().FailAfterTokens; limit > 0 && n > from+limit {
+			panic(http.ErrAbortHandler)
+		}
+		if !sleep(r, s.tokenTime()) {
 			return
 		}
 		writeEvent(w, n, id, c.Model, map[string]string{"content": Token(c.Model, prompt, n)}, nil)
