--- a/internal/placement/adapters.go
+++ b/internal/placement/adapters.go
@@ -117,7 +117,7 @@
 }
 
 // adaptersCopied tells whether every adapter of a model on an endpoint can be unloaded there: it is settled and has a
-// resident copy on another usable endpoint.
+// resident copy next to the model on another usable endpoint.
 func (v *view) adaptersCopied(e *endpointView, model string) bool {
 	for _, in := range e.account.Intents {
 		if a := v.snap.Adapter(in.Name); in.Adapter && a != nil && a.Model == model {
@@ -139,7 +139,7 @@
 func (v *view) residentElsewhere(e *endpointView, name string) bool {
 	for i := range v.endpoints {
 		o := &v.endpoints[i]
-		if o != e && o.usable && !o.busy[name] && findResident(o.account, name) >= 0 {
+		if o != e && o.usable && !o.busy[name] && findResident(o.account, name) >= 0 && o.hasBase(v, name) {
 			return true
 		}
 	}
