Keep charges through the exact end of the bound on late orders

Cause: a failed load was dropped when exactly LateBound had passed, but an order may arrive exactly at the bound.

Change: a copy is settled only when more than LateBound has passed.

A table test covers the boundary.

--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -39,8 +39,8 @@
 //   - The charge, which is the residents and every unresolved load, never grows above the capacity.
 //   - A name has at most one unresolved intent, so orders for one name can't overtake each other.
 //   - A charge is dropped only by a report that shows the order ended and the model gone.
-//   - A copy is unloaded, and a load that failed is dropped, at the earliest LateBound after its order may have been
-//     sent. A restart drops no charge: former residents become loads of the new incarnation. So a late order that a
+//   - A copy is unloaded, and a load that failed is dropped, only when more than LateBound has passed since its order
+//     may have been sent. A restart drops no charge: former residents become loads of the new incarnation. So a late order that a
 //     restarted engine no longer recognises finds its memory charged.
 type Ledger struct {
 	// Base returns the base model of an adapter, which the stored residents lack.
@@ -191,7 +191,7 @@
 
 // Settled tells whether no copy of the order that loaded the name can still be on its way to a restarted engine.
 func (l *Ledger) Settled(endpoint, name string, now time.Time) bool {
-	return l.age(endpoint, name, now) >= l.Bound
+	return l.age(endpoint, name, now) > l.Bound // an order may arrive exactly at the bound
 }
 
 // age returns the time since the load of a name may last have been sent.
--- a/internal/placement/ledger_test.go
+++ b/internal/placement/ledger_test.go
@@ -252,3 +252,25 @@
 		})
 	}
 }
+
+// TestFailedLoadCharged guards against a failed load that is dropped while a copy of its order can still arrive at a
+// restarted engine, which may be exactly at LateBound.
+func TestFailedLoadCharged(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLedger(&wire.Placement{}, now)
+	l.Declare("e", Capacity{Models: 10})
+	l.Observe("e", engine.Report{Incarnation: "1"}, now)
+	in, err := l.Load("e", wire.Resident{Name: "m", Bytes: 6}, "", now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := engine.Report{Incarnation: "1", Sequence: 1, Orders: []engine.OrderResult{{ID: in.ID, State: "failed"}}}
+	for _, c := range []struct {
+		after time.Duration
+		free  int64
+	}{{0, 4}, {LateBound, 4}, {LateBound + 1, 10}} {
+		if l.Observe("e", rep, now.Add(c.after)); l.Free("e").Models != c.free {
+			t.Errorf("%d bytes free %s after the order, want %d", l.Free("e").Models, c.after, c.free)
+		}
+	}
+}
