--- a/cmd/sycamore-standin/main.go
+++ b/cmd/sycamore-standin/main.go
@@ -23,6 +23,7 @@
 		h = engine.New(engine.Options{
 			MemoryBytes: s.EngineMemory, Slots: s.EngineSlots, ChecksFencing: s.EngineChecksFencing, LoadTime: s.EngineLoadTime,
 			AdapterTime: s.EngineAdapterTime, TokenTime: s.EngineTokenTime, Prefill: s.EnginePrefill,
+			BatchSlowdown: s.EngineBatchSlowdown, CacheTokens: s.EngineCacheTokens,
 			Log: func(f string, a ...any) { fmt.Fprintf(os.Stderr, f+"\n", a...) },
 		})
 	case "service":
--- /dev/null
+++ b/internal/placement/planner.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"time"
+
+	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/wire"
+)
+
+// Policy selects how copies are placed.
+type Policy uint8
+
+// Policies. All but PolicyMixed are baselines for measurements.
+const (
+	PolicyMixed  Policy = iota // fewest shared neighbours, copies in proportion to demand
+	PolicyStatic               // fewest shared neighbours, demand ignored, nothing moved
+	PolicyGroups               // the same models together on the same endpoints
+)
+
+// Rules of moves.
+const (
+	// Horizon is the time over which the gain of a move is counted.
+	Horizon = 10 * time.Minute
+	// MinDwell is the least age of a copy that a move may unload.
+	MinDwell = 2 * time.Minute
+	// moveFactor is the hysteresis of moves: the model that gains must have this much more work per copy.
+	moveFactor = 1.5
+	// shiftFactor is the relative change of a model's demand that allows it another move within Horizon.
+	shiftFactor = 1.25
+	// moveTime is the assumed time in which a move occupies an endpoint's share of the fleet.
+	moveTime = 20 * time.Second
+)
+
+// Input is what one planning round is computed from.
+type Input struct {
+	Now      time.Time
+	Snapshot *config.Snapshot
+	Ledger   *Ledger                     // all declared endpoints are declared in it
+	Alive    map[string]bool             // endpoints that have reported lately
+	Draining map[string]bool             // endpoints whose reports say that they drain
+	Demand   map[string]wire.ModelDemand // since the previous round
+}
+
+// Planner decides which intents to add. It keeps smoothed demand and the history of moves between rounds.
+type Planner struct {
+	Policy Policy
+
+	demand demand
+	moved  map[string]move
+	shared []uint16
+}
+
+type move struct {
+	at     time.Time
+	weight float64
+}
+
+// Round adds intents to the ledger and marks leaving endpoints in it. It returns whether the placement changed.
+func (p *Planner) Round(in Input) bool {
+	p.demand.add(in.Now, in.Demand)
+	stages, changed := p.stages(in)
+	before := in.Ledger.p.NextIntent
+	v := p.newView(in, stages)
+	p.cover(v)
+	p.spread(v)
+	p.adapters(v)
+	p.retire(v)
+	if p.settledLayout(v) {
+		p.grow(v)
+		p.exchange(v)
+	}
+	return changed || before != in.Ledger.p.NextIntent
+}
+
+// stages returns the stage of each endpoint and stores which ones are leaving.
+func (p *Planner) stages(in Input) ([]stage, bool) {
+	changed := false
+	out := make([]stage, len(in.Snapshot.Endpoints))
+	rate := in.Snapshot.WeightStore.LoadsPerSecond
+	if rate <= 0 {
+		rate = defaultLoadsPerSecond
+	}
+	for i := range out {
+		e := &in.Snapshot.Endpoints[i]
+		account := in.Ledger.Endpoint(e.Name)
+		out[i] = maintenanceStage(in.Snapshot, e, len(account.Residents), rate, in.Now)
+		if e.Leaving || in.Draining[e.Name] {
+			out[i] = stageLeaving
+		}
+		if leaving := out[i] == stageLeaving; leaving != account.Leaving {
+			account.Leaving, changed = leaving, true
+		}
+	}
+	return out, changed
+}
+
+// weight is the demand of a model without its adapters. It is never 0, so that spare memory is shared evenly without
+// demand.
+func (p *Planner) weight(name string) float64 {
+	if p.Policy == PolicyStatic {
+		return 1
+	}
+	return 1 + p.demand.rate[name]
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -154,6 +154,8 @@
 	EngineAdapterTime   time.Duration // Time to load an adapter.
 	EngineTokenTime     time.Duration // Time between tokens.
 	EnginePrefill       time.Duration // Time for 1000 prompt tokens.
+	EngineBatchSlowdown float64       // Relative growth of the time between tokens from an empty to a full batch.
+	EngineCacheTokens   int           // Prompt tokens in the prefix cache. In tokens.
 	ServiceDelay        time.Duration // Time before a request is executed.
 	ServiceAnswerDelay  time.Duration // Time between execution and answer.
 	ServiceCloseBefore  bool          // Close the connection instead of executing a request.
@@ -183,6 +185,8 @@
 	s.all.register(engine, Spec{Flag: "adapter-time", Env: "SYCAMORE_STANDIN_ENGINE_ADAPTER_TIME", Kind: "duration", Default: "8ms", Min: "0s", Help: "Time to load an adapter."}, &s.EngineAdapterTime)
 	s.all.register(engine, Spec{Flag: "token-time", Env: "SYCAMORE_STANDIN_ENGINE_TOKEN_TIME", Kind: "duration", Default: "10ms", Min: "0s", Help: "Time between tokens."}, &s.EngineTokenTime)
 	s.all.register(engine, Spec{Flag: "prefill", Env: "SYCAMORE_STANDIN_ENGINE_PREFILL", Kind: "duration", Default: "50ms", Min: "0s", Help: "Time for 1000 prompt tokens."}, &s.EnginePrefill)
+	s.all.register(engine, Spec{Flag: "batch-slowdown", Env: "SYCAMORE_STANDIN_ENGINE_BATCH_SLOWDOWN", Kind: "float", Default: "0", Min: "0", Max: "100", Help: "Relative growth of the time between tokens from an empty to a full batch."}, &s.EngineBatchSlowdown)
+	s.all.register(engine, Spec{Flag: "cache-tokens", Env: "SYCAMORE_STANDIN_ENGINE_CACHE_TOKENS", Kind: "int", Default: "0", Min: "0", Max: "1000000000", Help: "Prompt tokens in the prefix cache."}, &s.EngineCacheTokens)
 	service := app.Command("service", "A plain service.")
 	s.all.register(service, Spec{Flag: "delay", Env: "SYCAMORE_STANDIN_SERVICE_DELAY", Kind: "duration", Default: "5ms", Min: "0s", Help: "Time before a request is executed."}, &s.ServiceDelay)
 	s.all.register(service, Spec{Flag: "answer-delay", Env: "SYCAMORE_STANDIN_SERVICE_ANSWER_DELAY", Kind: "duration", Default: "0s", Min: "0s", Help: "Time between execution and answer."}, &s.ServiceAnswerDelay)
