--- /dev/null
+++ b/internal/dispatch/preempt.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import "sycamoredeal/internal/wire"
+
+// preemptFor stops running work of a less urgent preemptible rank so that a waiting request can start. Each waiting
+// request causes at most one preemption, and the rate of all of them is bounded.
+func (s *State) preemptFor(r *request) {
+	if r.preempting || s.tokens < 1 || s.cfg.FirstCome {
+		return
+	}
+	var victim *request
+	for _, e := range r.model.residents {
+		if e.leaving || !s.usable(r.model, e) {
+			continue
+		}
+		for _, v := range e.running {
+			if s.mayStop(v, r) && (victim == nil || v.seq > victim.seq) {
+				victim = v // the latest has done the least work
+			}
+		}
+	}
+	if victim == nil {
+		return
+	}
+	s.tokens--
+	victim.preempting, r.preempting = true, true
+	s.emit(victim, wire.KindPreempt, Output{Decision: Decision{Reason: "slot needed by rank " + r.rank.Name}})
+}
+
+// mayStop tells whether v may be stopped for r. Ranks and callers keep their floors.
+func (s *State) mayStop(v, r *request) bool {
+	return v.rank.Preemptible && v.rank.index > r.rank.index && !v.preempting &&
+		v.ask.Preemptions < s.cfg.MaxPreemption &&
+		float64(v.rank.used-1) >= v.rank.floorSlots && float64(v.caller.used-1) >= v.caller.floorSlots
+}
+
+func (s *State) preemptWaiting() {
+	if s.waiting == 0 || s.tokens < 1 || s.cfg.FirstCome || !s.preemptible() {
+		return
+	}
+	for _, f := range s.waitingFlows() {
+		for _, r := range f.fresh {
+			if s.tokens < 1 {
+				return
+			}
+			if r.status == waiting && !r.preempting {
+				s.preemptFor(r)
+				break
+			}
+		}
+	}
+}
+
+func (s *State) preemptible() bool {
+	for _, k := range s.ranks {
+		if k.Preemptible && k.index > 0 && float64(k.used) > k.floorSlots {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/routing/binder.go
+++ b/internal/routing/binder.go
@@ -40,9 +40,10 @@
 type View struct {
 	Snapshot  *config.Snapshot
 	Placement *wire.Placement
-	Leaving   map[string]bool // endpoints that take no new work
-	Members   []wire.Member   // live hosts of the cell
-	Holder    string          // host that holds the cell's lease, empty if unknown
+	Leaving   map[string]bool               // endpoints that take no new work
+	Members   []wire.Member                 // live hosts of the cell
+	Holder    string                        // host that holds the cell's lease, empty if unknown
+	States    map[string]wire.EndpointState // latest reports of the endpoints, empty if unknown
 }
 
 // Residents returns the endpoints that hold a model, or an adapter with its model, and are not leaving.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -191,7 +191,9 @@
 	DeadlineMs   uint32 // time left until the first token is useless to the caller
 	PrefixHash   uint64 // hash of the prompt's prefix, 0 if unknown
 	Exclude      []string
-	Resumed      bool // the attempt continues a stream that has begun; it is not refused for its deadline
+	Resumed      bool   // the attempt continues a stream that has begun; it is not refused for its deadline
+	Preemptions  uint8  // how often the request has been preempted
+	Bound        string // endpoint that the entry chose alone: the dispatcher only counts it and does not answer
 }
 
 // Queued tells that an Ask waits in the queue.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -67,8 +67,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Ask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendString(o, z.Caller)
 	o = msgp.AppendString(o, z.Rank)
@@ -82,6 +82,8 @@
 		o = msgp.AppendString(o, z.Exclude[za0001])
 	}
 	o = msgp.AppendBool(o, z.Resumed)
+	o = msgp.AppendUint8(o, z.Preemptions)
+	o = msgp.AppendString(o, z.Bound)
 	return
 }
 
@@ -93,8 +95,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -160,6 +162,16 @@
 		err = msgp.WrapError(err, "Resumed")
 		return
 	}
+	z.Preemptions, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Preemptions")
+		return
+	}
+	z.Bound, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Bound")
+		return
+	}
 	o = bts
 	return
 }
@@ -170,7 +182,7 @@
 	for za0001 := range z.Exclude {
 		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
 	}
-	s += msgp.BoolSize
+	s += msgp.BoolSize + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Bound)
 	return
 }
 
