--- a/cmd/sycamore-entry/main.go
+++ b/cmd/sycamore-entry/main.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"sycamoredeal/internal/entry"
+	"sycamoredeal/internal/routing"
 	"sycamoredeal/internal/telemetry"
 )
 
@@ -24,6 +25,7 @@
 	app.Flag("control", "ip:port of the local control process.").Required().StringVar(&o.Control)
 	app.Flag("max-body", "Longest request body in bytes.").Default("4194304").IntVar(&o.MaxBody)
 	app.Flag("drain-timeout", "Longest time that a stop waits for requests in progress.").Default("10m").DurationVar(&o.DrainTimeout)
+	app.Flag("policy", "How endpoints are chosen; all but dispatcher are for measurements.").Default(string(routing.PolicyDispatcher)).EnumVar(&o.Policy, routing.Policies...)
 	level := app.Flag("log-level", "debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	o.Log = telemetry.NewLogger(os.Stderr, *level, "entry")
--- /dev/null
+++ b/internal/binding/server.go
@@ -0,0 +1,187 @@
+// Package binding joins the request path of an entry process to the cell's dispatcher: a Binder on the side of the
+// entry, and a Server that hosts the dispatcher's state machine.
+package binding
+
+import (
+	"context"
+	"time"
+
+	"sycamoredeal/internal/dispatch"
+	"sycamoredeal/internal/ring"
+	"sycamoredeal/internal/routing"
+	"sycamoredeal/internal/transport"
+	"sycamoredeal/internal/wire"
+)
+
+const (
+	serverEvents = 16384                 // about 20 s of asks at the target size
+	serverTick   = 20 * time.Millisecond // bounds how late an expired request is refused
+	probeID      = 0                     // an Ask with this id only proves that the dispatcher runs
+)
+
+// peer is a connection from an entry to the dispatcher.
+type peer interface {
+	Send(m wire.Message) error
+	Close()
+}
+
+type event struct {
+	from wire.Hello
+	peer peer
+	m    wire.Message // nil for the end of the connection
+}
+
+// Server hosts the dispatcher. It keeps no state until the first entry connects. One goroutine runs the state machine.
+type Server struct {
+	cfg     dispatch.Config
+	view    func() *routing.View
+	journal func(dispatch.Output) // may be nil; runs on the server's goroutine
+	events  *ring.Ring[event]
+	start   time.Time
+
+	// Owned by the goroutine of Run.
+	state *dispatch.State
+	peers map[string]peer // by host
+	seen  *routing.View
+}
+
+// NewServer returns a server that is not yet running.
+func NewServer(cfg dispatch.Config, view func() *routing.View, journal func(dispatch.Output)) *Server {
+	return &Server{cfg: cfg, view: view, journal: journal, events: ring.New[event](serverEvents), start: time.Now(), peers: make(map[string]peer)}
+}
+
+// Options returns the transport options with which a listener feeds the server.
+func (s *Server) Options(hello wire.Hello) transport.Options {
+	return transport.Options{
+		Hello:   hello,
+		Handler: func(c *transport.Conn, _ uint64, m wire.Message) { s.push(c.Remote(), c, m) },
+		OnDown:  func(c *transport.Conn) { s.down(c.Remote(), c) },
+	}
+}
+
+// push queues a message of an entry. A lost Ask is decided by the entry alone; any other loss would leave a slot counted
+// for ever, so the connection is closed and the entry sends its state again.
+func (s *Server) push(from wire.Hello, p peer, m wire.Message) {
+	if s.events.TryPush(event{from, p, m}) {
+		return
+	}
+	if m.Kind() != wire.KindAsk {
+		p.Close()
+	}
+}
+
+// down queues the end of a connection. It waits for room, because the event must not be lost; Run always drains.
+func (s *Server) down(from wire.Hello, p peer) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second) // bounds the wait after Run has ended
+	defer cancel()
+	s.events.Push(ctx, event{from, p, nil})
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	t := time.NewTicker(serverTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.tick()
+		case e := <-s.events.C():
+			s.handle(e)
+		}
+		s.flush()
+	}
+}
+
+func (s *Server) now() time.Duration { return time.Since(s.start) }
+
+func (s *Server) tick() {
+	if s.state == nil {
+		return
+	}
+	if v := s.view(); v != s.seen {
+		for host := range gone(s.seen, v) {
+			s.state.EntryDead(s.now(), host)
+		}
+		s.seen = v
+		s.state.SetView(s.now(), v)
+	}
+	s.state.Tick(s.now())
+}
+
+// gone returns the hosts that are no longer members.
+func gone(before, after *routing.View) map[string]bool {
+	out := make(map[string]bool)
+	if len(after.Members) == 0 {
+		return out // unknown members are not dead
+	}
+	for _, m := range before.Members {
+		out[m.Host] = true
+	}
+	for _, m := range after.Members {
+		delete(out, m.Host)
+	}
+	return out
+}
+
+func (s *Server) handle(e event) {
+	host := e.from.Host
+	if e.m == nil {
+		if s.peers[host] == e.peer {
+			delete(s.peers, host)
+			s.state.EntryDown(s.now(), host)
+		}
+		return
+	}
+	if s.peers[host] != e.peer {
+		if e.m.Kind() != wire.KindResync {
+			return // a message of an older connection, or of one that has not sent its state
+		}
+		s.connect(e)
+	}
+	switch m := e.m.(type) {
+	case *wire.Ask:
+		if m.ID == probeID {
+			e.peer.Send(&wire.Queued{ID: probeID})
+			return
+		}
+		s.state.Ask(s.now(), host, *m)
+	case *wire.Done:
+		s.state.Done(s.now(), host, *m)
+	case *wire.Cancel:
+		s.state.Cancel(s.now(), host, m.ID)
+	case *wire.Resync:
+		s.state.Resync(s.now(), host, *m)
+	}
+}
+
+// connect takes a new connection. The first one starts the dispatcher in the rebuilding state.
+func (s *Server) connect(e event) {
+	if len(s.peers) == 0 {
+		s.seen = s.view()
+		var entries []string
+		for _, m := range s.seen.Members {
+			entries = append(entries, m.Host)
+		}
+		s.state = dispatch.New(s.now(), s.cfg, s.seen, entries)
+	}
+	s.peers[e.from.Host] = e.peer
+	s.state.EntryUp(s.now(), e.from.Host, e.from.Zone)
+}
+
+// flush sends the outputs of the last event. A connection that can't take them is closed: its entry connects again and
+// sends its state.
+func (s *Server) flush() {
+	if s.state == nil {
+		return
+	}
+	for _, o := range s.state.Take() {
+		if s.journal != nil && o.Kind != wire.KindQueued {
+			s.journal(o)
+		}
+		if p := s.peers[o.To]; p != nil && p.Send(o.Message()) != nil {
+			p.Close()
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	Listen       string        // ip:port for callers
 	PeerListen   string        // ip:port for other entry processes
 	Control      string        // ip:port of the local control process
+	Policy       string        // name of a routing.Policy, empty for the dispatcher
 	MaxBody      int           // bytes of a request body
 	DrainTimeout time.Duration // longest time that a stop waits for requests in progress
 	Log          telemetry.Logger
@@ -48,7 +49,7 @@
 func New(opts Options) *Entry {
 	e := &Entry{opts: opts, outbound: newOutbound()}
 	e.view.Store(&routing.View{})
-	e.binder = &routing.RoundRobin{View: e.view.Load}
+	e.binder = e.newBinder()
 	return e
 }
 
@@ -56,6 +57,11 @@
 func (e *Entry) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	wait, err := e.runDispatch(background)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { cancel(); wait() }()
 	e.control = transport.Dial(background, e.opts.Control, transport.Options{
 		Hello:   wire.Hello{Host: e.opts.Host, Role: wire.RoleEntry, Cell: e.opts.Cell, Zone: e.opts.Zone, Incarnation: uint64(time.Now().UnixNano())},
 		Handler: e.onControl,
