--- a/internal/binding/binding_test.go
+++ b/internal/binding/binding_test.go
@@ -321,6 +321,39 @@
 	})
 }
 
+// Guards against a new dispatcher granting the slots of requests that run, when the role moves.
+func TestRoleMoves(t *testing.T) {
+	f := newFleet(t, 2, nil)
+	f.linked2() // each uses its own dispatcher
+	var held []routing.Binding
+	for range slotsEach {
+		x, err := f.nodes["h0"].b.Bind(t.Context(), wire.Ask{Model: "m"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, x)
+	}
+	f.members()
+	f.linked()
+	time.Sleep(150 * time.Millisecond) // the bound of rebuilding
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := f.nodes["h1"].b.Bind(ctx, wire.Ask{Model: "m"}); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("bind to a full endpoint: %v, want it to wait", err)
+	}
+	for i, x := range held {
+		x.Release(wire.Done{})
+		x.Release(wire.Done{})
+		b := f.nodes["h0"].b
+		b.mu.Lock()
+		if own := b.chooser.Own("e"); own != slotsEach-1-i {
+			t.Errorf("%d requests counted after %d releases, each called twice", own, i+1)
+		}
+		b.mu.Unlock()
+	}
+	f.idle()
+}
+
 // Guards against slots leaked by requests whose callers go away while they wait or just as they are granted.
 func TestCancelledBind(t *testing.T) {
 	f := newFleet(t, 2, nil)
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -129,43 +129,86 @@
 	if e.leaving || e.used >= e.cap {
 		return nil
 	}
-	var best *request
-	var bestKey [4]float64
+	b := candidate{hungry: s.callerBelowFloor()}
+	for _, k := range s.ranks {
+		if s.belowFloor(k) {
+			if s.scan(e, k, &b); b.r != nil {
+				return b.r
+			}
+		}
+	}
+	for _, k := range s.ranks {
+		if !s.belowFloor(k) {
+			if s.scan(e, k, &b); b.r != nil && !b.hungry && !s.cfg.FirstCome {
+				return b.r // later ranks come after it
+			}
+		}
+	}
+	return b.r
+}
+
+func (s *State) belowFloor(k *rank) bool {
+	return !s.cfg.FirstCome && float64(k.used) < k.floorSlots
+}
+
+func (s *State) callerBelowFloor() bool {
+	for _, c := range s.floored {
+		if float64(c.used) < c.floorSlots {
+			return true
+		}
+	}
+	return false
+}
+
+type candidate struct {
+	r      *request
+	key    [4]float64
+	hungry bool // a caller is below its floor
+}
+
+// scan looks for a request of one rank that comes before the candidate. The head of a queue is looked up only if the
+// queue's caller would win.
+func (s *State) scan(e *endpoint, k *rank, b *candidate) {
+	if k.waiting == 0 {
+		return
+	}
+	if e.cap-e.used <= e.reserved[k.index] && !b.hungry && !s.belowFloor(k) && !s.cfg.FirstCome {
+		return // only headroom is free
+	}
 	for _, m := range e.models {
-		for i, flows := range m.flows {
-			if len(flows) == 0 || !s.usable(m, e) {
+		flows := m.flows[k.index]
+		if len(flows) == 0 || !s.usable(m, e) {
+			continue
+		}
+		for _, f := range flows {
+			p := s.precedence(k, f)
+			if b.r != nil && !less(p, b.key) || !s.fits(e, k, f.caller) {
 				continue
 			}
-			k := s.ranks[i]
-			for _, f := range flows {
-				if !s.fits(e, k, f.caller) {
-					continue
-				}
-				r := f.head(e)
-				if r == nil {
-					continue
-				}
-				if p := s.precedence(r); best == nil || less(p, bestKey) {
-					best, bestKey = r, p
-				}
+			if r := f.head(e); r != nil {
+				b.r, b.key = r, p
 			}
 		}
 	}
-	return best
 }
 
-func (s *State) precedence(r *request) [4]float64 {
+func (s *State) precedence(k *rank, f *flow) [4]float64 {
 	if s.cfg.FirstCome {
-		return [4]float64{0, 0, 0, float64(r.seq)}
+		f.trim()
+		first := f.fresh
+		if len(first) == 0 {
+			first = f.resumed
+		}
+		return [4]float64{0, 0, 0, float64(first[0].seq)}
 	}
-	p := [4]float64{2, float64(r.rank.index), 1, r.caller.shares[r.rank.index].tag}
+	p := [4]float64{2, float64(k.index), 1, f.caller.shares[k.index].tag}
 	switch {
-	case float64(r.rank.used) < r.rank.floorSlots:
+	case float64(k.used) < k.floorSlots:
 		p[0] = 0
-	case float64(r.caller.used) < r.caller.floorSlots:
+	case float64(f.caller.used) < f.caller.floorSlots:
 		p[0] = 1
 	}
-	if r.ask.Resumed {
+	if f.nResumed > 0 {
 		p[2] = 0
 	}
 	return p
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -2,6 +2,9 @@
 
 import "sycamoredeal/internal/wire"
 
+// preemptTries bounds the queues that one tick looks at; each costs a look at all work of the model's residents.
+const preemptTries = 64
+
 // preemptFor stops running work of a less urgent preemptible rank so that a waiting request can start. Each waiting
 // request causes at most one preemption, and the rate of all of them is bounded.
 func (s *State) preemptFor(r *request) {
@@ -38,14 +41,28 @@
 	if s.waiting == 0 || s.tokens < 1 || s.cfg.FirstCome || !s.preemptible() {
 		return
 	}
-	for _, f := range s.waitingFlows() {
-		for _, r := range f.fresh {
-			if s.tokens < 1 {
+	tries := preemptTries
+	for _, flows := range s.active[:len(s.active)-1] { // the least urgent rank preempts nothing
+		if len(flows) == 0 {
+			continue
+		}
+		start := s.rng.IntN(len(flows)) // so that every queue gets its turn
+		for i := range flows {
+			if tries--; tries < 0 || s.tokens < 1 {
 				return
 			}
+			s.preemptFirst(flows[(start+i)%len(flows)])
+		}
+	}
+}
+
+// preemptFirst preempts for the first request of a queue that has caused no preemption.
+func (s *State) preemptFirst(f *flow) {
+	for _, q := range [2][]*request{f.resumed, f.fresh} {
+		for _, r := range q {
 			if r.status == waiting && !r.preempting {
 				s.preemptFor(r)
-				break
+				return
 			}
 		}
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -20,15 +20,17 @@
 	flowKey
 	resumed  []*request // go first
 	fresh    []*request
+	nResumed int           // waiting requests in resumed
 	n        int           // waiting requests; the slices may also hold requests that have gone
 	since    time.Duration // latest grant, or start of the backlog
 	interval time.Duration // mean time between grants while backlogged, 0 if unknown
 	ended    time.Duration // when the backlog ended
+	active   int           // place in State.active
 }
 
 // head returns the first waiting request that may run at the endpoint.
 func (f *flow) head(e *endpoint) *request {
-	f.resumed, f.fresh = trim(f.resumed), trim(f.fresh)
+	f.trim()
 	for _, q := range [2][]*request{f.resumed, f.fresh} {
 		for i, r := range q {
 			if i == excludeScan {
@@ -42,6 +44,8 @@
 	return nil
 }
 
+func (f *flow) trim() { f.resumed, f.fresh = trim(f.resumed), trim(f.fresh) }
+
 func trim(q []*request) []*request {
 	for len(q) > 0 && q[0].status != waiting {
 		q[0] = nil
@@ -65,9 +69,12 @@
 			f.interval = 0
 		}
 		r.model.flows[k.rank] = append(r.model.flows[k.rank], f)
+		f.active = len(s.active[k.rank])
+		s.active[k.rank] = append(s.active[k.rank], f)
 	}
 	f.n++
 	if r.ask.Resumed {
+		f.nResumed++
 		f.resumed = append(f.resumed, r)
 	} else {
 		f.fresh = append(f.fresh, r)
@@ -89,6 +96,9 @@
 	f := r.flow
 	r.status = gone
 	f.n--
+	if r.ask.Resumed {
+		f.nResumed--
+	}
 	r.caller.shares[f.rank].waiting--
 	r.rank.waiting--
 	s.waiting--
@@ -98,6 +108,10 @@
 		i := slices.Index(list, f)
 		list[i] = list[len(list)-1]
 		f.model.flows[f.rank] = list[:len(list)-1]
+		list = s.active[f.rank]
+		last := list[len(list)-1]
+		list[f.active], last.active = last, f.active
+		s.active[f.rank] = list[:len(list)-1]
 	}
 }
 
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -125,36 +125,27 @@
 	if s.waiting == 0 || s.cfg.FirstCome {
 		return
 	}
-	for _, f := range s.waitingFlows() {
-		for f.n > shedLeast {
-			r := f.last()
-			if r == nil || r.deadline == 0 {
-				break
-			}
-			wait := s.predict(f)
-			if wait <= shedMargin*(r.deadline-s.now) {
-				break
+	for _, flows := range s.active {
+		for i := len(flows) - 1; i >= 0; i-- {
+			if flows[i].n > shedLeast {
+				s.shedFlow(flows[i])
 			}
-			s.reject(r, "the queue drains too slowly", wait)
 		}
 	}
 }
 
-// waitingFlows returns the queues with waiting requests in a fixed order, more urgent ranks first.
-func (s *State) waitingFlows() []*flow {
-	var out []*flow
-	for i := range s.ranks {
-		seen := make(map[*model]bool)
-		for _, e := range s.order {
-			for _, m := range e.models {
-				if !seen[m] {
-					seen[m] = true
-					out = append(out, m.flows[i]...)
-				}
-			}
+func (s *State) shedFlow(f *flow) {
+	for f.n > shedLeast { // the queue never becomes empty here, so the list of active queues does not change
+		r := f.last()
+		if r == nil || r.deadline == 0 {
+			return
+		}
+		wait := s.predict(f)
+		if wait <= shedMargin*(r.deadline-s.now) {
+			return
 		}
+		s.reject(r, "the queue drains too slowly", wait)
 	}
-	return out
 }
 
 // reject refuses a waiting request.
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -174,6 +174,8 @@
 	endpoints map[string]*endpoint
 	order     []*endpoint // in the order of the placement
 	flows     map[flowKey]*flow
+	active    [][]*flow // by rank index: flows with waiting requests
+	floored   []*caller // callers with a floor
 	requests  map[key]*request
 	deadlines deadlines
 	entries   map[string]*entryState
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -46,6 +46,7 @@
 	for i, d := range declared {
 		s.ranks = append(s.ranks, &rank{Rank: d, index: i, generated: defaultGenerated})
 	}
+	s.active, s.floored = make([][]*flow, len(s.ranks)), nil
 	s.inherit(old, oldCallers)
 	for _, e := range s.endpoints {
 		e.used, e.running, e.usedBy = 0, nil, make([]int, len(s.ranks))
@@ -87,6 +88,7 @@
 		m.residents = m.residents[:0]
 	}
 	s.order, s.total = s.order[:0], 0
+	defer s.limits()
 	if s.view.Snapshot == nil || s.view.Placement == nil {
 		return
 	}
@@ -110,7 +112,6 @@
 			e.models = append(e.models, m)
 		}
 	}
-	s.limits()
 }
 
 // limits derives slots per rank and caller from the shares.
@@ -130,6 +131,7 @@
 	for _, r := range s.ranks {
 		r.floorSlots = r.Floor * float64(s.total)
 	}
+	s.floored = s.floored[:0]
 	for _, c := range s.callers {
 		s.limitCaller(c)
 	}
@@ -144,7 +146,9 @@
 		if d.Weight > 0 {
 			c.weight = d.Weight
 		}
-		c.floorSlots = d.Floor * float64(s.total)
+		if c.floorSlots = d.Floor * float64(s.total); d.Floor > 0 {
+			s.floored = append(s.floored, c)
+		}
 	}
 }
 
--- a/internal/routing/chooser.go
+++ b/internal/routing/chooser.go
@@ -103,6 +103,9 @@
 // Started counts a request of this entry at an endpoint, whoever chose it.
 func (c *Chooser) Started(endpoint string) { c.own[endpoint]++ }
 
+// Own returns the number of this entry's requests in progress at an endpoint.
+func (c *Chooser) Own(endpoint string) int { return c.own[endpoint] }
+
 // Ended takes back Started and records whether the endpoint failed.
 func (c *Chooser) Ended(now time.Duration, endpoint string, failed bool) {
 	if c.own[endpoint]--; c.own[endpoint] <= 0 {
