Keep deadlines across dispatchers and release lost connections for certain

Cause: a request that was asked again started its deadline anew; the end of a connection was lost when the server's ring stayed full for a second, which held the entry's grants for ever; a declared leaving endpoint was still used by entries that decide alone; a waiting caller lost its credit when its model was full. Change: asks carry the time left; the server's tick looks for ended connections; routing.View honours the declaration.

--- a/internal/binding/binder.go
+++ b/internal/binding/binder.go
@@ -58,6 +58,7 @@
 	preempted chan struct{}
 	stopped   bool // preempted is closed
 	started   time.Time
+	until     time.Time // deadline, zero for none
 }
 
 // Binder implements routing.Binder. Every slot that it takes, from the dispatcher or alone, is released exactly once: a
@@ -86,14 +87,13 @@
 
 // Bind implements routing.Binder.
 func (b *Binder) Bind(ctx context.Context, ask wire.Ask) (routing.Binding, error) {
-	deadline := b.deadline(&ask)
-	c := &call{ask: ask, changed: make(chan struct{}, 1), preempted: make(chan struct{}), order: b.rankOrder(&ask)}
+	c := &call{until: b.until(&ask), ask: ask, changed: make(chan struct{}, 1), preempted: make(chan struct{}), order: b.rankOrder(&ask)}
 	err := errUndecided
 	if b.opts.Policy == routing.PolicyDispatcher {
 		err = b.askDispatcher(ctx, c)
 	}
 	if err == errUndecided {
-		err = b.decideAlone(ctx, c, deadline)
+		err = b.decideAlone(ctx, c)
 	}
 	if err != nil {
 		return nil, err
@@ -110,7 +110,7 @@
 		return errUndecided
 	}
 	b.register(c, asking)
-	if b.sendAsk(c.ask) != nil {
+	if b.send(c.message()) != nil {
 		delete(b.calls, c.ask.ID)
 		b.mu.Unlock()
 		return errUndecided
@@ -164,27 +164,31 @@
 // accepts tells whether this entry's own view allows new work at an endpoint: the dispatcher's view may be older.
 func (b *Binder) accepts(endpoint string) bool {
 	v := b.opts.View()
-	return v.Snapshot != nil && v.Snapshot.Endpoint(endpoint) != nil && !v.Leaving[endpoint]
+	if v.Snapshot == nil || v.Leaving[endpoint] {
+		return false
+	}
+	d := v.Snapshot.Endpoint(endpoint)
+	return d != nil && !d.Leaving
 }
 
 // decideAlone waits for the entry's static share of a slot, or for a dispatcher that takes the call over meanwhile.
-func (b *Binder) decideAlone(ctx context.Context, c *call, deadline time.Duration) error {
-	done, err := b.step(c, deadline, false)
+func (b *Binder) decideAlone(ctx context.Context, c *call) error {
+	done, err := b.step(c, false)
 	if done {
 		return err
 	}
 	var expire <-chan time.Time
-	if deadline > 0 && !c.ask.Resumed {
-		t := time.NewTimer(deadline)
+	if !c.until.IsZero() {
+		t := time.NewTimer(time.Until(c.until))
 		defer t.Stop()
 		expire = t.C
 	}
 	for !done {
 		select {
 		case <-c.changed:
-			done, err = b.step(c, deadline, false)
+			done, err = b.step(c, false)
 		case <-expire:
-			done, err = b.step(c, deadline, true)
+			done, err = b.step(c, true)
 		case <-ctx.Done():
 			b.abandon(c)
 			return ctx.Err()
@@ -194,7 +198,7 @@
 }
 
 // step moves a call on that is decided alone. It returns true if the call has its final answer.
-func (b *Binder) step(c *call, deadline time.Duration, late bool) (bool, error) {
+func (b *Binder) step(c *call, late bool) (bool, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	active := b.calls[c.ask.ID] == c
@@ -212,12 +216,12 @@
 	case active:
 		return false, nil // still waits, here or at the dispatcher
 	}
-	err := b.tryAlone(c, deadline)
+	err := b.tryAlone(c)
 	return err != nil || c.phase == bound, err
 }
 
 // tryAlone binds the call, makes it wait, or refuses it. The caller holds the lock.
-func (b *Binder) tryAlone(c *call, deadline time.Duration) error {
+func (b *Binder) tryAlone(c *call) error {
 	v := b.opts.View()
 	if len(v.Residents(c.ask.Model)) == 0 {
 		return &routing.Refusal{Reason: routing.ErrNoResident.Error(), RetryAfterMs: 1000}
@@ -225,7 +229,7 @@
 	if b.takeLocal(c) {
 		return nil
 	}
-	if wait := b.wait(c); deadline > 0 && wait > deadline && !c.ask.Resumed {
+	if wait := b.wait(c); !c.until.IsZero() && wait > time.Until(c.until) {
 		return &routing.Refusal{Reason: "the entry's queue does not drain before the deadline", RetryAfterMs: uint32(wait / time.Millisecond)}
 	}
 	b.register(c, local)
@@ -248,9 +252,9 @@
 	}
 	b.occupy(c, e)
 	if limited {
-		told := c.ask
+		told := c.message()
 		told.Bound = e
-		b.sendAsk(told)
+		b.send(told)
 	}
 	return true
 }
@@ -317,6 +321,16 @@
 	b.wakeWaiters()
 }
 
+// message returns a copy of the ask with the time that is left. A copy, because the connection encodes it later and a
+// call changes its id.
+func (c *call) message() *wire.Ask {
+	m := c.ask
+	if !c.until.IsZero() {
+		m.DeadlineMs = uint32(max(time.Until(c.until).Milliseconds(), 1))
+	}
+	return &m
+}
+
 func (c *call) signal() {
 	select {
 	case c.changed <- struct{}{}:
--- a/internal/binding/link.go
+++ b/internal/binding/link.go
@@ -68,9 +68,6 @@
 	return err
 }
 
-// sendAsk sends a copy, because the connection encodes it later and a call changes its id. The caller holds the lock.
-func (b *Binder) sendAsk(ask wire.Ask) error { return b.send(&ask) }
-
 // Run keeps the connection to the cell's dispatcher until ctx ends.
 func (b *Binder) Run(ctx context.Context) {
 	t := time.NewTicker(maintenance)
@@ -207,7 +204,7 @@
 			m.Running = append(m.Running, wire.Running{Ask: c.ask, Endpoint: c.endpoint})
 		case local:
 			c.phase = queued
-			m.Waiting = append(m.Waiting, c.ask)
+			m.Waiting = append(m.Waiting, *c.message())
 		}
 	}
 	b.waiters = nil
@@ -275,7 +272,7 @@
 	}
 	for _, c := range b.waiters {
 		c.phase = queued
-		b.sendAsk(c.ask)
+		b.send(c.message())
 	}
 	b.waiters = nil
 }
--- a/internal/binding/local.go
+++ b/internal/binding/local.go
@@ -22,14 +22,16 @@
 	return snap.Rank(name)
 }
 
-func (b *Binder) deadline(ask *wire.Ask) time.Duration {
-	if ask.DeadlineMs > 0 {
-		return time.Duration(ask.DeadlineMs) * time.Millisecond
+// until returns the time until which the ask may wait, or zero for a resumed attempt or a rank without deadline.
+func (b *Binder) until(ask *wire.Ask) time.Time {
+	d := time.Duration(ask.DeadlineMs) * time.Millisecond
+	if r := b.rank(ask); d == 0 && r != nil {
+		d = r.Deadline
 	}
-	if r := b.rank(ask); r != nil {
-		return r.Deadline
+	if d == 0 || ask.Resumed {
+		return time.Time{}
 	}
-	return 0
+	return time.Now().Add(d)
 }
 
 func (b *Binder) rankOrder(ask *wire.Ask) int {
--- a/internal/binding/server.go
+++ b/internal/binding/server.go
@@ -70,12 +70,8 @@
 	}
 }
 
-// down queues the end of a connection. It waits for room, because the event must not be lost; Run always drains.
-func (s *Server) down(from wire.Hello, p peer) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second) // bounds the wait after Run has ended
-	defer cancel()
-	s.events.Push(ctx, event{from, p, nil})
-}
+// down queues the end of a connection. The event may be lost, because the tick looks for ended connections too.
+func (s *Server) down(from wire.Hello, p peer) { s.events.TryPush(event{from, p, nil}) }
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) {
@@ -100,6 +96,11 @@
 	if s.state == nil {
 		return
 	}
+	for host, p := range s.peers {
+		if c, ok := p.(*transport.Conn); ok && ended(c) {
+			s.handle(event{wire.Hello{Host: host}, p, nil})
+		}
+	}
 	if v := s.view(); v != s.seen {
 		for host := range gone(s.seen, v) {
 			s.state.EntryDead(s.now(), host)
@@ -110,6 +111,15 @@
 	s.state.Tick(s.now())
 }
 
+func ended(c *transport.Conn) bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // gone returns the hosts that are no longer members.
 func gone(before, after *routing.View) map[string]bool {
 	out := make(map[string]bool)
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -250,9 +250,12 @@
 
 func (s *State) grant(r *request, e *endpoint, n int, score float64, reason string) {
 	sh := &r.caller.shares[r.rank.index]
+	if sh.waiting == 0 && r.flow == nil {
+		sh.tag = max(sh.tag, r.rank.vtime) // an idle caller keeps no credit; a waiting one does
+	}
 	r.rank.vtime = max(r.rank.vtime, sh.tag)
 	r.cost = float64(r.ask.PromptTokens) + r.rank.generated
-	sh.tag = max(sh.tag, r.rank.vtime) + r.cost/r.caller.weight
+	sh.tag += r.cost / r.caller.weight
 	r.started, r.preempting = s.now, false
 	s.occupy(r, e)
 	s.emit(r, wire.KindGrant, Output{Endpoint: e.name, Decision: Decision{
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -166,6 +166,47 @@
 	expectKinds(t, s, out(4, wire.KindGrant))
 }
 
+// Guards against new work for a leaving endpoint, whichever source says so, and against work that waits although the other
+// copy has room.
+func TestLeaving(t *testing.T) {
+	both := func(int) []int { return []int{0, 1} }
+	for name, leave := range map[string]func(v *routing.View){
+		"report":    func(v *routing.View) { v.Leaving = map[string]bool{"e0": true} },
+		"placement": func(v *routing.View) { v.Placement.Endpoints[0].Leaving = true },
+		"declared":  func(v *routing.View) { v.Snapshot.Endpoint("e0").Leaving = true },
+	} {
+		v := testView(2, 2, 1, both, config.Declarations{Ranks: []config.Rank{{Name: "u"}}})
+		s := New(0, Config{}, v, nil)
+		w := *testView(2, 2, 1, both, config.Declarations{Ranks: []config.Rank{{Name: "u"}}})
+		leave(&w)
+		s.SetView(0, &w)
+		for i := range uint64(3) {
+			s.Ask(0, "x", wire.Ask{ID: i, Caller: "c", Model: "m0"})
+		}
+		for i, want := range []string{"e1", "e1", ""} {
+			if o := s.out[i]; o.Endpoint != want {
+				t.Errorf("%s: request %d at %q, want %q", name, i, o.Endpoint, want)
+			}
+		}
+		s.Take()
+		s.SetView(0, v)
+		expectKinds(t, s, out(2, wire.KindGrant))
+	}
+}
+
+// Guards against the grants of a dead host being held for the bound of a lost connection.
+func TestEntryDead(t *testing.T) {
+	s := New(0, Config{}, testView(1, 1, 1, one, config.Declarations{Ranks: []config.Rank{{Name: "u"}}}), nil)
+	s.EntryUp(0, "x", "a")
+	s.Ask(0, "x", wire.Ask{ID: 1, Caller: "c", Model: "m0"})
+	s.Ask(0, "y", wire.Ask{ID: 2, Caller: "c", Model: "m0"})
+	s.EntryDown(ms, "x")
+	s.Tick(20 * ms)
+	expectKinds(t, s, out(1, wire.KindGrant)+out(2, wire.KindQueued))
+	s.EntryDead(21*ms, "x")
+	expectKinds(t, s, out(2, wire.KindGrant))
+}
+
 // Guards against overcommitted slots, second or missing final answers, and needless refusals: for any sequence of events
 // no grant exceeds the slots, every request has one final answer by its deadline, and no request is refused while an endpoint
 // of its model that is not ejected has a free slot (no headroom is declared at this size).
--- a/internal/routing/binder.go
+++ b/internal/routing/binder.go
@@ -54,7 +54,8 @@
 	}
 	for i := range v.Placement.Endpoints {
 		e := &v.Placement.Endpoints[i]
-		if e.Leaving || v.Leaving[e.Endpoint] || v.Snapshot.Endpoint(e.Endpoint) == nil {
+		d := v.Snapshot.Endpoint(e.Endpoint)
+		if e.Leaving || v.Leaving[e.Endpoint] || d == nil || d.Leaving {
 			continue
 		}
 		for _, r := range e.Residents {
