Refuse hopeless requests at once in floods

Change: the drain rate is measured per model and rank; a request must fit with two standard deviations of its wait; a caller below its floor is predicted by all free slots of the residents.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -226,14 +226,7 @@
 // fill grants free slots of an endpoint to waiting requests.
 func (s *State) fill(e *endpoint) {
 	for r := s.pick(e); r != nil; r = s.pick(e) {
-		f := r.flow
-		gap := s.now - f.since
-		if f.interval == 0 {
-			f.interval = gap
-		} else {
-			f.interval += time.Duration(smoothing * float64(gap-f.interval))
-		}
-		f.since = s.now
+		r.model.groups[r.rank.index].granted(s.now)
 		s.dequeue(r)
 		s.grant(r, e, 1, 0, "slot became free")
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -129,7 +129,7 @@
 		}
 		heap.Pop(&s.deadlines)
 		if r.status == waiting {
-			s.reject(r, "deadline passed in the queue", s.predict(r.flow))
+			s.reject(r, "deadline passed in the queue", s.predict(r))
 		}
 	}
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -20,12 +20,28 @@
 	flowKey
 	resumed  []*request // go first
 	fresh    []*request
-	nResumed int           // waiting requests in resumed
-	n        int           // waiting requests; the slices may also hold requests that have gone
+	nResumed int // waiting requests in resumed
+	n        int // waiting requests; the slices may also hold requests that have gone
+	active   int // place in State.active
+}
+
+// group measures how fast the waiting requests of a model and rank are granted, whoever sent them.
+type group struct {
+	n        int           // waiting requests
+	weight   float64       // sum of the weights of the callers that wait
 	since    time.Duration // latest grant, or start of the backlog
 	interval time.Duration // mean time between grants while backlogged, 0 if unknown
 	ended    time.Duration // when the backlog ended
-	active   int           // place in State.active
+}
+
+func (g *group) granted(now time.Duration) {
+	gap := now - g.since
+	if g.interval == 0 {
+		g.interval = gap
+	} else {
+		g.interval += time.Duration(smoothing * float64(gap-g.interval))
+	}
+	g.since = now
 }
 
 // head returns the first waiting request that may run at the endpoint.
@@ -62,12 +78,17 @@
 		s.flows[k] = f
 	}
 	r.flow, r.status = f, waiting
+	g := &r.model.groups[k.rank]
+	if g.n == 0 {
+		g.since = s.now
+		if s.now-g.ended > staleInterval {
+			g.interval = 0
+		}
+	}
+	g.n++
 	if f.n == 0 {
-		f.since = s.now
+		g.weight += r.caller.weight
 		f.resumed, f.fresh = nil, nil
-		if s.now-f.ended > staleInterval {
-			f.interval = 0
-		}
 		r.model.flows[k.rank] = append(r.model.flows[k.rank], f)
 		f.active = len(s.active[k.rank])
 		s.active[k.rank] = append(s.active[k.rank], f)
@@ -102,8 +123,12 @@
 	r.caller.shares[f.rank].waiting--
 	r.rank.waiting--
 	s.waiting--
+	g := &f.model.groups[f.rank]
+	if g.n--; g.n == 0 {
+		g.ended, g.weight = s.now, 0 // exactly zero, whatever was rounded
+	}
 	if f.n == 0 {
-		f.ended = s.now
+		g.weight = max(g.weight-f.caller.weight, 0)
 		list := f.model.flows[f.rank]
 		i := slices.Index(list, f)
 		list[i] = list[len(list)-1]
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"sycamoredeal/internal/wire"
 )
 
 const (
+	admitSpread   = 2.0             // standard deviations above the mean wait that must fit; with 0, half of the refusals of a flood came late
 	staleInterval = 5 * time.Second // a drain rate measured before an idle time this long is forgotten
 	shedMargin    = 2               // predicted wait over time left at which an already queued request is refused
 	shedLeast     = 4               // shorter queues are not shed: their drain rate is too uncertain
@@ -14,14 +16,44 @@
 	maxRetry      = time.Minute
 )
 
-// predict returns the wait of a new request at the end of a queue, by the queue's measured drain rate.
-func (s *State) predict(f *flow) time.Duration {
-	return time.Duration(f.n+1) * s.drainInterval(f)
+// predict returns the wait of a new request by the measured drain rate of its model and rank. Fair queueing serves a
+// caller by its weight among those that wait, and no later than after all that wait already.
+func (s *State) predict(r *request) time.Duration {
+	wait, _ := s.forecast(r)
+	return wait
 }
 
-func (s *State) drainInterval(f *flow) time.Duration {
+// forecast returns the mean of the wait and its standard deviation, taking the gaps between grants as exponential.
+func (s *State) forecast(r *request) (mean, deviation time.Duration) {
+	g := &r.model.groups[r.rank.index]
+	own, weight := 0, g.weight
+	if f := s.flows[flowKey{r.model, r.caller, r.rank.index}]; f != nil {
+		own = f.n
+	}
+	if own == 0 {
+		weight += r.caller.weight
+	}
+	ahead := min(float64(g.n+1), float64(own+1)*max(weight/r.caller.weight, 1))
+	gap := float64(s.drainInterval(r.model, g))
+	if r.caller.within() {
+		gap = float64(s.bestInterval(r.model)) // its work goes before that of callers above their floor, in all ranks
+	}
+	return time.Duration(ahead * gap), time.Duration(math.Sqrt(ahead) * gap)
+}
+
+// within tells whether the caller stays below its floor with all of its waiting requests.
+func (c *caller) within() bool {
+	n := c.used
+	for i := range c.shares {
+		n += c.shares[i].waiting
+	}
+	return float64(n) < c.floorSlots
+}
+
+// bestInterval returns the mean time between free slots of a model's residents.
+func (s *State) bestInterval(m *model) time.Duration {
 	slots := 0
-	for _, e := range f.model.residents {
+	for _, e := range m.residents {
 		if !e.leaving {
 			slots += e.cap
 		}
@@ -29,10 +61,14 @@
 	if slots == 0 {
 		return time.Second
 	}
-	d := time.Duration(s.service / float64(slots) * float64(time.Second)) // all slots of the residents serve this queue
-	d = max(d, f.interval)
-	if f.n > 0 {
-		d = max(d, (s.now-f.since)/2) // half, because the present interval is not over and varies
+	return time.Duration(s.service / float64(slots) * float64(time.Second))
+}
+
+// drainInterval returns the time between grants to a model and rank: as measured, or at best all free slots.
+func (s *State) drainInterval(m *model, g *group) time.Duration {
+	d := max(s.bestInterval(m), g.interval)
+	if g.n > 0 {
+		d = max(d, (s.now-g.since)/2) // half, because the present interval is not over and varies
 	}
 	return d
 }
@@ -49,9 +85,10 @@
 	if s.cfg.FirstCome {
 		return s.overLimit(r)
 	}
-	f := s.flows[flowKey{r.model, r.caller, r.rank.index}]
-	if f != nil && f.n > 0 && left > 0 {
-		if wait := s.predict(f); wait > left {
+	// An empty queue takes a request whatever its drain rate: otherwise a rank that got no slots would have no waiting
+	// work, and never get its floor.
+	if r.model.groups[r.rank.index].n > 0 && left > 0 {
+		if wait, deviation := s.forecast(r); float64(wait)+admitSpread*float64(deviation) > float64(left) {
 			s.answer(r, "the queue does not drain before the deadline", wait)
 			return true
 		}
@@ -86,7 +123,7 @@
 		}
 	}
 	if victim := s.newest(c, k); victim != nil && (c != r.caller || k != r.rank) {
-		s.reject(victim, "queue full", s.predict(victim.flow))
+		s.reject(victim, "queue full", s.predict(victim))
 		return false
 	}
 	s.answer(r, "queue full", time.Duration(s.service*float64(s.waiting+1)/float64(max(s.total, 1))*float64(time.Second)))
@@ -140,7 +177,7 @@
 		if r == nil || r.deadline == 0 {
 			return
 		}
-		wait := s.predict(f)
+		wait := s.predict(r)
 		if wait <= shedMargin*(r.deadline-s.now) {
 			return
 		}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -134,6 +134,7 @@
 	name      string
 	residents []*endpoint
 	flows     [][]*flow // by rank index: flows with waiting requests
+	groups    []group   // by rank index
 	arrivals  int       // since the last tick of the demand
 	demand    float64   // expected slots in use, by arrivals and mean work
 }
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -164,7 +164,7 @@
 func (s *State) modelNamed(name string) *model {
 	m := s.models[name]
 	if m == nil {
-		m = &model{name: name, flows: make([][]*flow, len(s.ranks))}
+		m = &model{name: name, flows: make([][]*flow, len(s.ranks)), groups: make([]group, len(s.ranks))}
 		s.models[name] = m
 	}
 	return m
