Let a flooding caller's queued work give way to other callers

Change: the first request of a caller below its share displaces the newest one of a caller with a much longer queue.

--- a/internal/dispatch/fair_test.go
+++ b/internal/dispatch/fair_test.go
@@ -152,3 +152,17 @@
 		}
 	})
 }
+
+// Guards against a flood of one caller keeping every model's queue full, so that the others are refused at once.
+func TestFloodGivesWay(t *testing.T) {
+	v := testView(1, 1, 4, one, config.Declarations{Ranks: []config.Rank{{Name: "u", Deadline: 4 * time.Second}}})
+	s := New(0, Config{}, v, nil)
+	for i, m := range []string{"m0", "m0", "m1", "m2", "m3"} {
+		s.Ask(0, "x", wire.Ask{ID: uint64(i), Caller: "flood", Model: m})
+	}
+	s.Take()
+	s.Ask(0, "x", wire.Ask{ID: 10, Caller: "other", Model: "m1"})
+	expectKinds(t, s, out(2, wire.KindRefuse)+out(10, wire.KindQueued))
+	s.Ask(0, "x", wire.Ask{ID: 11, Caller: "third", Model: "m1"}) // has no claim against an equal caller
+	expectKinds(t, s, out(11, wire.KindRefuse))
+}
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -9,6 +9,7 @@
 
 const (
 	admitSpread   = 2.0             // standard deviations above the mean wait that must fit; with 0, half of the refusals of a flood came late
+	displaceRatio = 2               // queue by weight, relative to the newcomer's, of a caller that gives way: equal callers don't displace each other
 	staleInterval = 5 * time.Second // a drain rate measured before an idle time this long is forgotten
 	shedMargin    = 2               // predicted wait over time left at which an already queued request is refused
 	shedLeast     = 4               // shorter queues are not shed: their drain rate is too uncertain
@@ -89,13 +90,44 @@
 	// work, and never get its floor.
 	if r.model.groups[r.rank.index].n > 0 && left > 0 {
 		if wait, deviation := s.forecast(r); float64(wait)+admitSpread*float64(deviation) > float64(left) {
-			s.answer(r, "the queue does not drain before the deadline", wait)
-			return true
+			v := s.displaced(r)
+			if v == nil {
+				s.answer(r, "the queue does not drain before the deadline", wait)
+				return true
+			}
+			s.reject(v, "the queue does not drain before the deadline", s.predict(v))
 		}
 	}
 	return s.overLimit(r)
 }
 
+// displaced returns a waiting request that gives way to the first one of a caller that has had less than its share, or
+// nil. Without it, a flood of one caller would keep the queues of all models full, and the others would be refused.
+func (s *State) displaced(r *request) *request {
+	sh := &r.caller.shares[r.rank.index]
+	tag := sh.tag
+	if sh.waiting == 0 {
+		tag = max(tag, r.rank.vtime) // as enqueue sets it
+	}
+	var worst *flow
+	for _, f := range r.model.flows[r.rank.index] {
+		if f.caller == r.caller {
+			return nil
+		}
+		o := &f.caller.shares[f.rank]
+		if float64(o.waiting)/f.caller.weight <= displaceRatio*float64(sh.waiting+1)/r.caller.weight {
+			continue
+		}
+		if t := o.tag; t > tag && f.last() != nil && !f.caller.within() {
+			worst, tag = f, t
+		}
+	}
+	if worst == nil {
+		return nil
+	}
+	return worst.last()
+}
+
 // overLimit makes room for a request if its queue is full, or refuses it. The caller with the longest queue by weight
 // gives way, so that a flood of one caller does not fill the queue for the others.
 func (s *State) overLimit(r *request) bool {
