--- a/cmd/sycamore-entry/main.go
+++ b/cmd/sycamore-entry/main.go
@@ -16,7 +16,7 @@
 	var s settings.SycamoreEntry
 	settings.MustParse(&s, nil)
 	o := entry.Options{
-		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Listen: s.Listen, PeerListen: s.PeerListen, Control: s.Control,
+		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Listen: s.Listen, PeerListen: s.PeerListen, Control: s.Control, Policy: s.Policy,
 		MaxBody: s.MaxBody, MaxAnswer: s.MaxAnswer, MaxRequests: s.MaxRequests, FirstTokenTimeout: s.FirstTokenTimeout,
 		IdleTimeout: s.IdleTimeout, ReadyDelay: s.ReadyDelay, DrainTimeout: s.DrainTimeout, Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "entry"),
 	}
--- a/internal/entry/bed_test.go
+++ b/internal/entry/bed_test.go
@@ -56,27 +56,27 @@
 	}
 }
 
-// binding is a Binding whose release can be awaited.
-type binding struct {
+// fakeBinding is a Binding whose release can be awaited.
+type fakeBinding struct {
 	name      string
 	preempted chan struct{}
 	released  chan wire.Done
 }
 
-func (b *binding) Endpoint() string           { return b.name }
-func (b *binding) Preempted() <-chan struct{} { return b.preempted }
-func (b *binding) Release(d wire.Done)        { b.released <- d }
+func (b *fakeBinding) Endpoint() string           { return b.name }
+func (b *fakeBinding) Preempted() <-chan struct{} { return b.preempted }
+func (b *fakeBinding) Release(d wire.Done)        { b.released <- d }
 
 // script binds to its endpoints in turn, the last one repeatedly.
 type script struct {
 	endpoints []string
 	asks      chan wire.Ask
-	bindings  chan *binding
+	bindings  chan *fakeBinding
 	refusal   *routing.Refusal
 }
 
 func newScript(endpoints ...string) *script {
-	return &script{endpoints: endpoints, asks: make(chan wire.Ask, 100), bindings: make(chan *binding, 100)}
+	return &script{endpoints: endpoints, asks: make(chan wire.Ask, 100), bindings: make(chan *fakeBinding, 100)}
 }
 
 func (s *script) Bind(_ context.Context, ask wire.Ask) (routing.Binding, error) {
@@ -85,7 +85,7 @@
 	if s.refusal != nil {
 		return nil, s.refusal
 	}
-	b := &binding{name: s.endpoints[min(n, len(s.endpoints)-1)], preempted: make(chan struct{}), released: make(chan wire.Done, 2)}
+	b := &fakeBinding{name: s.endpoints[min(n, len(s.endpoints)-1)], preempted: make(chan struct{}), released: make(chan wire.Done, 2)}
 	s.bindings <- b
 	return b, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,7 @@
 	Listen       string        // ip:port for callers
 	PeerListen   string        // ip:port for other entry processes
 	Control      string        // ip:port of the local control process
+	Policy       string        // name of a routing.Policy, empty for the dispatcher
 	MaxBody      int           // bytes of a request body
 	MaxAnswer    int           // bytes of a plain service's answer
 	MaxRequests  int           // requests in progress
@@ -65,7 +66,7 @@
 	opts.setDefaults()
 	e := &Entry{opts: opts, outbound: newOutbound(), retries: newRetryBudget()}
 	e.view.Store(&routing.View{})
-	e.binder = &routing.RoundRobin{View: e.view.Load}
+	e.binder = e.newBinder()
 	e.claims = newClaimClient(e.view.Load, opts)
 	return e
 }
@@ -84,6 +85,10 @@
 func (e *Entry) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	wait, err := e.runDispatch(background)
+	if err != nil {
+		return errors.Trace(err)
+	}
 	link := newLink(background, e)
 	linked := make(chan struct{})
 	go func() {
@@ -93,6 +98,7 @@
 	defer func() {
 		cancel()
 		<-linked
+		wait()
 	}()
 	return e.serve(ctx, background)
 }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -16,6 +16,7 @@
 	Listen            string        // Address for callers.
 	PeerListen        string        // Address for other entry processes.
 	Control           string        // Address of the local control process.
+	Policy            string        // How endpoints are chosen; all but dispatcher are for measurements.
 	MaxBody           int           // Longest request body. In bytes.
 	MaxAnswer         int           // Longest answer of a plain service. In bytes.
 	MaxRequests       int           // Requests in progress; further ones are refused. In requests.
@@ -45,6 +46,7 @@
 	s.all.register(app, Spec{Flag: "listen", Env: "SYCAMORE_ENTRY_LISTEN", Kind: "address", Required: true, Help: "Address for callers."}, &s.Listen)
 	s.all.register(app, Spec{Flag: "peer-listen", Env: "SYCAMORE_ENTRY_PEER_LISTEN", Kind: "address", Required: true, Help: "Address for other entry processes."}, &s.PeerListen)
 	s.all.register(app, Spec{Flag: "control", Env: "SYCAMORE_ENTRY_CONTROL", Kind: "address", Required: true, Help: "Address of the local control process."}, &s.Control)
+	s.all.register(app, Spec{Flag: "policy", Env: "SYCAMORE_ENTRY_POLICY", Kind: "enum", Default: "dispatcher", Values: []string{"dispatcher", "independent", "two-choices", "round-robin"}, Help: "How endpoints are chosen; all but dispatcher are for measurements."}, &s.Policy)
 	s.all.register(app, Spec{Flag: "max-body", Env: "SYCAMORE_ENTRY_MAX_BODY", Kind: "int", Default: "4194304", Min: "1024", Max: "268435456", Help: "Longest request body."}, &s.MaxBody)
 	s.all.register(app, Spec{Flag: "max-answer", Env: "SYCAMORE_ENTRY_MAX_ANSWER", Kind: "int", Default: "16777216", Min: "1024", Max: "268435456", Help: "Longest answer of a plain service."}, &s.MaxAnswer)
 	s.all.register(app, Spec{Flag: "max-requests", Env: "SYCAMORE_ENTRY_MAX_REQUESTS", Kind: "int", Default: "4096", Min: "1", Max: "1000000", Help: "Requests in progress; further ones are refused."}, &s.MaxRequests)
