Wait for stored orders before the outage in the planner's test

Cause: the test expects that no load reaches a restarted engine during an outage of the platform, but started the outage while orders that had been stored before were still unresolved; those may be sent in it, and delayed duplicates of them arrive late. Change: the outage starts after the duplicates have passed and the stored placement has no unresolved intent. The check is unchanged.

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -113,6 +113,21 @@
 	return w.holders("a0") > 0
 }
 
+// settled tells whether the stored placement has no unresolved intent.
+func (w *world) settled() bool {
+	o, err := w.store.Store.Get(context.Background(), platform.KindPlacement, "c")
+	if err != nil {
+		return false
+	}
+	p, err := platform.Decode[wire.Placement](o)
+	for _, e := range p.Endpoints {
+		if len(e.Intents) > 0 {
+			return false
+		}
+	}
+	return err == nil
+}
+
 func (w *world) eventually(limit time.Duration, what string, ok func() bool) {
 	w.t.Helper()
 	for end := time.Now().Add(limit); !ok(); time.Sleep(20 * time.Millisecond) {
@@ -228,6 +243,9 @@
 	w.store.lose.Store(3)
 	w.start(ctx, 1, always)
 	w.eventually(15*time.Second, "all models placed", w.complete)
+	// Orders that were stored before the outage may be sent in it, and copies of them arrive late.
+	time.Sleep(1200 * time.Millisecond)
+	w.eventually(15*time.Second, "all orders ended", w.settled)
 	w.store.out.Store(true)
 	resp, err := http.Post("http://"+w.decl.Load().Endpoints[0].Address+"/_restart", "", nil)
 	if err != nil {
