Compare routing and floods with baselines on real processes

Change: sycamore-measure runs policies and floods on the example fleets and writes tables, CSV and plots; first-come and placement baselines are settings; a preempted request asks again as a resumed one and counts its preemptions.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo build test generate lint
+.PHONY: demo measure build test generate lint
 
 demo:
 	go run ./cmd/sycamore-demo
@@ -16,3 +16,6 @@
 	test -z "$$(gofmt -l .)"
 	go vet ./...
 	go tool staticcheck ./...
+
+measure:
+	go run ./cmd/sycamore-measure
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 
 	"sycamoredeal/internal/claimstore"
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/ring"
 	"sycamoredeal/internal/telemetry"
@@ -50,6 +51,7 @@
 	Heartbeat    time.Duration
 	Poll         time.Duration // longest time between two reads of the endpoint list by one host
 	Retention    time.Duration // how long idempotency keys are remembered
+	Placement    placement.Policy
 	Store        platform.Store
 	Log          telemetry.Logger
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -116,6 +116,7 @@
 		case res.problem != nil:
 			return res.problem
 		case res.preempted:
+			r.ask.Preemptions++
 			continue
 		}
 		r.last = res.err
@@ -140,7 +141,7 @@
 // endpoint at present.
 func (r *completion) bind(ctx context.Context) (routing.Binding, *problem) {
 	r.ask.ID = r.e.asks.Add(1)
-	r.ask.Resumed = r.seq.last() > 0
+	r.ask.Resumed = r.seq.last() > 0 || r.ask.Preemptions > 0 // work that has begun is not refused for its deadline
 	if left := time.Until(r.x.deadline()); !r.ask.Resumed {
 		r.ask.DeadlineMs = uint32(max(left.Milliseconds(), 1))
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -24,12 +24,17 @@
 			Str("endpoint", o.Endpoint).Str("reason", d.Reason).Uint32("waitMs", d.WaitMs).Int("candidates", d.Candidates).
 			Float64("score", d.Score).Msg("Decided.")
 	}
+	policy := routing.Policy(e.opts.Policy)
+	firstCome := policy == routing.PolicyFirstCome
+	if firstCome {
+		policy = routing.PolicyDispatcher
+	}
 	return binding.New(binding.Options{
 		Hello:  wire.Hello{Host: e.opts.Host, Role: wire.RoleEntry, Cell: e.opts.Cell, Zone: e.opts.Zone, Incarnation: incarnation},
-		Policy: routing.Policy(e.opts.Policy),
+		Policy: policy,
 		Seed:   incarnation, // entries must not make the same random choices
 		View:   e.view.Load,
-		Server: binding.NewServer(dispatch.Config{Seed: incarnation}, e.view.Load, journal),
+		Server: binding.NewServer(dispatch.Config{Seed: incarnation, FirstCome: firstCome}, e.view.Load, journal),
 	})
 }
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -234,3 +234,41 @@
 	c.Flush()
 	return c.Error()
 }
+
+// Group adds up the rows of completions that key maps to the same name; an empty name leaves a row out.
+func (r *Report) Group(key func(*Row) string) []*Row {
+	sums := make(map[string]*Row)
+	var out []*Row
+	for _, x := range r.Rows {
+		name := key(x)
+		if name == "" {
+			continue
+		}
+		sum := sums[name]
+		if sum == nil {
+			sum = &Row{Caller: name, Rank: name, first: newHistogram(), between: newHistogram(), refusal: newHistogram()}
+			sums[name] = sum
+			out = append(out, sum)
+		}
+		sum.merge(x)
+	}
+	for _, sum := range out {
+		sum.finish(r.Seconds)
+	}
+	return out
+}
+
+func (row *Row) merge(x *Row) {
+	row.Sent += x.Sent
+	row.Answered += x.Answered
+	row.Refused += x.Refused
+	row.Unknown += x.Unknown
+	row.Cut += x.Cut
+	row.Wrong += x.Wrong
+	row.Failed += x.Failed
+	row.Attained += x.Attained
+	row.Tokens += x.Tokens
+	row.first.Merge(x.first)
+	row.between.Merge(x.between)
+	row.refusal.Merge(x.refusal)
+}
--- /dev/null
+++ b/internal/measure/disturb.go
@@ -0,0 +1,71 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/testbed"
+)
+
+// dispatcher returns the host whose entry process holds the cell's queue.
+func dispatcher(ctx context.Context, f *testbed.Fleet) (*testbed.Host, error) {
+	var st struct {
+		Dispatcher string `json:"dispatcher"`
+	}
+	for _, h := range f.Hosts {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.AdminAddr+"/v1/status", nil)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			continue
+		}
+		err = json.NewDecoder(resp.Body).Decode(&st)
+		resp.Body.Close()
+		if err == nil {
+			break
+		}
+	}
+	for _, h := range f.Hosts {
+		if h.Name == st.Dispatcher {
+			return h, nil
+		}
+	}
+	return nil, errors.Errorf("dispatcher %q is not a host of the fleet", st.Dispatcher)
+}
+
+// killDispatcher kills the entry process that holds the queue and starts a new one a little later.
+func killDispatcher(ctx context.Context, f *testbed.Fleet) error {
+	h, err := dispatcher(ctx, f)
+	if err != nil {
+		return err
+	}
+	h.Entry.Kill()
+	pause(ctx, freezeFor)
+	return f.StartEntry(h)
+}
+
+// freezeDispatcher stops the entry process that holds the queue for a while without ending it.
+func freezeDispatcher(ctx context.Context, f *testbed.Fleet) error {
+	h, err := dispatcher(ctx, f)
+	if err != nil {
+		return err
+	}
+	if err := h.Entry.Freeze(); err != nil {
+		return errors.Trace(err)
+	}
+	pause(ctx, freezeFor)
+	return errors.Trace(h.Entry.Resume())
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/measure/layout.go
@@ -0,0 +1,51 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/testbed"
+)
+
+const layoutQuiet = 4 * time.Second // without a new order, the initial layout counts as complete
+
+// waitLayout waits until the planner has given no order for a while.
+func waitLayout(ctx context.Context, f *testbed.Fleet) error {
+	ctx, cancel := context.WithTimeout(ctx, layoutLimit)
+	defer cancel()
+	last, since := -1, time.Now()
+	for time.Since(since) < layoutQuiet || last <= 0 {
+		if n := orders(ctx, f.Hosts[0].AdminAddr); n != last {
+			last, since = n, time.Now()
+		}
+		pause(ctx, 200*time.Millisecond)
+		if ctx.Err() != nil {
+			return errors.Errorf("the layout was not complete after %s, %d orders", layoutLimit, last)
+		}
+	}
+	return nil
+}
+
+// orders returns how many orders to engines the cell has decided, or -1.
+func orders(ctx context.Context, admin string) int {
+	var st struct {
+		Orders int `json:"orders"`
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/v1/status", nil)
+	if err != nil {
+		return -1
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return -1
+	}
+	defer resp.Body.Close()
+	if json.NewDecoder(resp.Body).Decode(&st) != nil {
+		return -1
+	}
+	return st.Orders
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -17,6 +17,9 @@
 	PolicyGroups               // the same models together on the same endpoints
 )
 
+// Policies maps the names of policies for settings.
+var Policies = map[string]Policy{"mixed": PolicyMixed, "static": PolicyStatic, "groups": PolicyGroups}
+
 // Rules of moves.
 const (
 	// Horizon is the time over which the gain of a move is counted.
--- a/internal/routing/chooser.go
+++ b/internal/routing/chooser.go
@@ -11,17 +11,16 @@
 // Policy names how endpoints are chosen.
 type Policy string
 
-// Policies. All but PolicyDispatcher are decided by each entry alone; the last two are baselines for measurements.
+// Policies. All but the first two are decided by each entry alone; all but PolicyDispatcher and PolicyIndependent are
+// baselines for measurements.
 const (
 	PolicyDispatcher  Policy = "dispatcher"
+	PolicyFirstCome   Policy = "first-come" // a dispatcher without ranks and callers
 	PolicyIndependent Policy = "independent"
 	PolicyTwoChoices  Policy = "two-choices"
 	PolicyRoundRobin  Policy = "round-robin"
 )
 
-// Policies lists the names for a command line flag.
-var Policies = []string{string(PolicyDispatcher), string(PolicyIndependent), string(PolicyTwoChoices), string(PolicyRoundRobin)}
-
 // Chooser is an entry's decision without the dispatcher. It knows the entry's own work exactly and assumes that the
 // other entries have sent as much. Time is monotonic since an arbitrary start. It is not safe for concurrent use.
 type Chooser struct {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -46,7 +46,7 @@
 	s.all.register(app, Spec{Flag: "listen", Env: "SYCAMORE_ENTRY_LISTEN", Kind: "address", Required: true, Help: "Address for callers."}, &s.Listen)
 	s.all.register(app, Spec{Flag: "peer-listen", Env: "SYCAMORE_ENTRY_PEER_LISTEN", Kind: "address", Required: true, Help: "Address for other entry processes."}, &s.PeerListen)
 	s.all.register(app, Spec{Flag: "control", Env: "SYCAMORE_ENTRY_CONTROL", Kind: "address", Required: true, Help: "Address of the local control process."}, &s.Control)
-	s.all.register(app, Spec{Flag: "policy", Env: "SYCAMORE_ENTRY_POLICY", Kind: "enum", Default: "dispatcher", Values: []string{"dispatcher", "independent", "two-choices", "round-robin"}, Help: "How endpoints are chosen; all but dispatcher are for measurements."}, &s.Policy)
+	s.all.register(app, Spec{Flag: "policy", Env: "SYCAMORE_ENTRY_POLICY", Kind: "enum", Default: "dispatcher", Values: []string{"dispatcher", "first-come", "independent", "two-choices", "round-robin"}, Help: "How endpoints are chosen; all but dispatcher are for measurements."}, &s.Policy)
 	s.all.register(app, Spec{Flag: "max-body", Env: "SYCAMORE_ENTRY_MAX_BODY", Kind: "int", Default: "4194304", Min: "1024", Max: "268435456", Help: "Longest request body."}, &s.MaxBody)
 	s.all.register(app, Spec{Flag: "max-answer", Env: "SYCAMORE_ENTRY_MAX_ANSWER", Kind: "int", Default: "16777216", Min: "1024", Max: "268435456", Help: "Longest answer of a plain service."}, &s.MaxAnswer)
 	s.all.register(app, Spec{Flag: "max-requests", Env: "SYCAMORE_ENTRY_MAX_REQUESTS", Kind: "int", Default: "4096", Min: "1", Max: "1000000", Help: "Requests in progress; further ones are refused."}, &s.MaxRequests)
@@ -73,6 +73,7 @@
 	LeaseTerm     time.Duration // Time that a renewal keeps the cell's lease; renewals are sent three times a term.
 	Heartbeat     time.Duration // Time between heartbeats.
 	Poll          time.Duration // Longest time between two reads of the platform's endpoint list by one host.
+	Placement     string        // How copies of models are placed; all but mixed are for measurements.
 	KeyRetention  time.Duration // Shortest time for which idempotency keys are remembered.
 	Platform      string        // URL of the platform's object API.
 	PlatformToken string        // Bearer token for the platform's object API.
@@ -103,6 +104,7 @@
 	s.all.register(app, Spec{Flag: "lease-term", Env: "SYCAMORE_CONTROL_LEASE_TERM", Kind: "duration", Default: "6s", Min: "100ms", Max: "5m", Help: "Time that a renewal keeps the cell's lease; renewals are sent three times a term."}, &s.LeaseTerm)
 	s.all.register(app, Spec{Flag: "heartbeat", Env: "SYCAMORE_CONTROL_HEARTBEAT", Kind: "duration", Default: "1s", Min: "10ms", Max: "1m", Help: "Time between heartbeats."}, &s.Heartbeat)
 	s.all.register(app, Spec{Flag: "poll", Env: "SYCAMORE_CONTROL_POLL", Kind: "duration", Default: "1s", Min: "10ms", Max: "1m", Help: "Longest time between two reads of the platform's endpoint list by one host."}, &s.Poll)
+	s.all.register(app, Spec{Flag: "placement", Env: "SYCAMORE_CONTROL_PLACEMENT", Kind: "enum", Default: "mixed", Values: []string{"mixed", "static", "groups"}, Help: "How copies of models are placed; all but mixed are for measurements."}, &s.Placement)
 	s.all.register(app, Spec{Flag: "key-retention", Env: "SYCAMORE_CONTROL_KEY_RETENTION", Kind: "duration", Default: "24h", Min: "1s", Max: "720h", Help: "Shortest time for which idempotency keys are remembered."}, &s.KeyRetention)
 	s.all.register(app, Spec{Flag: "platform", Env: "SYCAMORE_CONTROL_PLATFORM", Kind: "url", Required: true, Help: "URL of the platform's object API."}, &s.Platform)
 	s.all.register(app, Spec{Flag: "platform-token", Env: "SYCAMORE_CONTROL_PLATFORM_TOKEN", Kind: "secret", Help: "Bearer token for the platform's object API."}, &s.PlatformToken)
