Measure placement under a tenfold shift of demand

Cause: placement that follows demand was compared with a static and a grouped layout by shared neighbours only. Change: the measurement runs one fleet for each policy at the same time, shifts the demand of a few models tenfold after copies may be moved, and counts what is attained after the shift. Result: builds, load tests pass; not run yet.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -57,10 +57,13 @@
 }
 
 func newReport(s *Scenario, results []result) *Report {
-	rep := &Report{Seconds: s.Duration.Seconds(), Moves: -1, rows: make(map[[2]string]*Row), scenario: s}
+	rep := &Report{Seconds: (s.Duration - s.CountFrom).Seconds(), Moves: -1, rows: make(map[[2]string]*Row), scenario: s}
 	worth := 0.0
 	for i := range results {
 		row := rep.row(results[i].flow)
+		if v := results[i].verdict; results[i].sent < s.CountFrom && (v == answered || v == refused) {
+			continue
+		}
 		if row.add(s, &results[i]) {
 			worth += row.worth
 		}
@@ -161,7 +164,7 @@
 	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 	row.FirstP50Ms, row.FirstP95Ms = ms(row.first, 50), ms(row.first, 95)
 	row.BetweenP95Ms, row.RefusedP95Ms = ms(row.between, 95), ms(row.refusal, 95)
-	row.Attainment = float64(row.Attained) / float64(row.Sent)
+	row.Attainment = float64(row.Attained) / float64(max(row.Sent, 1))
 	row.Goodput = float64(row.Attained) / seconds
 }
 
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -14,7 +14,8 @@
 type Scenario struct {
 	Seed        uint64        `yaml:"seed"`
 	Duration    time.Duration `yaml:"duration"`
-	Grace       time.Duration `yaml:"grace"` // time after the last arrival to wait for answers
+	Grace       time.Duration `yaml:"grace"`     // time after the last arrival to wait for answers
+	CountFrom   time.Duration `yaml:"countFrom"` // earlier requests are sent and checked but not counted in the rows
 	Entries     []string      `yaml:"entries"`
 	Control     []string      `yaml:"control"`      // admin addresses of control processes, to count moves
 	Executions  []string      `yaml:"executions"`   // addresses of service stand-ins, to compare executions with answers
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -55,21 +55,35 @@
 	defer bed.Close()
 	var all []Result
 	for _, folder := range o.Fleets {
-		results, err := measureFleet(ctx, o, bed, folder, filepath.Join(dir, filepath.Base(folder)))
-		if err != nil {
-			return errors.Annotate(err, folder)
+		own := filepath.Join(dir, filepath.Base(folder))
+		if err := os.Mkdir(own, 0o755); err != nil {
+			return errors.Trace(err)
+		}
+		for _, measure := range []func(context.Context, Options, *testbed.Bed, string, string) ([]Result, error){measureFleet, measurePlacement} {
+			results, err := measure(ctx, o, bed, folder, own)
+			if err != nil {
+				return errors.Annotate(err, folder)
+			}
+			all = append(all, results...)
 		}
-		all = append(all, results...)
 	}
 	return write(o, all)
 }
 
+func (o Options) wants(experiment string) bool {
+	return len(o.Only) == 0 || slices.Contains(o.Only, experiment)
+}
+
 // measureFleet starts one fleet and runs all experiments on it, one variant after the other. The layout stays; the
 // entry processes are started anew for each variant.
 func measureFleet(ctx context.Context, o Options, bed *testbed.Bed, folder, dir string) ([]Result, error) {
+	dir = filepath.Join(dir, "shared")
 	if err := os.Mkdir(dir, 0o755); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if len(o.Only) == 1 && o.Only[0] == placementName {
+		return nil, nil
+	}
 	fmt.Fprintf(o.Log, "%s: starting\n", filepath.Base(folder))
 	f, err := testbed.StartFleet(ctx, bed, testbed.FleetOptions{
 		Declarations: folder, Dir: dir, Hosts: hosts,
@@ -84,7 +98,7 @@
 	}
 	var all []Result
 	for _, e := range experiments(f) {
-		if len(o.Only) > 0 && !slices.Contains(o.Only, e.name) {
+		if !o.wants(e.name) {
 			continue
 		}
 		var base []*load.Row
