--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/httpjson"
 	"sycamoredeal/internal/load"
 	"sycamoredeal/internal/testbed"
 )
@@ -209,7 +209,7 @@
 				Holder string `json:"holder"`
 			} `json:"lease"`
 		}
-		if err := getJSON(ctx, "http://"+h.AdminAddr+"/v1/status", &st); err == nil && st.Lease.Holder != "" {
+		if err := httpjson.Get(ctx, "http://"+h.AdminAddr+"/v1/status", &st); err == nil && st.Lease.Holder != "" {
 			name = st.Lease.Holder
 		}
 	}
@@ -228,25 +228,10 @@
 		var rep struct {
 			Violations int `json:"violations"`
 		}
-		if err := getJSON(ctx, "http://"+d.fleet.Snapshot.Endpoints[i].Address+"/v1/report", &rep); err != nil {
+		if err := httpjson.Get(ctx, "http://"+d.fleet.Snapshot.Endpoints[i].Address+"/v1/report", &rep); err != nil {
 			return 0, err
 		}
 		total += rep.Violations
 	}
 	return total, nil
 }
-
-func getJSON(ctx context.Context, url string, v any) error {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer resp.Body.Close()
-	return errors.Annotate(json.NewDecoder(resp.Body).Decode(v), url)
-}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/juju/errors"
+
+	"sycamoredeal/internal/httpjson"
 )
 
 type run struct {
@@ -80,7 +80,7 @@
 		var st struct {
 			Orders int `json:"orders"`
 		}
-		if getJSON(ctx, "http://"+addr+"/v1/status", &st) == nil {
+		if httpjson.Get(ctx, "http://"+addr+"/v1/status", &st) == nil {
 			return st.Orders, true
 		}
 	}
@@ -92,7 +92,7 @@
 	all := make(map[string]int)
 	for _, addr := range r.Executions {
 		var counts map[string]int
-		if err := getJSON(ctx, "http://"+addr+"/_executions", &counts); err != nil {
+		if err := httpjson.Get(ctx, "http://"+addr+"/_executions", &counts); err != nil {
 			return nil, err
 		}
 		for id, n := range counts {
@@ -101,21 +101,3 @@
 	}
 	return all, nil
 }
-
-func getJSON(ctx context.Context, url string, v any) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("%s: status %d", url, resp.StatusCode)
-	}
-	return errors.Annotate(json.NewDecoder(resp.Body).Decode(v), url)
-}
--- a/internal/measure/disturb.go
+++ b/internal/measure/disturb.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/httpjson"
 	"sycamoredeal/internal/testbed"
 )
 
@@ -17,17 +16,7 @@
 		Dispatcher string `json:"dispatcher"`
 	}
 	for _, h := range f.Hosts {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.AdminAddr+"/v1/status", nil)
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			continue
-		}
-		err = json.NewDecoder(resp.Body).Decode(&st)
-		resp.Body.Close()
-		if err == nil {
+		if httpjson.Get(ctx, "http://"+h.AdminAddr+"/v1/status", &st) == nil {
 			break
 		}
 	}
--- a/internal/measure/layout.go
+++ b/internal/measure/layout.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/httpjson"
 	"sycamoredeal/internal/testbed"
 )
 
@@ -35,16 +34,7 @@
 	var st struct {
 		Orders int `json:"orders"`
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/v1/status", nil)
-	if err != nil {
-		return -1
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return -1
-	}
-	defer resp.Body.Close()
-	if json.NewDecoder(resp.Body).Decode(&st) != nil {
+	if httpjson.Get(ctx, "http://"+admin+"/v1/status", &st) != nil {
 		return -1
 	}
 	return st.Orders
