--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -19,7 +19,7 @@
 	o := control.Options{
 		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Listen: s.Listen, EntryAddress: s.EntryAddress,
 		AdminListen: s.AdminListen, AdminToken: s.AdminToken, Seeds: settings.List(s.Seeds), Term: s.LeaseTerm, Heartbeat: s.Heartbeat,
-		Poll: s.Poll, Retention: s.KeyRetention,
+		Poll: s.Poll, Retention: s.KeyRetention, LateBound: s.LateBound,
 		Store: platform.NewClient(s.Platform, s.PlatformToken), Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "control"),
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,6 +49,7 @@
 	Margin       time.Duration // default: a sixth of Term
 	Heartbeat    time.Duration
 	Poll         time.Duration // longest time between two reads of the endpoint list by one host
+	LateBound    time.Duration // see placement.LateBound, which is the default
 	Retention    time.Duration // how long idempotency keys are remembered
 	Store        platform.Store
 	Log          telemetry.Logger
--- a/internal/control/leaseduty.go
+++ b/internal/control/leaseduty.go
@@ -214,6 +214,7 @@
 		Snapshot: func() *config.Snapshot { return l.c.view.Load().snapshot },
 		Valid:    func() bool { return l.valid(epoch) },
 		Demand:   l.c.demand.take, Publish: l.c.publishPlacement, Log: l.c.opts.Log.Part("planner"),
+		LateBound: l.c.opts.LateBound,
 	}
 }
 
--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -45,7 +45,7 @@
 type Ledger struct {
 	// Base returns the base model of an adapter, which the stored residents lack.
 	Base func(adapter string) string
-	// Bound is LateBound, or less in tests.
+	// Bound is LateBound unless the settings give another one.
 	Bound time.Duration
 
 	p     *wire.Placement
--- a/internal/planner/object.go
+++ b/internal/planner/object.go
@@ -32,9 +32,7 @@
 	}
 	if !o.loaded {
 		p.ledger = placement.NewLedger(&o.state, time.Now())
-		if p.LateBound > 0 {
-			p.ledger.Bound = p.LateBound
-		}
+		p.ledger.Bound = p.LateBound
 		p.ledger.Takeover(p.epoch)
 		p.sender = placement.Sender{}
 		o.loaded, o.unsaved = true, true
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -24,13 +24,11 @@
 	roundInterval = 200 * time.Millisecond
 	// reportTimeout is shorter than the rounds in which an endpoint counts as dead, so that a lost report is asked again.
 	reportTimeout = 400 * time.Millisecond
-	orderTimeout  = time.Second
 	storeTimeout  = time.Second
 	// deadAfter is the age of the latest report from which on the copies of an endpoint don't count.
 	deadAfter = 3 * time.Second
-	// sendWindow is the longest time between the decision to send an order and its sending. It is half of
-	// placement.LateBound; the rest is for the network.
-	sendWindow = placement.LateBound / 2
+	// maxOrderTimeout bounds the call that sends an order, and is less with a short bound on late orders.
+	maxOrderTimeout = time.Second
 	// workers bounds concurrent calls to engines: a cell of 50 endpoints has at most one report and a few orders each.
 	workers = 64
 )
@@ -49,7 +47,7 @@
 	Publish  func(wire.Placement)               // called after each stored placement with a copy
 	Log      telemetry.Logger
 	Policy   placement.Policy // PolicyMixed but for measurements of the baselines
-	// LateBound replaces placement.LateBound in tests, which can't wait for it.
+	// LateBound replaces placement.LateBound if it is not 0.
 	LateBound time.Duration
 }
 
@@ -61,6 +59,9 @@
 		return errors.Trace(err)
 	}
 	defer pool.Release()
+	if d.LateBound <= 0 {
+		d.LateBound = placement.LateBound
+	}
 	p := &planner{Deps: d, epoch: epoch, pool: pool, started: time.Now(), polls: newPolls(), rounds: placement.Planner{Policy: d.Policy}}
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
@@ -154,14 +155,18 @@
 	return c
 }
 
+// sendWindow is the longest time between the decision to send an order and its sending: half of the bound on late
+// orders. A quarter is for the call and the rest for the network.
+func (p *planner) sendWindow() time.Duration { return p.LateBound / 2 }
+
 // send hands an order to a worker. If none is free, or the call fails, the order is sent again after ResendAfter.
 func (p *planner) send(ctx context.Context, addr string, in wire.Intent) {
 	decided := time.Now()
 	err := p.pool.Submit(func() {
-		if ctx.Err() != nil || !p.Valid() || time.Since(decided) > sendWindow {
+		if ctx.Err() != nil || !p.Valid() || time.Since(decided) > p.sendWindow() {
 			return
 		}
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(ctx, min(maxOrderTimeout, p.LateBound/4))
 		defer cancel()
 		err := p.Engines.Order(ctx, addr, order(in))
 		if errors.Is(err, engine.ErrStaleFence) {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -73,6 +73,7 @@
 	LeaseTerm     time.Duration // Time that a renewal keeps the cell's lease; renewals are sent three times a term.
 	Heartbeat     time.Duration // Time between heartbeats.
 	Poll          time.Duration // Longest time between two reads of the platform's endpoint list by one host.
+	LateBound     time.Duration // Longest time after its sending at which an order can still reach an engine that has restarted since; younger copies are not unloaded.
 	KeyRetention  time.Duration // Shortest time for which idempotency keys are remembered.
 	Platform      string        // URL of the platform's object API.
 	PlatformToken string        // Bearer token for the platform's object API.
@@ -103,6 +104,7 @@
 	s.all.register(app, Spec{Flag: "lease-term", Env: "SYCAMORE_CONTROL_LEASE_TERM", Kind: "duration", Default: "6s", Min: "100ms", Max: "5m", Help: "Time that a renewal keeps the cell's lease; renewals are sent three times a term."}, &s.LeaseTerm)
 	s.all.register(app, Spec{Flag: "heartbeat", Env: "SYCAMORE_CONTROL_HEARTBEAT", Kind: "duration", Default: "1s", Min: "10ms", Max: "1m", Help: "Time between heartbeats."}, &s.Heartbeat)
 	s.all.register(app, Spec{Flag: "poll", Env: "SYCAMORE_CONTROL_POLL", Kind: "duration", Default: "1s", Min: "10ms", Max: "1m", Help: "Longest time between two reads of the platform's endpoint list by one host."}, &s.Poll)
+	s.all.register(app, Spec{Flag: "late-bound", Env: "SYCAMORE_CONTROL_LATE_BOUND", Kind: "duration", Default: "30s", Min: "1s", Max: "10m", Help: "Longest time after its sending at which an order can still reach an engine that has restarted since; younger copies are not unloaded."}, &s.LateBound)
 	s.all.register(app, Spec{Flag: "key-retention", Env: "SYCAMORE_CONTROL_KEY_RETENTION", Kind: "duration", Default: "24h", Min: "1s", Max: "720h", Help: "Shortest time for which idempotency keys are remembered."}, &s.KeyRetention)
 	s.all.register(app, Spec{Flag: "platform", Env: "SYCAMORE_CONTROL_PLATFORM", Kind: "url", Required: true, Help: "URL of the platform's object API."}, &s.Platform)
 	s.all.register(app, Spec{Flag: "platform-token", Env: "SYCAMORE_CONTROL_PLATFORM_TOKEN", Kind: "secret", Help: "Bearer token for the platform's object API."}, &s.PlatformToken)
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -78,7 +78,7 @@
 	}
 	for _, h := range f.Hosts {
 		if err := WaitHTTP(ctx, "http://"+h.EntryAddr+"/readyz"); err != nil {
-			return nil, err
+			return nil, errors.Annotatef(err, "%s: %s%s", h.Name, h.Control.Output(), h.Entry.Output())
 		}
 	}
 	return f, nil
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -105,14 +106,38 @@
 	return "", errors.Trace(err)
 }
 
-// FreeAddr returns an unused TCP address on the loopback interface.
+// Ports of FreeAddr. They lie below the range that Linux gives to outgoing connections, which would otherwise take an
+// address between its choice and the start of its process.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+var (
+	chosenMu sync.Mutex
+	chosen   = make(map[int]bool)
+)
+
+// FreeAddr returns an unused TCP address on the loopback interface, a different one with each call.
 func FreeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	chosenMu.Lock()
+	defer chosenMu.Unlock()
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if chosen[port] {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		} else if err != nil {
+			panic(err)
+		}
+		l.Close()
+		chosen[port] = true
+		return addr
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // Start runs a program of the project.
