Make room for a first copy by moving only copies

A declared model without a copy found room only where copies beyond the declared number of other models gave way on one endpoint. It stayed unreachable when free memory was scattered, or when other models declared two copies and an availability zone was lost. Other models now keep one copy until every model has one, and when that is not enough, only copies are loaded elsewhere first and unloaded after they are ready there.

--- a/internal/placement/cover.go
+++ b/internal/placement/cover.go
@@ -32,7 +32,9 @@
 	}) {
 		for mv := &v.models[m]; mv.copies < mv.need; {
 			if !p.place(v, m, false) {
-				p.makeRoom(v, m, false)
+				if !p.makeRoom(v, m, false) && mv.copies == 0 {
+					v.relocating = p.relocate(v, m) || v.relocating
+				}
 				break
 			}
 		}
@@ -41,7 +43,7 @@
 
 // spread gives every model a second availability zone where there is memory that is free or used by third copies.
 func (p *Planner) spread(v *view) {
-	if p.pending(v) >= maxPending {
+	if p.pending(v) >= maxPending || v.relocating {
 		return
 	}
 	for _, m := range v.order(func(m *modelView) float64 { return m.weight }) {
@@ -139,9 +141,11 @@
 }
 
 // makeRoom unloads further copies of other models on one endpoint, so that a later round can load the model there. For
-// a new availability zone, other models keep two.
-func (p *Planner) makeRoom(v *view, m int, newZone bool) {
+// a new availability zone, other models keep two. For a model without a copy, they keep one, whatever they declare. It
+// returns whether room is on its way.
+func (p *Planner) makeRoom(v *view, m int, newZone bool) bool {
 	bytes := int64(v.models[m].decl.Memory)
+	first := v.models[m].copies == 0
 	best, bestCost := -1, math.Inf(1)
 	for i := range v.endpoints {
 		e := &v.endpoints[i]
@@ -149,9 +153,9 @@
 			continue
 		}
 		if e.free.Models+e.freed >= bytes && e.freed > 0 {
-			return // room is on its way
+			return true
 		}
-		victims, cost := v.victims(e, bytes)
+		victims, cost := v.victims(e, bytes, first)
 		if newZone && slices.ContainsFunc(victims, func(n int) bool { return v.lastOfZone(e, n) }) {
 			continue
 		}
@@ -160,21 +164,22 @@
 		}
 	}
 	if best < 0 {
-		return
+		return false
 	}
-	victims, _ := v.victims(&v.endpoints[best], bytes)
+	victims, _ := v.victims(&v.endpoints[best], bytes, first)
 	for _, n := range victims {
 		v.unload(&v.endpoints[best], n)
 	}
+	return true
 }
 
 // victims returns the copies on an endpoint with the least work per copy left whose unloading makes room for a number of
-// bytes, and the work per copy that this adds elsewhere.
-func (v *view) victims(e *endpointView, bytes int64) ([]int, float64) {
+// bytes, and the work per copy that this adds elsewhere. For the first copy of a model, others keep only one.
+func (v *view) victims(e *endpointView, bytes int64, first bool) ([]int, float64) {
 	free := e.free.Models + e.freed
 	var cost float64
 	var out []int
-	for _, n := range v.spareCopies(e) {
+	for _, n := range v.spareCopies(e, first) {
 		if free >= bytes {
 			break
 		}
@@ -190,11 +195,11 @@
 
 // spareCopies returns the models whose copy on an endpoint is settled and may be unloaded without leaving the model or
 // one of its adapters with too few ready copies, those with the least work per remaining copy first.
-func (v *view) spareCopies(e *endpointView) []int {
+func (v *view) spareCopies(e *endpointView, first bool) []int {
 	var out []int
 	for _, n := range e.holds {
 		mv := &v.models[n]
-		if mv.ready > mv.need && !e.busy[mv.decl.Name] && v.l.Settled(e.decl.Name, mv.decl.Name, v.now) && v.adaptersCopied(e, mv.decl.Name) {
+		if mv.ready > mv.least(first) && !e.busy[mv.decl.Name] && v.l.Settled(e.decl.Name, mv.decl.Name, v.now) && v.adaptersCopied(e, mv.decl.Name) {
 			out = append(out, n)
 		}
 	}
@@ -203,6 +208,14 @@
 	return out
 }
 
+// least returns the number of ready copies that a model keeps when others need memory.
+func (m *modelView) least(first bool) int {
+	if first {
+		return 1
+	}
+	return m.need
+}
+
 // unload adds the intents to unload a model and its adapters from an endpoint.
 func (v *view) unload(e *endpointView, m int) {
 	d := v.models[m].decl
@@ -211,6 +224,7 @@
 			if _, err := v.l.Unload(e.decl.Name, r.Name, v.now); err != nil {
 				return
 			}
+			e.busy[r.Name] = true // no other copy of it may go in this round
 		}
 	}
 	if _, err := v.l.Unload(e.decl.Name, d.Name, v.now); err == nil {
--- a/internal/placement/moves.go
+++ b/internal/placement/moves.go
@@ -80,7 +80,7 @@
 		if !e.usable || e.holdsModel(hot) {
 			continue
 		}
-		victims, cost := v.victims(e, bytes)
+		victims, cost := v.victims(e, bytes, false)
 		if victims == nil || slices.ContainsFunc(victims, func(n int) bool {
 			return v.l.age(e.decl.Name, v.models[n].decl.Name, v.now) < MinDwell || !p.mayMove(v, n) || v.lastOfZone(e, n)
 		}) {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -16,7 +16,9 @@
 	modelIDs  map[string]int
 	endpoints []endpointView
 	models    []modelView
-	shared    []uint16 // for each pair of models, the number of usable endpoints that hold both
+	// relocating tells that copies move to make room for a model without one, so that no free memory is used otherwise.
+	relocating bool
+	shared     []uint16 // for each pair of models, the number of usable endpoints that hold both
 }
 
 type endpointView struct {
