--- a/internal/control/leaseduty.go
+++ b/internal/control/leaseduty.go
@@ -215,6 +215,7 @@
 		Valid:    func() bool { return l.valid(epoch) },
 		Demand:   l.c.demand.take, Publish: l.c.publishPlacement, Log: l.c.opts.Log.Part("planner"),
 		Policy: l.c.opts.Placement,
+		LateBound: l.c.opts.LateBound,
 	}
 }
 
