Keep released claims released and prove at-most-once with real processes

Cause: a claim whose owner reported it unavailable, and whose write reached the platform late, left its key taken with an unknown outcome. A release of an attempt without a record was confirmed without being stored, so that it did not stop the late write, nor a claim of the same attempt that another owner still had waiting. The entry gave up a release after 10 s, and released claims that were never written as well.

Change: a release of an attempt that does not hold the key is stored. It moves the segment's version, so that the late write fails, and a machine grants no released attempt. The entry repeats results for 5 minutes, and releases only claims that a write may have contained, which the owner now tells.

--- a/internal/claims/machine.go
+++ b/internal/claims/machine.go
@@ -71,6 +71,7 @@
 	token  uint64
 	claim  *wire.ClaimRequest
 	result *wire.ClaimResult
+	stored bool // a write with its record ended unclear
 }
 
 // Machine holds one shard. Any number of machines of a shard may be active at once.
@@ -86,7 +87,8 @@
 	sealBytes int // SealBytes; smaller in tests
 
 	index    map[keyID]*holding
-	segments []Stored // sealed, oldest first
+	released map[string]uint64 // segment of the release by attempt
+	segments []Stored          // sealed, oldest first
 	open     Stored
 	loaded   bool
 	all      bool // the next load reads all segments
@@ -107,13 +109,13 @@
 	if retention <= 0 {
 		retention = DefaultRetention
 	}
-	return &Machine{shard: shard, retention: retention, sealBytes: SealBytes, index: make(map[keyID]*holding), all: true}
+	return &Machine{shard: shard, retention: retention, sealBytes: SealBytes, index: make(map[keyID]*holding), released: make(map[string]uint64), all: true}
 }
 
 // Claim takes in a claim. Its Reply carries the token.
 func (m *Machine) Claim(now time.Time, token uint64, r wire.ClaimRequest) []Action {
 	if now.Before(m.down) || len(m.waiting) >= maxPending {
-		return []Action{m.unavailable(token)}
+		return []Action{unavailable(pending{token: token})}
 	}
 	m.waiting = append(m.waiting, pending{token: token, claim: &r})
 	return m.step(now, nil)
@@ -139,7 +141,7 @@
 		return m.outage(now)
 	}
 	if m.all {
-		m.index, m.segments, m.open = make(map[keyID]*holding), nil, Stored{}
+		m.index, m.released, m.segments, m.open = make(map[keyID]*holding), make(map[string]uint64), nil, Stored{}
 	} else if m.open.Version != "" && len(segs) == 0 {
 		m.all = true // the segment was dropped meanwhile
 		return m.step(now, nil)
@@ -177,7 +179,17 @@
 	return s
 }
 
-func (m *Machine) apply(r Record, seq uint64) { m.index[keyID{r.Caller, r.Key}] = &holding{r, seq} }
+// apply takes in a stored record. The release of an attempt that does not hold the key leaves the holder in place.
+func (m *Machine) apply(r Record, seq uint64) {
+	id := keyID{r.Caller, r.Key}
+	if r.Outcome.NotRun() {
+		m.released[r.Attempt] = seq
+		if h := m.index[id]; h != nil && h.Attempt != r.Attempt {
+			return
+		}
+	}
+	m.index[id] = &holding{r, seq}
+}
 
 // Written takes in how a Write ended.
 func (m *Machine) Written(now time.Time, version string, res WriteResult) []Action {
@@ -188,6 +200,9 @@
 		// After a conflict another machine has written; after an unclear end the record may be there. Both are
 		// settled by reading back: a claim that is found belongs to its attempt id.
 		m.loaded = false
+		for i := range staged {
+			staged[i].stored = staged[i].stored || res == WriteUnclear
+		}
 		m.waiting = append(staged, m.waiting...)
 		return m.step(now, nil)
 	}
@@ -224,6 +239,11 @@
 			delete(m.index, k)
 		}
 	}
+	for a, seq := range m.released {
+		if seq == old.Seq {
+			delete(m.released, a)
+		}
+	}
 	return m.step(now, nil)
 }
 
@@ -234,7 +254,7 @@
 	var kept []pending
 	for _, p := range m.waiting {
 		if p.claim != nil {
-			out = append(out, m.unavailable(p.token))
+			out = append(out, unavailable(p))
 		} else {
 			kept = append(kept, p)
 		}
@@ -243,8 +263,13 @@
 	return out
 }
 
-func (m *Machine) unavailable(token uint64) Action {
-	return Reply{token, wire.ClaimReply{State: wire.ClaimUnavailable, RetryAfterMs: uint32(outagePause.Milliseconds())}}
+// unavailable refuses a claim. NotSent as its outcome tells that no write contained it, so that it needs no release.
+func unavailable(p pending) Action {
+	r := Reply{p.token, wire.ClaimReply{State: wire.ClaimUnavailable, RetryAfterMs: uint32(outagePause.Milliseconds())}}
+	if !p.stored {
+		r.Outcome = uint8(attempt.NotSent)
+	}
+	return r
 }
 
 // step starts the next I/O if none is outstanding and there is a reason for it.
@@ -329,9 +354,13 @@
 // decide returns the record to write, or the final answer if none is needed.
 func (m *Machine) decide(p pending, h *holding) (Record, Action) {
 	if p.claim == nil {
-		return decideResult(p, h)
+		return m.decideResult(p, h)
 	}
 	c := p.claim
+	if _, ok := m.released[c.Attempt]; ok {
+		// The entry has given up on this attempt; nobody would record its end.
+		return Record{}, unavailable(p)
+	}
 	if h == nil || h.Outcome.NotRun() {
 		return Record{Caller: c.Caller, Key: c.Key, Attempt: c.Attempt, Fingerprint: c.Fingerprint}, nil
 	}
@@ -345,10 +374,15 @@
 	return Record{}, Reply{p.token, reply}
 }
 
-// decideResult records the result of the attempt that holds the key. A release needs that no other end is recorded.
-func decideResult(p pending, h *holding) (Record, Action) {
+// decideResult records the result of the attempt that holds the key. A release needs that no other end is recorded. A
+// release of an attempt that does not hold the key is stored too: a write of its claim that is still on the way then
+// fails on the segment's version, and a claim of the attempt that arrives later is not granted.
+func (m *Machine) decideResult(p pending, h *holding) (Record, Action) {
 	r := p.result
 	o := attempt.Outcome(r.Outcome)
+	if _, ok := m.released[r.Attempt]; !ok && o.NotRun() && (h == nil || h.Attempt != r.Attempt) {
+		return Record{Caller: r.Caller, Key: r.Key, Attempt: r.Attempt, Outcome: o}, nil
+	}
 	if h == nil || h.Attempt != r.Attempt || (h.Outcome != 0 && h.Outcome != attempt.Unknown) ||
 		(h.Outcome == attempt.Unknown && o != attempt.Answered) || o == 0 {
 		return Record{}, Confirm{p.token}
--- a/internal/claims/machine_test.go
+++ b/internal/claims/machine_test.go
@@ -21,6 +21,7 @@
 	machines []*owner
 	holder   map[string]string
 	released map[string]bool  // attempts that the platform shows as released
+	freed    map[string]bool  // attempts whose release is confirmed
 	last     *wire.ClaimReply // latest reply to a claim
 	failed   string
 }
@@ -29,12 +30,13 @@
 	m       *Machine
 	io      Action // outstanding Load, Write or Delete
 	pending map[uint64]wire.ClaimRequest
+	results map[uint64]string // attempts to release
 }
 
 func newWorld(n int, retention time.Duration) *world {
-	w := &world{now: time.Unix(1000, 0), objects: make(map[uint64]Stored), holder: make(map[string]string), released: make(map[string]bool)}
+	w := &world{now: time.Unix(1000, 0), objects: make(map[uint64]Stored), holder: make(map[string]string), released: make(map[string]bool), freed: make(map[string]bool)}
 	for range n {
-		w.machines = append(w.machines, &owner{m: NewMachine(3, retention), pending: make(map[uint64]wire.ClaimRequest)})
+		w.machines = append(w.machines, &owner{m: NewMachine(3, retention), pending: make(map[uint64]wire.ClaimRequest), results: make(map[uint64]string)})
 	}
 	return w
 }
@@ -80,7 +82,11 @@
 				w.failed = fmt.Sprintf("key %s granted to %s while %s holds it", c.Key, c.Attempt, h)
 			}
 			w.holder[c.Key] = c.Attempt
-		case Confirm, Wake, Drop:
+		case Confirm:
+			if x := o.results[a.Token]; x != "" {
+				w.freed[x] = true
+			}
+		case Wake, Drop:
 		default:
 			if o.io != nil {
 				w.failed = "two outstanding actions"
@@ -115,8 +121,20 @@
 	}
 }
 
+// checkFreed looks for a key that is held by an attempt whose release was confirmed before.
+func (w *world) checkFreed() {
+	m := NewMachine(3, 0)
+	m.install(w.load(Load{All: true}))
+	for k, h := range m.index {
+		if h.Outcome == 0 && w.freed[h.Attempt] {
+			w.failed = fmt.Sprintf("key %s is held by %s, which was released", k.key, h.Attempt)
+		}
+	}
+}
+
 // TestNoKeyIsGrantedTwice guards against a second grant of a key with two owners, lost answers, conflicts, late
-// effects and crashes, unless the first attempt was released as not run.
+// effects and crashes, unless the first attempt was released as not run; and against a key that stays held by an attempt
+// whose release was confirmed.
 func TestNoKeyIsGrantedTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(2, 0)
@@ -146,6 +164,9 @@
 				}
 				c := granted[rapid.IntRange(0, len(granted)-1).Draw(t, "which")]
 				out := rapid.SampledFrom([]attempt.Outcome{attempt.NotSent, attempt.Answered, attempt.Unknown}).Draw(t, "outcome")
+				if out == attempt.NotSent && w.holder[c.Key] != c.Attempt {
+					o.results[token] = c.Attempt
+				}
 				w.take(o, o.m.Result(w.now, token, wire.ClaimResult{Caller: "c", Key: c.Key, Attempt: c.Attempt, Outcome: uint8(out)}))
 			case 4:
 				w.now = w.now.Add(2 * time.Second)
@@ -159,11 +180,12 @@
 				if x, ok := o.io.(Write); ok {
 					w.late = append(w.late, x)
 				}
-				*o = owner{m: NewMachine(3, 0), pending: make(map[uint64]wire.ClaimRequest)}
+				*o = owner{m: NewMachine(3, 0), pending: make(map[uint64]wire.ClaimRequest), results: make(map[uint64]string)}
 				o.m.sealBytes = seal
 			default:
 				w.finish(o, rapid.SampledFrom([]int{0, 0, 0, 1, 2, 3}).Draw(t, "how"))
 			}
+			w.checkFreed()
 			if w.failed != "" {
 				t.Fatal(w.failed)
 			}
--- a/internal/claimstore/claimstore.go
+++ b/internal/claimstore/claimstore.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/claims"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/ring"
@@ -59,7 +60,7 @@
 	switch m := m.(type) {
 	case *wire.ClaimRequest:
 		if !s.shards[claims.ShardOf(m.Caller, m.Key)].in.TryPush(input{conn: conn, corr: corr, claim: m}) {
-			conn.Reply(corr, &wire.ClaimReply{State: wire.ClaimUnavailable, RetryAfterMs: 1000})
+			conn.Reply(corr, &wire.ClaimReply{State: wire.ClaimUnavailable, Outcome: uint8(attempt.NotSent), RetryAfterMs: 1000})
 		}
 	case *wire.ClaimResult:
 		// A result that finds the ring full is dropped: the sender gets no Ack and sends it again.
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -21,10 +21,10 @@
 	claimTimeout   = 1500 * time.Millisecond // for one owner; covers a lost answer of the platform and reading back
 	claimTotal     = 3 * time.Second         // for all owners
 	finishTimeout  = 2 * time.Second         // for one try to record a result
-	finishTries    = 5
-	maxFinishing   = 1024                   // results being recorded; further ones are dropped, which leaves their outcome unknown
-	claimOwners    = 3                      // owners that are tried
-	claimConnected = 200 * time.Millisecond // for a connection to an owner
+	finishTotal    = 5 * time.Minute         // for all tries; an outage of the platform may last minutes
+	maxFinishing   = 1024                    // results being recorded; further ones are dropped, which leaves their outcome unknown
+	claimOwners    = 3                       // owners that are tried
+	claimConnected = 200 * time.Millisecond  // for a connection to an owner
 )
 
 var errNoConnection = errors.New("no connection to the claim owner")
@@ -100,7 +100,7 @@
 	for _, addr := range owners(c.view(), claims.ShardOf(r.Caller, r.Key), c.local) {
 		m, err := c.call(ctx, addr, &r, claimTimeout)
 		if reply, ok := m.(*wire.ClaimReply); ok && err == nil {
-			if reply.State == wire.ClaimUnavailable {
+			if reply.State == wire.ClaimUnavailable && (sent || !attempt.Outcome(reply.Outcome).NotRun()) {
 				c.abandon(r)
 			}
 			return *reply
@@ -144,8 +144,8 @@
 	c.running.Go(func() {
 		defer func() { <-c.slots }()
 		defer close(done)
-		deadline := time.Now().Add(finishTries * finishTimeout)
-		for n := range finishTries {
+		deadline := time.Now().Add(finishTotal)
+		for n := 0; ; n++ {
 			for _, addr := range owners(c.view(), claims.ShardOf(r.Caller, r.Key), c.local) {
 				if _, err := c.call(c.ctx, addr, &r, finishTimeout); err == nil {
 					return
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -60,6 +60,15 @@
 	waiting     int
 	violations  int
 	draining    bool
+	stats       Stats
+}
+
+// Stats are the engine's account of completion requests, at GET /_stats.
+type Stats struct {
+	Started   int       `json:"started"`   // requests that found their model, since the process started
+	LastStart time.Time `json:"lastStart"` // arrival of the latest of them
+	Running   int       `json:"running"`   // including those that wait for a slot
+	Cut       int       `json:"cut"`       // ended before their last token
 }
 
 // New returns an engine without residents.
@@ -73,6 +82,7 @@
 	s.mux.HandleFunc("POST /v1/orders", s.order)
 	s.mux.HandleFunc("POST /v1/chat/completions", s.complete)
 	s.mux.HandleFunc("PUT /_faults", s.setFaults)
+	s.mux.HandleFunc("GET /_stats", s.getStats)
 	s.mux.HandleFunc("POST /_restart", s.restart)
 	return s
 }
@@ -125,6 +135,14 @@
 	writeJSON(w, http.StatusOK, rep)
 }
 
+func (s *Server) getStats(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	st := s.stats
+	st.Running = s.running + s.waiting
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, st)
+}
+
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var o engine.Order
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16)).Decode(&o); err != nil {
@@ -257,6 +275,8 @@
 	res := s.residents[c.Model]
 	ready := res != nil && res.State == "ready" && (!res.Adapter || s.residents[res.Base] != nil)
 	if ready {
+		s.stats.Started++
+		s.stats.LastStart = time.Now()
 		s.waiting++
 	}
 	life := s.life
@@ -278,6 +298,11 @@
 	defer cancel()
 	defer context.AfterFunc(life, cancel)()
 	s.generate(w, r.WithContext(ctx), &c)
+	if ctx.Err() != nil {
+		s.mu.Lock()
+		s.stats.Cut++
+		s.mu.Unlock()
+	}
 	if life.Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -20,16 +21,25 @@
 	CloseAfter  bool          // close the connection instead of answering
 }
 
+// Faults are the switches of PUT /_faults. Each request replaces all of them; they add to the options.
+type Faults struct {
+	CloseBefore float64 `json:"closeBefore"` // probability that a connection is closed instead of executing
+	CloseAfter  float64 `json:"closeAfter"`  // probability that a connection is closed instead of answering
+	DelayMs     int     `json:"delayMs"`     // before execution
+}
+
 // Server is the stand-in. It is an http.Handler.
 type Server struct {
 	mu    sync.Mutex
 	opts  Options
+	f     Faults
+	rng   *rand.Rand
 	count map[string]int // request id -> executions
 }
 
 // New returns a service.
 func New(opts Options) *Server {
-	return &Server{opts: opts, count: make(map[string]int)}
+	return &Server{opts: opts, count: make(map[string]int), rng: rand.New(rand.NewPCG(1, 1))}
 }
 
 // Set changes how the service fails.
@@ -39,6 +49,29 @@
 	s.opts = opts
 }
 
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, "malformed faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.f = f
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// draw returns how one request fails.
+func (s *Server) draw() Options {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.opts
+	o.Delay += time.Duration(s.f.DelayMs) * time.Millisecond
+	o.CloseBefore = o.CloseBefore || s.rng.Float64() < s.f.CloseBefore
+	o.CloseAfter = o.CloseAfter || s.rng.Float64() < s.f.CloseAfter
+	return o
+}
+
 // Executions returns how often the request with that id was executed.
 func (s *Server) Executions(id string) int {
 	s.mu.Lock()
@@ -54,13 +87,15 @@
 		json.NewEncoder(w).Encode(s.count)
 		return
 	}
+	if r.URL.Path == "/_faults" {
+		s.setFaults(w, r)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	opts := s.opts
-	s.mu.Unlock()
+	opts := s.draw()
 	time.Sleep(opts.Delay)
 	if opts.CloseBefore {
 		panic(http.ErrAbortHandler)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -264,7 +264,7 @@
 // ClaimReply answers a ClaimRequest.
 type ClaimReply struct {
 	State        ClaimState
-	Outcome      uint8 // attempt.Outcome recorded for the key, if ClaimTaken
+	Outcome      uint8 // attempt.Outcome recorded for the key, if ClaimTaken; with ClaimUnavailable, NotSent if nothing was stored
 	Status       uint16
 	RetryAfterMs uint32
 }
