--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,7 +20,9 @@
 	// resumeLimit bounds the time without a new token after which a broken stream is given up. It covers the load of a
 	// new copy of a model whose only endpoint died.
 	resumeLimit = 30 * time.Second
-	prefixBytes = 1 << 10 // of the messages, whose hash lets equal prompts meet at an endpoint that has cached them
+	// excludeLimit bounds the wait for an endpoint that has not failed the request before.
+	excludeLimit = 500 * time.Millisecond
+	prefixBytes  = 1 << 10 // of the messages, whose hash lets equal prompts meet at an endpoint that has cached them
 )
 
 // completion is one completion request with all its attempts.
@@ -134,6 +137,31 @@
 		}
 	}
 	r.ask.Exclude = append(r.ask.Exclude, endpoint)
+	failed := func(e string) bool { return slices.Contains(r.ask.Exclude, e) }
+	if !slices.ContainsFunc(r.e.view.Load().Residents(r.ask.Model), func(e string) bool { return !failed(e) }) {
+		r.ask.Exclude = []string{endpoint} // all have failed once
+	}
+}
+
+// binding asks the binder. While the only endpoints that take work are excluded, a resumed answer would wait for ever
+// and a new one until its deadline, so that the exclusion ends after a while.
+func (r *completion) binding(ctx context.Context) (routing.Binding, error) {
+	if len(r.ask.Exclude) > 0 {
+		short, cancel := context.WithTimeout(ctx, excludeLimit)
+		defer cancel()
+		b, err := r.e.binder.Bind(short, r.ask)
+		if err == nil || short.Err() == nil || ctx.Err() != nil {
+			return b, err
+		}
+		r.ask.Exclude = nil
+		r.ask.ID = r.e.asks.Add(1)
+	}
+	if r.ask.Resumed {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.progress.Add(resumeLimit))
+		defer cancel()
+	}
+	return r.e.binder.Bind(ctx, r.ask)
 }
 
 // bind returns the binding for the next attempt. It returns nil without a problem if an answer that has begun has no
@@ -144,7 +172,7 @@
 	if left := time.Until(r.x.deadline()); !r.ask.Resumed {
 		r.ask.DeadlineMs = uint32(max(left.Milliseconds(), 1))
 	}
-	b, err := r.e.binder.Bind(ctx, r.ask)
+	b, err := r.binding(ctx)
 	if err == nil {
 		return b, nil
 	}
--- a/internal/entry/completions_test.go
+++ b/internal/entry/completions_test.go
@@ -17,6 +17,7 @@
 	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/routing"
+	"sycamoredeal/internal/wire"
 )
 
 const answerTokens = 6
@@ -414,3 +415,25 @@
 	}
 	b.ended <- nil
 }
+
+// exhausted binds like its script, but has no endpoint for a request that excludes one.
+type exhausted struct{ *script }
+
+func (x exhausted) Bind(ctx context.Context, ask wire.Ask) (routing.Binding, error) {
+	if len(ask.Exclude) > 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return x.script.Bind(ctx, ask)
+}
+
+// TestAllExcluded guards against an answer that waits for ever because only endpoints that have failed it take work.
+func TestAllExcluded(t *testing.T) {
+	for _, fault := range []string{"cut", "cut at once"} {
+		b := newBed(t, Options{}, exhausted{newScript("e1", "e2")}, engines(newEngine(t, fault, 0), newEngine(t, "", 0)))
+		resp := b.do("POST", "/v1/chat/completions", completionOf(true), "X-Rank", "batch")
+		if got, whole := text(t, resp, true); got != wantText || !whole {
+			t.Errorf("%s: got %q, whole %v", fault, got, whole)
+		}
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -61,6 +61,8 @@
 	violations  int
 	draining    bool
 	stats       Stats
+	asked       int
+	before      question
 }
 
 // Stats are the engine's account of completion requests, at GET /_stats.
@@ -324,7 +326,9 @@
 	if !sleep(r, s.opts.Prefill*time.Duration(s.uncached(c.Model, prompt))/1000) {
 		return
 	}
-	id := "chatcmpl-" + r.Header.Get("X-Request-Id")
+	q := s.misdirect(question{r.Header.Get("X-Request-Id"), prompt})
+	prompt = q.prompt
+	id := "chatcmpl-" + q.id
 	if !c.Stream {
 		var text strings.Builder
 		for n := 1; n <= c.MaxTokens; n++ {
@@ -341,7 +345,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("X-Request-Id", q.id)
 	w.WriteHeader(http.StatusOK)
 	f := w.(http.Flusher)
 	for n := from + 1; n <= c.MaxTokens; n++ {
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -39,9 +39,13 @@
 	ReportLag         Duration `json:"reportLag"`         // reports show the state of that long ago
 	Drain             bool     `json:"drain"`             // the engine reports that it drains
 	FailAfterTokens   int      `json:"failAfterTokens"`   // streams break after that many tokens
+	MisdirectEvery    int      `json:"misdirectEvery"`    // of this many requests, one gets the answer to the one before it
 	RefuseConnections bool     `json:"refuseConnections"` // connections are closed without an answer
 }
 
+// question identifies a request.
+type question struct{ id, prompt string }
+
 type snapshot struct {
 	at     time.Time
 	report engine.Report
@@ -75,6 +79,19 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// misdirect returns the request that a request is answered as: itself, or the one before it.
+func (s *Server) misdirect(q question) question {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	before := s.before
+	s.before = q
+	if n := s.faults.MisdirectEvery; n > 0 && s.asked%n == 0 && before.id != "" {
+		return before
+	}
+	return q
+}
+
 func (s *Server) currentFaults() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
