--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"sycamoredeal/internal/control"
+	"sycamoredeal/internal/peertls"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/settings"
 	"sycamoredeal/internal/telemetry"
@@ -22,6 +23,11 @@
 		Poll: s.Poll, Retention: s.KeyRetention,
 		Store: platform.NewClient(s.Platform, s.PlatformToken), Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "control"),
 	}
+	var err error
+	if o.TLS, err = (peertls.Files{Cert: s.TlsCert, Key: s.TlsKey, Authority: s.TlsCa}).Load(); err != nil {
+		o.Log.Error().Err(err).Msg("TLS settings not usable.")
+		os.Exit(1)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := control.New(o).Run(ctx); err != nil {
--- a/cmd/sycamore-entry/main.go
+++ b/cmd/sycamore-entry/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"sycamoredeal/internal/entry"
+	"sycamoredeal/internal/peertls"
 	"sycamoredeal/internal/settings"
 	"sycamoredeal/internal/telemetry"
 )
@@ -17,9 +18,15 @@
 	settings.MustParse(&s, nil)
 	o := entry.Options{
 		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Listen: s.Listen, PeerListen: s.PeerListen, Control: s.Control, Policy: s.Policy,
+		AdminListen: s.AdminListen, AdminToken: s.AdminToken,
 		MaxBody: s.MaxBody, MaxAnswer: s.MaxAnswer, MaxRequests: s.MaxRequests, FirstTokenTimeout: s.FirstTokenTimeout,
 		IdleTimeout: s.IdleTimeout, ReadyDelay: s.ReadyDelay, DrainTimeout: s.DrainTimeout, Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "entry"),
 	}
+	var err error
+	if o.TLS, err = (peertls.Files{Cert: s.TlsCert, Key: s.TlsKey, Authority: s.TlsCa}).Load(); err != nil {
+		o.Log.Error().Err(err).Msg("TLS settings not usable.")
+		os.Exit(1)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := entry.New(o).Run(ctx); err != nil {
--- a/internal/binding/binder.go
+++ b/internal/binding/binder.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/routing"
+	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
 )
 
@@ -20,7 +22,10 @@
 	ProbeAfter   time.Duration // silence of the dispatcher after which it is probed, default 100 ms
 	SilentFor    time.Duration // silence of the dispatcher after which its queue is left, default 400 ms
 	View         func() *routing.View
-	Server       *Server // in-process dispatcher
+	Server       *Server             // in-process dispatcher
+	TLS          *tls.Config         // for connections to other entries, nil for plain TCP
+	Counters     *transport.Counters // of connections to other entries, may be nil
+	Journal      func(Alone)         // records calls that the entry decided alone; may be nil, must not block
 }
 
 func (o *Options) defaults() {
@@ -87,6 +92,7 @@
 
 // Bind implements routing.Binder.
 func (b *Binder) Bind(ctx context.Context, ask wire.Ask) (routing.Binding, error) {
+	started := time.Now()
 	c := &call{until: b.until(&ask), ask: ask, changed: make(chan struct{}, 1), preempted: make(chan struct{}), order: b.rankOrder(&ask)}
 	err := errUndecided
 	if b.opts.Policy == routing.PolicyDispatcher {
@@ -94,6 +100,7 @@
 	}
 	if err == errUndecided {
 		err = b.decideAlone(ctx, c)
+		b.record(c, err, time.Since(started))
 	}
 	if err != nil {
 		return nil, err
@@ -101,6 +108,30 @@
 	return &binding{b: b, c: c}, nil
 }
 
+// Alone is a call that the entry decided without the dispatcher.
+type Alone struct {
+	Ask      wire.Ask
+	Endpoint string // empty if the call was refused
+	Reason   string
+	Waited   time.Duration
+}
+
+// record tells the journal how a call was decided. A dispatcher that came back meanwhile may have decided it after all;
+// it then has a record of its own.
+func (b *Binder) record(c *call, err error, waited time.Duration) {
+	if b.opts.Journal == nil {
+		return
+	}
+	a := Alone{Ask: c.ask, Endpoint: c.endpoint, Reason: "policy " + string(b.opts.Policy), Waited: waited}
+	if b.opts.Policy == routing.PolicyDispatcher {
+		a.Reason = "no answer of the dispatcher"
+	}
+	if err != nil {
+		a.Endpoint, a.Reason = "", err.Error()
+	}
+	b.opts.Journal(a)
+}
+
 // askDispatcher returns errUndecided if the dispatcher is gone, silent or too late.
 func (b *Binder) askDispatcher(ctx context.Context, c *call) error {
 	b.mu.Lock()
--- a/internal/binding/server.go
+++ b/internal/binding/server.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"sycamoredeal/internal/dispatch"
@@ -16,7 +18,8 @@
 const (
 	serverEvents = 16384                 // about 20 s of asks at the target size
 	serverTick   = 20 * time.Millisecond // bounds how late an expired request is refused
-	probeID      = 0                     // an Ask with this id only proves that the dispatcher runs
+	statsEvery   = 250 * time.Millisecond
+	probeID      = 0 // an Ask with this id only proves that the dispatcher runs
 )
 
 // peer is a connection from an entry to the dispatcher.
@@ -35,9 +38,11 @@
 type Server struct {
 	cfg     dispatch.Config
 	view    func() *routing.View
-	journal func(dispatch.Output) // may be nil; runs on the server's goroutine
+	journal func(dispatch.Output) // may be nil; runs on the server's goroutine; Kind 0 is a change of an ejection
 	events  *ring.Ring[event]
 	start   time.Time
+	stats   atomic.Pointer[dispatch.Stats]
+	statsAt time.Duration // of the latest stats
 
 	// Owned by the goroutine of Run.
 	state *dispatch.State
@@ -109,6 +114,44 @@
 		s.state.SetView(s.now(), v)
 	}
 	s.state.Tick(s.now())
+	s.publish()
+}
+
+// publish makes the state of the dispatcher readable and records changes of the ejected endpoints.
+func (s *Server) publish() {
+	now := s.now()
+	if now-s.statsAt < statsEvery {
+		return
+	}
+	s.statsAt = now
+	if len(s.peers) == 0 {
+		s.stats.Store(nil)
+		return
+	}
+	st, before := s.state.Stats(), s.Stats()
+	s.stats.Store(&st)
+	s.recordEjections(before.Ejected, st.Ejected, "failing requests")
+	s.recordEjections(st.Ejected, before.Ejected, "ejection is over")
+}
+
+// recordEjections tells the journal which endpoints are in after and not in before.
+func (s *Server) recordEjections(before, after []string, reason string) {
+	for _, e := range after {
+		if s.journal != nil && !slices.Contains(before, e) {
+			s.journal(dispatch.Output{Endpoint: e, Decision: dispatch.Decision{Reason: reason}})
+		}
+	}
+}
+
+// Active tells whether this process has the dispatcher role at present, which is so while entries are connected.
+func (s *Server) Active() bool { return s.stats.Load() != nil }
+
+// Stats returns the state of the dispatcher as of the last quarter of a second. It is empty without the role.
+func (s *Server) Stats() dispatch.Stats {
+	if st := s.stats.Load(); st != nil {
+		return *st
+	}
+	return dispatch.Stats{}
 }
 
 func ended(c *transport.Conn) bool {
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -2,41 +2,39 @@
 
 import (
 	"context"
-	"crypto/subtle"
-	"net/http"
-	"sync"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/juju/errors"
-
+	"sycamoredeal/internal/adminhttp"
 	"sycamoredeal/internal/wire"
 )
 
-const adminExitWait = time.Second
-
-// quietHertz silences hertz's logger, which is one for the whole process: the process logs through its own.
-var quietHertz = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
-
 // Status is the answer to GET /v1/status.
 type Status struct {
-	Host             string                   `json:"host"`
-	Zone             string                   `json:"zone"`
-	Cell             string                   `json:"cell"`
-	Incarnation      uint64                   `json:"incarnation"`
-	Revision         uint64                   `json:"revision"`
-	PlacementVersion uint64                   `json:"placementVersion"`
-	PlacementEpoch   uint64                   `json:"placementEpoch"`
-	Lease            LeaseStatus              `json:"lease"`
-	Dispatcher       string                   `json:"dispatcher"`
-	Members          []memberStatus           `json:"members"`
-	Endpoints        []wire.EndpointPlacement `json:"endpoints"`
-	Leaving          []wire.EndpointState     `json:"leaving"` // endpoints that take no new work
-	ControlBytes     ByteStatus               `json:"controlBytes"`
-	PlatformCalls    uint64                   `json:"platformCalls"`
-	Orders           uint64                   `json:"orders"` // orders to engines since the cell exists
+	Host             string               `json:"host"`
+	Zone             string               `json:"zone"`
+	Cell             string               `json:"cell"`
+	Incarnation      uint64               `json:"incarnation"`
+	Revision         uint64               `json:"revision"`
+	PlacementVersion uint64               `json:"placementVersion"`
+	PlacementEpoch   uint64               `json:"placementEpoch"`
+	Lease            LeaseStatus          `json:"lease"`
+	Dispatcher       string               `json:"dispatcher"`
+	Members          []memberStatus       `json:"members"`
+	Endpoints        []EndpointStatus     `json:"endpoints"`
+	Leaving          []wire.EndpointState `json:"leaving"` // endpoints and hosts that the platform's list shows as leaving
+	ControlBytes     ByteStatus           `json:"controlBytes"`
+	PlatformCalls    uint64               `json:"platformCalls"`
+	Orders           uint64               `json:"orders"` // orders to engines since the cell exists
+}
+
+// EndpointStatus is one endpoint with what it holds and does.
+type EndpointStatus struct {
+	wire.EndpointPlacement
+	Reported bool   `json:"reported"`                // the numbers below come from a report of the last seconds
+	Running  uint32 `json:"running"`                 // requests that the engine runs
+	Waiting  uint32 `json:"waiting"`                 // requests that wait in the engine
+	AgeMs    uint32 `json:"ageMs"`                   // age of the report
+	Reason   string `json:"leavingReason,omitempty"` // why the endpoint takes no new work
 }
 
 // LeaseStatus tells who holds the cell's lease as far as this process knows.
@@ -52,14 +50,14 @@
 	Received uint64 `json:"received"`
 }
 
-// Status returns the state of the process.
-func (c *Control) Status() Status {
+// Status returns the state of the process, with the reports that the holder of the lease has.
+func (c *Control) Status(ctx context.Context) Status {
 	v := c.view.Load()
 	s := Status{
 		Host: c.opts.Host, Zone: c.opts.Zone, Cell: c.opts.Cell, Incarnation: c.incarnation.Load(), Revision: v.head.Revision,
 		PlacementVersion: v.placement.Version, PlacementEpoch: v.placement.Epoch,
 		Lease:      LeaseStatus{Holder: v.holder, Epoch: v.epoch, Held: c.lease.held()},
-		Dispatcher: Dispatcher(c.opts.Cell, v.live), Members: v.members, Endpoints: v.placement.Endpoints, Leaving: v.states,
+		Dispatcher: Dispatcher(c.opts.Cell, v.live), Members: v.members, Endpoints: endpointStatus(v, c.reports(ctx)), Leaving: v.states,
 		ControlBytes: ByteStatus{c.counters.Sent.Load(), c.counters.Received.Load()}, Orders: v.placement.NextIntent,
 	}
 	if calls, ok := c.opts.Store.(interface{ Calls() uint64 }); ok {
@@ -68,49 +66,38 @@
 	return s
 }
 
+// endpointStatus joins the placement, the reports and the reasons for leaving.
+func endpointStatus(v *view, reports []wire.EndpointState) []EndpointStatus {
+	byName := make(map[string]wire.EndpointState, len(reports))
+	for _, r := range reports {
+		byName[r.Endpoint] = r
+	}
+	reasons := leavingReasons(v, time.Now())
+	out := make([]EndpointStatus, 0, len(v.placement.Endpoints))
+	for _, p := range v.placement.Endpoints {
+		r, ok := byName[p.Endpoint]
+		s := EndpointStatus{EndpointPlacement: p, Reported: ok, Running: r.Running, Waiting: r.Waiting, AgeMs: r.AgeMs, Reason: reasons[p.Endpoint]}
+		s.Leaving = s.Leaving || s.Reason != ""
+		out = append(out, s)
+	}
+	return out
+}
+
 // ready tells whether the process can serve its entry: it has a configuration and is not leaving.
 func (c *Control) ready() bool {
 	v := c.view.Load()
 	return v.snapshot != nil && !v.leaving
 }
 
-// authenticate refuses requests without the operators' token.
-func (c *Control) authenticate(_ context.Context, r *app.RequestContext) {
-	want := "Bearer " + c.opts.AdminToken
-	if c.opts.AdminToken != "" && subtle.ConstantTimeCompare(r.GetHeader("Authorization"), []byte(want)) != 1 {
-		r.AbortWithStatus(http.StatusUnauthorized)
-	}
-}
-
 // serveAdmin starts the admin HTTP server and returns the function that stops it.
-func (c *Control) serveAdmin() (stop func(), err error) {
+func (c *Control) serveAdmin() (stop func()) {
 	if c.opts.AdminListen == "" {
-		return func() {}, nil
+		return func() {}
 	}
-	quietHertz()
-	h := server.New(server.WithHostPorts(c.opts.AdminListen), server.WithExitWaitTime(adminExitWait), server.WithDisablePrintRoute(true))
-	h.GET("/healthz", func(_ context.Context, r *app.RequestContext) { r.String(http.StatusOK, "ok") })
-	h.GET("/readyz", func(_ context.Context, r *app.RequestContext) {
-		if !c.ready() {
-			r.String(http.StatusServiceUnavailable, "not ready")
-			return
-		}
-		r.String(http.StatusOK, "ready")
+	s := adminhttp.New(adminhttp.Options{
+		Listen: c.opts.AdminListen, Token: c.opts.AdminToken, Ready: c.ready, Metrics: c.observer.metrics.Handler(), Log: c.opts.Log.Part("admin"),
 	})
-	v1 := h.Group("/v1", c.authenticate)
-	v1.GET("/status", func(_ context.Context, r *app.RequestContext) { r.JSON(http.StatusOK, c.Status()) })
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		if err := h.Run(); err != nil {
-			c.opts.Log.Error().Err(errors.Annotate(err, c.opts.AdminListen)).Msg("Admin server ended.")
-		}
-	}()
-	return func() {
-		ctx, cancel := context.WithTimeout(context.Background(), adminExitWait)
-		defer cancel()
-		h.Shutdown(ctx)
-		h.Close()
-		<-ended
-	}, nil
+	s.JSON("/status", func(ctx context.Context) any { return c.Status(ctx) })
+	s.Explain(c.explain)
+	return s.Start()
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +43,7 @@
 	Listen       string   // ip:port for the project's own processes
 	EntryAddress string   // ip:port of the local entry process for other entry processes
 	AdminListen  string   // ip:port of the admin HTTP server, empty for none
-	AdminToken   string   // operators' bearer token for /v1 paths, empty to ask for none
+	AdminToken   string   // operators' bearer token for /v1 paths, empty for loopback clients only
 	Seeds        []string // ip:port of control processes to ask while the platform can't be read
 	Term         time.Duration
 	Renew        time.Duration // default: a third of Term
@@ -51,6 +52,7 @@
 	Poll         time.Duration // longest time between two reads of the endpoint list by one host
 	Retention    time.Duration // how long idempotency keys are remembered
 	Store        platform.Store
+	TLS          *tls.Config // for the project's own connections, nil for plain TCP
 	Log          telemetry.Logger
 }
 
@@ -87,6 +89,7 @@
 	start       time.Time
 	incarnation atomic.Uint64
 	counters    transport.Counters
+	observer    *observer
 	events      *ring.Ring[any]
 	fetches     *ring.Ring[fetchJob]
 	rosterHints *ring.Ring[struct{}]
@@ -101,7 +104,7 @@
 	opts.setDefaults()
 	c := &Control{
 		opts: opts, start: time.Now(), events: ring.New[any](eventRing), fetches: ring.New[fetchJob](1),
-		rosterHints: ring.New[struct{}](1),
+		rosterHints: ring.New[struct{}](1), observer: newObserver(),
 	}
 	c.incarnation.Store(uint64(time.Now().UnixNano()))
 	c.lease = newLeaseDuty(c)
@@ -120,7 +123,7 @@
 // transport returns the options of connections of one kind. Messages go to the core in order.
 func (c *Control) transport(onUp func(*transport.Conn)) transport.Options {
 	return transport.Options{
-		Hello: c.hello(), Counters: &c.counters, OnUp: onUp,
+		Hello: c.hello(), Counters: &c.counters, TLS: c.opts.TLS, OnUp: onUp,
 		Handler: func(conn *transport.Conn, corr uint64, m wire.Message) {
 			if !c.claims.Handle(conn, corr, m) {
 				c.events.TryPush(evMessage{conn, corr, m})
@@ -132,6 +135,9 @@
 
 // Run serves until ctx ends. It then hands over the lease, tells the cell, leaves the roster and returns.
 func (c *Control) Run(ctx context.Context) error {
+	if err := c.gauges(); err != nil {
+		return errors.Trace(err)
+	}
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	srv, err := transport.Listen(life, c.opts.Listen, c.transport(nil))
@@ -149,22 +155,14 @@
 	duty(c.keepRoster)
 	duty(c.pollEndpoints)
 	duty(c.lease.run)
-	stopAdmin, err := c.serveAdmin()
-	if err != nil {
-		end()
-	}
-	select {
-	case <-ctx.Done():
-	case <-life.Done():
-	}
-	if err == nil {
-		c.leave(life)
-	}
+	stopAdmin := c.serveAdmin()
+	<-ctx.Done()
+	c.leave(life)
 	end()
 	stopAdmin()
 	wg.Wait()
 	srv.Wait()
-	return errors.Trace(err)
+	return nil
 }
 
 // leave hands everything over that other hosts would otherwise have to time out.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -55,7 +55,7 @@
 	})
 	wait(t, "a cell with a holder", func() bool {
 		for _, c := range cs {
-			s := c.Status()
+			s := c.Status(t.Context())
 			if len(s.Members) < len(hosts) || s.Lease.Holder == "" || c.view.Load().live == nil {
 				return false
 			}
@@ -108,7 +108,7 @@
 		t.Errorf("%d requests and %d tokens, want 6 and 30", sum.Requests, sum.Tokens)
 	}
 	wait(t, "load in the heartbeats", func() bool {
-		for _, m := range holder.Status().Members {
+		for _, m := range holder.Status(t.Context()).Members {
 			if m.Host == other.opts.Host && m.Load == 70 {
 				return true
 			}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"reflect"
 	"time"
 
@@ -127,6 +129,8 @@
 		if k.ownStatesAt > 0 {
 			e.conn.Send(&wire.EndpointsUpdate{States: k.ownStates})
 		}
+	case evSources:
+		e.reply <- k.sourcesNow()
 	case evSync:
 		k.advance()
 		close(e.done)
@@ -152,6 +156,8 @@
 		if corr != 0 {
 			conn.Reply(corr, &wire.Ack{})
 		}
+	case *wire.Inquiry:
+		k.answerInquiry(conn, corr, *m)
 	case *wire.DemandReport:
 		k.demand.add(m.Demand)
 	case *wire.ConfigUpdate:
@@ -260,6 +266,9 @@
 // setHolder records who holds the lease. A lower epoch than the known one is ignored.
 func (k *core) setHolder(host string, epoch uint64) {
 	if epoch >= k.epoch {
+		if host != k.holder || epoch != k.epoch {
+			k.observer.note("lease", "lease", "holder is "+cmp.Or(host, "nobody"), fmt.Sprintf("epoch %d", epoch))
+		}
 		k.holder, k.epoch = host, epoch
 	}
 }
@@ -334,6 +343,7 @@
 	snap, err := config.Build(head.Revision, files)
 	if err != nil {
 		k.opts.Log.Error().Err(err).Uint64("revision", head.Revision).Msg("Configuration refused.")
+		k.observer.note("config", fmt.Sprintf("revision %d", head.Revision), "refused", err.Error())
 		k.rev.Refuse(head.Revision)
 		return
 	}
@@ -342,6 +352,7 @@
 	k.beatAt = 0
 	k.push(&wire.ConfigUpdate{Head: head, Files: k.rev.Files()})
 	k.opts.Log.Info().Uint64("revision", head.Revision).Msg("Configuration in force.")
+	k.observer.note("config", fmt.Sprintf("revision %d", head.Revision), decisionInForce, "author "+head.Author)
 }
 
 func (k *core) push(m wire.Message) {
--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -7,6 +7,7 @@
 	"sort"
 
 	"sycamoredeal/internal/membership"
+	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/wire"
 )
@@ -119,7 +120,7 @@
 			reason, ok = leaving[host]
 		}
 		if !ok && declared {
-			reason, ok = "declared", true
+			reason, ok = placement.ReasonDeclared, true
 		}
 		if ok {
 			u.States = append(u.States, wire.EndpointState{Endpoint: name, Leaving: true, Reason: reason})
@@ -136,6 +137,7 @@
 	}
 	sort.Slice(u.States, func(i, j int) bool { return u.States[i].Endpoint < u.States[j].Endpoint })
 	if !reflect.DeepEqual(u, k.sentStates) || !k.statesKnown {
+		k.observer.leavings(k.sentStates.States, u.States)
 		k.sentStates, k.statesKnown = u, true
 		k.push(&u)
 	}
--- a/internal/control/leaseduty.go
+++ b/internal/control/leaseduty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -189,6 +190,7 @@
 	l.plan = p
 	l.epoch.Store(epoch)
 	l.log.Info().Uint64("epoch", epoch).Msg("Lease held.")
+	l.c.observer.note("lease", "lease", "held", fmt.Sprintf("epoch %d", epoch))
 	l.c.events.TryPush(evBeat{})
 	directory := make(chan struct{})
 	go func() {
@@ -214,6 +216,7 @@
 		Snapshot: func() *config.Snapshot { return l.c.view.Load().snapshot },
 		Valid:    func() bool { return l.valid(epoch) },
 		Demand:   l.c.demand.take, Publish: l.c.publishPlacement, Log: l.c.opts.Log.Part("planner"),
+		Explain: l.c.observer.planned, Reported: l.c.observer.reported,
 	}
 }
 
@@ -227,6 +230,7 @@
 	l.plan.lapse.Stop()
 	<-l.plan.ended
 	l.log.Info().Uint64("epoch", l.plan.epoch).Msg("Lease no longer held.")
+	l.c.observer.note("lease", "lease", "no longer held", fmt.Sprintf("epoch %d", l.plan.epoch))
 	l.plan = nil
 	l.epoch.Store(0)
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -57,6 +57,7 @@
 // Decision tells why a request got its endpoint or was refused.
 type Decision struct {
 	Caller, Rank, Model string
+	Request             string // request id of the caller
 	Reason              string
 	WaitMs              uint32 // time in the queue, or predicted time for a refusal
 	Candidates          int    // endpoints that could take the request
@@ -225,5 +226,6 @@
 func (s *State) emit(r *request, k wire.Kind, o Output) {
 	o.To, o.Kind, o.ID = r.entry, k, r.id
 	o.Decision.Caller, o.Decision.Rank, o.Decision.Model = r.caller.name, r.rank.Name, r.ask.Model
+	o.Decision.Request = r.ask.Request
 	s.out = append(s.out, o)
 }
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -43,8 +43,8 @@
 // claimClient is the claimer that asks the shard owners of the cell.
 type claimClient struct {
 	view  func() *routing.View
-	local string // control address that is used while the members are not known
-	hello wire.Hello
+	local string            // control address that is used while the members are not known
+	base  transport.Options // of each connection
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -54,10 +54,13 @@
 	running sync.WaitGroup
 }
 
-func newClaimClient(view func() *routing.View, o Options) *claimClient {
+func newClaimClient(view func() *routing.View, o Options, counters *transport.Counters) *claimClient {
 	c := &claimClient{
 		view: view, local: o.Control, clients: make(map[string]*transport.Client), slots: make(chan struct{}, maxFinishing),
-		hello: wire.Hello{Host: o.Host, Role: wire.RoleEntry, Cell: o.Cell, Zone: o.Zone, Incarnation: uint64(time.Now().UnixNano())},
+		base: transport.Options{
+			Hello: wire.Hello{Host: o.Host, Role: wire.RoleEntry, Cell: o.Cell, Zone: o.Zone, Incarnation: uint64(time.Now().UnixNano())},
+			TLS:   o.TLS, Counters: counters, Handler: func(*transport.Conn, uint64, wire.Message) {},
+		},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -176,7 +179,7 @@
 	cl := c.clients[addr]
 	if cl == nil {
 		c.prune()
-		cl = transport.Dial(c.ctx, addr, transport.Options{Hello: c.hello, Handler: func(*transport.Conn, uint64, wire.Message) {}})
+		cl = transport.Dial(c.ctx, addr, c.base)
 		c.clients[addr] = cl
 	}
 	c.mu.Unlock()
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +36,7 @@
 	progress time.Time       // when the last token was accepted
 	tries    int             // attempts since then
 	last     error           // why the latest attempt ended
+	clock    tokenClock
 }
 
 func (e *Entry) completions(ctx context.Context, x *exchange) {
@@ -64,8 +66,10 @@
 	prompt := len(body.Messages) / 4
 	r := &completion{
 		e: e, x: x, body: body, upstream: x.id + "-" + uuid.NewString()[:8], seq: newSequence(body.N),
+		clock: tokenClock{series: x.series, start: x.start},
 		ask: wire.Ask{
 			Caller: x.caller.Name, Rank: x.rank.Name, Model: body.Model, PromptTokens: uint32(prompt), MaxTokens: body.MaxTokens,
+			Request:    x.id,
 			PrefixHash: xxhash.Sum64(body.Messages[:min(len(body.Messages), prefixBytes)]),
 		},
 	}
@@ -78,8 +82,10 @@
 }
 
 func (r *completion) fail(p *problem) {
+	r.x.note(r.e.observer, resultOf(p), strings.TrimSuffix(p.Title+": "+p.Detail, ": "), r.ask.Model, "")
 	if s, ok := r.sink.(*streamSink); ok && s.started() {
 		r.e.opts.Log.Warn().Str("request", r.x.id).Str("detail", p.Detail).Msg("Stream given up.")
+		r.x.result = resultBroken
 		s.abort(p)
 		return
 	}
@@ -111,11 +117,15 @@
 			r.ask.Exclude = nil
 		}
 		switch {
-		case res.err == errFinished || ctx.Err() != nil || res.callerGone:
+		case res.err == errFinished:
+			return nil
+		case ctx.Err() != nil || res.callerGone:
+			r.x.result = resultCancelled
 			return nil
 		case res.problem != nil:
 			return res.problem
 		case res.preempted:
+			r.x.note(r.e.observer, "preempted", "the slot is needed by more urgent work", r.ask.Model, b.Endpoint())
 			continue
 		}
 		r.last = res.err
@@ -144,8 +154,12 @@
 	if left := time.Until(r.x.deadline()); !r.ask.Resumed {
 		r.ask.DeadlineMs = uint32(max(left.Milliseconds(), 1))
 	}
+	asked := time.Now()
 	b, err := r.e.binder.Bind(ctx, r.ask)
 	if err == nil {
+		if !r.ask.Resumed {
+			r.x.series.Queue(time.Since(asked))
+		}
 		return b, nil
 	}
 	var refused *routing.Refusal
@@ -177,11 +191,36 @@
 		return false
 	}
 	r.tries++
-	return backoff(ctx, r.tries-1, deadline)
+	if !backoff(ctx, r.tries-1, deadline) {
+		return false
+	}
+	r.observeRetry()
+	return true
+}
+
+// observeRetry counts and records a further attempt with its cause.
+func (r *completion) observeRetry() {
+	decision := "retry"
+	if r.seq.last() > 0 {
+		decision = "resume"
+		r.x.series.Resume()
+	} else {
+		r.x.series.Retry()
+	}
+	cause := "no endpoint"
+	if r.last != nil {
+		cause = r.last.Error()
+	}
+	endpoint := ""
+	if n := len(r.ask.Exclude); n > 0 {
+		endpoint = r.ask.Exclude[n-1]
+	}
+	r.x.note(r.e.observer, decision, cause, r.ask.Model, endpoint)
 }
 
 func (r *completion) giveUp(ctx context.Context) *problem {
 	if ctx.Err() != nil {
+		r.x.result = resultCancelled
 		return nil
 	}
 	detail := ""
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -22,13 +22,14 @@
 		d := &o.Decision
 		log.Debug().Str("entry", o.To).Uint64("id", o.ID).Str("caller", d.Caller).Str("rank", d.Rank).Str("model", d.Model).
 			Str("endpoint", o.Endpoint).Str("reason", d.Reason).Uint32("waitMs", d.WaitMs).Int("candidates", d.Candidates).
-			Float64("score", d.Score).Msg("Decided.")
+			Float64("score", d.Score).Str("request", d.Request).Msg("Decided.")
+		e.observer.dispatched(o)
 	}
 	return binding.New(binding.Options{
 		Hello:  wire.Hello{Host: e.opts.Host, Role: wire.RoleEntry, Cell: e.opts.Cell, Zone: e.opts.Zone, Incarnation: incarnation},
 		Policy: routing.Policy(e.opts.Policy),
 		Seed:   incarnation, // entries must not make the same random choices
-		View:   e.view.Load,
+		View:   e.view.Load, TLS: e.opts.TLS, Counters: &e.observer.path, Journal: e.observer.alone,
 		Server: binding.NewServer(dispatch.Config{Seed: incarnation}, e.view.Load, journal),
 	})
 }
@@ -43,7 +44,9 @@
 	o := b.Options()
 	var ln *transport.Server
 	if e.opts.PeerListen != "" {
-		if ln, err = transport.Listen(ctx, e.opts.PeerListen, o.Server.Options(o.Hello)); err != nil {
+		serve := o.Server.Options(o.Hello)
+		serve.TLS, serve.Counters = e.opts.TLS, &e.observer.path
+		if ln, err = transport.Listen(ctx, e.opts.PeerListen, serve); err != nil {
 			return nil, errors.Annotate(err, "serve other entries")
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,9 @@
 	Listen       string        // ip:port for callers
 	PeerListen   string        // ip:port for other entry processes
 	Control      string        // ip:port of the local control process
+	AdminListen  string        // ip:port of the admin HTTP server, empty for none
+	AdminToken   string        // operators' bearer token for its /v1 paths, empty for loopback clients only
+	TLS          *tls.Config   // for the project's own connections, nil for plain TCP
 	Policy       string        // name of a routing.Policy, empty for the dispatcher
 	MaxBody      int           // bytes of a request body
 	MaxAnswer    int           // bytes of a plain service's answer
@@ -56,6 +60,7 @@
 	draining atomic.Bool // new requests are refused
 	http     *server.Hertz
 	demand   Demand
+	observer *observer
 
 	asks        atomic.Uint64 // id of the latest Ask
 	serviceTurn atomic.Uint64
@@ -64,10 +69,10 @@
 // New returns an entry process that is not yet running.
 func New(opts Options) *Entry {
 	opts.setDefaults()
-	e := &Entry{opts: opts, outbound: newOutbound(), retries: newRetryBudget()}
+	e := &Entry{opts: opts, outbound: newOutbound(), retries: newRetryBudget(), observer: newObserver()}
 	e.view.Store(&routing.View{})
 	e.binder = e.newBinder()
-	e.claims = newClaimClient(e.view.Load, opts)
+	e.claims = newClaimClient(e.view.Load, opts, &e.observer.counters)
 	return e
 }
 
@@ -83,12 +88,16 @@
 
 // Run serves until ctx ends, then finishes the requests in progress and returns.
 func (e *Entry) Run(ctx context.Context) error {
+	if err := e.gauges(); err != nil {
+		return errors.Trace(err)
+	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	wait, err := e.runDispatch(background)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	defer e.serveAdmin()()
 	link := newLink(background, e)
 	linked := make(chan struct{})
 	go func() {
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 )
 
-const maxEventBytes = 1 << 20 // longest line of a stream
+const maxEventBytes = 1 << 20 // longest line of a stream, and longest event of several lines
 
 // event is one server-sent event.
 type event struct {
@@ -25,7 +25,9 @@
 	for sc.Scan() {
 		line := sc.Bytes()
 		if len(line) > 0 {
-			e.add(line)
+			if e.add(line); len(e.data) > maxEventBytes {
+				return errors.Errorf("event is longer than %d bytes", maxEventBytes)
+			}
 			continue
 		}
 		if e.data != nil {
@@ -49,9 +51,11 @@
 	case "id":
 		e.id = string(value)
 	case "data":
-		if e.data != nil {
+		if e.data == nil {
+			e.data = make([]byte, 0, len(value)) // the scanner uses the line's memory again
+		} else {
 			e.data = append(e.data, '\n')
 		}
-		e.data = append(append([]byte{}, e.data...), value...)
+		e.data = append(e.data, value...)
 	}
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -12,6 +12,7 @@
 
 	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/telemetry"
 )
 
 const maxRequestID = 128 // bytes
@@ -24,10 +25,13 @@
 	caller *config.Caller
 	rank   *config.Rank
 	start  time.Time
+	series *telemetry.Series
+	result string // as counted by the metrics
 }
 
 // fail answers with a problem.
 func (x *exchange) fail(p *problem) {
+	x.result = resultOf(p)
 	p.RequestID = x.id
 	p.write(x.c)
 }
@@ -71,10 +75,11 @@
 // handle returns a handler that admits and authenticates a request before fn answers it.
 func (e *Entry) handle(fn func(context.Context, *exchange)) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
-		x := &exchange{c: c, id: requestID(c), start: time.Now()}
+		x := &exchange{c: c, id: requestID(c), start: time.Now(), series: e.observer.other, result: resultAnswered}
 		// The count is raised before the state is read, so that a drain that saw zero is seen by every later request.
 		e.inFlight.Add(1)
 		defer e.inFlight.Add(-1)
+		defer func() { x.series.Request(x.result) }()
 		if e.leaving.Load() {
 			c.SetConnectionClose()
 		}
@@ -127,5 +132,6 @@
 	if x.rank = chooseRank(x.snap, x.caller, name); x.rank == nil {
 		return refusal(http.StatusForbidden, "Rank not permitted", name, 0)
 	}
+	x.series = e.observer.of(x.caller.Name, x.rank.Name)
 	return nil
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -82,14 +82,28 @@
 	return rest[i:]
 }
 
+// checkKey tells what is wrong with an idempotency key. Keys are opaque: two are equal only if all bytes are.
+func checkKey(key string) error {
+	if len(key) > maxKey {
+		return errors.Errorf("key has %d bytes, at most %d are allowed", len(key), maxKey)
+	}
+	for i := range len(key) {
+		if key[i] < ' ' || key[i] > '~' {
+			return errors.Errorf("byte %d of the key is not printable ASCII", i+1)
+		}
+	}
+	return nil
+}
+
 // keyed claims the idempotency key before the request is sent, and records how it ended.
 func (s *serviceCall) keyed(ctx context.Context, key string) {
-	if len(key) > maxKey {
-		s.x.fail(refusal(http.StatusBadRequest, "Idempotency key too long", "", 0))
+	if err := checkKey(key); err != nil {
+		s.x.fail(refusal(http.StatusBadRequest, "Malformed idempotency key", err.Error(), 0))
 		return
 	}
 	claim := wire.ClaimRequest{Caller: s.x.caller.Name, Key: key, Attempt: uuid.NewString(), Fingerprint: s.fingerprint()}
 	reply := s.e.claims.Claim(ctx, claim)
+	s.noteClaim(reply)
 	if p := claimProblem(reply); p != nil {
 		s.x.fail(p)
 		return
@@ -103,6 +117,15 @@
 	s.answer(ans, outcome, err)
 }
 
+// noteClaim records how the claim of the idempotency key was decided. The key itself stays out of the journal.
+func (s *serviceCall) noteClaim(r wire.ClaimReply) {
+	reason := map[wire.ClaimState]string{
+		wire.ClaimGranted: "granted", wire.ClaimTaken: "key already used", wire.ClaimMismatch: "key used with a different request",
+		wire.ClaimUnavailable: "key can't be recorded",
+	}[r.State]
+	s.x.note(s.e.observer, "claim", reason, s.svc.Name, "")
+}
+
 // fingerprint identifies the request that a key belongs to.
 func (s *serviceCall) fingerprint() uint64 {
 	h := xxhash.New()
@@ -154,6 +177,8 @@
 		if !o.MayRetry(s.idempotent) || !s.e.retries.take() || !backoff(ctx, n, deadline) {
 			return nil, outcome, last
 		}
+		s.x.series.Retry()
+		s.x.note(s.e.observer, "retry", err.Error(), s.svc.Name, ep.Name)
 	}
 }
 
@@ -219,6 +244,7 @@
 		if !o.MayRetry(s.idempotent) {
 			retry = 0
 		}
+		s.x.note(s.e.observer, "failed", err.Error(), s.svc.Name, "")
 		s.x.fail(newProblem(status, "Service failed", err.Error(), o, retry))
 		return
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -107,7 +107,11 @@
 			return context.Cause(actx)
 		}
 		onEvent()
+		before := r.seq.last()
 		err := r.seq.accept(ev, guardedSink{r.sink})
+		if r.seq.last() > before {
+			r.clock.token()
+		}
 		idle.Reset(r.e.opts.IdleTimeout)
 		return err
 	})
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -37,7 +37,7 @@
 	o := &l.e.opts
 	return transport.Dial(ctx, addr, transport.Options{
 		Hello:   wire.Hello{Host: o.Host, Role: wire.RoleEntry, Cell: o.Cell, Zone: o.Zone, Incarnation: l.incarnation},
-		Handler: l.e.onControl,
+		Handler: l.e.onControl, TLS: o.TLS, Counters: &l.e.observer.counters,
 		OnUp: func(c *transport.Conn) {
 			var s wire.Subscribe
 			if v := l.e.view.Load(); v.Snapshot != nil {
@@ -123,7 +123,11 @@
 }
 
 // onControl applies the updates that the control process pushes.
-func (e *Entry) onControl(c *transport.Conn, _ uint64, m wire.Message) {
+func (e *Entry) onControl(c *transport.Conn, corr uint64, m wire.Message) {
+	if q, ok := m.(*wire.Inquiry); ok {
+		c.Reply(corr, e.answerInquiry(q))
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	next := *e.view.Load()
@@ -135,9 +139,12 @@
 		snap, err := config.Build(m.Head.Revision, m.Files)
 		if err != nil {
 			e.opts.Log.Error().Err(err).Uint64("revision", m.Head.Revision).Msg("Configuration refused.")
+			e.observer.configuration(m.Head.Revision, "refused", err.Error())
 			return
 		}
 		next.Snapshot = snap
+		e.observer.declare(snap)
+		e.observer.configuration(snap.Revision, "in force", "author "+m.Head.Author)
 		e.opts.Log.Info().Uint64("revision", snap.Revision).Msg("Configuration in force.")
 	case *wire.PlacementUpdate:
 		if next.Placement != nil && m.Placement.Version < next.Placement.Version {
--- a/internal/operator/admin.go
+++ b/internal/operator/admin.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"sycamoredeal/internal/telemetry"
 )
 
 const (
@@ -31,6 +34,7 @@
 	Host             string           `json:"host"`
 	Zone             string           `json:"zone"`
 	Revision         uint64           `json:"revision"`
+	Dispatcher       string           `json:"dispatcher"`
 	PlacementVersion uint64           `json:"placementVersion"`
 	Lease            LeaseStatus      `json:"lease"`
 	Members          []MemberStatus   `json:"members"`
@@ -41,13 +45,16 @@
 type LeaseStatus struct {
 	Holder string `json:"holder"`
 	Epoch  uint64 `json:"epoch"`
+	Held   uint64 `json:"held"` // epoch that the asked process holds by its own clock, 0 for none
 }
 
 // MemberStatus is one host of the cell.
 type MemberStatus struct {
 	Host     string `json:"host"`
 	Zone     string `json:"zone"`
+	State    string `json:"state"`
 	Revision uint64 `json:"revision"`
+	Load     uint16 `json:"load"` // per mille
 	Leaving  bool   `json:"leaving"`
 }
 
@@ -58,7 +65,10 @@
 	Leaving   bool   `json:"leaving"`
 	Residents names  `json:"residents"`
 	Intents   names  `json:"intents"`
-	Running   int    `json:"running"` // requests in progress
+	Reported  bool   `json:"reported"` // running and waiting come from a report of the last seconds
+	Running   int    `json:"running"`  // requests in progress
+	Waiting   int    `json:"waiting"`  // requests that wait in the engine
+	Reason    string `json:"leavingReason,omitempty"`
 }
 
 // names accepts a list of names or of objects with a name.
@@ -92,19 +102,11 @@
 	return s, raw, err
 }
 
-// Explain returns the journal entries about a request id, model or endpoint, oldest first.
-func (a Admin) Explain(ctx context.Context, subject string) ([]map[string]any, error) {
-	var raw json.RawMessage
-	if _, err := a.get(ctx, "/v1/explain?subject="+url.QueryEscape(subject), &raw); err != nil {
-		return nil, err
-	}
-	var list []map[string]any
-	if json.Unmarshal(raw, &list) == nil {
-		return list, nil
-	}
-	var wrapped struct{ Entries []map[string]any }
-	err := json.Unmarshal(raw, &wrapped)
-	return wrapped.Entries, errors.Annotate(err, "journal entries")
+// Explain returns the decisions about a request id, model or endpoint that the processes of the cell have kept.
+func (a Admin) Explain(ctx context.Context, subject string) (telemetry.Explanation, error) {
+	var out telemetry.Explanation
+	_, err := a.get(ctx, "/v1/explain?subject="+url.QueryEscape(subject), &out)
+	return out, err
 }
 
 func (a Admin) get(ctx context.Context, path string, v any) (json.RawMessage, error) {
@@ -127,7 +129,9 @@
 		return nil, errors.Annotatef(ErrControl, "%s answered %s", a.Address, resp.Status)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("%s answered %s to %s", a.Address, resp.Status, path)
+		var p struct{ Detail string }
+		json.Unmarshal(body, &p) // another program may listen there and send no problem
+		return nil, errors.Errorf("%s answered %s to %s: %s", a.Address, resp.Status, path, cmp.Or(p.Detail, "no detail"))
 	}
 	return body, errors.Annotatef(json.Unmarshal(body, v), "answer of %s to %s", a.Address, path)
 }
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -1,10 +1,12 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -17,6 +19,8 @@
 const (
 	timeLayout  = "2006-01-02 15:04:05Z07:00"
 	maxKeyBytes = 4096
+	// decisionLayout shows decisions of different hosts in a comparable form.
+	decisionLayout = "2006-01-02T15:04:05.000Z"
 )
 
 func (c *CLI) table(header string, rows func(add func(cells ...any))) {
@@ -174,9 +178,13 @@
 	return c.show(raw, func() {
 		fmt.Fprintf(c.Out, "host %s, availability zone %s, revision %d, placement version %d, lease holder %s, epoch %d\n\n",
 			s.Host, s.Zone, s.Revision, s.PlacementVersion, s.Lease.Holder, s.Lease.Epoch)
-		c.table("MEMBER\tZONE\tREVISION\tLEAVING", func(add func(...any)) {
+		c.table("HOST\tZONE\tSTATE\tREVISION\tLOAD\tROLES", func(add func(...any)) {
 			for _, m := range s.Members {
-				add(m.Host, m.Zone, m.Revision, m.Leaving)
+				state := m.State
+				if m.Leaving {
+					state += " (leaving)"
+				}
+				add(m.Host, m.Zone, state, m.Revision, fmt.Sprintf("%.1f%%", float64(m.Load)/10), s.roles(m.Host))
 			}
 		})
 		fmt.Fprintln(c.Out)
@@ -185,45 +193,70 @@
 }
 
 func (c *CLI) endpointTable(list []EndpointStatus) {
-	c.table("ENDPOINT\tRUNNING\tRESIDENTS\tINTENTS", func(add func(...any)) {
+	c.table("ENDPOINT\tRUNNING\tWAITING\tLEAVING\tRESIDENTS\tINTENTS", func(add func(...any)) {
 		for _, e := range list {
-			add(e.Name, e.Running, strings.Join(e.Residents, " "), strings.Join(e.Intents, " "))
+			running, waiting := "?", "?"
+			if e.Reported {
+				running, waiting = fmt.Sprint(e.Running), fmt.Sprint(e.Waiting)
+			}
+			leaving := e.Reason
+			if leaving == "" {
+				leaving = "-"
+				if e.Leaving {
+					leaving = "yes"
+				}
+			}
+			add(e.Name, running, waiting, leaving, strings.Join(e.Residents, " "), strings.Join(e.Intents, " "))
 		}
 	})
 }
 
+// roles names the roles of a host in its cell.
+func (s *Status) roles(host string) string {
+	var out []string
+	if host == s.Lease.Holder {
+		out = append(out, "lease")
+	}
+	if host == s.Dispatcher {
+		out = append(out, "dispatcher")
+	}
+	return strings.Join(out, " ")
+}
+
 func (c *CLI) explain(ctx context.Context) error {
 	admin, err := c.admin()
 	if err != nil {
 		return err
 	}
-	entries, err := admin.Explain(ctx, c.subject)
+	got, err := admin.Explain(ctx, c.subject)
 	if err != nil {
 		return err
 	}
-	return c.show(entries, func() {
-		if len(entries) == 0 {
+	return c.show(got, func() {
+		if len(got.Entries) == 0 {
 			fmt.Fprintf(c.Out, "no decisions about %s are recorded\n", c.subject)
+		} else {
+			c.table("TIME\tPROCESS\tPART\tSUBJECT\tDECISION\tREASON\tFIELDS", func(add func(...any)) {
+				for _, e := range got.Entries {
+					add(e.Time.UTC().Format(decisionLayout), e.Fields["process"], e.Part, e.Subject, e.Decision, e.Reason, fields(e.Fields))
+				}
+			})
 		}
-		for _, e := range entries {
-			fmt.Fprintln(c.Out, entryLine(e))
+		for _, m := range got.Missing {
+			fmt.Fprintf(c.Out, "no answer from %s\n", m)
 		}
 	})
 }
 
-// entryLine prints the time first and the other fields in the order of their names.
-func entryLine(e map[string]any) string {
-	var parts []string
-	for k, v := range e {
-		if k != "time" {
-			parts = append(parts, fmt.Sprintf("%s=%v", k, v))
+// fields prints the fields of a decision in the order of their names.
+func fields(f map[string]string) string {
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(f)) {
+		if k != "process" {
+			out = append(out, k+"="+f[k])
 		}
 	}
-	sort.Strings(parts)
-	if t, ok := e["time"]; ok {
-		parts = append([]string{fmt.Sprint(t)}, parts...)
-	}
-	return strings.Join(parts, "  ")
+	return strings.Join(out, " ")
 }
 
 func (c *CLI) maintenance(ctx context.Context) error {
@@ -251,6 +284,7 @@
 				w.Start.Format(timeLayout), w.End.Format(timeLayout), w.Drain, strings.Join(w.Hosts, " "))
 			if status != nil {
 				c.endpointTable(w.Endpoints)
+				fmt.Fprintf(c.Out, "in progress: %d requests; without another copy: %s\n", w.InProgress, cmp.Or(strings.Join(w.OnlyCopies, " "), "none"))
 			}
 		}
 	}); err != nil {
--- a/internal/operator/maintenance.go
+++ b/internal/operator/maintenance.go
@@ -20,6 +20,11 @@
 	Hosts     []string         `json:"hosts"`
 	Endpoints []EndpointStatus `json:"endpoints"` // residents and intents as far as a status was given
 	Services  []string         `json:"services,omitempty"`
+
+	// OnlyCopies are the models and adapters that no endpoint outside the window's hosts holds; the window must not open
+	// before they are copied. InProgress counts the requests on the window's endpoints. Both need a status.
+	OnlyCopies []string `json:"onlyCopies"`
+	InProgress int      `json:"inProgress"`
 }
 
 // StoredDeclarations returns the declarations of the stored head.
@@ -57,12 +62,39 @@
 				}
 			}
 		}
+		w.obstacles(status)
 		out = append(out, w)
 	}
 	slices.SortStableFunc(out, func(a, b WindowStatus) int { return a.Start.Compare(b.Start) })
 	return out
 }
 
+// obstacles finds what is still in the way of a window.
+func (w *WindowStatus) obstacles(status *Status) {
+	w.OnlyCopies = []string{}
+	if status == nil {
+		return
+	}
+	inside := make(map[string]bool)
+	for _, e := range w.Endpoints {
+		inside[e.Name] = true
+		w.InProgress += e.Running + e.Waiting
+	}
+	elsewhere := make(map[string]bool)
+	for _, e := range status.Endpoints {
+		for _, r := range e.Residents {
+			elsewhere[r] = elsewhere[r] || !inside[e.Name] && !e.Leaving
+		}
+	}
+	for _, e := range w.Endpoints {
+		for _, r := range e.Residents {
+			if !elsewhere[r] && !slices.Contains(w.OnlyCopies, r) {
+				w.OnlyCopies = append(w.OnlyCopies, r)
+			}
+		}
+	}
+}
+
 func endpointStatus(e config.Endpoint, status *Status) EndpointStatus {
 	out := EndpointStatus{Name: e.Name, Host: e.Host, Leaving: e.Leaving}
 	if status == nil {
--- a/internal/peertls/peertls_test.go
+++ b/internal/peertls/peertls_test.go
@@ -2,65 +2,24 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sycamoredeal/internal/peertls"
+	"sycamoredeal/internal/testbed"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
 )
 
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func writePEM(t *testing.T, path, kind string, der []byte) {
-	t.Helper()
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // issue writes an authority's certificate, and a certificate and key signed by it, into a new folder.
 func issue(t *testing.T) peertls.Files {
 	t.Helper()
-	dir := t.TempDir()
-	f := peertls.Files{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), Authority: filepath.Join(dir, "ca.pem")}
-	template := func(serial int64) *x509.Certificate {
-		return &x509.Certificate{
-			SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "test"}, NotBefore: time.Now().Add(-time.Hour),
-			NotAfter: time.Now().Add(time.Hour), BasicConstraintsValid: true, DNSNames: []string{peertls.ServerName},
-			ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		}
-	}
-	ca := authority{cert: template(1)}
-	ca.cert.IsCA, ca.cert.KeyUsage = true, x509.KeyUsageCertSign
-	ca.key, _ = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	der, err := x509.CreateCertificate(rand.Reader, ca.cert, ca.cert, &ca.key.PublicKey, ca.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	writePEM(t, f.Authority, "CERTIFICATE", der)
-	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	der, err = x509.CreateCertificate(rand.Reader, template(2), ca.cert, &key.PublicKey, ca.key)
+	f, err := testbed.IssueCertificate(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	writePEM(t, f.Cert, "CERTIFICATE", der)
-	der, _ = x509.MarshalECPrivateKey(key)
-	writePEM(t, f.Key, "EC PRIVATE KEY", der)
 	return f
 }
 
--- a/internal/placement/maintenance.go
+++ b/internal/placement/maintenance.go
@@ -20,6 +20,30 @@
 	stageLeaving        // gets no new work
 )
 
+// Reasons why an endpoint takes no new work.
+const (
+	ReasonDeclared = "declared leaving"
+	reasonReported = "its report says that it drains"
+)
+
+// LeavingReason tells why the planner lets an endpoint take no new work.
+func LeavingReason(snap *config.Snapshot, e *config.Endpoint, now time.Time) string {
+	if e.Leaving {
+		return ReasonDeclared
+	}
+	for i := range snap.Maintenance {
+		m := &snap.Maintenance[i]
+		drain := m.Drain
+		if drain <= 0 {
+			drain = DefaultDrain
+		}
+		if slices.Contains(m.Hosts, e.Host) && now.Before(m.End) && !now.Before(m.Start.Add(-drain)) {
+			return "maintenance window " + m.Name
+		}
+	}
+	return reasonReported
+}
+
 // maintenanceStage returns the stage of an endpoint by the declared windows. Copying starts so early that all of the
 // endpoint's copies can be loaded elsewhere at half the rate of the weight store before new work stops.
 func maintenanceStage(snap *config.Snapshot, e *config.Endpoint, copies int, rate float64, now time.Time) stage {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -48,6 +48,8 @@
 	demand demand
 	moved  map[string]move
 	shared []uint16
+
+	decisions []Decision
 }
 
 type move struct {
@@ -61,13 +63,13 @@
 	stages, changed := p.stages(in)
 	before := in.Ledger.p.NextIntent
 	v := p.newView(in, stages)
-	p.cover(v)
-	p.spread(v)
-	p.adapters(v)
-	p.retire(v)
+	p.explained(v, "too few copies", p.cover)
+	p.explained(v, "copies in a single availability zone", p.spread)
+	p.explained(v, "adapter has too few copies", p.adapters)
+	p.explained(v, "no longer declared", p.retire)
 	if p.settledLayout(v) {
-		p.grow(v)
-		p.exchange(v)
+		p.explained(v, "spare memory, most work per copy", p.grow)
+		p.explained(v, "a model with more work per copy needs the memory", p.exchange)
 	}
 	return changed || before != in.Ledger.p.NextIntent
 }
@@ -89,6 +91,7 @@
 		}
 		if leaving := out[i] == stageLeaving; leaving != account.Leaving {
 			account.Leaving, changed = leaving, true
+			p.explainStage(in, e, leaving)
 		}
 	}
 	return out, changed
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -48,7 +48,9 @@
 	Demand   func() map[string]wire.ModelDemand // demand since the previous call
 	Publish  func(wire.Placement)               // called after each stored placement with a copy
 	Log      telemetry.Logger
-	Policy   placement.Policy // PolicyMixed but for measurements of the baselines
+	Explain  func(placement.Decision)       // called for each decision after it was stored; may be nil
+	Reported func(map[string]engine.Report) // called with the reports of each round; may be nil
+	Policy   placement.Policy               // PolicyMixed but for measurements of the baselines
 	// LateBound replaces placement.LateBound in tests, which can't wait for it.
 	LateBound time.Duration
 }
@@ -113,7 +115,9 @@
 		changed = p.rounds.Round(placement.Input{Now: now, Snapshot: snap, Ledger: p.ledger, Alive: alive, Draining: draining, Demand: p.Demand()}) || changed
 	}
 	if changed {
-		if err := p.store(ctx); err != nil {
+		err := p.store(ctx)
+		p.explain(err)
+		if err != nil {
 			return err
 		}
 	}
@@ -123,6 +127,19 @@
 	return nil
 }
 
+// explain passes on the decisions of a round. A store whose answer was lost may have taken effect, so decisions whose
+// store failed are passed on too.
+func (p *planner) explain(stored error) {
+	for _, d := range p.rounds.Decisions() {
+		if stored != nil {
+			d.Reason += " (not known to be stored: " + stored.Error() + ")"
+		}
+		if p.Explain != nil {
+			p.Explain(d)
+		}
+	}
+}
+
 // observe applies the latest reports to the ledger.
 func (p *planner) observe(snap *config.Snapshot, now time.Time) bool {
 	changed := false
@@ -133,6 +150,9 @@
 		return ""
 	}
 	reports := p.polls.take()
+	if p.Reported != nil {
+		p.Reported(reports)
+	}
 	for i := range snap.Endpoints {
 		e := &snap.Endpoints[i]
 		rep, ok := reports[e.Name]
--- a/internal/telemetry/journal.go
+++ b/internal/telemetry/journal.go
@@ -15,6 +15,13 @@
 	Fields   map[string]string `json:"fields,omitempty"`
 }
 
+// Explanation is the answer of /v1/explain.
+type Explanation struct {
+	Subject string     `json:"subject"`
+	Entries []Decision `json:"entries"`           // oldest first
+	Missing []string   `json:"missing,omitempty"` // processes that did not answer
+}
+
 // Journal keeps the latest decisions of a process in bounded memory.
 type Journal struct {
 	mu   sync.Mutex
@@ -40,7 +47,8 @@
 	}
 }
 
-// Find returns the kept decisions about a subject, oldest first; an empty subject matches all.
+// Find returns the kept decisions about a subject, oldest first. A decision is about its subject and about the request,
+// model and endpoint in its fields. An empty subject matches all.
 func (j *Journal) Find(subject string) []Decision {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -53,9 +61,13 @@
 
 func appendMatching(out, in []Decision, subject string) []Decision {
 	for _, d := range in {
-		if subject == "" || d.Subject == subject {
+		if d.about(subject) {
 			out = append(out, d)
 		}
 	}
 	return out
 }
+
+func (d *Decision) about(subject string) bool {
+	return subject == "" || d.Subject == subject || d.Fields["request"] == subject || d.Fields["model"] == subject || d.Fields["endpoint"] == subject
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -82,30 +82,66 @@
 	return errors.Annotate(err, name)
 }
 
+// MustMetrics returns NewMetrics. It panics on an error, which only an invalid name of an instrument can cause.
+func MustMetrics() *Metrics {
+	m, err := NewMetrics()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Counter registers a counter whose value is read at each collection; it must never decrease.
+func (m *Metrics) Counter(name, help string, read func() uint64) error {
+	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(help),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(read()))
+			return nil
+		}))
+	return errors.Annotate(err, name)
+}
+
+// GaugeBy registers a gauge with one value for each value of a label. The label's values must be bounded by the
+// declarations.
+func (m *Metrics) GaugeBy(name, help, label string, read func() map[string]int) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(help),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for k, v := range read() {
+				o.Observe(float64(v), metric.WithAttributes(attribute.String(label, k)))
+			}
+			return nil
+		}))
+	return errors.Annotate(err, name)
+}
+
 // Series records the measurements of one caller and rank. Create it once for each pair and keep it.
 type Series struct {
-	m     *Metrics
-	attrs attribute.Set
+	m      *Metrics
+	attrs  attribute.Set
+	record []metric.RecordOption // made once: BetweenTokens is called for every token
+	add    []metric.AddOption
 }
 
 // Series returns the series of a declared caller and rank.
 func (m *Metrics) Series(caller, rank string) *Series {
-	return &Series{m: m, attrs: attribute.NewSet(attribute.String("caller", caller), attribute.String("rank", rank))}
+	attrs := attribute.NewSet(attribute.String("caller", caller), attribute.String("rank", rank))
+	opt := metric.WithAttributeSet(attrs)
+	return &Series{m: m, attrs: attrs, record: []metric.RecordOption{opt}, add: []metric.AddOption{opt}}
 }
 
 // FirstToken records the time to the first token.
 func (s *Series) FirstToken(d time.Duration) {
-	s.m.firstToken.Record(context.Background(), d.Seconds(), metric.WithAttributeSet(s.attrs))
+	s.m.firstToken.Record(context.Background(), d.Seconds(), s.record...)
 }
 
 // BetweenTokens records the time between two tokens.
 func (s *Series) BetweenTokens(d time.Duration) {
-	s.m.between.Record(context.Background(), d.Seconds(), metric.WithAttributeSet(s.attrs))
+	s.m.between.Record(context.Background(), d.Seconds(), s.record...)
 }
 
 // Queue records the time that a request waited for an endpoint.
 func (s *Series) Queue(d time.Duration) {
-	s.m.queue.Record(context.Background(), d.Seconds(), metric.WithAttributeSet(s.attrs))
+	s.m.queue.Record(context.Background(), d.Seconds(), s.record...)
 }
 
 // Request counts a request by its final result, for example "answered", "refused" or "unknown".
@@ -115,10 +151,10 @@
 
 // Retry counts an attempt after the first.
 func (s *Series) Retry() {
-	s.m.retries.Add(context.Background(), 1, metric.WithAttributeSet(s.attrs))
+	s.m.retries.Add(context.Background(), 1, s.add...)
 }
 
 // Resume counts a stream that continued after a break.
 func (s *Series) Resume() {
-	s.m.resumes.Add(context.Background(), 1, metric.WithAttributeSet(s.attrs))
+	s.m.resumes.Add(context.Background(), 1, s.add...)
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -46,3 +46,29 @@
 		So(len(j.Find("r1")), ShouldEqual, 1)
 	})
 }
+
+// Guards against decisions that change on their way to another process, or lose the process that made them.
+func TestDecisionsBetweenProcesses(t *testing.T) {
+	Convey("Decisions of an entry that a control process passes on", t, func() {
+		at := time.UnixMicro(1_800_000_000_000_000).UTC()
+		d := Decision{Time: at, Part: "dispatch", Subject: "r1", Decision: "grant", Reason: "free slot", Fields: map[string]string{"model": "m1", "endpoint": "e1"}}
+		passed := FromWire("control h2", ToWire(FromWire("entry h2", ToWire([]Decision{d}))))
+		d.Fields = map[string]string{"model": "m1", "endpoint": "e1", "process": "entry h2"}
+		So(passed, ShouldResemble, []Decision{d})
+		j := NewJournal(2)
+		j.Add(d)
+		So(len(j.Find("m1")), ShouldEqual, 1)
+		So(len(j.Find("e1")), ShouldEqual, 1)
+		So(len(j.Find("h2")), ShouldEqual, 0)
+		So(len(ToWire(make([]Decision, 2*maxReported))), ShouldEqual, maxReported)
+	})
+}
+
+// BenchmarkToken measures what the metrics add to each token.
+func BenchmarkToken(b *testing.B) {
+	s := MustMetrics().Series("casa-norte", "urgent")
+	b.ReportAllocs()
+	for b.Loop() {
+		s.BetweenTokens(30 * time.Millisecond)
+	}
+}
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -34,7 +34,8 @@
 	Entry   *Process
 	Control *Process
 
-	EntryAddr, PeerAddr, ControlAddr, AdminAddr string
+	EntryAddr, PeerAddr, ControlAddr string
+	AdminAddr, EntryAdminAddr        string // of the control and the entry process
 }
 
 // Fleet is a running system with stand-ins around it.
@@ -65,7 +66,7 @@
 	for i := range o.Hosts {
 		f.Hosts = append(f.Hosts, &Host{
 			Name: fmt.Sprintf("entry-%02d", i+1), Zone: zones[i%len(zones)],
-			EntryAddr: FreeAddr(), PeerAddr: FreeAddr(), ControlAddr: FreeAddr(), AdminAddr: FreeAddr(),
+			EntryAddr: FreeAddr(), PeerAddr: FreeAddr(), ControlAddr: FreeAddr(), AdminAddr: FreeAddr(), EntryAdminAddr: FreeAddr(),
 		})
 	}
 	for _, h := range f.Hosts {
@@ -166,7 +167,7 @@
 
 // StartEntry starts the entry process of a host.
 func (f *Fleet) StartEntry(h *Host) (err error) {
-	args := []string{"--host", h.Name, "--zone", h.Zone, "--listen", h.EntryAddr, "--peer-listen", h.PeerAddr, "--control", h.ControlAddr}
+	args := []string{"--host", h.Name, "--zone", h.Zone, "--listen", h.EntryAddr, "--peer-listen", h.PeerAddr, "--control", h.ControlAddr, "--admin-listen", h.EntryAdminAddr}
 	h.Entry, err = f.Start("entry "+h.Name, "sycamore-entry", append(args, f.Options.Entry...)...)
 	return err
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -3,7 +3,7 @@
 //msgp:tuple Hello Heartbeat Head HeadFile HeadRequest HeadReply FileRequest FileReply File Subscribe ConfigUpdate
 //msgp:tuple Placement EndpointPlacement Resident Intent PlacementUpdate Member MembersUpdate EndpointState EndpointsUpdate
 //msgp:tuple ModelDemand EntryStatus DemandReport Ask Queued Grant Refuse Done Cancel Preempt Running Resync
-//msgp:tuple ClaimRequest ClaimReply ClaimResult Ack
+//msgp:tuple ClaimRequest ClaimReply ClaimResult Ack Inquiry InquiryReply Decision DecisionField
 
 // Role names the process that opened a connection.
 type Role uint8
@@ -195,6 +195,7 @@
 	Resumed      bool   // the attempt continues a stream that has begun; it is not refused for its deadline
 	Preemptions  uint8  // how often the request has been preempted
 	Bound        string // endpoint that the entry chose alone: the dispatcher only counts it and does not answer
+	Request      string // request id of the caller, for the decision journal
 }
 
 // Queued tells that an Ask waits in the queue.
@@ -280,3 +281,30 @@
 
 // Ack confirms a message that has no other reply.
 type Ack struct{}
+
+// Inquiry asks a process for what it knows when an operator asks. A control process also asks the entries subscribed to
+// it. It costs nothing while no operator asks.
+type Inquiry struct {
+	Subject string // request id, model or endpoint whose decisions are wanted, empty for none
+	Reports bool   // the latest reports of endpoints are wanted, which only the holder of the lease has
+}
+
+// InquiryReply answers an Inquiry.
+type InquiryReply struct {
+	Decisions []Decision
+	Reports   []EndpointState
+	Missing   []string // processes that did not answer in time
+}
+
+// Decision is an entry of a process's decision journal.
+type Decision struct {
+	UnixMicro int64 // by the clock of the process, for display only
+	Part      string
+	Subject   string
+	Decision  string
+	Reason    string
+	Fields    []DecisionField // in the order of their names
+}
+
+// DecisionField is one further fact about a decision. A list of them stands for a map, which the protocol does not allow.
+type DecisionField struct{ Name, Value string }
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -67,8 +67,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Ask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 12
-	o = append(o, 0x9c)
+	// array header, size 13
+	o = append(o, 0x9d)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendString(o, z.Caller)
 	o = msgp.AppendString(o, z.Rank)
@@ -84,6 +84,7 @@
 	o = msgp.AppendBool(o, z.Resumed)
 	o = msgp.AppendUint8(o, z.Preemptions)
 	o = msgp.AppendString(o, z.Bound)
+	o = msgp.AppendString(o, z.Request)
 	return
 }
 
@@ -95,8 +96,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 12 {
-		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -172,6 +173,11 @@
 		err = msgp.WrapError(err, "Bound")
 		return
 	}
+	z.Request, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
+		return
+	}
 	o = bts
 	return
 }
@@ -182,7 +188,7 @@
 	for za0001 := range z.Exclude {
 		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
 	}
-	s += msgp.BoolSize + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Bound)
+	s += msgp.BoolSize + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Bound) + msgp.StringPrefixSize + len(z.Request)
 	return
 }
 
@@ -511,6 +517,151 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Decision) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendInt64(o, z.UnixMicro)
+	o = msgp.AppendString(o, z.Part)
+	o = msgp.AppendString(o, z.Subject)
+	o = msgp.AppendString(o, z.Decision)
+	o = msgp.AppendString(o, z.Reason)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Fields)))
+	for za0001 := range z.Fields {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Fields[za0001].Name)
+		o = msgp.AppendString(o, z.Fields[za0001].Value)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Decision) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.UnixMicro, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "UnixMicro")
+		return
+	}
+	z.Part, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	z.Subject, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Subject")
+		return
+	}
+	z.Decision, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Decision")
+		return
+	}
+	z.Reason, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fields")
+		return
+	}
+	if cap(z.Fields) >= int(zb0002) {
+		z.Fields = (z.Fields)[:zb0002]
+	} else {
+		z.Fields = make([]DecisionField, zb0002)
+	}
+	for za0001 := range z.Fields {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Fields", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Fields[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Fields", za0001, "Name")
+			return
+		}
+		z.Fields[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Fields", za0001, "Value")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Decision) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.StringPrefixSize + len(z.Part) + msgp.StringPrefixSize + len(z.Subject) + msgp.StringPrefixSize + len(z.Decision) + msgp.StringPrefixSize + len(z.Reason) + msgp.ArrayHeaderSize
+	for za0001 := range z.Fields {
+		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z DecisionField) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Name)
+	o = msgp.AppendString(o, z.Value)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DecisionField) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Name, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.Value, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z DecisionField) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Value)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *DemandReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1559,6 +1710,163 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Inquiry) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Subject)
+	o = msgp.AppendBool(o, z.Reports)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Inquiry) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Subject, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Subject")
+		return
+	}
+	z.Reports, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reports")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Inquiry) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Subject) + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *InquiryReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Decisions)))
+	for za0001 := range z.Decisions {
+		o, err = z.Decisions[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Decisions", za0001)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Reports)))
+	for za0002 := range z.Reports {
+		o, err = z.Reports[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Reports", za0002)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Missing)))
+	for za0003 := range z.Missing {
+		o = msgp.AppendString(o, z.Missing[za0003])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *InquiryReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Decisions")
+		return
+	}
+	if cap(z.Decisions) >= int(zb0002) {
+		z.Decisions = (z.Decisions)[:zb0002]
+	} else {
+		z.Decisions = make([]Decision, zb0002)
+	}
+	for za0001 := range z.Decisions {
+		bts, err = z.Decisions[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Decisions", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reports")
+		return
+	}
+	if cap(z.Reports) >= int(zb0003) {
+		z.Reports = (z.Reports)[:zb0003]
+	} else {
+		z.Reports = make([]EndpointState, zb0003)
+	}
+	for za0002 := range z.Reports {
+		bts, err = z.Reports[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Reports", za0002)
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Missing")
+		return
+	}
+	if cap(z.Missing) >= int(zb0004) {
+		z.Missing = (z.Missing)[:zb0004]
+	} else {
+		z.Missing = make([]string, zb0004)
+	}
+	for za0003 := range z.Missing {
+		z.Missing[za0003], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Missing", za0003)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *InquiryReply) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Decisions {
+		s += z.Decisions[za0001].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Reports {
+		s += z.Reports[za0002].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Missing {
+		s += msgp.StringPrefixSize + len(z.Missing[za0003])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Intent) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,6 +39,8 @@
 	KindClaimReply
 	KindClaimResult
 	KindAck
+	KindInquiry
+	KindInquiryReply
 )
 
 // Message is implemented by every struct of this package that travels in a frame of its own.
@@ -83,6 +85,8 @@
 	KindClaimReply:      func() Message { return new(ClaimReply) },
 	KindClaimResult:     func() Message { return new(ClaimResult) },
 	KindAck:             func() Message { return new(Ack) },
+	KindInquiry:         func() Message { return new(Inquiry) },
+	KindInquiryReply:    func() Message { return new(InquiryReply) },
 }
 
 func (*Hello) Kind() Kind           { return KindHello }
@@ -110,3 +114,5 @@
 func (*ClaimReply) Kind() Kind      { return KindClaimReply }
 func (*ClaimResult) Kind() Kind     { return KindClaimResult }
 func (*Ack) Kind() Kind             { return KindAck }
+func (*Inquiry) Kind() Kind         { return KindInquiry }
+func (*InquiryReply) Kind() Kind    { return KindInquiryReply }
--- a/test/integration/operator_test.go
+++ b/test/integration/operator_test.go
@@ -43,7 +43,7 @@
 	}
 	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/v1/explain" {
-			w.Write([]byte(`[{"time":"2027-01-01T00:00:00Z","part":"dispatch","subject":"` + r.URL.Query().Get("subject") + `"}]`))
+			w.Write([]byte(`{"entries":[{"time":"2027-01-01T00:00:00Z","part":"dispatch","subject":"` + r.URL.Query().Get("subject") + `"}]}`))
 			return
 		}
 		w.Write([]byte(`{"host":"h1","revision":1,"lease":{"holder":"h1","epoch":3},"endpoints":[{"endpoint":"servidor-ia-1","residents":[{"name":"pedidos-chat"}],"running":3}]}`))
@@ -95,7 +95,7 @@
 	step("history", 0, "added 90-ana.yaml", p, cmd("history"))
 	step("status", 0, "pedidos-chat", c, cmd("status"))
 	step("status away", 3, "unavailable", cmd("--control", testbed.FreeAddr(), "status"))
-	step("explain", 0, "subject=m1", c, cmd("explain", "m1"))
+	step("explain", 0, "dispatch  m1", c, cmd("explain", "m1"))
 	step("maintenance", 0, "tunja-power-2027-01", p, c, cmd("maintenance"))
 	step("hash-key", 0, config.Digest([]byte("demo-quesos-la-cabrera")), cmd("hash-key"))
 }
