--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -33,7 +33,7 @@
 	Preemptible  bool          `yaml:"preemptible"`  // running requests may be paused for more urgent ones
 }
 
-// Caller is a customer application with its keys.
+// Caller is an application with its API keys.
 type Caller struct {
 	Name      string   `yaml:"name"`
 	KeyHashes []string `yaml:"keyHashes"` // hex SHA-256 of each API key
--- a/internal/control/leaseduty.go
+++ b/internal/control/leaseduty.go
@@ -216,7 +216,7 @@
 		Snapshot: func() *config.Snapshot { return l.c.view.Load().snapshot },
 		Valid:    func() bool { return l.valid(epoch) },
 		Demand:   l.c.demand.take, Publish: l.c.publishPlacement, Log: l.c.opts.Log.Part("planner"),
-		Explain: l.c.observer.planned, Reported: l.c.observer.reported,
+		Explain: l.c.observer.planned, Reported: l.c.observer.reported, Frozen: l.c.observer.froze,
 	}
 }
 
@@ -229,6 +229,7 @@
 	l.plan.stop()
 	l.plan.lapse.Stop()
 	<-l.plan.ended
+	l.c.observer.froze(nil)
 	l.log.Info().Uint64("epoch", l.plan.epoch).Msg("Lease no longer held.")
 	l.c.observer.note("lease", "lease", "no longer held", fmt.Sprintf("epoch %d", l.plan.epoch))
 	l.plan = nil
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sycamoredeal/internal/engine"
@@ -30,6 +31,7 @@
 type observer struct {
 	metrics   *telemetry.Metrics
 	journal   *telemetry.Journal
+	frozen    atomic.Bool   // the planner of this process can't store the placement
 	inquiries chan struct{} // one element for each inquiry that is being answered
 
 	mu      sync.Mutex
@@ -81,6 +83,18 @@
 	o.journal.Add(telemetry.Decision{Part: "planner", Subject: subject, Decision: d.Action, Reason: d.Reason, Fields: fields})
 }
 
+// froze records whether the planner can store the placement.
+func (o *observer) froze(err error) {
+	if o.frozen.Swap(err != nil) == (err != nil) {
+		return
+	}
+	if err != nil {
+		o.note("planner", "placement", "frozen", err.Error())
+	} else {
+		o.note("planner", "placement", "no longer frozen", "")
+	}
+}
+
 // reported keeps the latest reports of engines.
 func (o *observer) reported(reports map[string]engine.Report) {
 	o.mu.Lock()
@@ -240,6 +254,12 @@
 	gauge("sycamore.intents", "Orders to engines that are stored and not resolved.", func() float64 { return float64(intents(c.view.Load().placement)) })
 	gauge("sycamore.members", "Hosts of the cell that this process hears, itself included.", func() float64 { return float64(len(c.view.Load().live)) })
 	gauge("sycamore.unplaced", "Declared models and adapters without a resident copy in the cell.", func() float64 { return float64(unplaced(c.view.Load())) })
+	gauge("sycamore.placement.frozen", "1 while the planner in this process can't store the placement.", func() float64 {
+		if c.observer.frozen.Load() {
+			return 1
+		}
+		return 0
+	})
 	gauge("sycamore.leaving", "Endpoints that take no new work.", func() float64 { return float64(len(leavingReasons(c.view.Load(), time.Now()))) })
 	count("sycamore.control.bytes.sent", "Bytes sent on control connections.", c.counters.Sent.Load)
 	count("sycamore.control.bytes.received", "Bytes received on control connections.", c.counters.Received.Load)
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -84,7 +84,7 @@
 
 func (l *link) dropBackup() {
 	if l.backup != nil {
-		l.e.opts.Log.Info().Str("address", l.backup.Addr()).Msg("Control process of another host left.")
+		l.e.opts.Log.Info().Str("address", l.backup.Addr()).Msg("Back to the control process of this host.")
 		l.backup.Close()
 		l.backup, l.failed = nil, ""
 	}
--- a/internal/operator/maintenance.go
+++ b/internal/operator/maintenance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/wire"
 )
@@ -49,7 +50,7 @@
 func Windows(d config.Declarations, status *Status, now time.Time) []WindowStatus {
 	var out []WindowStatus
 	for _, m := range d.Maintenance {
-		w := WindowStatus{Name: m.Name, Start: m.Start, End: m.End, Drain: m.Drain.String(), State: windowState(m, now), Hosts: m.Hosts}
+		w := WindowStatus{Name: m.Name, Start: m.Start, End: m.End, Drain: placement.Drain(&m).String(), State: windowState(m, now), Hosts: m.Hosts}
 		for _, e := range d.Endpoints {
 			if slices.Contains(m.Hosts, e.Host) {
 				w.Endpoints = append(w.Endpoints, endpointStatus(e, status))
@@ -115,7 +116,7 @@
 		return "past"
 	case !now.Before(m.Start):
 		return "open"
-	case !now.Before(m.Start.Add(-m.Drain)):
+	case !now.Before(m.Start.Add(-placement.Drain(&m))):
 		return "draining"
 	}
 	return "planned"
--- a/internal/operator/maintenance_test.go
+++ b/internal/operator/maintenance_test.go
@@ -12,7 +12,7 @@
 func TestWindowObstacles(t *testing.T) {
 	d := config.Declarations{
 		Endpoints:   []config.Endpoint{{Name: "e1", Host: "g1"}, {Name: "e2", Host: "g2"}, {Name: "e3", Host: "g3"}, {Name: "e4", Host: "g1"}},
-		Maintenance: []config.Maintenance{{Name: "power", Hosts: []string{"g1"}, Start: time.Now(), End: time.Now().Add(time.Hour)}},
+		Maintenance: []config.Maintenance{{Name: "soon", Start: time.Now().Add(time.Minute), End: time.Now().Add(time.Hour)}, {Name: "power", Hosts: []string{"g1"}, Start: time.Now(), End: time.Now().Add(time.Hour)}},
 	}
 	status := &Status{Endpoints: []EndpointStatus{
 		{Name: "e1", Residents: names{"both", "only", "inside", "leaving"}, Running: 2, Waiting: 1},
@@ -21,6 +21,9 @@
 		{Name: "e4", Residents: names{"inside"}},
 	}}
 	w := Windows(d, status, time.Now())[0]
+	if s := Windows(d, status, time.Now())[1].State; s != "draining" {
+		t.Errorf("a window without a declared drain is %s a minute before its start, want draining by the default", s)
+	}
 	if want := []string{"only", "inside", "leaving"}; !slices.Equal(w.OnlyCopies, want) {
 		t.Errorf("without another copy: %v, want %v", w.OnlyCopies, want)
 	}
--- a/internal/placement/maintenance.go
+++ b/internal/placement/maintenance.go
@@ -11,6 +11,14 @@
 // declaration gives none.
 const DefaultDrain = 2 * time.Minute
 
+// Drain returns the time between the end of new work on a window's hosts and its start.
+func Drain(m *config.Maintenance) time.Duration {
+	if m.Drain <= 0 {
+		return DefaultDrain
+	}
+	return m.Drain
+}
+
 // stage tells how far an endpoint is on its way out.
 type stage uint8
 
@@ -33,11 +41,7 @@
 	}
 	for i := range snap.Maintenance {
 		m := &snap.Maintenance[i]
-		drain := m.Drain
-		if drain <= 0 {
-			drain = DefaultDrain
-		}
-		if slices.Contains(m.Hosts, e.Host) && now.Before(m.End) && !now.Before(m.Start.Add(-drain)) {
+		if slices.Contains(m.Hosts, e.Host) && now.Before(m.End) && !now.Before(m.Start.Add(-Drain(m))) {
 			return "maintenance window " + m.Name
 		}
 	}
@@ -53,13 +57,9 @@
 		if !slices.Contains(m.Hosts, e.Host) || !now.Before(m.End) {
 			continue
 		}
-		drain := m.Drain
-		if drain <= 0 {
-			drain = DefaultDrain
-		}
 		hosts := max(1, len(m.Hosts))
 		lead := time.Minute + time.Duration(2*float64(copies*hosts)/rate*float64(time.Second))
-		stop := m.Start.Add(-drain)
+		stop := m.Start.Add(-Drain(m))
 		if !now.Before(stop) {
 			return stageLeaving
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -49,6 +49,7 @@
 	Publish  func(wire.Placement)               // called after each stored placement with a copy
 	Log      telemetry.Logger
 	Explain  func(placement.Decision)       // called for each decision after it was stored; may be nil
+	Frozen   func(error)                    // called when the placement can't be stored, and with nil when it can again; may be nil
 	Reported func(map[string]engine.Report) // called with the reports of each round; may be nil
 	Policy   placement.Policy               // PolicyMixed but for measurements of the baselines
 	// LateBound replaces placement.LateBound in tests, which can't wait for it.
@@ -67,11 +68,13 @@
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
 	for {
-		if err := p.round(ctx); errors.Is(err, ErrSuperseded) {
+		err := p.round(ctx)
+		if errors.Is(err, ErrSuperseded) {
 			p.Log.Info().Uint64("epoch", epoch).Msg("A later holder plans.")
 			return err
-		} else if err != nil && ctx.Err() == nil {
-			p.Log.Warn().Err(err).Msg("Placement is frozen.")
+		}
+		if ctx.Err() == nil {
+			p.freeze(err)
 		}
 		select {
 		case <-t.C:
@@ -92,6 +95,7 @@
 	ledger *placement.Ledger
 	rounds placement.Planner
 	sender placement.Sender
+	frozen bool        // the latest round could not store the placement
 	stale  atomic.Bool // an engine refused an order because of its fencing token
 }
 
@@ -140,6 +144,22 @@
 	}
 }
 
+// freeze notes whether the placement can be stored. It logs changes only, because rounds go on during an outage.
+func (p *planner) freeze(err error) {
+	if (err != nil) == p.frozen {
+		return
+	}
+	p.frozen = err != nil
+	if p.frozen {
+		p.Log.Warn().Err(err).Msg("Placement is frozen.")
+	} else {
+		p.Log.Info().Msg("Placement is no longer frozen.")
+	}
+	if p.Frozen != nil {
+		p.Frozen(err)
+	}
+}
+
 // observe applies the latest reports to the ledger.
 func (p *planner) observe(snap *config.Snapshot, now time.Time) bool {
 	changed := false
@@ -188,11 +208,11 @@
 			p.stale.Store(true)
 		}
 		if err != nil && ctx.Err() == nil {
-			p.Log.Warn().Err(err).Uint64("order", in.ID).Msg("Order failed.")
+			p.Log.Warn().Err(err).Uint64("order", in.ID).Str("address", addr).Str("name", in.Name).Msg("Order failed.")
 		}
 	})
 	if err != nil {
-		p.Log.Warn().Err(err).Uint64("order", in.ID).Msg("No worker for an order.")
+		p.Log.Warn().Err(err).Uint64("order", in.ID).Str("address", addr).Str("name", in.Name).Msg("No worker for an order.")
 	}
 }
 
--- a/internal/telemetry/journal.go
+++ b/internal/telemetry/journal.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,8 +34,14 @@
 // NewJournal returns a journal that keeps the latest size decisions.
 func NewJournal(size int) *Journal { return &Journal{ring: make([]Decision, size)} }
 
-// Add records a decision. A zero Time is set to now.
+// maxReason bounds the text that an endpoint or an error contributes, so that a journal's memory is bounded in bytes too.
+const maxReason = 256 // bytes
+
+// Add records a decision. A zero Time is set to now, and a long Reason is cut.
 func (j *Journal) Add(d Decision) {
+	if len(d.Reason) > maxReason {
+		d.Reason = strings.Clone(strings.ToValidUTF8(d.Reason[:maxReason], "")) + "..."
+	}
 	if d.Time.IsZero() {
 		d.Time = time.Now()
 	}
