Bound callers' headers and the answers of the object API

The callers' port took hertz's default of 1 MiB of headers for each connection; it is 64 KiB now. An answer of the object API that was too long or malformed gave "unexpected EOF" without its path; the error names it now and stays of the class whose outcome is unknown. An answer with one object is read to 2 MiB instead of 64.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -6,6 +6,7 @@
 )
 
 const (
+	maxHeaderBytes     = 64 << 10               // of a request; hertz's default is 1 MiB for each connection
 	bodyReadAhead      = 64 << 10               // bytes
 	callerWriteTimeout = time.Minute            // for a caller that does not read its answer
 	exitWait           = 500 * time.Millisecond // for answers that are written but not yet flushed
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -130,6 +130,7 @@
 		server.WithMaxRequestBodySize(min(e.opts.MaxBody, bodyReadAhead)),
 		// The entry waits for its requests before the shutdown. The default of 5 s would also wait for idle connections.
 		server.WithExitWaitTime(exitWait),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithWriteTimeout(callerWriteTimeout),
 		server.WithSenseClientDisconnection(true),
 		server.WithDisablePrintRoute(true),
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -21,7 +21,9 @@
 	callTimeout = time.Second
 	// watchSeconds is the time after which the server is asked to end a watch.
 	watchSeconds = 30
-	maxObject    = 1 << 20 // platform limit on a value
+	maxObject    = 1 << 20        // platform limit on a value
+	maxReply     = 2 * maxObject  // bytes of an answer with one object, or of a watch event
+	maxList      = 64 * maxObject // bytes of a list
 )
 
 // Object in the form that the API sends.
@@ -128,7 +130,7 @@
 		return err
 	}
 	sc := bufio.NewScanner(resp.Body)
-	sc.Buffer(make([]byte, 64<<10), 2*maxObject)
+	sc.Buffer(make([]byte, 64<<10), maxReply)
 	for sc.Scan() {
 		var e apiEvent
 		if err := json.Unmarshal(sc.Bytes(), &e); err != nil {
@@ -172,8 +174,16 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, 64*maxObject)).Decode(out); err != nil {
-		return unavailable(err)
+	limit := int64(maxList)
+	if _, ok := out.(*apiObject); ok {
+		limit = maxReply
+	}
+	// The error stays "unavailable": a change may have taken effect although its answer can't be read.
+	body := &io.LimitedReader{R: resp.Body, N: limit}
+	if err := json.NewDecoder(body).Decode(out); err != nil && body.N <= 0 {
+		return unavailable(errors.Errorf("answer to %s %s is longer than %d bytes", method, path, limit))
+	} else if err != nil {
+		return unavailable(errors.Annotatef(err, "answer to %s %s", method, path))
 	}
 	return nil
 }
