--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"sycamoredeal/internal/control"
+	"sycamoredeal/internal/peertls"
 	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/settings"
@@ -23,6 +24,11 @@
 		Poll: s.Poll, Retention: s.KeyRetention, Placement: placement.Policies[s.Placement], LateBound: s.LateBound,
 		Store: platform.NewClient(s.Platform, s.PlatformToken), Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "control"),
 	}
+	var err error
+	if o.TLS, err = (peertls.Files{Cert: s.TlsCert, Key: s.TlsKey, Authority: s.TlsCa}).Load(); err != nil {
+		o.Log.Error().Err(err).Msg("TLS settings not usable.")
+		os.Exit(1)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := control.New(o).Run(ctx); err != nil {
--- a/internal/control/leaseduty.go
+++ b/internal/control/leaseduty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -189,6 +190,7 @@
 	l.plan = p
 	l.epoch.Store(epoch)
 	l.log.Info().Uint64("epoch", epoch).Msg("Lease held.")
+	l.c.observer.note("lease", "lease", "held", fmt.Sprintf("epoch %d", epoch))
 	l.c.events.TryPush(evBeat{})
 	directory := make(chan struct{})
 	go func() {
@@ -214,8 +216,9 @@
 		Snapshot: func() *config.Snapshot { return l.c.view.Load().snapshot },
 		Valid:    func() bool { return l.valid(epoch) },
 		Demand:   l.c.demand.take, Publish: l.c.publishPlacement, Log: l.c.opts.Log.Part("planner"),
-		Policy: l.c.opts.Placement,
+		Policy:    l.c.opts.Placement,
 		LateBound: l.c.opts.LateBound,
+		Explain:   l.c.observer.planned, Reported: l.c.observer.reported, Frozen: l.c.observer.froze,
 	}
 }
 
@@ -228,7 +231,9 @@
 	l.plan.stop()
 	l.plan.lapse.Stop()
 	<-l.plan.ended
+	l.c.observer.froze(nil)
 	l.log.Info().Uint64("epoch", l.plan.epoch).Msg("Lease no longer held.")
+	l.c.observer.note("lease", "lease", "no longer held", fmt.Sprintf("epoch %d", l.plan.epoch))
 	l.plan = nil
 	l.epoch.Store(0)
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -22,7 +22,8 @@
 		d := &o.Decision
 		log.Debug().Str("entry", o.To).Uint64("id", o.ID).Str("caller", d.Caller).Str("rank", d.Rank).Str("model", d.Model).
 			Str("endpoint", o.Endpoint).Str("reason", d.Reason).Uint32("waitMs", d.WaitMs).Int("candidates", d.Candidates).
-			Float64("score", d.Score).Msg("Decided.")
+			Float64("score", d.Score).Str("request", d.Request).Msg("Decided.")
+		e.observer.dispatched(o)
 	}
 	policy := routing.Policy(e.opts.Policy)
 	firstCome := policy == routing.PolicyFirstCome
@@ -33,7 +34,7 @@
 		Hello:  wire.Hello{Host: e.opts.Host, Role: wire.RoleEntry, Cell: e.opts.Cell, Zone: e.opts.Zone, Incarnation: incarnation},
 		Policy: policy,
 		Seed:   incarnation, // entries must not make the same random choices
-		View:   e.view.Load,
+		View:   e.view.Load, TLS: e.opts.TLS, Counters: &e.observer.path, Journal: e.observer.alone,
 		Server: binding.NewServer(dispatch.Config{Seed: incarnation, FirstCome: firstCome}, e.view.Load, journal),
 	})
 }
@@ -48,7 +49,9 @@
 	o := b.Options()
 	var ln *transport.Server
 	if e.opts.PeerListen != "" {
-		if ln, err = transport.Listen(ctx, e.opts.PeerListen, o.Server.Options(o.Hello)); err != nil {
+		serve := o.Server.Options(o.Hello)
+		serve.TLS, serve.Counters, serve.OnFailed = e.opts.TLS, &e.observer.path, e.failed
+		if ln, err = transport.Listen(ctx, e.opts.PeerListen, serve); err != nil {
 			return nil, errors.Annotate(err, "serve other entries")
 		}
 	}
--- a/internal/operator/maintenance.go
+++ b/internal/operator/maintenance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/wire"
 )
@@ -20,6 +21,11 @@
 	Hosts     []string         `json:"hosts"`
 	Endpoints []EndpointStatus `json:"endpoints"` // residents and intents as far as a status was given
 	Services  []string         `json:"services,omitempty"`
+
+	// OnlyCopies are the models and adapters that no endpoint outside the window's hosts holds; the window must not open
+	// before they are copied. InProgress counts the requests on the window's endpoints. Both need a status.
+	OnlyCopies []string `json:"onlyCopies"`
+	InProgress int      `json:"inProgress"`
 }
 
 // StoredDeclarations returns the declarations of the stored head.
@@ -44,7 +50,7 @@
 func Windows(d config.Declarations, status *Status, now time.Time) []WindowStatus {
 	var out []WindowStatus
 	for _, m := range d.Maintenance {
-		w := WindowStatus{Name: m.Name, Start: m.Start, End: m.End, Drain: m.Drain.String(), State: windowState(m, now), Hosts: m.Hosts}
+		w := WindowStatus{Name: m.Name, Start: m.Start, End: m.End, Drain: placement.Drain(&m).String(), State: windowState(m, now), Hosts: m.Hosts}
 		for _, e := range d.Endpoints {
 			if slices.Contains(m.Hosts, e.Host) {
 				w.Endpoints = append(w.Endpoints, endpointStatus(e, status))
@@ -57,12 +63,39 @@
 				}
 			}
 		}
+		w.obstacles(status)
 		out = append(out, w)
 	}
 	slices.SortStableFunc(out, func(a, b WindowStatus) int { return a.Start.Compare(b.Start) })
 	return out
 }
 
+// obstacles finds what is still in the way of a window.
+func (w *WindowStatus) obstacles(status *Status) {
+	w.OnlyCopies = []string{}
+	if status == nil {
+		return
+	}
+	inside := make(map[string]bool)
+	for _, e := range w.Endpoints {
+		inside[e.Name] = true
+		w.InProgress += e.Running + e.Waiting
+	}
+	elsewhere := make(map[string]bool)
+	for _, e := range status.Endpoints {
+		for _, r := range e.Residents {
+			elsewhere[r] = elsewhere[r] || !inside[e.Name] && !e.Leaving
+		}
+	}
+	for _, e := range w.Endpoints {
+		for _, r := range e.Residents {
+			if !elsewhere[r] && !slices.Contains(w.OnlyCopies, r) {
+				w.OnlyCopies = append(w.OnlyCopies, r)
+			}
+		}
+	}
+}
+
 func endpointStatus(e config.Endpoint, status *Status) EndpointStatus {
 	out := EndpointStatus{Name: e.Name, Host: e.Host, Leaving: e.Leaving}
 	if status == nil {
@@ -83,7 +116,7 @@
 		return "past"
 	case !now.Before(m.Start):
 		return "open"
-	case !now.Before(m.Start.Add(-m.Drain)):
+	case !now.Before(m.Start.Add(-placement.Drain(&m))):
 		return "draining"
 	}
 	return "planned"
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -46,7 +46,10 @@
 	Demand   func() map[string]wire.ModelDemand // demand since the previous call
 	Publish  func(wire.Placement)               // called after each stored placement with a copy
 	Log      telemetry.Logger
-	Policy   placement.Policy // PolicyMixed but for measurements of the baselines
+	Explain  func(placement.Decision)       // called for each decision after it was stored; may be nil
+	Frozen   func(error)                    // called when the placement can't be stored, and with nil when it can again; may be nil
+	Reported func(map[string]engine.Report) // called with the reports of each round; may be nil
+	Policy   placement.Policy               // PolicyMixed but for measurements of the baselines
 	// LateBound replaces placement.LateBound if it is not 0.
 	LateBound time.Duration
 }
@@ -66,11 +69,13 @@
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
 	for {
-		if err := p.round(ctx); errors.Is(err, ErrSuperseded) {
+		err := p.round(ctx)
+		if errors.Is(err, ErrSuperseded) {
 			p.Log.Info().Uint64("epoch", epoch).Msg("A later holder plans.")
 			return err
-		} else if err != nil && ctx.Err() == nil {
-			p.Log.Warn().Err(err).Msg("Placement is frozen.")
+		}
+		if ctx.Err() == nil {
+			p.freeze(err)
 		}
 		select {
 		case <-t.C:
@@ -91,6 +96,7 @@
 	ledger *placement.Ledger
 	rounds placement.Planner
 	sender placement.Sender
+	frozen bool        // the latest round could not store the placement
 	stale  atomic.Bool // an engine refused an order because of its fencing token
 }
 
@@ -114,7 +120,9 @@
 		changed = p.rounds.Round(placement.Input{Now: now, Snapshot: snap, Ledger: p.ledger, Alive: alive, Draining: draining, Demand: p.Demand()}) || changed
 	}
 	if changed {
-		if err := p.store(ctx); err != nil {
+		err := p.store(ctx)
+		p.explain(err)
+		if err != nil {
 			return err
 		}
 	}
@@ -124,6 +132,35 @@
 	return nil
 }
 
+// explain passes on the decisions of a round. A store whose answer was lost may have taken effect, so decisions whose
+// store failed are passed on too.
+func (p *planner) explain(stored error) {
+	for _, d := range p.rounds.Decisions() {
+		if stored != nil {
+			d.Reason += " (not known to be stored: " + stored.Error() + ")"
+		}
+		if p.Explain != nil {
+			p.Explain(d)
+		}
+	}
+}
+
+// freeze notes whether the placement can be stored. It logs changes only, because rounds go on during an outage.
+func (p *planner) freeze(err error) {
+	if (err != nil) == p.frozen {
+		return
+	}
+	p.frozen = err != nil
+	if p.frozen {
+		p.Log.Warn().Err(err).Msg("Placement is frozen.")
+	} else {
+		p.Log.Info().Msg("Placement is no longer frozen.")
+	}
+	if p.Frozen != nil {
+		p.Frozen(err)
+	}
+}
+
 // observe applies the latest reports to the ledger.
 func (p *planner) observe(snap *config.Snapshot, now time.Time) bool {
 	changed := false
@@ -134,6 +171,9 @@
 		return ""
 	}
 	reports := p.polls.take()
+	if p.Reported != nil {
+		p.Reported(reports)
+	}
 	for i := range snap.Endpoints {
 		e := &snap.Endpoints[i]
 		rep, ok := reports[e.Name]
@@ -173,11 +213,11 @@
 			p.stale.Store(true)
 		}
 		if err != nil && ctx.Err() == nil {
-			p.Log.Warn().Err(err).Uint64("order", in.ID).Msg("Order failed.")
+			p.Log.Warn().Err(err).Uint64("order", in.ID).Str("address", addr).Str("name", in.Name).Msg("Order failed.")
 		}
 	})
 	if err != nil {
-		p.Log.Warn().Err(err).Uint64("order", in.ID).Msg("No worker for an order.")
+		p.Log.Warn().Err(err).Uint64("order", in.ID).Str("address", addr).Str("name", in.Name).Msg("No worker for an order.")
 	}
 }
 
