Count request-path messages apart and add sycamore-slopes

Change: counters by purpose in control and entry processes, a tool that starts fleets of several sizes. Measured: nothing yet; package tests pass.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo build test generate lint
+.PHONY: demo build test generate lint slopes
 
 demo:
 	go run ./cmd/sycamore-demo
@@ -16,3 +16,7 @@
 	test -z "$$(gofmt -l .)"
 	go vet ./...
 	go tool staticcheck ./...
+
+# Arguments of the tool, for example SLOPES="--short --dir /tmp".
+slopes:
+	go run ./cmd/sycamore-slopes $(SLOPES)
--- a/internal/binding/binder.go
+++ b/internal/binding/binder.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/routing"
+	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
 )
 
@@ -20,7 +21,8 @@
 	ProbeAfter   time.Duration // silence of the dispatcher after which it is probed, default 100 ms
 	SilentFor    time.Duration // silence of the dispatcher after which its queue is left, default 400 ms
 	View         func() *routing.View
-	Server       *Server // in-process dispatcher
+	Server       *Server             // in-process dispatcher
+	Counters     *transport.Counters // of messages with the dispatcher; may be nil
 }
 
 func (o *Options) defaults() {
--- a/internal/binding/link.go
+++ b/internal/binding/link.go
@@ -117,10 +117,11 @@
 		b.closeLink(b.swap(n))
 		if !own {
 			client := transport.Dial(ctx, addr, transport.Options{
-				Hello:   b.opts.Hello,
-				Handler: func(c *transport.Conn, _ uint64, m wire.Message) { b.onMessage(n, c, m) },
-				OnUp:    func(c *transport.Conn) { b.onUp(n, c) },
-				OnDown:  func(c *transport.Conn) { b.onDown(n, c) },
+				Hello:    b.opts.Hello,
+				Counters: b.opts.Counters,
+				Handler:  func(c *transport.Conn, _ uint64, m wire.Message) { b.onMessage(n, c, m) },
+				OnUp:     func(c *transport.Conn) { b.onUp(n, c) },
+				OnDown:   func(c *transport.Conn) { b.onDown(n, c) },
 			})
 			b.mu.Lock()
 			n.client = client
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
 )
 
@@ -33,8 +34,10 @@
 	Dispatcher       string                   `json:"dispatcher"`
 	Members          []memberStatus           `json:"members"`
 	Endpoints        []wire.EndpointPlacement `json:"endpoints"`
-	Leaving          []wire.EndpointState     `json:"leaving"` // endpoints that take no new work
-	ControlBytes     ByteStatus               `json:"controlBytes"`
+	Leaving          []wire.EndpointState     `json:"leaving"`      // endpoints that take no new work
+	ControlBytes     ByteStatus               `json:"controlBytes"` // messages that leave the host, without claims
+	LocalBytes       ByteStatus               `json:"localBytes"`   // messages with the entry process of the same host
+	ClaimBytes       ByteStatus               `json:"claimBytes"`   // claims of requests, which are not control traffic
 	PlatformCalls    uint64                   `json:"platformCalls"`
 	Orders           uint64                   `json:"orders"` // orders to engines since the cell exists
 }
@@ -46,10 +49,16 @@
 	Held   uint64 `json:"held"` // epoch that this process holds now by its own clock, 0 for none
 }
 
-// ByteStatus counts the bytes of the project's own control messages since the start of the process.
+// ByteStatus counts messages of the project's own protocol since the start of the process.
 type ByteStatus struct {
-	Sent     uint64 `json:"sent"`
-	Received uint64 `json:"received"`
+	Sent             uint64 `json:"sent"`     // bytes
+	Received         uint64 `json:"received"` // bytes
+	SentMessages     uint64 `json:"sentMessages"`
+	ReceivedMessages uint64 `json:"receivedMessages"`
+}
+
+func byteStatus(c *transport.Counters) ByteStatus {
+	return ByteStatus{c.Sent.Load(), c.Received.Load(), c.SentMessages.Load(), c.ReceivedMessages.Load()}
 }
 
 // Status returns the state of the process.
@@ -60,7 +69,7 @@
 		PlacementVersion: v.placement.Version, PlacementEpoch: v.placement.Epoch,
 		Lease:      LeaseStatus{Holder: v.holder, Epoch: v.epoch, Held: c.lease.held()},
 		Dispatcher: Dispatcher(c.opts.Cell, v.live), Members: v.members, Endpoints: v.placement.Endpoints, Leaving: v.states,
-		ControlBytes: ByteStatus{c.counters.Sent.Load(), c.counters.Received.Load()}, Orders: v.placement.NextIntent,
+		ControlBytes: byteStatus(&c.counters), LocalBytes: byteStatus(&c.local), ClaimBytes: byteStatus(&c.claimed), Orders: v.placement.NextIntent,
 	}
 	if calls, ok := c.opts.Store.(interface{ Calls() uint64 }); ok {
 		s.PlatformCalls = calls.Calls()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -86,7 +86,9 @@
 	opts        Options
 	start       time.Time
 	incarnation atomic.Uint64
-	counters    transport.Counters
+	counters    transport.Counters // of messages with other hosts
+	local       transport.Counters // of messages with the entry process of the same host
+	claimed     transport.Counters // of claims
 	events      *ring.Ring[any]
 	fetches     *ring.Ring[fetchJob]
 	rosterHints *ring.Ring[struct{}]
@@ -120,7 +122,7 @@
 // transport returns the options of connections of one kind. Messages go to the core in order.
 func (c *Control) transport(onUp func(*transport.Conn)) transport.Options {
 	return transport.Options{
-		Hello: c.hello(), Counters: &c.counters, OnUp: onUp,
+		Hello: c.hello(), CountersOf: c.countersOf, OnUp: onUp,
 		Handler: func(conn *transport.Conn, corr uint64, m wire.Message) {
 			if !c.claims.Handle(conn, corr, m) {
 				c.events.TryPush(evMessage{conn, corr, m})
@@ -130,6 +132,17 @@
 	}
 }
 
+// countersOf keeps the request path and the loopback connection of the own entry apart from control traffic.
+func (c *Control) countersOf(remote wire.Hello, k wire.Kind) *transport.Counters {
+	switch {
+	case k == wire.KindClaimRequest || k == wire.KindClaimReply || k == wire.KindClaimResult:
+		return &c.claimed
+	case remote.Host == c.opts.Host:
+		return &c.local
+	}
+	return &c.counters
+}
+
 // Run serves until ctx ends. It then hands over the lease, tells the cell, leaves the roster and returns.
 func (c *Control) Run(ctx context.Context) error {
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -42,9 +42,11 @@
 
 // claimClient is the claimer that asks the shard owners of the cell.
 type claimClient struct {
-	view  func() *routing.View
-	local string // control address that is used while the members are not known
-	hello wire.Hello
+	view func() *routing.View
+
+	counters *transport.Counters
+	local    string // control address that is used while the members are not known
+	hello    wire.Hello
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -54,9 +56,9 @@
 	running sync.WaitGroup
 }
 
-func newClaimClient(view func() *routing.View, o Options) *claimClient {
+func newClaimClient(view func() *routing.View, o Options, counters *transport.Counters) *claimClient {
 	c := &claimClient{
-		view: view, local: o.Control, clients: make(map[string]*transport.Client), slots: make(chan struct{}, maxFinishing),
+		view: view, counters: counters, local: o.Control, clients: make(map[string]*transport.Client), slots: make(chan struct{}, maxFinishing),
 		hello: wire.Hello{Host: o.Host, Role: wire.RoleEntry, Cell: o.Cell, Zone: o.Zone, Incarnation: uint64(time.Now().UnixNano())},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -176,7 +178,7 @@
 	cl := c.clients[addr]
 	if cl == nil {
 		c.prune()
-		cl = transport.Dial(c.ctx, addr, transport.Options{Hello: c.hello, Handler: func(*transport.Conn, uint64, wire.Message) {}})
+		cl = transport.Dial(c.ctx, addr, transport.Options{Hello: c.hello, Counters: c.counters, Handler: func(*transport.Conn, uint64, wire.Message) {}})
 		c.clients[addr] = cl
 	}
 	c.mu.Unlock()
--- a/internal/entry/claimclient_test.go
+++ b/internal/entry/claimclient_test.go
@@ -61,7 +61,7 @@
 	one, stopOne := claimOwner(t, plat.URL)
 	two, stopTwo := claimOwner(t, plat.URL)
 	b.e.view.Store(&routing.View{Snapshot: snap, Members: []wire.Member{{Host: "h1", ControlAddress: one}, {Host: "h2", ControlAddress: two}}})
-	b.e.claims.(*fakeClaims).real.Store(newClaimClient(b.e.view.Load, b.e.opts))
+	b.e.claims.(*fakeClaims).real.Store(newClaimClient(b.e.view.Load, b.e.opts, nil))
 	post := func(key, body string, headers ...string) problem {
 		t.Helper()
 		resp := b.do("POST", "/svc/registry/x", body, append(headers, "Idempotency-Key", key)...)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -30,6 +30,8 @@
 		Seed:   incarnation, // entries must not make the same random choices
 		View:   e.view.Load,
 		Server: binding.NewServer(dispatch.Config{Seed: incarnation}, e.view.Load, journal),
+
+		Counters: &e.counters.asks,
 	})
 }
 
@@ -43,7 +45,9 @@
 	o := b.Options()
 	var ln *transport.Server
 	if e.opts.PeerListen != "" {
-		if ln, err = transport.Listen(ctx, e.opts.PeerListen, o.Server.Options(o.Hello)); err != nil {
+		served := o.Server.Options(o.Hello)
+		served.Counters = &e.counters.dispatcher
+		if ln, err = transport.Listen(ctx, e.opts.PeerListen, served); err != nil {
 			return nil, errors.Annotate(err, "serve other entries")
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,7 @@
 	draining atomic.Bool // new requests are refused
 	http     *server.Hertz
 	demand   Demand
+	counters counters
 
 	asks        atomic.Uint64 // id of the latest Ask
 	serviceTurn atomic.Uint64
@@ -67,7 +68,7 @@
 	e := &Entry{opts: opts, outbound: newOutbound(), retries: newRetryBudget()}
 	e.view.Store(&routing.View{})
 	e.binder = e.newBinder()
-	e.claims = newClaimClient(e.view.Load, opts)
+	e.claims = newClaimClient(e.view.Load, opts, &e.counters.claims)
 	return e
 }
 
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -36,8 +36,9 @@
 func (l *link) dial(ctx context.Context, addr string) *transport.Client {
 	o := &l.e.opts
 	return transport.Dial(ctx, addr, transport.Options{
-		Hello:   wire.Hello{Host: o.Host, Role: wire.RoleEntry, Cell: o.Cell, Zone: o.Zone, Incarnation: l.incarnation},
-		Handler: l.e.onControl,
+		Hello:    wire.Hello{Host: o.Host, Role: wire.RoleEntry, Cell: o.Cell, Zone: o.Zone, Incarnation: l.incarnation},
+		Handler:  l.e.onControl,
+		Counters: &l.e.counters.control,
 		OnUp: func(c *transport.Conn) {
 			var s wire.Subscribe
 			if v := l.e.view.Load(); v.Snapshot != nil {
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -25,6 +25,8 @@
 	Service      []string // further arguments of each service stand-in
 	Control      []string // further arguments of each control process
 	Entry        []string // further arguments of each entry process
+	// Absent tells which declared endpoints get no stand-in; nil for none.
+	Absent func(*config.Endpoint) bool
 }
 
 // Host is one entry host with its two processes.
@@ -122,6 +124,9 @@
 	}
 	f.URL = "http://" + addr
 	for i := range f.Snapshot.Endpoints {
+		if f.Options.Absent != nil && f.Options.Absent(&f.Snapshot.Endpoints[i]) {
+			continue
+		}
 		if err := f.StartEngine(&f.Snapshot.Endpoints[i]); err != nil {
 			return err
 		}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -67,6 +67,9 @@
 	return &Bed{bin: dir}, nil
 }
 
+// Sibling returns a bed with the same programs and no processes, so that its processes can be ended apart.
+func (b *Bed) Sibling() *Bed { return &Bed{bin: b.bin} }
+
 // recordSources opens the folders of the programs' source and looks at each file. The go command records that and runs a
 // test again after a change; without it, it would take the cached result of a test of old programs.
 func recordSources(root string) error {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -37,8 +37,21 @@
 // ErrOverflow is returned when the outgoing ring of a connection is full.
 var ErrOverflow = errors.New("outgoing ring full")
 
-// Counters counts the bytes of all connections that share it.
-type Counters struct{ Sent, Received atomic.Uint64 }
+// Counters counts the frames of all connections that share it.
+type Counters struct {
+	Sent, Received                 atomic.Uint64 // bytes
+	SentMessages, ReceivedMessages atomic.Uint64
+}
+
+func (c *Counters) sent(bytes int) {
+	c.Sent.Add(uint64(bytes))
+	c.SentMessages.Add(1)
+}
+
+func (c *Counters) received(bytes int) {
+	c.Received.Add(uint64(bytes))
+	c.ReceivedMessages.Add(1)
+}
 
 // Handler receives the messages of a connection in order, on the connection's reading goroutine. It must not block.
 type Handler func(c *Conn, corr uint64, m wire.Message)
@@ -51,6 +64,9 @@
 	OnDown   func(*Conn) // after the connection ended; may be nil
 	TLS      *tls.Config // nil for plain TCP
 	Counters *Counters   // nil to count nothing
+	// CountersOf replaces Counters if it is not nil. It is given the Hello of the other side, which is zero during the
+	// handshake, and the kind of the message. It is called concurrently.
+	CountersOf func(remote wire.Hello, kind wire.Kind) *Counters
 }
 
 type frame struct {
@@ -160,6 +176,14 @@
 	return c.nc.SetDeadline(time.Time{})
 }
 
+// counters returns the counters for messages of a kind, or nil.
+func (c *Conn) counters(k wire.Kind) *Counters {
+	if c.opts.CountersOf != nil {
+		return c.opts.CountersOf(c.remote, k)
+	}
+	return c.opts.Counters
+}
+
 // run serves the connection until it ends.
 func (c *Conn) run() error {
 	defer c.Close()
@@ -230,8 +254,8 @@
 	if _, err := w.Write(body); err != nil {
 		return err
 	}
-	if c.opts.Counters != nil {
-		c.opts.Counters.Sent.Add(uint64(len(h) + len(body)))
+	if n := c.counters(f.m.Kind()); n != nil {
+		n.sent(len(h) + len(body))
 	}
 	if flush {
 		return w.Flush()
@@ -256,8 +280,8 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	if c.opts.Counters != nil {
-		c.opts.Counters.Received.Add(uint64(len(h) + len(body)))
+	if n := c.counters(m.Kind()); n != nil {
+		n.received(len(h) + len(body))
 	}
 	if err := checkBody(body); err != nil {
 		return 0, nil, errors.Annotatef(err, "message of kind %d", h[4])
