Poll idle endpoints once a second and plan a settled cell once a second

Cause: the holder asked every endpoint for a report and planned in each round of 200 ms, whether or not anything was ordered. /v1/status named another dispatcher than the one that the entries use, because the two hashed different keys. Change: rounds of 200 ms only for endpoints with unresolved intents or a failed report and for a cell with a change. The core accounts for a routine heartbeat in its next tick. The status uses the hash of the entries.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -139,6 +139,8 @@
 		return &c.claimed
 	case remote.Host == c.opts.Host:
 		return &c.local
+	case k == wire.KindAck && remote.Role == wire.RoleEntry: // of the result of a claim
+		return &c.claimed
 	}
 	return &c.counters
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -80,6 +80,9 @@
 		select {
 		case e := <-k.events.C():
 			k.handle(e)
+			if k.routine(e) {
+				continue
+			}
 		case <-t.C:
 		case <-ctx.Done():
 			return
@@ -88,6 +91,17 @@
 	}
 }
 
+// routine tells whether an event is a heartbeat that brings no news but the life of its sender. The next tick accounts
+// for it: comparing members and endpoint states after each heartbeat of 19 hosts costs more than the heartbeats.
+func (k *core) routine(e any) bool {
+	m, ok := e.(evMessage)
+	if !ok {
+		return false
+	}
+	hb, ok := m.m.(*wire.Heartbeat)
+	return ok && !hb.Leaving && hb.Revision <= k.rev.Revision() && (hb.Epoch == 0 || hb.Epoch == k.epoch && hb.Host == k.holder)
+}
+
 func (k *core) close() {
 	for _, p := range k.peers {
 		p.Close()
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -13,6 +13,7 @@
 	"sycamoredeal/internal/directory"
 	"sycamoredeal/internal/membership"
 	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/rendezvous"
 	"sycamoredeal/internal/wire"
 )
 
@@ -196,7 +197,8 @@
 	return out
 }
 
-// Dispatcher returns the host with the cell's dispatcher role among live members, or "".
+// Dispatcher returns the host with the cell's dispatcher role among live members, or "". It is the choice that the
+// entries make in package binding.
 func Dispatcher(cell string, members []wire.Member) string {
-	return membership.Owner(membership.DispatcherKey(cell), membership.Hosts(members))
+	return rendezvous.Pick(cell, membership.Hosts(members))
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -166,6 +166,3 @@
 	}
 	return Order(key, hosts)[0]
 }
-
-// DispatcherKey is the rendezvous key of a cell's dispatcher role.
-func DispatcherKey(cell string) string { return "dispatcher/" + cell }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,11 @@
 
 const (
 	roundInterval = 200 * time.Millisecond
+	// idlePoll is the longest time between two reports of an endpoint without unresolved intents. Asking 43 endpoints
+	// in every round took the holder over its budget of 2.3% of a core.
+	idlePoll = time.Second
+	// idleRound is the time between two planning rounds of a cell in which nothing has changed.
+	idleRound = time.Second
 	// reportTimeout is shorter than the rounds in which an endpoint counts as dead, so that a lost report is asked again.
 	reportTimeout = 400 * time.Millisecond
 	orderTimeout  = time.Second
@@ -90,6 +96,7 @@
 	ledger *placement.Ledger
 	rounds placement.Planner
 	sender placement.Sender
+	seen   seen
 	stale  atomic.Bool // an engine refused an order because of its fencing token
 }
 
@@ -109,7 +116,7 @@
 	now := time.Now()
 	changed := p.observe(snap, now)
 	alive, draining, all := p.polls.states(snap, now)
-	if all || now.Sub(p.started) >= deadAfter {
+	if (all || now.Sub(p.started) >= deadAfter) && (changed || p.due(now, snap, alive, draining)) {
 		changed = p.rounds.Round(placement.Input{Now: now, Snapshot: snap, Ledger: p.ledger, Alive: alive, Draining: draining, Demand: p.Demand()}) || changed
 	}
 	if changed {
@@ -117,12 +124,42 @@
 			return err
 		}
 	}
+	if !p.pending() {
+		return nil
+	}
 	for _, s := range p.sender.Due(now, snap, p.ledger, alive) {
 		p.send(ctx, snap.Endpoint(s.Endpoint).Address, s.Intent)
 	}
 	return nil
 }
 
+// seen is what the latest planning round was computed from, as far as a change of it makes the next round urgent.
+type seen struct {
+	at              time.Time
+	snap            *config.Snapshot
+	alive, draining map[string]bool
+}
+
+// due tells whether a planning round is due although no report changed the ledger.
+func (p *planner) due(now time.Time, snap *config.Snapshot, alive, draining map[string]bool) bool {
+	s := &p.seen
+	if s.snap == snap && now.Sub(s.at) < idleRound && !p.pending() && maps.Equal(s.alive, alive) && maps.Equal(s.draining, draining) {
+		return false
+	}
+	*s = seen{now, snap, alive, draining}
+	return true
+}
+
+// pending tells whether any intent is unresolved.
+func (p *planner) pending() bool {
+	for i := range p.object.state.Endpoints {
+		if len(p.object.state.Endpoints[i].Intents) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // observe applies the latest reports to the ledger.
 func (p *planner) observe(snap *config.Snapshot, now time.Time) bool {
 	changed := false
--- a/internal/planner/polls.go
+++ b/internal/planner/polls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,18 +19,21 @@
 	draining  map[string]bool
 	memoryOf  map[string]int64
 	addressOf map[string]string
+	next      map[string]time.Time // when an endpoint without unresolved intents is asked again
 }
 
 func newPolls() *polls {
 	return &polls{flying: make(map[string]bool), fresh: make(map[string]engine.Report), last: make(map[string]time.Time),
-		draining: make(map[string]bool), memoryOf: make(map[string]int64), addressOf: make(map[string]string)}
+		draining: make(map[string]bool), memoryOf: make(map[string]int64), addressOf: make(map[string]string), next: make(map[string]time.Time)}
 }
 
-// poll asks all endpoints for reports without waiting for them.
+// poll asks endpoints for reports without waiting for them: those with unresolved intents, and those whose latest report
+// failed, in every round, and the others once in idlePoll.
 func (p *planner) poll(ctx context.Context, snap *config.Snapshot) {
+	now := time.Now()
 	for i := range snap.Endpoints {
 		name, addr := snap.Endpoints[i].Name, snap.Endpoints[i].Address
-		if !p.polls.begin(name, addr) {
+		if !p.polls.begin(name, addr, now, p.unresolved(name)) {
 			continue
 		}
 		err := p.pool.Submit(func() {
@@ -47,7 +51,17 @@
 	}
 }
 
-func (s *polls) begin(name, addr string) bool {
+// unresolved tells whether an endpoint has intents whose end only a report shows.
+func (p *planner) unresolved(endpoint string) bool {
+	if p.ledger == nil {
+		return false
+	}
+	ep := p.ledger.Endpoint(endpoint)
+	return ep != nil && len(ep.Intents) > 0
+}
+
+// begin tells whether an endpoint is asked now. The times of endpoints that are asked seldom drift apart.
+func (s *polls) begin(name, addr string, now time.Time, urgent bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.flying[name] {
@@ -56,6 +70,10 @@
 	if s.addressOf[name] != addr {
 		delete(s.fresh, name)
 		delete(s.last, name)
+		delete(s.next, name)
+	}
+	if !urgent && now.Before(s.next[name]) {
+		return false
 	}
 	s.flying[name], s.addressOf[name] = true, addr
 	return true
@@ -65,9 +83,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.flying[name] = false
+	delete(s.next, name) // a failed call is repeated in the next round
 	if err == nil && s.addressOf[name] == addr {
 		s.fresh[name], s.last[name] = rep, time.Now()
 		s.draining[name], s.memoryOf[name] = rep.Draining, rep.MemoryBytes
+		s.next[name] = time.Now().Add(idlePoll - rand.N(idlePoll/4))
 	}
 }
 
--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -14,6 +14,7 @@
 
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/control"
+	"sycamoredeal/internal/engine"
 	"sycamoredeal/internal/testbed"
 )
 
@@ -51,7 +52,10 @@
 	for i := range models {
 		fmt.Fprintf(&m, "  - {name: model-%d, memory: 1GiB, minReplicas: 2}\n", i)
 	}
-	memory := models*copies/endpoints + 2
+	memory := (models*copies + endpoints - 1) / endpoints
+	if s.whole {
+		memory = 640
+	}
 	e.WriteString("endpoints:\n")
 	for i := range endpoints {
 		addr := fmt.Sprintf("127.0.0.1:%d", 10000+i)
@@ -98,7 +102,7 @@
 	f, err := testbed.StartFleet(ctx, bed, testbed.FleetOptions{
 		Declarations: source, Dir: work, Hosts: s.hosts, Absent: absent,
 		Engine:  []string{"--token-time", "1ms", "--prefill", "1ms", "--load-time", "5ms", "--adapter-time", "1ms"},
-		Service: []string{"--delay", "1ms"},
+		Service: []string{"--delay", "1ms"}, Prepare: s.preload,
 	})
 	if err == nil {
 		err = r.settle(ctx, f, s)
@@ -110,6 +114,27 @@
 	return f, bed, nil
 }
 
+// preload makes the models resident before the fleet starts. The planner loads at most one model a round, which would
+// take minutes for a cell of the target size. Copies of a model share few neighbours, so that the planner moves little.
+func (s size) preload(ctx context.Context, f *testbed.Fleet) error {
+	if s.whole {
+		return nil
+	}
+	client := engine.NewClient(time.Second)
+	id := uint64(1) << 40 // not an id of the planner
+	for m := range s.models {
+		for c := range copies {
+			e := &f.Snapshot.Endpoints[(m+c*(m/s.endpoints+1))%s.endpoints]
+			id++
+			o := engine.Order{ID: id, Action: engine.ActionLoad, Name: f.Snapshot.Models[m].Name, Bytes: 1 << 30}
+			if err := client.Order(ctx, e.Address, o); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // settle waits until every model of the cell is resident and no order has been decided for a while. The placement of a
 // whole configuration can't settle, because most of its endpoints are absent.
 func (r *runner) settle(ctx context.Context, f *testbed.Fleet, s size) error {
@@ -126,7 +151,7 @@
 		if err == nil && (st.Orders != orders || resident(&st) < s.models) {
 			orders, since = st.Orders, time.Now()
 		}
-		if time.Since(since) > settleFor && orders > 0 {
+		if time.Since(since) > settleFor && resident(&st) >= s.models {
 			return nil
 		}
 		if pause(ctx, 200*time.Millisecond) != nil {
--- a/internal/slopes/machines.go
+++ b/internal/slopes/machines.go
@@ -162,9 +162,11 @@
 func (r *runner) retained(files []wire.File) {
 	var before, after runtime.MemStats
 	runtime.GC()
+	runtime.GC() // frees what the first one has only unlinked, such as pools
 	runtime.ReadMemStats(&before)
 	snap, err := config.Build(1, files)
 	runtime.GC()
+	runtime.GC()
 	runtime.ReadMemStats(&after)
 	if err != nil {
 		r.say("The whole configuration is refused: %s", err)
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -27,6 +27,8 @@
 	Entry        []string // further arguments of each entry process
 	// Absent tells which declared endpoints get no stand-in; nil for none.
 	Absent func(*config.Endpoint) bool
+	// Prepare is called when the stand-ins run and nothing else does; may be nil.
+	Prepare func(context.Context, *Fleet) error
 }
 
 // Host is one entry host with its two processes.
@@ -60,6 +62,11 @@
 	if err := f.startStandins(ctx); err != nil {
 		return nil, err
 	}
+	if o.Prepare != nil {
+		if err := o.Prepare(ctx, f); err != nil {
+			return nil, err
+		}
+	}
 	if err := f.Apply(ctx); err != nil {
 		return nil, err
 	}
@@ -139,6 +146,11 @@
 			}
 		}
 	}
+	for name := range f.Engines {
+		if err := WaitHTTP(ctx, "http://"+f.Snapshot.Endpoint(name).Address+"/v1/report"); err != nil {
+			return err
+		}
+	}
 	return WaitHTTP(ctx, f.URL+"/apis/sycamoredeal/v1/leases")
 }
 
