Spread the preloaded copies over availability zones and ask idle endpoints each 1.5 s

Cause: the preloaded layout had copies of a model in one availability zone, so the planner moved models during the measurement of the target cell (4.9 placement and lease writes/s, holder at 5.9% of a core on a busy machine). The holder of 43 endpoints and 250 models still used 2.40%. A fleet failed to start because a free port was handed out twice. Change: another layout, idle endpoints asked each 1.5 s in place of 1 s, ports unique within a fleet.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -24,8 +24,9 @@
 const (
 	roundInterval = 200 * time.Millisecond
 	// idlePoll is the longest time between two reports of an endpoint without unresolved intents. Asking 43 endpoints
-	// in every round took the holder over its budget of 2.3% of a core.
-	idlePoll = time.Second
+	// in every round took the holder over its budget of 2.3% of a core. A lost report is asked again 0.6 s later at the
+	// latest, so a restart is noticed and three calls have failed before deadAfter.
+	idlePoll = 1500 * time.Millisecond
 	// idleRound is the time between two planning rounds of a cell in which nothing has changed.
 	idleRound = time.Second
 	// reportTimeout is shorter than the rounds in which an endpoint counts as dead, so that a lost report is asked again.
--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -115,7 +115,8 @@
 }
 
 // preload makes the models resident before the fleet starts. The planner loads at most one model a round, which would
-// take minutes for a cell of the target size. Copies of a model share few neighbours, so that the planner moves little.
+// take minutes for a cell of the target size. Copies of a model are in several availability zones and share few neighbours,
+// so that the planner moves little.
 func (s size) preload(ctx context.Context, f *testbed.Fleet) error {
 	if s.whole {
 		return nil
@@ -123,8 +124,10 @@
 	client := engine.NewClient(time.Second)
 	id := uint64(1) << 40 // not an id of the planner
 	for m := range s.models {
+		turn := m / s.endpoints
+		step := 1 + turn + turn/2 // not a multiple of the 3 availability zones
 		for c := range copies {
-			e := &f.Snapshot.Endpoints[(m+c*(m/s.endpoints+1))%s.endpoints]
+			e := &f.Snapshot.Endpoints[(m+c*step)%s.endpoints]
 			id++
 			o := engine.Order{ID: id, Action: engine.ActionLoad, Name: f.Snapshot.Models[m].Name, Bytes: 1 << 30}
 			if err := client.Order(ctx, e.Address, o); err != nil {
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -86,6 +86,7 @@
 		at("endpoints", 43, size{hosts: 3, endpoints: 43, models: 20}),
 		at("models", 120, size{hosts: 3, endpoints: 43, models: 120}),
 		at("models", 250, size{hosts: 3, endpoints: 43, models: 250}),
+		r.targetCell,
 		r.declared,
 	)
 }
@@ -108,6 +109,25 @@
 	return r.measureIdle(ctx, f, series, x)
 }
 
+// targetCell measures a cell of the size that the target fleet has 17 of, without requests and under them.
+func (r *runner) targetCell(ctx context.Context) error {
+	f, bed, err := r.fleet(ctx, size{hosts: 20, endpoints: 43, models: 235})
+	if err != nil {
+		return err
+	}
+	defer bed.Close()
+	const series = "cell of 20 hosts, 43 endpoints and 235 models, by requests/s"
+	if err := r.measureIdle(ctx, f, series, 0); err != nil {
+		return err
+	}
+	for _, rate := range []int{200, 400} {
+		if err := r.measure(ctx, f, []string{series}, float64(rate), func() error { return r.requests(ctx, f, rate) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // declared measures the memory of processes that hold the whole target configuration, before and after changes of it.
 func (r *runner) declared(ctx context.Context) error {
 	f, bed, err := r.fleet(ctx, size{hosts: 3, endpoints: 9, models: 20, whole: true})
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -99,11 +99,14 @@
 	if err != nil {
 		return err
 	}
-	moved := make(map[string]string)
+	moved, used := make(map[string]string), make(map[string]bool)
 	for _, file := range files {
 		content := addressPattern.ReplaceAllFunc(file.Content, func(old []byte) []byte {
-			if moved[string(old)] == "" {
-				moved[string(old)] = FreeAddr()
+			for moved[string(old)] == "" {
+				// The system may hand out a port again that nothing listens on yet.
+				if addr := FreeAddr(); !used[addr] {
+					moved[string(old)], used[addr] = addr, true
+				}
 			}
 			return []byte(moved[string(old)])
 		})
