--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo measure build test generate lint
+.PHONY: demo measure slopes build test generate lint
 
 demo:
 	go run ./cmd/sycamore-demo
@@ -19,3 +19,7 @@
 
 measure:
 	go run ./cmd/sycamore-measure
+
+# Arguments of the tool, for example SLOPES="--short --dir /tmp".
+slopes:
+	go run ./cmd/sycamore-slopes $(SLOPES)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -91,7 +91,9 @@
 	opts        Options
 	start       time.Time
 	incarnation atomic.Uint64
-	counters    transport.Counters
+	counters    transport.Counters // of messages with other hosts
+	local       transport.Counters // of messages with the entry process of the same host
+	claimed     transport.Counters // of claims
 	observer    *observer
 	failed      func(addr string, err error) // logs failed handshakes
 	events      *ring.Ring[any]
@@ -128,7 +130,7 @@
 // transport returns the options of connections of one kind. Messages go to the core in order.
 func (c *Control) transport(onUp func(*transport.Conn)) transport.Options {
 	return transport.Options{
-		Hello: c.hello(), Counters: &c.counters, TLS: c.opts.TLS, OnUp: onUp, OnFailed: c.failed,
+		Hello: c.hello(), CountersOf: c.countersOf, TLS: c.opts.TLS, OnUp: onUp, OnFailed: c.failed,
 		Handler: func(conn *transport.Conn, corr uint64, m wire.Message) {
 			if !c.claims.Handle(conn, corr, m) {
 				c.events.TryPush(evMessage{conn, corr, m})
@@ -138,6 +140,19 @@
 	}
 }
 
+// countersOf keeps the request path and the loopback connection of the own entry apart from control traffic.
+func (c *Control) countersOf(remote wire.Hello, k wire.Kind) *transport.Counters {
+	switch {
+	case k == wire.KindClaimRequest || k == wire.KindClaimReply || k == wire.KindClaimResult:
+		return &c.claimed
+	case remote.Host == c.opts.Host:
+		return &c.local
+	case k == wire.KindAck && remote.Role == wire.RoleEntry: // of the result of a claim
+		return &c.claimed
+	}
+	return &c.counters
+}
+
 // Run serves until ctx ends. It then hands over the lease, tells the cell, leaves the roster and returns.
 func (c *Control) Run(ctx context.Context) error {
 	if err := c.gauges(); err != nil {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -46,10 +46,11 @@
 	seeds   []*transport.Client
 	sources map[string]stateSource // by polling host
 
-	load    uint16
-	pending map[string]wire.ModelDemand // demand to forward
-	seq     uint64
-	beatAt  time.Duration
+	load     uint16
+	pending  map[string]wire.ModelDemand // demand to forward
+	demanded time.Duration               // when demand was forwarded last
+	seq      uint64
+	beatAt   time.Duration
 
 	sentMembers wire.MembersUpdate
 	statesKnown bool
@@ -82,6 +83,9 @@
 		select {
 		case e := <-k.events.C():
 			k.handle(e)
+			if k.routine(e) {
+				continue
+			}
 		case <-t.C:
 		case <-ctx.Done():
 			return
@@ -90,6 +94,17 @@
 	}
 }
 
+// routine tells whether an event is a heartbeat that brings no news but the life of its sender. The next tick accounts
+// for it: comparing members and endpoint states after each heartbeat of 19 hosts costs more than the heartbeats.
+func (k *core) routine(e any) bool {
+	m, ok := e.(evMessage)
+	if !ok {
+		return false
+	}
+	hb, ok := m.m.(*wire.Heartbeat)
+	return ok && !hb.Leaving && hb.Revision <= k.rev.Revision() && (hb.Epoch == 0 || hb.Epoch == k.epoch && hb.Host == k.holder)
+}
+
 func (k *core) close() {
 	for _, p := range k.peers {
 		p.Close()
@@ -159,7 +174,7 @@
 	case *wire.Inquiry:
 		k.answerInquiry(conn, corr, *m)
 	case *wire.DemandReport:
-		k.demand.add(m.Demand)
+		k.onDemand(m.Demand)
 	case *wire.ConfigUpdate:
 		for _, f := range m.Files {
 			k.rev.OnFile(f)
@@ -386,23 +401,6 @@
 	}
 }
 
-// forwardDemand sends the demand of the last second to the holder of the lease; it is kept while there is none.
-func (k *core) forwardDemand() {
-	if len(k.pending) == 0 || k.holder == "" {
-		return
-	}
-	var list []wire.ModelDemand
-	for _, d := range k.pending {
-		list = append(list, d)
-	}
-	if k.holder == k.opts.Host {
-		k.demand.add(list)
-	} else if p := k.peers[k.holder]; p == nil || p.Send(&wire.DemandReport{Host: k.opts.Host, Demand: list}) != nil {
-		return
-	}
-	clear(k.pending)
-}
-
 func (k *core) publish() {
 	v := &view{
 		snapshot: k.snapshot, head: k.rev.Head(), placement: k.placement, holder: k.holder, epoch: k.epoch,
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -34,7 +34,7 @@
 		Hello:  wire.Hello{Host: e.opts.Host, Role: wire.RoleEntry, Cell: e.opts.Cell, Zone: e.opts.Zone, Incarnation: incarnation},
 		Policy: policy,
 		Seed:   incarnation, // entries must not make the same random choices
-		View:   e.view.Load, TLS: e.opts.TLS, Counters: &e.observer.path, Journal: e.observer.alone,
+		View:   e.view.Load, TLS: e.opts.TLS, Counters: &e.counters.asks, Journal: e.observer.alone,
 		Server: binding.NewServer(dispatch.Config{Seed: incarnation, FirstCome: firstCome}, e.view.Load, journal),
 	})
 }
@@ -50,7 +50,7 @@
 	var ln *transport.Server
 	if e.opts.PeerListen != "" {
 		serve := o.Server.Options(o.Hello)
-		serve.TLS, serve.Counters, serve.OnFailed = e.opts.TLS, &e.observer.path, e.failed
+		serve.TLS, serve.Counters, serve.OnFailed = e.opts.TLS, &e.counters.dispatcher, e.failed
 		if ln, err = transport.Listen(ctx, e.opts.PeerListen, serve); err != nil {
 			return nil, errors.Annotate(err, "serve other entries")
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,6 +62,7 @@
 	demand   Demand
 	observer *observer
 	failed   func(addr string, err error) // logs failed handshakes
+	counters counters
 
 	asks        atomic.Uint64 // id of the latest Ask
 	serviceTurn atomic.Uint64
@@ -73,7 +74,7 @@
 	e := &Entry{opts: opts, outbound: newOutbound(), retries: newRetryBudget(), observer: newObserver(), failed: opts.Log.Part("transport").FailedConnections()}
 	e.view.Store(&routing.View{})
 	e.binder = e.newBinder()
-	e.claims = newClaimClient(e.view.Load, opts, &e.observer.counters)
+	e.claims = newClaimClient(e.view.Load, opts, &e.counters.claims)
 	return e
 }
 
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -39,8 +39,6 @@
 	rare     *telemetry.Journal
 	other    *telemetry.Series
 	series   atomic.Pointer[map[seriesKey]*telemetry.Series]
-	counters transport.Counters // of control traffic: the link to control processes and claims
-	path     transport.Counters // of request-path traffic with the dispatcher, both sides
 }
 
 type seriesKey struct{ caller, rank string }
@@ -176,10 +174,17 @@
 	gauge("sycamore.config.revision", "Configuration revision in force.", revision)
 	gauge("sycamore.placement.version", "Version of the placement in use.", placement)
 	gauge("sycamore.ready", "1 while the process is ready for requests.", func() float64 { return truth(e.ready()) })
-	count("sycamore.control.bytes.sent", "Bytes sent on control connections.", e.observer.counters.Sent.Load)
-	count("sycamore.control.bytes.received", "Bytes received on control connections.", e.observer.counters.Received.Load)
-	count("sycamore.path.bytes.sent", "Bytes sent between entries and the dispatcher.", e.observer.path.Sent.Load)
-	count("sycamore.path.bytes.received", "Bytes received between entries and the dispatcher.", e.observer.path.Received.Load)
+	count("sycamore.control.bytes.sent", "Bytes sent on control connections.", e.counters.control.Sent.Load)
+	count("sycamore.control.bytes.received", "Bytes received on control connections.", e.counters.control.Received.Load)
+	path := func(bytes func(*transport.Counters) *atomic.Uint64) func() uint64 {
+		return func() uint64 {
+			return bytes(&e.counters.asks).Load() + bytes(&e.counters.dispatcher).Load() + bytes(&e.counters.claims).Load()
+		}
+	}
+	count("sycamore.path.bytes.sent", "Bytes sent for requests between processes: asks and claims.",
+		path(func(c *transport.Counters) *atomic.Uint64 { return &c.Sent }))
+	count("sycamore.path.bytes.received", "Bytes received for requests between processes: asks and claims.",
+		path(func(c *transport.Counters) *atomic.Uint64 { return &c.Received }))
 	errs = append(errs, m.GaugeBy("sycamore.waiting", "Requests in the queue of the dispatcher in this process.", "rank", func() map[string]int { return stats().Waiting }))
 	for _, err := range errs {
 		if err != nil {
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -25,6 +25,10 @@
 	Service      []string // further arguments of each service stand-in
 	Control      []string // further arguments of each control process
 	Entry        []string // further arguments of each entry process
+	// Absent tells which declared endpoints get no stand-in; nil for none.
+	Absent func(*config.Endpoint) bool
+	// Prepare is called when the stand-ins run and nothing else does; may be nil.
+	Prepare func(context.Context, *Fleet) error
 }
 
 // Host is one entry host with its two processes.
@@ -59,6 +63,11 @@
 	if err := f.startStandins(ctx); err != nil {
 		return nil, err
 	}
+	if o.Prepare != nil {
+		if err := o.Prepare(ctx, f); err != nil {
+			return nil, err
+		}
+	}
 	if err := f.Apply(ctx); err != nil {
 		return nil, err
 	}
@@ -91,11 +100,14 @@
 	if err != nil {
 		return err
 	}
-	moved := make(map[string]string)
+	moved, used := make(map[string]string), make(map[string]bool)
 	for _, file := range files {
 		content := addressPattern.ReplaceAllFunc(file.Content, func(old []byte) []byte {
-			if moved[string(old)] == "" {
-				moved[string(old)] = FreeAddr()
+			for moved[string(old)] == "" {
+				// The system may hand out a port again that nothing listens on yet.
+				if addr := FreeAddr(); !used[addr] {
+					moved[string(old)], used[addr] = addr, true
+				}
 			}
 			return []byte(moved[string(old)])
 		})
@@ -123,6 +135,9 @@
 	}
 	f.URL = "http://" + addr
 	for i := range f.Snapshot.Endpoints {
+		if f.Options.Absent != nil && f.Options.Absent(&f.Snapshot.Endpoints[i]) {
+			continue
+		}
 		if err := f.StartEngine(&f.Snapshot.Endpoints[i]); err != nil {
 			return err
 		}
@@ -135,6 +150,11 @@
 			}
 		}
 	}
+	for name := range f.Engines {
+		if err := WaitHTTP(ctx, "http://"+f.Snapshot.Endpoint(name).Address+"/v1/report"); err != nil {
+			return err
+		}
+	}
 	return WaitHTTP(ctx, f.URL+"/apis/sycamoredeal/v1/leases")
 }
 
