Take test addresses from outside the range of outgoing connections

Cause: in one run of TestLeavingEndpointGetsNothing, on a scratch copy beside other tests, an entry refused connections for 60 s after its start. The entry's output was not kept; the likely reason is that an outgoing connection took the port between FreeAddr and the entry's start, because FreeAddr took it from the system's range for those (32768 to 60999).

Change: FreeAddr counts through ports 10000 to 31999 from a place that depends on the process.

--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -105,14 +106,32 @@
 	return "", errors.Trace(err)
 }
 
-// FreeAddr returns an unused TCP address on the loopback interface.
+// Ports of FreeAddr are below the range from which the system takes the ports of outgoing connections: one of those may
+// get the port between FreeAddr and the start of the program that is to listen on it.
+const (
+	firstPort = 10000
+	ports     = 22000
+)
+
+// nextPort starts at a place that differs between test processes that run at once.
+var nextPort = func() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(uint32(os.Getpid()) * 131)
+	return &n
+}()
+
+// FreeAddr returns an unused TCP address on the loopback interface, a different one each time.
 func FreeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	var last error
+	for range ports {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports))
+		if err == nil {
+			l.Close()
+			return l.Addr().String()
+		}
+		last = err
 	}
-	defer l.Close()
-	return l.Addr().String()
+	panic(last)
 }
 
 // Start runs a program of the project.
