Log handshakes that fail between processes

A process with a foreign certificate, or with TLS against plain TCP, was dropped without a word, so that operators could not see why a host is missing.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -90,6 +90,7 @@
 	incarnation atomic.Uint64
 	counters    transport.Counters
 	observer    *observer
+	failed      func(addr string, err error) // logs failed handshakes
 	events      *ring.Ring[any]
 	fetches     *ring.Ring[fetchJob]
 	rosterHints *ring.Ring[struct{}]
@@ -105,6 +106,7 @@
 	c := &Control{
 		opts: opts, start: time.Now(), events: ring.New[any](eventRing), fetches: ring.New[fetchJob](1),
 		rosterHints: ring.New[struct{}](1), observer: newObserver(),
+		failed: opts.Log.Part("transport").FailedConnections(),
 	}
 	c.incarnation.Store(uint64(time.Now().UnixNano()))
 	c.lease = newLeaseDuty(c)
@@ -123,7 +125,7 @@
 // transport returns the options of connections of one kind. Messages go to the core in order.
 func (c *Control) transport(onUp func(*transport.Conn)) transport.Options {
 	return transport.Options{
-		Hello: c.hello(), Counters: &c.counters, TLS: c.opts.TLS, OnUp: onUp,
+		Hello: c.hello(), Counters: &c.counters, TLS: c.opts.TLS, OnUp: onUp, OnFailed: c.failed,
 		Handler: func(conn *transport.Conn, corr uint64, m wire.Message) {
 			if !c.claims.Handle(conn, corr, m) {
 				c.events.TryPush(evMessage{conn, corr, m})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,6 +61,7 @@
 	http     *server.Hertz
 	demand   Demand
 	observer *observer
+	failed   func(addr string, err error) // logs failed handshakes
 
 	asks        atomic.Uint64 // id of the latest Ask
 	serviceTurn atomic.Uint64
@@ -69,7 +70,7 @@
 // New returns an entry process that is not yet running.
 func New(opts Options) *Entry {
 	opts.setDefaults()
-	e := &Entry{opts: opts, outbound: newOutbound(), retries: newRetryBudget(), observer: newObserver()}
+	e := &Entry{opts: opts, outbound: newOutbound(), retries: newRetryBudget(), observer: newObserver(), failed: opts.Log.Part("transport").FailedConnections()}
 	e.view.Store(&routing.View{})
 	e.binder = e.newBinder()
 	e.claims = newClaimClient(e.view.Load, opts, &e.observer.counters)
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -96,6 +96,10 @@
 	if c.opts.TLS != nil {
 		td := tls.Dialer{NetDialer: &d, Config: c.opts.TLS}
 		nc, err := td.DialContext(ctx, "tcp", c.addr)
+		var foreign *tls.CertificateVerificationError
+		if errors.As(err, &foreign) {
+			c.opts.failed(c.addr, err)
+		}
 		return nc, errors.Trace(err)
 	}
 	nc, err := d.DialContext(ctx, "tcp", c.addr)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -47,10 +47,17 @@
 type Options struct {
 	Hello    wire.Hello
 	Handler  Handler
-	OnUp     func(*Conn) // after the handshake, before the first message; may be nil
-	OnDown   func(*Conn) // after the connection ended; may be nil
-	TLS      *tls.Config // nil for plain TCP
-	Counters *Counters   // nil to count nothing
+	OnUp     func(*Conn)                  // after the handshake, before the first message; may be nil
+	OnDown   func(*Conn)                  // after the connection ended; may be nil
+	OnFailed func(addr string, err error) // after a handshake failed, which a foreign certificate causes; may be nil
+	TLS      *tls.Config                  // nil for plain TCP
+	Counters *Counters                    // nil to count nothing
+}
+
+func (o *Options) failed(addr string, err error) {
+	if o.OnFailed != nil {
+		o.OnFailed(addr, err)
+	}
 }
 
 type frame struct {
@@ -165,6 +172,9 @@
 	defer c.Close()
 	r := bufio.NewReaderSize(c.nc, 32<<10)
 	if err := c.handshake(r); err != nil {
+		if c.ctx.Err() == nil {
+			c.opts.failed(c.RemoteAddr(), err)
+		}
 		return err
 	}
 	if c.opts.OnUp != nil {
--- a/test/integration/observe_test.go
+++ b/test/integration/observe_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -189,18 +190,13 @@
 	done := make(chan bool, 1)
 	go func() { done <- o.request(h1, "resumed", "m1", 100) }()
 	var running string
-	o.until("tokens and the stream in the status", func() bool {
-		if o.seen.Load() < 5 {
-			return false
+	o.until("tokens, and the stream in the status", func() bool {
+		for _, d := range o.explain(h2, "resumed").Entries {
+			running = d.Fields["endpoint"]
 		}
 		var s operator.Status
 		json.Unmarshal([]byte(o.ctl(h1, "--output", "json", "status")), &s)
-		for _, e := range s.Endpoints {
-			if e.Running > 0 {
-				running = e.Name
-			}
-		}
-		return running != ""
+		return o.seen.Load() >= 5 && slices.ContainsFunc(s.Endpoints, func(e operator.EndpointStatus) bool { return e.Name == running && e.Running == 1 })
 	})
 	o.Engines[running].Kill()
 	if !<-done {
@@ -262,6 +258,11 @@
 			c.Close()
 		}
 	}
+	for name, log := range map[string]string{"control": h.Control.Output(), "entry": h.Entry.Output()} {
+		if !strings.Contains(log, "Handshake with another process failed.") {
+			t.Errorf("the log of %s lacks the stranger:\n%s", name, log)
+		}
+	}
 	resp, err := http.Get(stranger + "/readyz")
 	if err != nil {
 		t.Fatal(err)
