Record decisions of an entry alone only while the caller waits

A call whose caller had left was recorded as refused alone. TestAloneIsRecorded shows that both kinds of decisions are found by the request.

--- a/internal/binding/binder.go
+++ b/internal/binding/binder.go
@@ -100,7 +100,9 @@
 	}
 	if err == errUndecided {
 		err = b.decideAlone(ctx, c)
-		b.record(c, err, time.Since(started))
+		if ctx.Err() == nil { // a caller that has left says nothing about the decision
+			b.record(c, err, time.Since(started))
+		}
 	}
 	if err != nil {
 		return nil, err
--- a/internal/binding/binding_test.go
+++ b/internal/binding/binding_test.go
@@ -380,3 +380,17 @@
 		t.Errorf("%d of %d slots usable after the cancelled requests", most, slotsEach)
 	}
 }
+
+// Guards against decisions that an entry makes alone and that operators can't find by the request.
+func TestAloneIsRecorded(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	var got []Alone
+	b := New(Options{Policy: routing.PolicyIndependent, View: f.current, Journal: func(a Alone) { got = append(got, a) }})
+	if _, err := b.Bind(t.Context(), wire.Ask{Model: "m", Request: "r1"}); err != nil {
+		t.Fatal(err)
+	}
+	b.Bind(t.Context(), wire.Ask{Model: "nowhere", Request: "r2"})
+	if len(got) != 2 || got[0].Ask.Request != "r1" || got[0].Endpoint != "e" || got[1].Endpoint != "" || got[1].Reason != routing.ErrNoResident.Error() {
+		t.Errorf("recorded %+v", got)
+	}
+}
