--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -24,7 +24,7 @@
 		Store: platform.NewClient(s.Platform, s.PlatformToken), Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "control"),
 	}
 	var err error
-	if o.TLS, err = (peertls.Files{Cert: s.TlsCert, Key: s.TlsKey, Authority: s.TlsCa}).Load(); err != nil {
+	if o.TLS, err = (peertls.Files{Cert: s.TLSCert, Key: s.TLSKey, Authority: s.TLSCA}).Load(); err != nil {
 		o.Log.Error().Err(err).Msg("TLS settings not usable.")
 		os.Exit(1)
 	}
--- a/internal/settings/gen/main.go
+++ b/internal/settings/gen/main.go
@@ -143,9 +143,16 @@
 	return out
 }
 
+// initialisms are words that Go names write in upper case.
+var initialisms = map[string]bool{"tls": true, "ca": true}
+
 func camel(s string) string {
 	var b strings.Builder
 	for _, part := range strings.Split(s, "-") {
+		if initialisms[part] {
+			b.WriteString(strings.ToUpper(part))
+			continue
+		}
 		b.WriteString(strings.ToUpper(part[:1]) + part[1:])
 	}
 	return b.String()
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -18,9 +18,9 @@
 	Control           string        // Address of the local control process.
 	AdminListen       string        // Address of the admin HTTP server; none without it.
 	AdminToken        string        // Operators' bearer token for the /v1 paths of the admin server; without it they answer loopback clients only.
-	TlsCert           string        // PEM file of this process's certificate for connections between the project's own processes; plain TCP without it.
-	TlsKey            string        // PEM file of the certificate's key.
-	TlsCa             string        // PEM file of the authority that the other processes' certificates must come from.
+	TLSCert           string        // PEM file of this process's certificate for connections between the project's own processes; plain TCP without it.
+	TLSKey            string        // PEM file of the certificate's key.
+	TLSCA             string        // PEM file of the authority that the other processes' certificates must come from.
 	Policy            string        // How endpoints are chosen; all but dispatcher are for measurements.
 	MaxBody           int           // Longest request body. In bytes.
 	MaxAnswer         int           // Longest answer of a plain service. In bytes.
@@ -53,9 +53,9 @@
 	s.all.register(app, Spec{Flag: "control", Env: "SYCAMORE_ENTRY_CONTROL", Kind: "address", Required: true, Help: "Address of the local control process."}, &s.Control)
 	s.all.register(app, Spec{Flag: "admin-listen", Env: "SYCAMORE_ENTRY_ADMIN_LISTEN", Kind: "address", Help: "Address of the admin HTTP server; none without it."}, &s.AdminListen)
 	s.all.register(app, Spec{Flag: "admin-token", Env: "SYCAMORE_ENTRY_ADMIN_TOKEN", Kind: "secret", Help: "Operators' bearer token for the /v1 paths of the admin server; without it they answer loopback clients only."}, &s.AdminToken)
-	s.all.register(app, Spec{Flag: "tls-cert", Env: "SYCAMORE_ENTRY_TLS_CERT", Kind: "string", Help: "PEM file of this process's certificate for connections between the project's own processes; plain TCP without it."}, &s.TlsCert)
-	s.all.register(app, Spec{Flag: "tls-key", Env: "SYCAMORE_ENTRY_TLS_KEY", Kind: "string", Help: "PEM file of the certificate's key."}, &s.TlsKey)
-	s.all.register(app, Spec{Flag: "tls-ca", Env: "SYCAMORE_ENTRY_TLS_CA", Kind: "string", Help: "PEM file of the authority that the other processes' certificates must come from."}, &s.TlsCa)
+	s.all.register(app, Spec{Flag: "tls-cert", Env: "SYCAMORE_ENTRY_TLS_CERT", Kind: "string", Help: "PEM file of this process's certificate for connections between the project's own processes; plain TCP without it."}, &s.TLSCert)
+	s.all.register(app, Spec{Flag: "tls-key", Env: "SYCAMORE_ENTRY_TLS_KEY", Kind: "string", Help: "PEM file of the certificate's key."}, &s.TLSKey)
+	s.all.register(app, Spec{Flag: "tls-ca", Env: "SYCAMORE_ENTRY_TLS_CA", Kind: "string", Help: "PEM file of the authority that the other processes' certificates must come from."}, &s.TLSCA)
 	s.all.register(app, Spec{Flag: "policy", Env: "SYCAMORE_ENTRY_POLICY", Kind: "enum", Default: "dispatcher", Values: []string{"dispatcher", "independent", "two-choices", "round-robin"}, Help: "How endpoints are chosen; all but dispatcher are for measurements."}, &s.Policy)
 	s.all.register(app, Spec{Flag: "max-body", Env: "SYCAMORE_ENTRY_MAX_BODY", Kind: "int", Default: "4194304", Min: "1024", Max: "268435456", Help: "Longest request body."}, &s.MaxBody)
 	s.all.register(app, Spec{Flag: "max-answer", Env: "SYCAMORE_ENTRY_MAX_ANSWER", Kind: "int", Default: "16777216", Min: "1024", Max: "268435456", Help: "Longest answer of a plain service."}, &s.MaxAnswer)
@@ -79,9 +79,9 @@
 	EntryAddress  string        // Address of the local entry process for other entry processes.
 	AdminListen   string        // Address of the admin HTTP server; none without it.
 	AdminToken    string        // Operators' bearer token for the /v1 paths of the admin server; without it they answer loopback clients only.
-	TlsCert       string        // PEM file of this process's certificate for connections between the project's own processes; plain TCP without it.
-	TlsKey        string        // PEM file of the certificate's key.
-	TlsCa         string        // PEM file of the authority that the other processes' certificates must come from.
+	TLSCert       string        // PEM file of this process's certificate for connections between the project's own processes; plain TCP without it.
+	TLSKey        string        // PEM file of the certificate's key.
+	TLSCA         string        // PEM file of the authority that the other processes' certificates must come from.
 	Seeds         string        // Addresses of control processes, separated by commas, to ask while the platform can't be read.
 	LeaseTerm     time.Duration // Time that a renewal keeps the cell's lease; renewals are sent three times a term.
 	Heartbeat     time.Duration // Time between heartbeats.
@@ -112,9 +112,9 @@
 	s.all.register(app, Spec{Flag: "entry-address", Env: "SYCAMORE_CONTROL_ENTRY_ADDRESS", Kind: "address", Required: true, Help: "Address of the local entry process for other entry processes."}, &s.EntryAddress)
 	s.all.register(app, Spec{Flag: "admin-listen", Env: "SYCAMORE_CONTROL_ADMIN_LISTEN", Kind: "address", Help: "Address of the admin HTTP server; none without it."}, &s.AdminListen)
 	s.all.register(app, Spec{Flag: "admin-token", Env: "SYCAMORE_CONTROL_ADMIN_TOKEN", Kind: "secret", Help: "Operators' bearer token for the /v1 paths of the admin server; without it they answer loopback clients only."}, &s.AdminToken)
-	s.all.register(app, Spec{Flag: "tls-cert", Env: "SYCAMORE_CONTROL_TLS_CERT", Kind: "string", Help: "PEM file of this process's certificate for connections between the project's own processes; plain TCP without it."}, &s.TlsCert)
-	s.all.register(app, Spec{Flag: "tls-key", Env: "SYCAMORE_CONTROL_TLS_KEY", Kind: "string", Help: "PEM file of the certificate's key."}, &s.TlsKey)
-	s.all.register(app, Spec{Flag: "tls-ca", Env: "SYCAMORE_CONTROL_TLS_CA", Kind: "string", Help: "PEM file of the authority that the other processes' certificates must come from."}, &s.TlsCa)
+	s.all.register(app, Spec{Flag: "tls-cert", Env: "SYCAMORE_CONTROL_TLS_CERT", Kind: "string", Help: "PEM file of this process's certificate for connections between the project's own processes; plain TCP without it."}, &s.TLSCert)
+	s.all.register(app, Spec{Flag: "tls-key", Env: "SYCAMORE_CONTROL_TLS_KEY", Kind: "string", Help: "PEM file of the certificate's key."}, &s.TLSKey)
+	s.all.register(app, Spec{Flag: "tls-ca", Env: "SYCAMORE_CONTROL_TLS_CA", Kind: "string", Help: "PEM file of the authority that the other processes' certificates must come from."}, &s.TLSCA)
 	s.all.register(app, Spec{Flag: "seeds", Env: "SYCAMORE_CONTROL_SEEDS", Kind: "string", Help: "Addresses of control processes, separated by commas, to ask while the platform can't be read."}, &s.Seeds)
 	s.all.register(app, Spec{Flag: "lease-term", Env: "SYCAMORE_CONTROL_LEASE_TERM", Kind: "duration", Default: "6s", Min: "100ms", Max: "5m", Help: "Time that a renewal keeps the cell's lease; renewals are sent three times a term."}, &s.LeaseTerm)
 	s.all.register(app, Spec{Flag: "heartbeat", Env: "SYCAMORE_CONTROL_HEARTBEAT", Kind: "duration", Default: "1s", Min: "10ms", Max: "1m", Help: "Time between heartbeats."}, &s.Heartbeat)
