Give each endpoint one owning cell

Cause: every cell's planner planned all declared endpoints, so two cells would have ordered the same memory.

Change: the owners object names the cell of each endpoint, and the placement objects say who may order it. An endpoint moves in three conditional updates: release in the old placement once nothing is unresolved there, transfer of the account in the owners object, adoption in the new placement. A cell whose lease is not renewed for ten intervals is fenced by an update of its placement, and its accounts are inherited with their unresolved intents, order ids and fencing tokens.

--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -17,7 +17,7 @@
 	var s settings.SycamoreControl
 	settings.MustParse(&s, nil)
 	o := control.Options{
-		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Listen: s.Listen, EntryAddress: s.EntryAddress,
+		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Region: s.Region, Listen: s.Listen, EntryAddress: s.EntryAddress, CallerAddr: s.CallerAddress,
 		AdminListen: s.AdminListen, AdminToken: s.AdminToken, Seeds: settings.List(s.Seeds), Term: s.LeaseTerm, Heartbeat: s.Heartbeat,
 		Poll: s.Poll, Retention: s.KeyRetention,
 		Store: platform.NewClient(s.Platform, s.PlatformToken), Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "control"),
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -89,3 +89,16 @@
 
 // Serves tells whether a name is a declared model or adapter.
 func (s *Snapshot) Serves(name string) bool { return s.models[name] != nil || s.adapters[name] != nil }
+
+// WithEndpoints returns a snapshot with only those endpoints for which keep is true. It is for the planner of a cell.
+func (s *Snapshot) WithEndpoints(keep func(*Endpoint) bool) *Snapshot {
+	out := *s
+	out.Endpoints = nil
+	for i := range s.Endpoints {
+		if keep(&s.Endpoints[i]) {
+			out.Endpoints = append(out.Endpoints, s.Endpoints[i])
+		}
+	}
+	out.endpoints = index(out.Endpoints, func(v *Endpoint) string { return v.Name })
+	return &out
+}
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -63,6 +63,7 @@
 	Name          string `yaml:"name"`
 	Host          string `yaml:"host"`
 	Zone          string `yaml:"zone"`    // availability zone
+	Region        string `yaml:"region"`  // empty if there is one region
 	Address       string `yaml:"address"` // ip:port
 	Memory        Bytes  `yaml:"memory"`  // accelerator memory for models
 	AdapterMemory Bytes  `yaml:"adapterMemory"`
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -39,8 +39,10 @@
 	Host         string
 	Zone         string // availability zone
 	Cell         string
+	Region       string   // of the host; a cell's endpoints are those of its region
 	Listen       string   // ip:port for the project's own processes
 	EntryAddress string   // ip:port of the local entry process for other entry processes
+	CallerAddr   string   // ip:port of the local entry process for callers, empty if requests can't be forwarded to it
 	AdminListen  string   // ip:port of the admin HTTP server, empty for none
 	AdminToken   string   // operators' bearer token for /v1 paths, empty to ask for none
 	Seeds        []string // ip:port of control processes to ask while the platform can't be read
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -57,7 +57,7 @@
 }
 
 func newCore(c *Control, ctx context.Context) *core {
-	self := wire.Member{Host: c.opts.Host, Zone: c.opts.Zone, Incarnation: c.incarnation.Load(), ControlAddress: c.opts.Listen, EntryAddress: c.opts.EntryAddress}
+	self := wire.Member{Host: c.opts.Host, Zone: c.opts.Zone, Incarnation: c.incarnation.Load(), ControlAddress: c.opts.Listen, EntryAddress: c.opts.EntryAddress, CallerAddress: c.opts.CallerAddr}
 	k := &core{
 		Control: c, ctx: ctx, rev: revision.New(),
 		table: membership.New(membership.Config{Self: self, Suspect: missedForSuspect * c.opts.Heartbeat, Dead: missedForDead * c.opts.Heartbeat}),
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -92,6 +92,7 @@
 	}
 	out = append(out, wire.Member{
 		Host: c.opts.Host, Zone: c.opts.Zone, Incarnation: c.incarnation.Load(), ControlAddress: c.opts.Listen, EntryAddress: c.opts.EntryAddress,
+		CallerAddress: c.opts.CallerAddr,
 	})
 	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
 	return out
--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -95,6 +95,36 @@
 	}
 }
 
+// Adopt adds the account of an endpoint that another cell has given up, or replaces an older one. Its copies and intents
+// count as ordered now, as in NewLedger.
+func (l *Ledger) Adopt(e wire.EndpointPlacement, now time.Time) {
+	info := newInfo()
+	for _, r := range e.Residents {
+		info.since[r.Name] = now
+	}
+	for j := range e.Intents {
+		e.Intents[j].Epoch = l.p.Epoch
+		info.since[e.Intents[j].Name] = now
+	}
+	l.info[e.Endpoint] = info
+	if i, ok := l.index[e.Endpoint]; ok {
+		l.p.Endpoints[i] = e
+		return
+	}
+	l.index[e.Endpoint] = len(l.p.Endpoints)
+	l.p.Endpoints = append(l.p.Endpoints, e)
+}
+
+// Drop removes the account of an endpoint that another cell has adopted.
+func (l *Ledger) Drop(name string) {
+	l.p.Endpoints = slices.DeleteFunc(l.p.Endpoints, func(e wire.EndpointPlacement) bool { return e.Endpoint == name })
+	delete(l.info, name)
+	clear(l.index)
+	for i := range l.p.Endpoints {
+		l.index[l.p.Endpoints[i].Endpoint] = i
+	}
+}
+
 // Declare sets the capacity of an endpoint and adds it if it is new.
 func (l *Ledger) Declare(name string, c Capacity) {
 	if _, ok := l.index[name]; !ok {
--- a/internal/placement/sender.go
+++ b/internal/placement/sender.go
@@ -23,7 +23,13 @@
 // holder is sent again under the same rules: only its execution proves that it is not executed later.
 type Sender struct {
 	budget Budget
-	sent   map[uint64]time.Time // latest sending by this holder, by intent
+	sent   map[orderKey]time.Time // latest sending by this holder
+}
+
+// orderKey names an order. Cells count their ids separately, so inherited intents may share one at different endpoints.
+type orderKey struct {
+	endpoint string
+	id       uint64
 }
 
 // Due returns the orders to send now. All intents of the ledger must have been stored.
@@ -31,7 +37,7 @@
 	s.budget.Configure(snap.WeightStore, now)
 	var out, fresh []Send
 	models, adapters := 0, 0
-	seen := make(map[uint64]time.Time)
+	seen := make(map[orderKey]time.Time)
 	ready := readyCopies(l, alive)
 	for i := range l.p.Endpoints {
 		ep := &l.p.Endpoints[i]
@@ -39,9 +45,9 @@
 			continue
 		}
 		for _, in := range ep.Intents {
-			at, sent := s.sent[in.ID]
+			at, sent := s.sent[orderKey{ep.Endpoint, in.ID}]
 			if sent {
-				seen[in.ID] = at
+				seen[orderKey{ep.Endpoint, in.ID}] = at
 			}
 			switch {
 			case l.Failed(ep.Endpoint, in.ID):
@@ -75,7 +81,7 @@
 	}
 	s.sent = seen
 	for _, o := range out {
-		s.sent[o.Intent.ID] = now
+		s.sent[orderKey{o.Endpoint, o.Intent.ID}] = now
 		if o.Intent.Action == wire.ActionLoad {
 			l.Sent(o.Endpoint, o.Intent.Name, now)
 		}
--- a/internal/planner/object.go
+++ b/internal/planner/object.go
@@ -37,6 +37,7 @@
 		}
 		p.ledger.Takeover(p.epoch)
 		p.sender = placement.Sender{}
+		p.owners.known, p.owners.next = false, time.Time{} // owners must have been read after the placement
 		o.loaded, o.unsaved = true, true
 	}
 	if o.unsaved {
@@ -46,7 +47,8 @@
 }
 
 // readBack finds out what is stored: the state from before an open update, the result of the update, or something else.
-// An update is recognised by epoch and version, because an epoch has one holder.
+// An update is recognised by epoch and version, because an epoch has one holder; other cells that write
+// the placement count their writes in it.
 func (p *planner) readBack(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -66,7 +68,7 @@
 	case stored.Epoch > p.epoch:
 		return errors.Annotatef(ErrSuperseded, "epoch %d, stored %d", p.epoch, stored.Epoch)
 	case o.loaded && got.Version == o.version: // an open update had no effect
-	case o.loaded && stored.Epoch == p.epoch && stored.Version == o.state.Version: // it had
+	case o.loaded && stored.Epoch == p.epoch && stored.Version == o.state.Version && stored.Takeovers == o.state.Takeovers: // it had
 		o.unsaved = false
 		p.Publish(clone(&o.state))
 	default:
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -14,6 +14,7 @@
 
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/engine"
+	"sycamoredeal/internal/ownership"
 	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/telemetry"
@@ -49,6 +50,10 @@
 	Publish  func(wire.Placement)               // called after each stored placement with a copy
 	Log      telemetry.Logger
 	Policy   placement.Policy // PolicyMixed but for measurements of the baselines
+	Region   string           // of the cell
+	// OwnersEvery is the time between two reads of the owners of endpoints, and a tenth of the time without a renewal of
+	// its lease after which another cell is dead. 0 means 6 s.
+	OwnersEvery time.Duration
 	// LateBound replaces placement.LateBound in tests, which can't wait for it.
 	LateBound time.Duration
 }
@@ -61,7 +66,11 @@
 		return errors.Trace(err)
 	}
 	defer pool.Release()
+	if d.OwnersEvery <= 0 {
+		d.OwnersEvery = defaultOwnersEvery
+	}
 	p := &planner{Deps: d, epoch: epoch, pool: pool, started: time.Now(), polls: newPolls(), rounds: placement.Planner{Policy: d.Policy}}
+	p.owners.live = ownership.Liveness{Bound: deadIntervals * d.OwnersEvery, MaxGap: gapIntervals * d.OwnersEvery}
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
 	for {
@@ -87,6 +96,7 @@
 	polls   *polls
 
 	object object
+	owners owners
 	ledger *placement.Ledger
 	rounds placement.Planner
 	sender placement.Sender
@@ -99,26 +109,34 @@
 	if snap == nil || !p.Valid() {
 		return nil
 	}
-	p.poll(ctx, snap)
 	if p.stale.Swap(false) {
 		p.object.known = false
 	}
 	if err := p.settle(ctx); err != nil {
+		if p.object.loaded {
+			own, _ := p.owned(snap, nil)
+			p.poll(ctx, own)
+		}
 		return err
 	}
 	now := time.Now()
-	changed := p.observe(snap, now)
-	alive, draining, all := p.polls.states(snap, now)
+	changed := p.own(ctx, snap, now)
+	releasing := ownership.Releasing(&p.object.state, p.Cell, p.owners.wanted)
+	own, plan := p.owned(snap, releasing)
+	p.poll(ctx, own)
+	changed = p.observe(own, now) || changed
+	alive, draining, all := p.polls.states(own, now)
 	if all || now.Sub(p.started) >= deadAfter {
-		changed = p.rounds.Round(placement.Input{Now: now, Snapshot: snap, Ledger: p.ledger, Alive: alive, Draining: draining, Demand: p.Demand()}) || changed
+		changed = p.rounds.Round(placement.Input{Now: now, Snapshot: plan, Ledger: p.ledger, Alive: alive, Draining: draining, Demand: p.Demand()}) || changed
 	}
+	changed = p.release(releasing) || changed
 	if changed {
 		if err := p.store(ctx); err != nil {
 			return err
 		}
 	}
-	for _, s := range p.sender.Due(now, snap, p.ledger, alive) {
-		p.send(ctx, snap.Endpoint(s.Endpoint).Address, s.Intent)
+	for _, s := range p.sender.Due(now, own, p.ledger, alive) {
+		p.send(ctx, own.Endpoint(s.Endpoint).Address, s)
 	}
 	return nil
 }
@@ -155,15 +173,15 @@
 }
 
 // send hands an order to a worker. If none is free, or the call fails, the order is sent again after ResendAfter.
-func (p *planner) send(ctx context.Context, addr string, in wire.Intent) {
-	decided := time.Now()
+func (p *planner) send(ctx context.Context, addr string, s placement.Send) {
+	decided, in, base := time.Now(), s.Intent, p.ledger.Endpoint(s.Endpoint).FenceBase
 	err := p.pool.Submit(func() {
 		if ctx.Err() != nil || !p.Valid() || time.Since(decided) > sendWindow {
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		err := p.Engines.Order(ctx, addr, order(in))
+		err := p.Engines.Order(ctx, addr, order(in, base))
 		if errors.Is(err, engine.ErrStaleFence) {
 			p.stale.Store(true)
 		}
@@ -176,10 +194,10 @@
 	}
 }
 
-func order(in wire.Intent) engine.Order {
+func order(in wire.Intent, fenceBase uint64) engine.Order {
 	action := engine.ActionLoad
 	if in.Action == wire.ActionUnload {
 		action = engine.ActionUnload
 	}
-	return engine.Order{ID: in.ID, Fence: in.Epoch, Action: action, Name: in.Name, Adapter: in.Adapter, Base: in.Base, Bytes: in.Bytes}
+	return engine.Order{ID: in.ID, Fence: fenceBase + in.Epoch, Action: action, Name: in.Name, Adapter: in.Adapter, Base: in.Base, Bytes: in.Bytes}
 }
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -20,6 +20,7 @@
 	KindPlacement = "placements"     // one per cell
 	KindRoster    = "rosters"        // one per cell
 	KindDirectory = "directories"    // one object "directory"
+	KindOwners    = "owners"         // one object "owners": which cell owns each endpoint
 	KindClaims    = "claimsegments"  // named by shard and sequence number
 	KindEndpoint  = "endpointstates" // the platform's lagging list of live and leaving hosts
 	basePath      = "/apis/sycamoredeal/v1/"
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -1,7 +1,12 @@
 // Package rendezvous picks one owner of a key among hosts by rendezvous hashing.
 package rendezvous
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Pick returns the host with the highest hash of host and key, or "" if there is none. Removing another host never
 // changes the result.
@@ -16,6 +21,17 @@
 	return best
 }
 
+// Order returns the hosts in the order of their hashes with key, the one that Pick returns first.
+func Order(key string, hosts []string) []string {
+	out := slices.Clone(hosts)
+	scores := make(map[string]uint64, len(hosts))
+	for _, h := range hosts {
+		scores[h] = score(h, key)
+	}
+	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b)) })
+	return out
+}
+
 func score(host, key string) uint64 {
 	d := xxhash.New()
 	d.WriteString(host)
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -65,8 +65,10 @@
 	Host          string        // Name of this host.
 	Zone          string        // Availability zone of this host.
 	Cell          string        // Cell of this host.
+	Region        string        // Region of this host; its cell owns endpoints of the same region only.
 	Listen        string        // Address for the project's own processes.
 	EntryAddress  string        // Address of the local entry process for other entry processes.
+	CallerAddress string        // Address of the local entry process for callers; without it other cells forward no requests to this host.
 	AdminListen   string        // Address of the admin HTTP server; none without it.
 	AdminToken    string        // Operators' bearer token for the /v1 paths of the admin server; none is asked for without it.
 	Seeds         string        // Addresses of control processes, separated by commas, to ask while the platform can't be read.
@@ -95,8 +97,10 @@
 	s.all.register(app, Spec{Flag: "host", Env: "SYCAMORE_CONTROL_HOST", Kind: "string", Required: true, Help: "Name of this host."}, &s.Host)
 	s.all.register(app, Spec{Flag: "zone", Env: "SYCAMORE_CONTROL_ZONE", Kind: "string", Required: true, Help: "Availability zone of this host."}, &s.Zone)
 	s.all.register(app, Spec{Flag: "cell", Env: "SYCAMORE_CONTROL_CELL", Kind: "string", Default: "cell-1", Help: "Cell of this host."}, &s.Cell)
+	s.all.register(app, Spec{Flag: "region", Env: "SYCAMORE_CONTROL_REGION", Kind: "string", Help: "Region of this host; its cell owns endpoints of the same region only."}, &s.Region)
 	s.all.register(app, Spec{Flag: "listen", Env: "SYCAMORE_CONTROL_LISTEN", Kind: "address", Required: true, Help: "Address for the project's own processes."}, &s.Listen)
 	s.all.register(app, Spec{Flag: "entry-address", Env: "SYCAMORE_CONTROL_ENTRY_ADDRESS", Kind: "address", Required: true, Help: "Address of the local entry process for other entry processes."}, &s.EntryAddress)
+	s.all.register(app, Spec{Flag: "caller-address", Env: "SYCAMORE_CONTROL_CALLER_ADDRESS", Kind: "address", Help: "Address of the local entry process for callers; without it other cells forward no requests to this host."}, &s.CallerAddress)
 	s.all.register(app, Spec{Flag: "admin-listen", Env: "SYCAMORE_CONTROL_ADMIN_LISTEN", Kind: "address", Help: "Address of the admin HTTP server; none without it."}, &s.AdminListen)
 	s.all.register(app, Spec{Flag: "admin-token", Env: "SYCAMORE_CONTROL_ADMIN_TOKEN", Kind: "secret", Help: "Operators' bearer token for the /v1 paths of the admin server; none is asked for without it."}, &s.AdminToken)
 	s.all.register(app, Spec{Flag: "seeds", Env: "SYCAMORE_CONTROL_SEEDS", Kind: "string", Help: "Addresses of control processes, separated by commas, to ask while the platform can't be read."}, &s.Seeds)
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -156,7 +156,7 @@
 			seeds += "," + o.ControlAddr
 		}
 	}
-	args := []string{"--host", h.Name, "--zone", h.Zone, "--listen", h.ControlAddr, "--admin-listen", h.AdminAddr, "--entry-address", h.PeerAddr, "--platform", f.URL}
+	args := []string{"--host", h.Name, "--zone", h.Zone, "--listen", h.ControlAddr, "--admin-listen", h.AdminAddr, "--entry-address", h.PeerAddr, "--caller-address", h.EntryAddr, "--platform", f.URL}
 	if seeds != "" {
 		args = append(args, "--seeds", seeds[1:])
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -115,6 +115,11 @@
 	Residents   []Resident `json:"residents,omitempty"`
 	Intents     []Intent   `json:"intents,omitempty"`
 	Leaving     bool       `json:"leaving,omitempty"`
+	// Generation counts the changes of the endpoint's owner. The cell may order the endpoint only while its own
+	// placement holds an account that is not released.
+	Generation uint64 `json:"generation,omitempty"`
+	Released   bool   `json:"released,omitempty"`  // given up by this cell with this generation, or taken from it
+	FenceBase  uint64 `json:"fenceBase,omitempty"` // added to the epoch, so that fencing tokens also grow across owners
 }
 
 // Placement is the content of a cell's placement object. Only the holder of the cell's lease writes it.
@@ -124,6 +129,7 @@
 	Version    uint64              `json:"version"` // grows by one with each write
 	NextIntent uint64              `json:"nextIntent"`
 	Endpoints  []EndpointPlacement `json:"endpoints"`
+	Takeovers  uint64              `json:"takeovers,omitempty"` // writes by other cells that took endpoints over
 }
 
 // PlacementUpdate carries the cell's placement to an entry process.
@@ -137,6 +143,7 @@
 	ControlAddress string `json:"controlAddress"` // ip:port of the control process for other processes
 	EntryAddress   string `json:"entryAddress"`   // ip:port of the entry process for other entries
 	Leaving        bool   `json:"leaving,omitempty"`
+	CallerAddress  string `json:"callerAddress,omitempty"` // ip:port of the entry process for callers and forwarded requests
 }
 
 // MembersUpdate carries the live hosts of the cell to an entry process.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -651,8 +651,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointPlacement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendString(o, z.Endpoint)
 	o = msgp.AppendString(o, z.Incarnation)
 	o = msgp.AppendUint64(o, z.Sequence)
@@ -673,6 +673,9 @@
 		}
 	}
 	o = msgp.AppendBool(o, z.Leaving)
+	o = msgp.AppendUint64(o, z.Generation)
+	o = msgp.AppendBool(o, z.Released)
+	o = msgp.AppendUint64(o, z.FenceBase)
 	return
 }
 
@@ -684,8 +687,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
@@ -764,6 +767,21 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
+	z.Generation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Generation")
+		return
+	}
+	z.Released, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Released")
+		return
+	}
+	z.FenceBase, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "FenceBase")
+		return
+	}
 	o = bts
 	return
 }
@@ -778,7 +796,7 @@
 	for za0002 := range z.Intents {
 		s += z.Intents[za0002].Msgsize()
 	}
-	s += msgp.BoolSize
+	s += msgp.BoolSize + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size
 	return
 }
 
@@ -1638,14 +1656,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendString(o, z.Host)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendString(o, z.ControlAddress)
 	o = msgp.AppendString(o, z.EntryAddress)
 	o = msgp.AppendBool(o, z.Leaving)
+	o = msgp.AppendString(o, z.CallerAddress)
 	return
 }
 
@@ -1657,8 +1676,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Host, bts, err = msgp.ReadStringBytes(bts)
@@ -1691,13 +1710,18 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
+	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Host) + msgp.StringPrefixSize + len(z.Zone) + msgp.Uint64Size + msgp.StringPrefixSize + len(z.ControlAddress) + msgp.StringPrefixSize + len(z.EntryAddress) + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(z.Host) + msgp.StringPrefixSize + len(z.Zone) + msgp.Uint64Size + msgp.StringPrefixSize + len(z.ControlAddress) + msgp.StringPrefixSize + len(z.EntryAddress) + msgp.BoolSize + msgp.StringPrefixSize + len(z.CallerAddress)
 	return
 }
 
@@ -1824,8 +1848,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Placement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Cell)
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendUint64(o, z.Version)
@@ -1838,6 +1862,7 @@
 			return
 		}
 	}
+	o = msgp.AppendUint64(o, z.Takeovers)
 	return
 }
 
@@ -1849,8 +1874,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Cell, bts, err = msgp.ReadStringBytes(bts)
@@ -1891,6 +1916,11 @@
 			return
 		}
 	}
+	z.Takeovers, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Takeovers")
+		return
+	}
 	o = bts
 	return
 }
@@ -1901,6 +1931,7 @@
 	for za0001 := range z.Endpoints {
 		s += z.Endpoints[za0001].Msgsize()
 	}
+	s += msgp.Uint64Size
 	return
 }
 
