Forward requests to the cell that serves the model, and divide the models

Cause: an entry knew only its own cell, and every cell would have planned all 2,000 models.

Change: control polls the directory and pushes the other cells' hosts to its entry, which forwards a request whose model has no reachable copy in its own cell with one hop. Broken forwarded streams resume like those of endpoints. Each model is planned by two home cells, by cells with much demand for it, and by others if no cell serves it. A dead cell's part of the directory is removed.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 
 	"sycamoredeal/internal/claimstore"
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/directory"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/ring"
 	"sycamoredeal/internal/telemetry"
@@ -94,6 +95,8 @@
 	rosterHints *ring.Ring[struct{}]
 	lease       *leaseDuty
 	demand      demandSum
+	cells       atomic.Pointer[directory.Directory] // as last read, nil before
+	dead        atomic.Pointer[map[string]bool]     // dead cells as the planner of this process sees them
 	claims      *claimstore.ClaimStore
 	view        atomic.Pointer[view]
 }
@@ -150,6 +153,7 @@
 	duty(c.runFetches)
 	duty(c.keepRoster)
 	duty(c.pollEndpoints)
+	duty(c.pollDirectory)
 	duty(c.lease.run)
 	stopAdmin, err := c.serveAdmin()
 	if err != nil {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -49,6 +49,7 @@
 	seq     uint64
 	beatAt  time.Duration
 
+	directory   *wire.DirectoryUpdate // nil before the first read
 	sentMembers wire.MembersUpdate
 	statesKnown bool
 	sentStates  wire.EndpointsUpdate
@@ -116,6 +117,11 @@
 		k.onOwnStates(e.states)
 	case evLease:
 		k.setHolder(e.record.Holder, e.record.Epoch)
+	case evDirectory:
+		if !reflect.DeepEqual(e.update, k.directory) {
+			k.directory = e.update
+			k.push(e.update)
+		}
 	case evLeave:
 		k.leaving = true
 		k.table.Leave()
@@ -216,6 +222,9 @@
 	if states := k.sentStates; k.statesKnown {
 		conn.Send(&states)
 	}
+	if k.directory != nil {
+		conn.Send(k.directory)
+	}
 	if k.placement.Version > s.Placement {
 		conn.Send(&wire.PlacementUpdate{Placement: k.placement})
 	}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -34,7 +34,9 @@
 	evStates struct{ states []wire.EndpointState }
 	// evLease is the latest lease record that was seen.
 	evLease struct{ record lease.Record }
-	evLeave struct{}
+	// evDirectory is the part of the directory about other cells.
+	evDirectory struct{ update *wire.DirectoryUpdate }
+	evLeave     struct{}
 	// evBeat sends a heartbeat at once.
 	evBeat struct{}
 	// evSync is acknowledged when all earlier events have been handled.
--- a/internal/control/leaseduty.go
+++ b/internal/control/leaseduty.go
@@ -210,7 +210,9 @@
 
 func (l *leaseDuty) deps(epoch uint64) planner.Deps {
 	return planner.Deps{
-		Cell: l.c.opts.Cell, Region: l.c.opts.Region, OwnersEvery: l.c.opts.Term, Store: l.c.opts.Store, Engines: engine.NewClient(reportTimeout),
+		Cell: l.c.opts.Cell, Region: l.c.opts.Region, OwnersEvery: l.c.opts.Term,
+		Served: l.c.served,
+		Dead:   func(d map[string]bool) { l.c.dead.Store(&d) }, Store: l.c.opts.Store, Engines: engine.NewClient(reportTimeout),
 		Snapshot: func() *config.Snapshot { return l.c.view.Load().snapshot },
 		Valid:    func() bool { return l.valid(epoch) },
 		Demand:   l.c.demand.take, Publish: l.c.publishPlacement, Log: l.c.opts.Log.Part("planner"),
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -10,17 +10,15 @@
 
 	"github.com/juju/errors"
 
-	"sycamoredeal/internal/directory"
 	"sycamoredeal/internal/membership"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/wire"
 )
 
 const (
-	rosterInterval    = 30 * time.Second // between reads without a hint; an unknown host's heartbeat is a hint
-	rosterPause       = time.Second      // least time between reads
-	directoryInterval = time.Second      // between comparisons; a read is made only after a change
-	forgetAfter       = 6                // times the dead limit after which the holder removes a host
+	rosterInterval = 30 * time.Second // between reads without a hint; an unknown host's heartbeat is a hint
+	rosterPause    = time.Second      // least time between reads
+	forgetAfter    = 6                // times the dead limit after which the holder removes a host
 )
 
 // roster is the content of the cell's roster object.
@@ -157,31 +155,6 @@
 	return err
 }
 
-// keepDirectory writes this cell's part of the directory whenever it changes. Only the holder of the lease runs it.
-func (c *Control) keepDirectory(ctx context.Context) {
-	log := c.opts.Log.Part("directory")
-	var written directory.Directory
-	for ctx.Err() == nil {
-		v := c.view.Load()
-		models := residents(v.placement)
-		members := slices.DeleteFunc(slices.Clone(v.live), func(m wire.Member) bool { return m.Leaving })
-		if _, changed := directory.Merge(written, c.opts.Cell, models, members); changed && v.snapshot != nil {
-			err := update(ctx, c.opts.Store, platform.KindDirectory, directory.Name, func(d directory.Directory) (directory.Directory, bool) {
-				d, changed := directory.Merge(d, c.opts.Cell, models, members)
-				written = d
-				return d, changed
-			})
-			if err != nil {
-				written = directory.Directory{}
-				if ctx.Err() == nil {
-					log.Warn().Err(err).Msg("Directory not written.")
-				}
-			}
-		}
-		platform.Sleep(ctx, directoryInterval)
-	}
-}
-
 // residents returns the names of the models and adapters that the cell holds.
 func residents(p wire.Placement) []string {
 	seen := make(map[string]bool)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -45,3 +45,35 @@
 	out.Cells[cell] = members
 	return out, changed
 }
+
+// Remove returns d without the parts of cells, and whether that changes anything. It does not modify d.
+func Remove(d Directory, cells map[string]bool) (Directory, bool) {
+	changed := false
+	for c := range cells {
+		if _, ok := d.Cells[c]; ok {
+			d, _ = Merge(d, c, nil, nil)
+			delete(d.Cells, c)
+			changed = true
+		}
+	}
+	return d, changed
+}
+
+// Others returns the part of d that an entry of a cell needs to forward requests, in the order of names.
+func Others(d Directory, cell string) *wire.DirectoryUpdate {
+	u := &wire.DirectoryUpdate{}
+	for m, cells := range d.Models {
+		others := slices.DeleteFunc(slices.Clone(cells), func(c string) bool { return c == cell })
+		if len(others) > 0 {
+			u.Models = append(u.Models, wire.ModelCells{Model: m, Cells: others})
+		}
+	}
+	for c, members := range d.Cells {
+		if c != cell {
+			u.Cells = append(u.Cells, wire.CellMembers{Cell: c, Members: members})
+		}
+	}
+	sort.Slice(u.Models, func(i, j int) bool { return u.Models[i].Model < u.Models[j].Model })
+	sort.Slice(u.Cells, func(i, j int) bool { return u.Cells[i].Cell < u.Cells[j].Cell })
+	return u
+}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -28,13 +28,17 @@
 	x        *exchange
 	body     *completionBody
 	ask      wire.Ask
-	upstream string // request id sent to endpoints, unique even if callers repeat theirs
+	upstream string // request id sent to endpoints and other entries, unique even if callers repeat theirs
 	seq      *sequence
 	sink     sink
 	outcome  attempt.Outcome // of all attempts so far
 	progress time.Time       // when the last token was accepted
 	tries    int             // attempts since then
 	last     error           // why the latest attempt ended
+
+	forwarded bool            // another entry has forwarded the request
+	tried     map[string]bool // caller addresses of entries of other cells
+	failed    map[string]bool // endpoints of this cell that have failed since the last token
 }
 
 func (e *Entry) completions(ctx context.Context, x *exchange) {
@@ -54,6 +58,11 @@
 		return
 	}
 	r := newCompletion(e, x, body)
+	r.acceptForwarded()
+	if r.forwarded && len(e.view.Load().Residents(body.Model)) == 0 {
+		x.fail(refusal(notHere, "Model is not served by this cell", body.Model, defaultRetryAfter))
+		return
+	}
 	e.demand.Arrived(body.Model, uint64(r.ask.PromptTokens))
 	if p := r.run(ctx); p != nil {
 		r.fail(p)
@@ -63,7 +72,7 @@
 func newCompletion(e *Entry, x *exchange, body *completionBody) *completion {
 	prompt := len(body.Messages) / 4
 	r := &completion{
-		e: e, x: x, body: body, upstream: x.id + "-" + uuid.NewString()[:8], seq: newSequence(body.N),
+		e: e, x: x, body: body, upstream: x.id[:min(len(x.id), maxRequestID-9)] + "-" + uuid.NewString()[:8], seq: newSequence(body.N), tried: make(map[string]bool), failed: make(map[string]bool),
 		ask: wire.Ask{
 			Caller: x.caller.Name, Rank: x.rank.Name, Model: body.Model, PromptTokens: uint32(prompt), MaxTokens: body.MaxTokens,
 			PrefixHash: xxhash.Sum64(body.Messages[:min(len(body.Messages), prefixBytes)]),
@@ -91,24 +100,34 @@
 func (r *completion) run(ctx context.Context) *problem {
 	r.e.retries.first()
 	for {
-		b, p := r.bind(ctx)
-		if p != nil {
-			return p
-		}
-		if b == nil {
-			if r.again(ctx) {
-				continue
+		before := r.seq.last()
+		var res result
+		var endpoint string
+		addr := r.remote()
+		if addr != "" {
+			res = r.forward(ctx, addr)
+		} else {
+			b, p := r.bind(ctx)
+			if p != nil {
+				return p
 			}
-			return r.giveUp(ctx)
+			if b == nil {
+				if r.again(ctx) {
+					continue
+				}
+				return r.giveUp(ctx)
+			}
+			endpoint = b.Endpoint()
+			res = r.once(ctx, b)
 		}
-		before := r.seq.last()
-		res := r.once(ctx, b)
 		if res.outcome != 0 {
 			r.outcome = attempt.Combine(r.outcome, res.outcome)
 		}
 		if r.seq.last() > before {
 			r.progress, r.tries = time.Now(), 0
 			r.ask.Exclude = nil
+			clear(r.failed)
+			clear(r.tried)
 		}
 		switch {
 		case res.err == errFinished || ctx.Err() != nil || res.callerGone:
@@ -119,8 +138,14 @@
 			continue
 		}
 		r.last = res.err
-		r.exclude(b.Endpoint())
-		r.e.opts.Log.Debug().Str("request", r.x.id).Str("endpoint", b.Endpoint()).Err(res.err).Msg("Attempt failed.")
+		if addr == "" {
+			r.exclude(endpoint)
+			r.failed[endpoint] = true
+		}
+		r.e.opts.Log.Debug().Str("request", r.x.id).Str("endpoint", endpoint).Str("entry", addr).Err(res.err).Msg("Attempt failed.")
+		if res.outcome.NotRun() && r.remote() != "" && time.Now().Before(r.x.deadline()) {
+			continue // what was not run may be tried at once at another cell, each of whose entries is tried once
+		}
 		if !r.again(ctx) {
 			return r.giveUp(ctx)
 		}
@@ -161,7 +186,7 @@
 		return nil, nil
 	case errors.As(err, &refused):
 		r.e.demand.Refused(r.ask.Model)
-		return nil, newProblem(http.StatusServiceUnavailable, "Not served in time", refused.Reason,
+		return nil, newProblem(http.StatusServiceUnavailable, refusedTitle, refused.Reason,
 			attempt.Combine(r.outcome, attempt.NotSent), time.Duration(refused.RetryAfterMs)*time.Millisecond)
 	}
 	return nil, newProblem(http.StatusServiceUnavailable, "No endpoint", err.Error(), attempt.Combine(r.outcome, attempt.NotSent), defaultRetryAfter)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,8 @@
 	http     *server.Hertz
 	demand   Demand
 
+	unreachable unreachable
+
 	asks        atomic.Uint64 // id of the latest Ask
 	serviceTurn atomic.Uint64
 }
--- a/internal/entry/outbound.go
+++ b/internal/entry/outbound.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,12 +36,13 @@
 	o.fresh.CloseIdleConnections()
 }
 
-// complete opens a completion stream at an endpoint. last is the id of the last event that was accepted, 0 for none.
-func (o *outbound) complete(ctx context.Context, addr, requestID string, last uint64, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/chat/completions", bytes.NewReader(body))
+// complete opens a completion stream at an endpoint or at an entry of another cell. last is the id of the last event that was accepted, 0 for none.
+func (o *outbound) complete(ctx context.Context, to target, requestID string, last uint64) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.addr+"/v1/chat/completions", bytes.NewReader(to.body))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	maps.Copy(req.Header, to.header)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
 	req.Header.Set("X-Request-Id", requestID)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -83,20 +83,36 @@
 	if err != nil {
 		return result{outcome: attempt.NotSent, problem: refusal(http.StatusBadRequest, "Malformed request body", err.Error(), 0)}
 	}
+	res := r.exchange(ctx, target{addr: ep.Address, body: body, refused: refusedBy, first: r.firstTokenTimeout()}, b.Preempted(), onEvent)
+	r.e.unreachable.note(ep.Name, res.outcome == attempt.NotSent)
+	return res
+}
+
+// target is where an attempt is sent.
+type target struct {
+	addr    string
+	body    []byte
+	header  http.Header // further headers
+	refused func(*http.Response) result
+	first   time.Duration // longest wait for the first event
+}
+
+// exchange sends one attempt and reads its stream.
+func (r *completion) exchange(ctx context.Context, to target, preempted <-chan struct{}, onEvent func()) result {
 	actx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := watchPreemption(actx, b.Preempted(), cancel)
+	stop := watchPreemption(actx, preempted, cancel)
 	defer stop()
-	idle := time.AfterFunc(r.firstTokenTimeout(), func() { cancel(errIdle) })
+	idle := time.AfterFunc(to.first, func() { cancel(errIdle) })
 	defer idle.Stop()
 	var trace attempt.Trace
-	resp, err := r.e.outbound.complete(trace.With(actx), ep.Address, r.upstream, r.seq.last(), body)
+	resp, err := r.e.outbound.complete(trace.With(actx), to, r.upstream, r.seq.last())
 	if err != nil {
 		return r.ended(actx, trace.Failed(), err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return refusedBy(resp)
+		return to.refused(resp)
 	}
 	if got := resp.Header.Get("X-Request-Id"); got != r.upstream {
 		return result{outcome: attempt.Unknown, err: errors.Errorf("answer carries request id %q, want %q", got, r.upstream)}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -146,6 +146,8 @@
 		next.Placement = &m.Placement
 	case *wire.MembersUpdate:
 		next.Members, next.Holder = m.Members, m.Holder
+	case *wire.DirectoryUpdate:
+		next.Remote = remoteHosts(m)
 	case *wire.EndpointsUpdate:
 		next.Leaving = make(map[string]bool)
 		for _, s := range m.States {
--- a/internal/placement/cover.go
+++ b/internal/placement/cover.go
@@ -21,18 +21,23 @@
 	return out
 }
 
-// cover loads every model that has too few copies: first those without any, the largest ones first because they are the
-// hardest to fit.
+// cover loads every model that has too few copies: first those without any, of these first those that no other cell
+// serves, and the largest ones first because they are the hardest to fit.
 func (p *Planner) cover(v *view) {
 	for _, m := range v.order(func(m *modelView) float64 {
-		if m.copies == 0 {
+		switch {
+		case m.copies == 0 && !m.elsewhere:
+			return 2*math.MaxInt64 + float64(m.decl.Memory)
+		case m.copies == 0:
 			return math.MaxInt64 + float64(m.decl.Memory)
 		}
 		return float64(m.decl.Memory)
 	}) {
 		for mv := &v.models[m]; mv.copies < mv.need; {
 			if !p.place(v, m, false) {
+				v.mayEvict = mv.copies == 0 && !mv.elsewhere
 				p.makeRoom(v, m, false)
+				v.mayEvict = false
 				break
 			}
 		}
@@ -45,7 +50,7 @@
 		return
 	}
 	for _, m := range v.order(func(m *modelView) float64 { return m.weight }) {
-		if mv := &v.models[m]; mv.copies > 0 && mv.zoneCount() < 2 && !p.place(v, m, true) && mv.ready == mv.copies {
+		if mv := &v.models[m]; mv.planned && mv.copies > 0 && mv.zoneCount() < 2 && !p.place(v, m, true) && mv.ready == mv.copies {
 			p.makeRoom(v, m, true)
 		}
 	}
@@ -179,7 +184,7 @@
 			break
 		}
 		free += int64(v.models[n].decl.Memory)
-		cost += v.models[n].weight / float64(v.models[n].copies-1)
+		cost += v.models[n].weight / left(v.models[n].copies)
 		out = append(out, n)
 	}
 	if free < bytes {
@@ -194,15 +199,21 @@
 	var out []int
 	for _, n := range e.holds {
 		mv := &v.models[n]
-		if mv.ready > mv.need && !e.busy[mv.decl.Name] && v.l.Settled(e.decl.Name, mv.decl.Name, v.now) && v.adaptersCopied(e, mv.decl.Name) {
+		if e.busy[mv.decl.Name] || !v.l.Settled(e.decl.Name, mv.decl.Name, v.now) {
+			continue
+		}
+		if mv.ready > max(1, mv.need) && v.adaptersCopied(e, mv.decl.Name) || v.mayEvict && mv.expendable {
 			out = append(out, n)
 		}
 	}
-	left := func(n int) float64 { return v.models[n].weight / float64(v.models[n].ready-1) }
-	slices.SortFunc(out, func(a, b int) int { return cmp.Or(cmp.Compare(left(a), left(b)), cmp.Compare(a, b)) })
+	work := func(n int) float64 { return v.models[n].weight / left(v.models[n].ready) }
+	slices.SortFunc(out, func(a, b int) int { return cmp.Or(cmp.Compare(work(a), work(b)), cmp.Compare(a, b)) })
 	return out
 }
 
+// left returns the number of copies after the loss of one. The loss of the last counts more than that of one of two.
+func left(copies int) float64 { return max(float64(copies-1), 0.5) }
+
 // unload adds the intents to unload a model and its adapters from an endpoint.
 func (v *view) unload(e *endpointView, m int) {
 	d := v.models[m].decl
--- a/internal/placement/moves.go
+++ b/internal/placement/moves.go
@@ -5,12 +5,16 @@
 	"slices"
 )
 
-// retire unloads what is no longer declared.
-func (p *Planner) retire(v *view) {
+// retire unloads what is no longer declared, and models with their adapters that other cells serve instead.
+func (p *Planner) retire(v *view, retired func(string) bool) {
 	for i := range v.endpoints {
 		e := &v.endpoints[i]
 		for _, r := range slices.Clone(e.account.Residents) {
-			if !v.snap.Serves(r.Name) {
+			model := r.Name
+			if a := v.snap.Adapter(r.Name); a != nil {
+				model = a.Model
+			}
+			if !v.snap.Serves(r.Name) || retired != nil && retired(model) {
 				v.l.Unload(e.decl.Name, r.Name, v.now)
 			}
 		}
@@ -23,7 +27,7 @@
 	for n := p.pending(v); n < maxPending; {
 		best := -1
 		for m := range v.models {
-			if !full[m] && (best < 0 || v.models[m].perCopy() > v.models[best].perCopy()) {
+			if v.models[m].planned && !full[m] && (best < 0 || v.models[m].perCopy() > v.models[best].perCopy()) {
 				best = m
 			}
 		}
@@ -51,7 +55,7 @@
 	usable := 0
 	for m := range v.models {
 		total += v.models[m].weight
-		if hot < 0 || v.models[m].perCopy() > v.models[hot].perCopy() {
+		if v.models[m].planned && (hot < 0 || v.models[m].perCopy() > v.models[hot].perCopy()) {
 			hot = m
 		}
 	}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -39,6 +39,15 @@
 	Alive    map[string]bool             // endpoints that have reported lately
 	Draining map[string]bool             // endpoints whose reports say that they drain
 	Demand   map[string]wire.ModelDemand // since the previous round
+	// Planned tells for which models copies are loaded, and Retired which ones are unloaded because other cells serve
+	// them. nil means all and none.
+	Planned func(model string) bool
+	Retired func(model string) bool
+	// Elsewhere tells whether another cell serves a model, and Expendable whether the last copy in this cell may then be
+	// unloaded in favour of a model that no cell serves. nil means none.
+	Elsewhere  func(model string) bool
+	Expendable func(model string) bool
+	Cells      int // number of cells that share the least number of copies of each model; 0 means one
 }
 
 // Planner decides which intents to add. It keeps smoothed demand and the history of moves between rounds.
@@ -47,6 +56,7 @@
 
 	demand demand
 	moved  map[string]move
+	hot    map[string]time.Time // when a model last had a hotShare of the demand
 	shared []uint16
 }
 
@@ -58,13 +68,14 @@
 // Round adds intents to the ledger and marks leaving endpoints in it. It returns whether the placement changed.
 func (p *Planner) Round(in Input) bool {
 	p.demand.add(in.Now, in.Demand)
+	p.noteHot(in.Now)
 	stages, changed := p.stages(in)
 	before := in.Ledger.p.NextIntent
 	v := p.newView(in, stages)
 	p.cover(v)
 	p.spread(v)
 	p.adapters(v)
-	p.retire(v)
+	p.retire(v, in.Retired)
 	if p.settledLayout(v) {
 		p.grow(v)
 		p.exchange(v)
@@ -102,3 +113,30 @@
 	}
 	return 1 + p.demand.rate[name]
 }
+
+// hotShare is the share of a cell's demand from which on the cell serves a model itself instead of forwarding. A cell
+// of 36 endpoints serves 200 models when each of 2,000 is in 2 of 20 cells, so an average one has 0.5%.
+const hotShare = 0.05
+
+// noteHot records which models have a great share of the demand.
+func (p *Planner) noteHot(now time.Time) {
+	var total float64
+	for _, r := range p.demand.rate {
+		total += r
+	}
+	for name, r := range p.demand.rate {
+		if r < 1 || r < hotShare*total {
+			continue
+		}
+		if p.hot == nil {
+			p.hot = make(map[string]time.Time)
+		}
+		p.hot[name] = now
+	}
+}
+
+// Hot tells whether a model had a great share of the cell's demand within Horizon.
+func (p *Planner) Hot(model string, now time.Time) bool {
+	at, ok := p.hot[model]
+	return ok && now.Sub(at) < Horizon
+}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -14,6 +14,7 @@
 	snap      *config.Snapshot
 	l         *Ledger
 	modelIDs  map[string]int
+	mayEvict  bool // last copies of expendable models may be unloaded
 	endpoints []endpointView
 	models    []modelView
 	shared    []uint16 // for each pair of models, the number of usable endpoints that hold both
@@ -31,12 +32,14 @@
 }
 
 type modelView struct {
-	decl   *config.Model
-	weight float64
-	need   int // least number of copies
-	copies int // on usable endpoints, ready or being loaded
-	ready  int
-	zones  map[string]int // copies by availability zone
+	decl                  *config.Model
+	planned               bool
+	elsewhere, expendable bool // as in Input
+	weight                float64
+	need                  int // least number of copies
+	copies                int // on usable endpoints, ready or being loaded
+	ready                 int
+	zones                 map[string]int // copies by availability zone
 }
 
 func (v *view) pair(a, b int) *uint16 { return &v.shared[a*len(v.models)+b] }
@@ -104,7 +107,12 @@
 	for i := range snap.Models {
 		m := &snap.Models[i]
 		v.modelIDs[m.Name] = i
-		v.models[i] = modelView{decl: m, weight: p.weight(m.Name), need: max(1, m.MinReplicas), zones: make(map[string]int, 4)}
+		v.models[i] = modelView{decl: m, weight: p.weight(m.Name), need: max(1, (m.MinReplicas+max(1, in.Cells)-1)/max(1, in.Cells)), zones: make(map[string]int, 4)}
+		v.models[i].elsewhere = in.Elsewhere != nil && in.Elsewhere(m.Name)
+		v.models[i].expendable = v.models[i].elsewhere && in.Expendable(m.Name)
+		if v.models[i].planned = in.Planned == nil || in.Planned(m.Name); !v.models[i].planned {
+			v.models[i].need = 0
+		}
 	}
 	for i := range snap.Adapters {
 		if m, ok := v.modelIDs[snap.Adapters[i].Model]; ok && p.Policy != PolicyStatic {
--- a/internal/planner/cells_test.go
+++ b/internal/planner/cells_test.go
@@ -69,7 +69,9 @@
 	return out
 }
 
-func (w *world) has(want string) func() bool { return func() bool { return fmt.Sprint(w.owners()) == want } }
+func (w *world) has(want string) func() bool {
+	return func() bool { return fmt.Sprint(w.owners()) == want }
+}
 
 // TestCells guards against a cell that keeps endpoints that another should own, against endpoints of a dead cell that
 // nobody takes over, and against overcommitted memory meanwhile, with a planner that resumes after its cell has been
--- a/internal/planner/owners.go
+++ b/internal/planner/owners.go
@@ -113,6 +113,9 @@
 	}
 	o.live.Observe(at, cells, versions)
 	o.dead = o.live.Dead()
+	if p.Dead != nil {
+		p.Dead(o.dead)
+	}
 	return nil
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -54,6 +54,9 @@
 	// OwnersEvery is the time between two reads of the owners of endpoints, and a tenth of the time without a renewal of
 	// its lease after which another cell is dead. 0 means 6 s.
 	OwnersEvery time.Duration
+	// Served returns the cells by model according to the directory, nil if unknown. Without it all models are planned.
+	Served func() map[string][]string
+	Dead   func(map[string]bool) // called with the cells whose lease has not been renewed for long; may be nil
 	// LateBound replaces placement.LateBound in tests, which can't wait for it.
 	LateBound time.Duration
 }
@@ -97,10 +100,13 @@
 
 	object object
 	owners owners
-	ledger *placement.Ledger
-	rounds placement.Planner
-	sender placement.Sender
-	stale  atomic.Bool // an engine refused an order because of its fencing token
+	models ownership.Models
+
+	assigned time.Time // latest update of models
+	ledger   *placement.Ledger
+	rounds   placement.Planner
+	sender   placement.Sender
+	stale    atomic.Bool // an engine refused an order because of its fencing token
 }
 
 // round observes, plans, stores and sends, in this order.
@@ -127,7 +133,9 @@
 	changed = p.observe(own, now) || changed
 	alive, draining, all := p.polls.states(own, now)
 	if all || now.Sub(p.started) >= deadAfter {
-		changed = p.rounds.Round(placement.Input{Now: now, Snapshot: plan, Ledger: p.ledger, Alive: alive, Draining: draining, Demand: p.Demand()}) || changed
+		in := placement.Input{Now: now, Snapshot: plan, Ledger: p.ledger, Alive: alive, Draining: draining, Demand: p.Demand()}
+		p.assign(&in, snap, now)
+		changed = p.rounds.Round(in) || changed
 	}
 	changed = p.release(releasing) || changed
 	if changed {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -3,7 +3,7 @@
 //msgp:tuple Hello Heartbeat Head HeadFile HeadRequest HeadReply FileRequest FileReply File Subscribe ConfigUpdate
 //msgp:tuple Placement EndpointPlacement Resident Intent PlacementUpdate Member MembersUpdate EndpointState EndpointsUpdate
 //msgp:tuple ModelDemand EntryStatus DemandReport Ask Queued Grant Refuse Done Cancel Preempt Running Resync
-//msgp:tuple ClaimRequest ClaimReply ClaimResult Ack
+//msgp:tuple ClaimRequest ClaimReply ClaimResult Ack ModelCells CellMembers DirectoryUpdate
 
 // Role names the process that opened a connection.
 type Role uint8
@@ -287,3 +287,22 @@
 
 // Ack confirms a message that has no other reply.
 type Ack struct{}
+
+// ModelCells names the cells that serve a model or adapter.
+type ModelCells struct {
+	Model string
+	Cells []string
+}
+
+// CellMembers are the hosts of a cell.
+type CellMembers struct {
+	Cell    string
+	Members []Member
+}
+
+// DirectoryUpdate carries what is known of the other cells to an entry process. A model that no other cell serves and
+// the own cell are left out.
+type DirectoryUpdate struct {
+	Models []ModelCells
+	Cells  []CellMembers
+}
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -222,6 +222,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *CellMembers) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Cell)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0001 := range z.Members {
+		o, err = z.Members[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CellMembers) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Cell, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cell")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if cap(z.Members) >= int(zb0002) {
+		z.Members = (z.Members)[:zb0002]
+	} else {
+		z.Members = make([]Member, zb0002)
+	}
+	for za0001 := range z.Members {
+		bts, err = z.Members[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CellMembers) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Cell) + msgp.ArrayHeaderSize
+	for za0001 := range z.Members {
+		s += z.Members[za0001].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -576,6 +641,165 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *DirectoryUpdate) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
+	for za0001 := range z.Models {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Models[za0001].Model)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Models[za0001].Cells)))
+		for za0002 := range z.Models[za0001].Cells {
+			o = msgp.AppendString(o, z.Models[za0001].Cells[za0002])
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
+	for za0003 := range z.Cells {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Cells[za0003].Cell)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Cells[za0003].Members)))
+		for za0004 := range z.Cells[za0003].Members {
+			o, err = z.Cells[za0003].Members[za0004].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Cells", za0003, "Members", za0004)
+				return
+			}
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DirectoryUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Models")
+		return
+	}
+	if cap(z.Models) >= int(zb0002) {
+		z.Models = (z.Models)[:zb0002]
+	} else {
+		z.Models = make([]ModelCells, zb0002)
+	}
+	for za0001 := range z.Models {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Models", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Models[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Models", za0001, "Model")
+			return
+		}
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Models", za0001, "Cells")
+			return
+		}
+		if cap(z.Models[za0001].Cells) >= int(zb0004) {
+			z.Models[za0001].Cells = (z.Models[za0001].Cells)[:zb0004]
+		} else {
+			z.Models[za0001].Cells = make([]string, zb0004)
+		}
+		for za0002 := range z.Models[za0001].Cells {
+			z.Models[za0001].Cells[za0002], bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Models", za0001, "Cells", za0002)
+				return
+			}
+		}
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cells")
+		return
+	}
+	if cap(z.Cells) >= int(zb0005) {
+		z.Cells = (z.Cells)[:zb0005]
+	} else {
+		z.Cells = make([]CellMembers, zb0005)
+	}
+	for za0003 := range z.Cells {
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Cells", za0003)
+			return
+		}
+		if zb0006 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+			return
+		}
+		z.Cells[za0003].Cell, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Cells", za0003, "Cell")
+			return
+		}
+		var zb0007 uint32
+		zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Cells", za0003, "Members")
+			return
+		}
+		if cap(z.Cells[za0003].Members) >= int(zb0007) {
+			z.Cells[za0003].Members = (z.Cells[za0003].Members)[:zb0007]
+		} else {
+			z.Cells[za0003].Members = make([]Member, zb0007)
+		}
+		for za0004 := range z.Cells[za0003].Members {
+			bts, err = z.Cells[za0003].Members[za0004].UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cells", za0003, "Members", za0004)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DirectoryUpdate) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Models {
+		s += 1 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + msgp.ArrayHeaderSize
+		for za0002 := range z.Models[za0001].Cells {
+			s += msgp.StringPrefixSize + len(z.Models[za0001].Cells[za0002])
+		}
+	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Cells {
+		s += 1 + msgp.StringPrefixSize + len(z.Cells[za0003].Cell) + msgp.ArrayHeaderSize
+		for za0004 := range z.Cells[za0003].Members {
+			s += z.Cells[za0003].Members[za0004].Msgsize()
+		}
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Done) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1791,6 +2015,67 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ModelCells) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Model)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
+	for za0001 := range z.Cells {
+		o = msgp.AppendString(o, z.Cells[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ModelCells) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cells")
+		return
+	}
+	if cap(z.Cells) >= int(zb0002) {
+		z.Cells = (z.Cells)[:zb0002]
+	} else {
+		z.Cells = make([]string, zb0002)
+	}
+	for za0001 := range z.Cells {
+		z.Cells[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Cells", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ModelCells) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Model) + msgp.ArrayHeaderSize
+	for za0001 := range z.Cells {
+		s += msgp.StringPrefixSize + len(z.Cells[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ModelDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,6 +39,7 @@
 	KindClaimReply
 	KindClaimResult
 	KindAck
+	KindDirectoryUpdate
 )
 
 // Message is implemented by every struct of this package that travels in a frame of its own.
@@ -83,6 +84,7 @@
 	KindClaimReply:      func() Message { return new(ClaimReply) },
 	KindClaimResult:     func() Message { return new(ClaimResult) },
 	KindAck:             func() Message { return new(Ack) },
+	KindDirectoryUpdate: func() Message { return new(DirectoryUpdate) },
 }
 
 func (*Hello) Kind() Kind           { return KindHello }
@@ -110,3 +112,4 @@
 func (*ClaimReply) Kind() Kind      { return KindClaimReply }
 func (*ClaimResult) Kind() Kind     { return KindClaimResult }
 func (*Ack) Kind() Kind             { return KindAck }
+func (*DirectoryUpdate) Kind() Kind { return KindDirectoryUpdate }
