--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -141,6 +141,8 @@
 		if addr == "" {
 			r.exclude(endpoint)
 			r.failed[endpoint] = true
+		} else {
+			r.tried[addr] = true
 		}
 		r.e.opts.Log.Debug().Str("request", r.x.id).Str("endpoint", endpoint).Str("entry", addr).Err(res.err).Msg("Attempt failed.")
 		if res.outcome.NotRun() && r.remote() != "" && time.Now().Before(r.x.deadline()) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -107,7 +107,6 @@
 	h.Set("Authorization", string(r.x.c.GetHeader("Authorization")))
 	h.Set(rankHeader, r.x.rank.Name)
 	h.Set(forwardedHeader, strconv.FormatInt(time.Since(r.x.start).Milliseconds(), 10))
-	r.tried[addr] = true
 	// The request may wait in the other cell's queue until its deadline, where it is refused.
 	first := max(time.Until(r.x.deadline()), minFirstToken)
 	if r.seq.last() > 0 {
