--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -24,6 +24,13 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if o.Cell == control.AutoCell {
+		cell, err := control.JoinCell(ctx, o)
+		if err != nil {
+			return // stopped before it joined
+		}
+		o.Cell = cell
+	}
 	if err := control.New(o).Run(ctx); err != nil {
 		o.Log.Error().Err(err).Msg("Stopped with an error.")
 		os.Exit(1)
--- a/cmd/sycamore-entry/main.go
+++ b/cmd/sycamore-entry/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"syscall"
 
+	"sycamoredeal/internal/control"
 	"sycamoredeal/internal/entry"
 	"sycamoredeal/internal/settings"
 	"sycamoredeal/internal/telemetry"
@@ -22,6 +23,13 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if o.Cell == control.AutoCell {
+		cell, err := control.LearnCell(ctx, o.Control, o.Host, o.Zone, o.Log)
+		if err != nil {
+			return // stopped before it knew its cell
+		}
+		o.Cell = cell
+	}
 	if err := entry.New(o).Run(ctx); err != nil {
 		o.Log.Error().Err(err).Msg("Stopped with an error.")
 		os.Exit(1)
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -21,11 +21,6 @@
 	forgetAfter    = 6                // times the dead limit after which the holder removes a host
 )
 
-// roster is the content of the cell's roster object.
-type roster struct {
-	Members []wire.Member `json:"members"`
-}
-
 // keepRoster joins the cell and keeps the members up to date. A host that was removed while it was frozen joins again.
 func (c *Control) keepRoster(ctx context.Context) {
 	log := c.opts.Log.Part("roster")
@@ -107,9 +102,9 @@
 // which finds the change made or makes it again.
 func (c *Control) updateRoster(ctx context.Context, change func([]wire.Member) []wire.Member) ([]wire.Member, error) {
 	var out []wire.Member
-	err := update(ctx, c.opts.Store, platform.KindRoster, c.opts.Cell, func(r roster) (roster, bool) {
+	err := update(ctx, c.opts.Store, platform.KindRoster, c.opts.Cell, func(r membership.Roster) (membership.Roster, bool) {
 		out = change(r.Members)
-		return roster{out}, !reflect.DeepEqual(out, r.Members)
+		return membership.Roster{Region: c.opts.Region, Members: out}, r.Region != c.opts.Region || !reflect.DeepEqual(out, r.Members)
 	})
 	return out, err
 }
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -378,5 +378,10 @@
 	if err != nil || len(b) > 400<<10 {
 		t.Fatalf("%d bytes, %v", len(b), err)
 	}
-	t.Logf("%d bytes with every cell at its limit of moves", len(b))
+	for name, r := range o.Endpoints {
+		r.Transit = nil
+		o.Endpoints[name] = r
+	}
+	quiet, _ := json.Marshal(o)
+	t.Logf("%d bytes, and %d with every cell at its limit of moves", len(quiet), len(b))
 }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -12,7 +12,7 @@
 type SycamoreEntry struct {
 	Host              string        // Name of this host.
 	Zone              string        // Availability zone of this host.
-	Cell              string        // Cell of this host.
+	Cell              string        // Cell of this host; auto takes that of the local control process.
 	Listen            string        // Address for callers.
 	PeerListen        string        // Address for other entry processes.
 	Control           string        // Address of the local control process.
@@ -42,7 +42,7 @@
 func (s *SycamoreEntry) Register(app *kingpin.Application) {
 	s.all.register(app, Spec{Flag: "host", Env: "SYCAMORE_ENTRY_HOST", Kind: "string", Required: true, Help: "Name of this host."}, &s.Host)
 	s.all.register(app, Spec{Flag: "zone", Env: "SYCAMORE_ENTRY_ZONE", Kind: "string", Required: true, Help: "Availability zone of this host."}, &s.Zone)
-	s.all.register(app, Spec{Flag: "cell", Env: "SYCAMORE_ENTRY_CELL", Kind: "string", Default: "cell-1", Help: "Cell of this host."}, &s.Cell)
+	s.all.register(app, Spec{Flag: "cell", Env: "SYCAMORE_ENTRY_CELL", Kind: "string", Default: "cell-1", Help: "Cell of this host; auto takes that of the local control process."}, &s.Cell)
 	s.all.register(app, Spec{Flag: "listen", Env: "SYCAMORE_ENTRY_LISTEN", Kind: "address", Required: true, Help: "Address for callers."}, &s.Listen)
 	s.all.register(app, Spec{Flag: "peer-listen", Env: "SYCAMORE_ENTRY_PEER_LISTEN", Kind: "address", Required: true, Help: "Address for other entry processes."}, &s.PeerListen)
 	s.all.register(app, Spec{Flag: "control", Env: "SYCAMORE_ENTRY_CONTROL", Kind: "address", Required: true, Help: "Address of the local control process."}, &s.Control)
@@ -64,7 +64,7 @@
 type SycamoreControl struct {
 	Host          string        // Name of this host.
 	Zone          string        // Availability zone of this host.
-	Cell          string        // Cell of this host.
+	Cell          string        // Cell of this host; auto joins one of its region.
 	Region        string        // Region of this host; its cell owns endpoints of the same region only.
 	Listen        string        // Address for the project's own processes.
 	EntryAddress  string        // Address of the local entry process for other entry processes.
@@ -96,7 +96,7 @@
 func (s *SycamoreControl) Register(app *kingpin.Application) {
 	s.all.register(app, Spec{Flag: "host", Env: "SYCAMORE_CONTROL_HOST", Kind: "string", Required: true, Help: "Name of this host."}, &s.Host)
 	s.all.register(app, Spec{Flag: "zone", Env: "SYCAMORE_CONTROL_ZONE", Kind: "string", Required: true, Help: "Availability zone of this host."}, &s.Zone)
-	s.all.register(app, Spec{Flag: "cell", Env: "SYCAMORE_CONTROL_CELL", Kind: "string", Default: "cell-1", Help: "Cell of this host."}, &s.Cell)
+	s.all.register(app, Spec{Flag: "cell", Env: "SYCAMORE_CONTROL_CELL", Kind: "string", Default: "cell-1", Help: "Cell of this host; auto joins one of its region."}, &s.Cell)
 	s.all.register(app, Spec{Flag: "region", Env: "SYCAMORE_CONTROL_REGION", Kind: "string", Help: "Region of this host; its cell owns endpoints of the same region only."}, &s.Region)
 	s.all.register(app, Spec{Flag: "listen", Env: "SYCAMORE_CONTROL_LISTEN", Kind: "address", Required: true, Help: "Address for the project's own processes."}, &s.Listen)
 	s.all.register(app, Spec{Flag: "entry-address", Env: "SYCAMORE_CONTROL_ENTRY_ADDRESS", Kind: "address", Required: true, Help: "Address of the local entry process for other entry processes."}, &s.EntryAddress)
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -101,3 +101,23 @@
 	nc, err := d.DialContext(ctx, "tcp", c.addr)
 	return nc, errors.Trace(err)
 }
+
+// CellOf connects to a process of the project and returns its cell, or "" if it does not answer within a second.
+func CellOf(ctx context.Context, addr string, hello wire.Hello) string {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	up := make(chan string, 1)
+	c := Dial(ctx, addr, Options{Hello: hello, Handler: func(*Conn, uint64, wire.Message) {}, OnUp: func(conn *Conn) {
+		select {
+		case up <- conn.Remote().Cell:
+		default:
+		}
+	}})
+	defer c.Close()
+	select {
+	case cell := <-up:
+		return cell
+	case <-ctx.Done():
+		return ""
+	}
+}
--- a/test/integration/cells_test.go
+++ b/test/integration/cells_test.go
@@ -200,6 +200,29 @@
 	w.noViolations()
 }
 
+// TestSelfJoin guards against hosts without a cell in their settings that don't join, join different cells, or whose
+// entry does not learn its cell.
+func TestSelfJoin(t *testing.T) {
+	c := newCell(t, 0)
+	c.apply(1)
+	for range 2 {
+		n := c.control("--cell", "auto")
+		caller := testbed.FreeAddr()
+		c.start("entry", "sycamore-entry", "--host", n.host, "--zone", "z1", "--cell", "auto", "--listen", caller, "--peer-listen", n.entry, "--control", n.listen)
+		c.until("entry ready", 10*time.Second, func() bool {
+			ctx, cancel := context.WithTimeout(c.ctx, 100*time.Millisecond)
+			defer cancel()
+			return testbed.WaitHTTP(ctx, "http://"+caller+"/readyz") == nil
+		})
+	}
+	c.until("both in one cell", 10*time.Second, c.hears(2, c.nodes...))
+	for _, n := range c.nodes {
+		if s, ok := c.status(n); !ok || s.Cell != "cell-1" {
+			t.Errorf("%s is in cell %q", n.host, s.Cell)
+		}
+	}
+}
+
 func pick(addrs []string, index []int) (out []string) {
 	for _, i := range index {
 		out = append(out, addrs[i])
