Bound what a host spends on the directory

Cause: 197 KB twice a minute would be 6.5 KB/s at the target, more than all of control may use.

Change: the time between two reads grows with the object, to at most 1 KB/s; the wait before a further cell plans a model that none serves follows from it.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -86,19 +86,20 @@
 
 // Control is the running process.
 type Control struct {
-	opts        Options
-	start       time.Time
-	incarnation atomic.Uint64
-	counters    transport.Counters
-	events      *ring.Ring[any]
-	fetches     *ring.Ring[fetchJob]
-	rosterHints *ring.Ring[struct{}]
-	lease       *leaseDuty
-	demand      demandSum
-	cells       atomic.Pointer[directory.Directory] // as last read, nil before
-	dead        atomic.Pointer[map[string]bool]     // dead cells as the planner of this process sees them
-	claims      *claimstore.ClaimStore
-	view        atomic.Pointer[view]
+	opts           Options
+	start          time.Time
+	incarnation    atomic.Uint64
+	counters       transport.Counters
+	events         *ring.Ring[any]
+	fetches        *ring.Ring[fetchJob]
+	rosterHints    *ring.Ring[struct{}]
+	lease          *leaseDuty
+	demand         demandSum
+	cells          atomic.Pointer[directory.Directory] // as last read, nil before
+	dead           atomic.Pointer[map[string]bool]     // dead cells as the planner of this process sees them
+	claims         *claimstore.ClaimStore
+	directoryEvery atomic.Int64 // time between two reads of the directory, in ns
+	view           atomic.Pointer[view]
 }
 
 // New returns a control process that is not yet running.
--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -15,9 +15,12 @@
 
 const (
 	directoryInterval = time.Second // between comparisons; a read is made only after a change
-	// With the default term a cell writes at most 4 times a minute, and a host reads twice a minute.
+	// With the default term a cell writes at most 4 times a minute, and a host reads at most twice a minute.
 	termsPerDirectoryWrite = 5.0 / 2
 	termsPerDirectoryRead  = 5
+	// directoryRate is what the reads may cost a host, of the 2 KB/s of control. At the target the directory has 197 KB
+	// and is read every 3 minutes.
+	directoryRate = 1 << 10 // bytes per second
 )
 
 // keepDirectory writes this cell's part of the directory when it changes, and removes those of dead cells. Only the
@@ -74,6 +77,7 @@
 func (c *Control) pollDirectory(ctx context.Context) {
 	log := c.opts.Log.Part("directory")
 	every := termsPerDirectoryRead * c.opts.Term
+	c.directoryEvery.Store(int64(every))
 	for ctx.Err() == nil {
 		o, err := c.opts.Store.Get(ctx, platform.KindDirectory, directory.Name)
 		var d directory.Directory
@@ -82,6 +86,8 @@
 		}
 		if err == nil {
 			c.cells.Store(&d)
+			every = max(termsPerDirectoryRead*c.opts.Term, time.Duration(len(o.Data))*time.Second/directoryRate)
+			c.directoryEvery.Store(int64(every))
 			c.events.Push(ctx, evDirectory{directory.Others(d, c.opts.Cell)})
 		} else if ctx.Err() == nil && !errors.Is(err, platform.ErrNotFound) {
 			log.Debug().Err(err).Msg("Directory not read.")
@@ -90,10 +96,11 @@
 	}
 }
 
-// served returns the cells by model as last read, or nil.
-func (c *Control) served() map[string][]string {
+// served returns the cells by model as last read, or nil, and the time within which all hosts see a change.
+func (c *Control) served() (map[string][]string, time.Duration) {
+	lag := time.Duration(c.directoryEvery.Load()) + time.Duration(float64(c.opts.Term)*termsPerDirectoryWrite) + directoryInterval
 	if d := c.cells.Load(); d != nil {
-		return d.Models
+		return d.Models, lag
 	}
-	return nil
+	return nil, lag
 }
--- a/internal/planner/cells_test.go
+++ b/internal/planner/cells_test.go
@@ -74,12 +74,18 @@
 }
 
 // TestCells guards against a cell that keeps endpoints that another should own, against endpoints of a dead cell that
-// nobody takes over, and against overcommitted memory meanwhile, with a planner that resumes after its cell has been
-// taken over.
+// nobody takes over, and against overcommitted memory meanwhile, with lost answers of the platform and a planner that
+// resumes after its cell has been taken over.
 func TestCells(t *testing.T) {
 	w := newWorld(t, 4, 4, true)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			w.store.lose.Store(1)
+			platform.Sleep(ctx, 300*time.Millisecond)
+		}
+	}()
 	always := func() bool { return true }
 	w.startCell(ctx, "c", 7, always)
 	w.eventually(20*time.Second, "one cell owns and loads everything", func() bool { return w.has("map[c:4]")() && w.complete() })
--- a/internal/planner/models.go
+++ b/internal/planner/models.go
@@ -8,10 +8,6 @@
 	"sycamoredeal/internal/placement"
 )
 
-// orphanIntervals is the number of intervals that one cell gets to load a model that no cell serves. The directory is
-// written within 2.5 intervals and read within 5.
-const orphanIntervals = 8
-
 // assignEvery is the time between two looks at which cells serve which models.
 const assignEvery = time.Second
 
@@ -26,7 +22,8 @@
 		return
 	} else if p.models.Cell == "" || now.Sub(p.assigned) >= assignEvery {
 		p.assigned = now
-		p.models.Cell, p.models.Wait = p.Cell, orphanIntervals*p.OwnersEvery
+		served, lag := p.Served()
+		p.models.Cell, p.models.Wait = p.Cell, lag
 		names := make([]string, len(snap.Models))
 		for i := range snap.Models {
 			names[i] = snap.Models[i].Name
@@ -34,7 +31,7 @@
 		for i := range snap.Adapters {
 			names = append(names, snap.Adapters[i].Name)
 		}
-		p.models.Update(now, names, cells, p.Served())
+		p.models.Update(now, names, cells, served)
 	}
 	in.Cells = ownership.HomeCells
 	in.Elsewhere = p.models.Elsewhere
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -54,8 +54,9 @@
 	// OwnersEvery is the time between two reads of the owners of endpoints, and a tenth of the time without a renewal of
 	// its lease after which another cell is dead. 0 means 6 s.
 	OwnersEvery time.Duration
-	// Served returns the cells by model according to the directory, nil if unknown. Without it all models are planned.
-	Served func() map[string][]string
+	// Served returns the cells by model according to the directory, nil if unknown, and the time within which other cells
+	// see a change of it. Without it all models are planned.
+	Served func() (map[string][]string, time.Duration)
 	Dead   func(map[string]bool) // called with the cells whose lease has not been renewed for long; may be nil
 	// LateBound replaces placement.LateBound in tests, which can't wait for it.
 	LateBound time.Duration
