Respect longer lease terms of other cells, and give test ports once

Cause: a cell whose lease has a longer term than the observer's could count as dead while its planner still held the lease. In one run of make test two processes of TestCells got the same port, which an outgoing connection had taken in between.

Change: a cell is dead after three of its own terms at the earliest. The test bed takes ports below the system's range for outgoing connections.

--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -296,13 +296,14 @@
 	}
 }
 
-// TestLiveness guards against a takeover of a cell that renews, and against taking all cells for dead after an outage.
+// TestLiveness guards against a takeover of a cell that renews or whose lease has a longer term, and against taking all cells for dead after an outage.
 func TestLiveness(t *testing.T) {
 	l := Liveness{Bound: 10 * time.Second, MaxGap: 3 * time.Second}
 	at := time.Unix(1000, 0)
+	term := time.Second
 	see := func(after time.Duration, version string) bool {
 		at = at.Add(after)
-		l.Observe(at, []string{"a"}, map[string]string{"a": version})
+		l.Observe(at, []string{"a"}, map[string]Lease{"a": {version, term}})
 		return l.Dead()["a"]
 	}
 	for i := range 20 {
@@ -321,6 +322,13 @@
 	if !see(time.Second, "19") {
 		t.Fatal("not dead after the bound")
 	}
+	term = 5 * time.Second
+	see(time.Second, "20")
+	for range 14 {
+		if see(time.Second, "20") {
+			t.Fatal("a cell whose planner may still hold its lease counts as dead")
+		}
+	}
 }
 
 // TestAssign guards against unbalanced cells and against many moves when a cell appears.
--- a/internal/planner/owners.go
+++ b/internal/planner/owners.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/lease"
 	"sycamoredeal/internal/ownership"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/wire"
@@ -101,9 +102,10 @@
 		}
 	}
 	o.version, o.known = got.Version, true
-	versions := make(map[string]string)
+	seen := make(map[string]ownership.Lease)
 	for _, l := range leases {
-		versions[l.Name] = l.Version
+		rec, _ := platform.Decode[lease.Record](l) // of an unreadable lease the version counts alone
+		seen[l.Name] = ownership.Lease{Version: l.Version, Term: time.Duration(rec.TermMs) * time.Millisecond}
 	}
 	var cells []string
 	for c := range o.state.Cells {
@@ -111,7 +113,7 @@
 			cells = append(cells, c)
 		}
 	}
-	o.live.Observe(at, cells, versions)
+	o.live.Observe(at, cells, seen)
 	o.dead = o.live.Dead()
 	if p.Dead != nil {
 		p.Dead(o.dead)
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -5,12 +5,14 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -105,14 +107,27 @@
 	return "", errors.Trace(err)
 }
 
-// FreeAddr returns an unused TCP address on the loopback interface.
+// Ports of FreeAddr lie below the range from which the system takes the local ports of outgoing connections. From
+// inside it, another connection may take a port before the process that it is meant for listens.
+const (
+	firstPort = 15000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
+
+// FreeAddr returns an unused TCP address on the loopback interface. It returns none twice before it has tried all.
 func FreeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for range lastPort - firstPort {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	panic("no free port")
 }
 
 // Start runs a program of the project.
