--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -24,7 +24,8 @@
 	sent    []time.Time          // first sendings of model loads
 	seen    map[uint64]bool
 	dead    map[string]bool
-	flying  int // most model loads in flight at any time
+	flying  int   // most model loads in flight at any time
+	cells   Input // what it says of other cells goes into each round
 }
 
 const loadTime = 2 * time.Second
@@ -57,7 +58,9 @@
 			f.l.Observe(e.Name, g.report(), f.now)
 		}
 	}
-	f.p.Round(Input{Now: f.now, Snapshot: f.snap, Ledger: f.l, Alive: alive, Demand: demand})
+	in := f.cells
+	in.Now, in.Snapshot, in.Ledger, in.Alive, in.Demand = f.now, f.snap, f.l, alive, demand
+	f.p.Round(in)
 	for _, o := range f.s.Due(f.now, f.snap, f.l, alive) {
 		if o.Intent.Action == wire.ActionLoad && !f.seen[o.Intent.ID] {
 			f.seen[o.Intent.ID], f.started[o.Intent.ID] = true, f.now
@@ -319,7 +322,9 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		f.now = f.now.Add(200 * time.Millisecond)
-		f.p.Round(Input{Now: f.now, Snapshot: f.snap, Ledger: f.l, Alive: alive, Demand: demand})
+		in := f.cells
+		in.Now, in.Snapshot, in.Ledger, in.Alive, in.Demand = f.now, f.snap, f.l, alive, demand
+		f.p.Round(in)
 		f.s.Due(f.now, f.snap, f.l, alive)
 	}
 }
