Merge several cells: ownership of endpoints, forwarding, self-joining

A resumed answer is given up after its rank's deadline or 30 s without a token, whichever is longer: work of a patient rank may be preempted for as long as more urgent work floods in, and a preemption before the first token left no time at all.

--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -19,7 +19,7 @@
 	var s settings.SycamoreControl
 	settings.MustParse(&s, nil)
 	o := control.Options{
-		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Listen: s.Listen, EntryAddress: s.EntryAddress,
+		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Region: s.Region, Listen: s.Listen, EntryAddress: s.EntryAddress, CallerAddr: s.CallerAddress,
 		AdminListen: s.AdminListen, AdminToken: s.AdminToken, Seeds: settings.List(s.Seeds), Term: s.LeaseTerm, Heartbeat: s.Heartbeat,
 		Poll: s.Poll, Retention: s.KeyRetention, Placement: placement.Policies[s.Placement], LateBound: s.LateBound,
 		Store: platform.NewClient(s.Platform, s.PlatformToken), Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "control"),
@@ -31,6 +31,13 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if o.Cell == control.AutoCell {
+		cell, err := control.JoinCell(ctx, o)
+		if err != nil {
+			return // stopped before it joined
+		}
+		o.Cell = cell
+	}
 	if err := control.New(o).Run(ctx); err != nil {
 		o.Log.Error().Err(err).Msg("Stopped with an error.")
 		os.Exit(1)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,6 +15,7 @@
 
 	"sycamoredeal/internal/claimstore"
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/directory"
 	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/ring"
@@ -41,8 +42,10 @@
 	Host         string
 	Zone         string // availability zone
 	Cell         string
+	Region       string   // of the host; a cell's endpoints are those of its region
 	Listen       string   // ip:port for the project's own processes
 	EntryAddress string   // ip:port of the local entry process for other entry processes
+	CallerAddr   string   // ip:port of the local entry process for callers, empty if requests can't be forwarded to it
 	AdminListen  string   // ip:port of the admin HTTP server, empty for none
 	AdminToken   string   // operators' bearer token for /v1 paths, empty for loopback clients only
 	Seeds        []string // ip:port of control processes to ask while the platform can't be read
@@ -88,21 +91,24 @@
 
 // Control is the running process.
 type Control struct {
-	opts        Options
-	start       time.Time
-	incarnation atomic.Uint64
-	counters    transport.Counters // of messages with other hosts
-	local       transport.Counters // of messages with the entry process of the same host
-	claimed     transport.Counters // of claims
-	observer    *observer
-	failed      func(addr string, err error) // logs failed handshakes
-	events      *ring.Ring[any]
-	fetches     *ring.Ring[fetchJob]
-	rosterHints *ring.Ring[struct{}]
-	lease       *leaseDuty
-	demand      demandSum
-	claims      *claimstore.ClaimStore
-	view        atomic.Pointer[view]
+	opts           Options
+	start          time.Time
+	incarnation    atomic.Uint64
+	counters       transport.Counters // of messages with other hosts
+	local          transport.Counters // of messages with the entry process of the same host
+	claimed        transport.Counters // of claims
+	observer       *observer
+	failed         func(addr string, err error) // logs failed handshakes
+	events         *ring.Ring[any]
+	fetches        *ring.Ring[fetchJob]
+	rosterHints    *ring.Ring[struct{}]
+	lease          *leaseDuty
+	demand         demandSum
+	cells          atomic.Pointer[directory.Directory] // as last read, nil before
+	dead           atomic.Pointer[map[string]bool]     // dead cells as the planner of this process sees them
+	claims         *claimstore.ClaimStore
+	directoryEvery atomic.Int64 // time between two reads of the directory, in ns
+	view           atomic.Pointer[view]
 }
 
 // New returns a control process that is not yet running.
@@ -174,6 +180,7 @@
 	duty(c.runFetches)
 	duty(c.keepRoster)
 	duty(c.pollEndpoints)
+	duty(c.pollDirectory)
 	duty(c.lease.run)
 	stopAdmin := c.serveAdmin()
 	<-ctx.Done()
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -52,6 +52,7 @@
 	seq      uint64
 	beatAt   time.Duration
 
+	directory   *wire.DirectoryUpdate // nil before the first read
 	sentMembers wire.MembersUpdate
 	statesKnown bool
 	sentStates  wire.EndpointsUpdate
@@ -60,7 +61,7 @@
 }
 
 func newCore(c *Control, ctx context.Context) *core {
-	self := wire.Member{Host: c.opts.Host, Zone: c.opts.Zone, Incarnation: c.incarnation.Load(), ControlAddress: c.opts.Listen, EntryAddress: c.opts.EntryAddress}
+	self := wire.Member{Host: c.opts.Host, Zone: c.opts.Zone, Incarnation: c.incarnation.Load(), ControlAddress: c.opts.Listen, EntryAddress: c.opts.EntryAddress, CallerAddress: c.opts.CallerAddr}
 	k := &core{
 		Control: c, ctx: ctx, rev: revision.New(),
 		table: membership.New(membership.Config{Self: self, Suspect: missedForSuspect * c.opts.Heartbeat, Dead: missedForDead * c.opts.Heartbeat}),
@@ -133,6 +134,11 @@
 		k.onOwnStates(e.states)
 	case evLease:
 		k.setHolder(e.record.Holder, e.record.Epoch)
+	case evDirectory:
+		if !reflect.DeepEqual(e.update, k.directory) {
+			k.directory = e.update
+			k.push(e.update)
+		}
 	case evLeave:
 		k.leaving = true
 		k.table.Leave()
@@ -237,6 +243,9 @@
 	if states := k.sentStates; k.statesKnown {
 		conn.Send(&states)
 	}
+	if k.directory != nil {
+		conn.Send(k.directory)
+	}
 	if k.placement.Version > s.Placement {
 		conn.Send(&wire.PlacementUpdate{Placement: k.placement})
 	}
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -10,7 +10,6 @@
 
 	"github.com/juju/errors"
 
-	"sycamoredeal/internal/directory"
 	"sycamoredeal/internal/membership"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/rendezvous"
@@ -18,17 +17,11 @@
 )
 
 const (
-	rosterInterval    = 30 * time.Second // between reads without a hint; an unknown host's heartbeat is a hint
-	rosterPause       = time.Second      // least time between reads
-	directoryInterval = time.Second      // between comparisons; a read is made only after a change
-	forgetAfter       = 6                // times the dead limit after which the holder removes a host
+	rosterInterval = 30 * time.Second // between reads without a hint; an unknown host's heartbeat is a hint
+	rosterPause    = time.Second      // least time between reads
+	forgetAfter    = 6                // times the dead limit after which the holder removes a host
 )
 
-// roster is the content of the cell's roster object.
-type roster struct {
-	Members []wire.Member `json:"members"`
-}
-
 // keepRoster joins the cell and keeps the members up to date. A host that was removed while it was frozen joins again.
 func (c *Control) keepRoster(ctx context.Context) {
 	log := c.opts.Log.Part("roster")
@@ -93,6 +86,7 @@
 	}
 	out = append(out, wire.Member{
 		Host: c.opts.Host, Zone: c.opts.Zone, Incarnation: c.incarnation.Load(), ControlAddress: c.opts.Listen, EntryAddress: c.opts.EntryAddress,
+		CallerAddress: c.opts.CallerAddr,
 	})
 	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
 	return out
@@ -109,9 +103,9 @@
 // which finds the change made or makes it again.
 func (c *Control) updateRoster(ctx context.Context, change func([]wire.Member) []wire.Member) ([]wire.Member, error) {
 	var out []wire.Member
-	err := update(ctx, c.opts.Store, platform.KindRoster, c.opts.Cell, func(r roster) (roster, bool) {
+	err := update(ctx, c.opts.Store, platform.KindRoster, c.opts.Cell, func(r membership.Roster) (membership.Roster, bool) {
 		out = change(r.Members)
-		return roster{out}, !reflect.DeepEqual(out, r.Members)
+		return membership.Roster{Region: c.opts.Region, Members: out}, r.Region != c.opts.Region || !reflect.DeepEqual(out, r.Members)
 	})
 	return out, err
 }
@@ -157,31 +151,6 @@
 	return err
 }
 
-// keepDirectory writes this cell's part of the directory whenever it changes. Only the holder of the lease runs it.
-func (c *Control) keepDirectory(ctx context.Context) {
-	log := c.opts.Log.Part("directory")
-	var written directory.Directory
-	for ctx.Err() == nil {
-		v := c.view.Load()
-		models := residents(v.placement)
-		members := slices.DeleteFunc(slices.Clone(v.live), func(m wire.Member) bool { return m.Leaving })
-		if _, changed := directory.Merge(written, c.opts.Cell, models, members); changed && v.snapshot != nil {
-			err := update(ctx, c.opts.Store, platform.KindDirectory, directory.Name, func(d directory.Directory) (directory.Directory, bool) {
-				d, changed := directory.Merge(d, c.opts.Cell, models, members)
-				written = d
-				return d, changed
-			})
-			if err != nil {
-				written = directory.Directory{}
-				if ctx.Err() == nil {
-					log.Warn().Err(err).Msg("Directory not written.")
-				}
-			}
-		}
-		platform.Sleep(ctx, directoryInterval)
-	}
-}
-
 // residents returns the names of the models and adapters that the cell holds.
 func residents(p wire.Placement) []string {
 	seen := make(map[string]bool)
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -18,7 +18,7 @@
 
 const (
 	defaultDeadline = 30 * time.Second // for a rank without a deadline
-	// resumeLimit bounds the time without a new token after which a broken stream is given up. It covers the load of a
+	// resumeLimit is the shortest time without a new token after which a broken stream is given up. It covers the load of a
 	// new copy of a model whose only endpoint died.
 	resumeLimit = 30 * time.Second
 	// excludeLimit bounds the wait for an endpoint that has not failed the request before.
@@ -32,7 +32,7 @@
 	x        *exchange
 	body     *completionBody
 	ask      wire.Ask
-	upstream string // request id sent to endpoints, unique even if callers repeat theirs
+	upstream string // request id sent to endpoints and other entries, unique even if callers repeat theirs
 	seq      *sequence
 	sink     sink
 	outcome  attempt.Outcome // of all attempts so far
@@ -40,6 +40,10 @@
 	tries    int             // attempts since then
 	last     error           // why the latest attempt ended
 	clock    tokenClock
+
+	forwarded bool            // another entry has forwarded the request
+	tried     map[string]bool // caller addresses of entries of other cells
+	failed    map[string]bool // endpoints of this cell that have failed since the last token
 }
 
 func (e *Entry) completions(ctx context.Context, x *exchange) {
@@ -59,6 +63,11 @@
 		return
 	}
 	r := newCompletion(e, x, body)
+	r.acceptForwarded()
+	if r.forwarded && len(e.view.Load().Residents(body.Model)) == 0 {
+		x.fail(refusal(notHere, "Model is not served by this cell", body.Model, defaultRetryAfter))
+		return
+	}
 	e.demand.Arrived(body.Model, uint64(r.ask.PromptTokens))
 	if p := r.run(ctx); p != nil {
 		r.fail(p)
@@ -68,7 +77,8 @@
 func newCompletion(e *Entry, x *exchange, body *completionBody) *completion {
 	prompt := len(body.Messages) / 4
 	r := &completion{
-		e: e, x: x, body: body, upstream: x.id + "-" + uuid.NewString()[:8], seq: newSequence(body.N),
+		e: e, x: x, body: body, upstream: x.id[:min(len(x.id), maxRequestID-9)] + "-" + uuid.NewString()[:8], seq: newSequence(body.N),
+		tried: make(map[string]bool), failed: make(map[string]bool),
 		clock: tokenClock{series: x.series, start: x.start},
 		ask: wire.Ask{
 			Caller: x.caller.Name, Rank: x.rank.Name, Model: body.Model, PromptTokens: uint32(prompt), MaxTokens: body.MaxTokens,
@@ -100,24 +110,34 @@
 func (r *completion) run(ctx context.Context) *problem {
 	r.e.retries.first()
 	for {
-		b, p := r.bind(ctx)
-		if p != nil {
-			return p
-		}
-		if b == nil {
-			if r.again(ctx) {
-				continue
+		before := r.seq.last()
+		var res result
+		var endpoint string
+		addr := r.remote()
+		if addr != "" {
+			res = r.forward(ctx, addr)
+		} else {
+			b, p := r.bind(ctx)
+			if p != nil {
+				return p
 			}
-			return r.giveUp(ctx)
+			if b == nil {
+				if r.again(ctx) {
+					continue
+				}
+				return r.giveUp(ctx)
+			}
+			endpoint = b.Endpoint()
+			res = r.once(ctx, b)
 		}
-		before := r.seq.last()
-		res := r.once(ctx, b)
 		if res.outcome != 0 {
 			r.outcome = attempt.Combine(r.outcome, res.outcome)
 		}
 		if r.seq.last() > before {
 			r.progress, r.tries = time.Now(), 0
 			r.ask.Exclude = nil
+			clear(r.failed)
+			clear(r.tried)
 		}
 		switch {
 		case res.err == errFinished:
@@ -129,12 +149,21 @@
 			return res.problem
 		case res.preempted:
 			r.ask.Preemptions++
-			r.x.note(r.e.observer, "preempted", "the slot is needed by more urgent work", r.ask.Model, b.Endpoint())
+			r.progress = time.Now() // the wait for the next slot is no fault of the endpoint
+			r.x.note(r.e.observer, "preempted", "the slot is needed by more urgent work", r.ask.Model, endpoint)
 			continue
 		}
 		r.last = res.err
-		r.exclude(b.Endpoint())
-		r.e.opts.Log.Debug().Str("request", r.x.id).Str("endpoint", b.Endpoint()).Err(res.err).Msg("Attempt failed.")
+		if addr == "" {
+			r.exclude(endpoint)
+			r.failed[endpoint] = true
+		} else {
+			r.tried[addr] = true
+		}
+		r.e.opts.Log.Debug().Str("request", r.x.id).Str("endpoint", endpoint).Str("entry", addr).Err(res.err).Msg("Attempt failed.")
+		if res.outcome.NotRun() && r.remote() != "" && time.Now().Before(r.x.deadline()) {
+			continue // what was not run may be tried at once at another cell, each of whose entries is tried once
+		}
 		if !r.again(ctx) {
 			return r.giveUp(ctx)
 		}
@@ -154,6 +183,12 @@
 	}
 }
 
+// resumeDeadline returns when an answer that has begun is given up. Work whose rank allows a long wait may be preempted
+// for as long, for example while more urgent work floods in.
+func (r *completion) resumeDeadline() time.Time {
+	return r.progress.Add(max(resumeLimit, r.x.rank.Deadline))
+}
+
 // binding asks the binder. While the only endpoints that take work are excluded, a resumed answer would wait for ever
 // and a new one until its deadline, so that the exclusion ends after a while.
 func (r *completion) binding(ctx context.Context) (routing.Binding, error) {
@@ -169,7 +204,7 @@
 	}
 	if r.ask.Resumed {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, r.progress.Add(resumeLimit))
+		ctx, cancel = context.WithDeadline(ctx, r.resumeDeadline())
 		defer cancel()
 	}
 	return r.e.binder.Bind(ctx, r.ask)
@@ -204,7 +239,7 @@
 		return nil, nil
 	case errors.As(err, &refused):
 		r.e.demand.Refused(r.ask.Model)
-		return nil, newProblem(http.StatusServiceUnavailable, "Not served in time", refused.Reason,
+		return nil, newProblem(http.StatusServiceUnavailable, refusedTitle, refused.Reason,
 			attempt.Combine(r.outcome, attempt.NotSent), time.Duration(refused.RetryAfterMs)*time.Millisecond)
 	}
 	return nil, newProblem(http.StatusServiceUnavailable, "No endpoint", err.Error(), attempt.Combine(r.outcome, attempt.NotSent), defaultRetryAfter)
@@ -215,7 +250,7 @@
 func (r *completion) again(ctx context.Context) bool {
 	deadline := r.x.deadline()
 	if r.seq.last() > 0 {
-		deadline = r.progress.Add(resumeLimit)
+		deadline = r.resumeDeadline()
 	} else if !r.e.retries.take() {
 		return false
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,6 +64,8 @@
 	failed   func(addr string, err error) // logs failed handshakes
 	counters counters
 
+	unreachable unreachable
+
 	asks        atomic.Uint64 // id of the latest Ask
 	serviceTurn atomic.Uint64
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -15,6 +15,7 @@
 
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/engine"
+	"sycamoredeal/internal/ownership"
 	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/telemetry"
@@ -57,6 +58,14 @@
 	Frozen   func(error)                    // called when the placement can't be stored, and with nil when it can again; may be nil
 	Reported func(map[string]engine.Report) // called with the reports of each round; may be nil
 	Policy   placement.Policy               // PolicyMixed but for measurements of the baselines
+	Region   string                         // of the cell
+	// OwnersEvery is the time between two reads of the owners of endpoints, and a tenth of the time without a renewal of
+	// its lease after which another cell is dead. 0 means 6 s.
+	OwnersEvery time.Duration
+	// Served returns the cells by model according to the directory, nil if unknown, and the time within which other cells
+	// see a change of it. Without it all models are planned.
+	Served func() (map[string][]string, time.Duration)
+	Dead   func(map[string]bool) // called with the cells whose lease has not been renewed for long; may be nil
 	// LateBound replaces placement.LateBound if it is not 0.
 	LateBound time.Duration
 }
@@ -72,7 +81,11 @@
 	if d.LateBound <= 0 {
 		d.LateBound = placement.LateBound
 	}
+	if d.OwnersEvery <= 0 {
+		d.OwnersEvery = defaultOwnersEvery
+	}
 	p := &planner{Deps: d, epoch: epoch, pool: pool, started: time.Now(), polls: newPolls(), rounds: placement.Planner{Policy: d.Policy}}
+	p.owners.live = ownership.Liveness{Bound: deadIntervals * d.OwnersEvery, MaxGap: gapIntervals * d.OwnersEvery}
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
 	for {
@@ -100,12 +113,16 @@
 	polls   *polls
 
 	object object
-	ledger *placement.Ledger
-	rounds placement.Planner
-	sender placement.Sender
-	frozen bool // the latest round could not store the placement
-	seen   seen
-	stale  atomic.Bool // an engine refused an order because of its fencing token
+	owners owners
+	models ownership.Models
+
+	assigned time.Time // latest update of models
+	ledger   *placement.Ledger
+	rounds   placement.Planner
+	sender   placement.Sender
+	frozen   bool // the latest round could not store the placement
+	seen     seen
+	stale    atomic.Bool // an engine refused an order because of its fencing token
 }
 
 // round observes, plans, stores and sends, in this order.
@@ -114,19 +131,29 @@
 	if snap == nil || !p.Valid() {
 		return nil
 	}
-	p.poll(ctx, snap)
 	if p.stale.Swap(false) {
 		p.object.known = false
 	}
 	if err := p.settle(ctx); err != nil {
+		if p.object.loaded {
+			own, _ := p.owned(snap, nil)
+			p.poll(ctx, own)
+		}
 		return err
 	}
 	now := time.Now()
-	changed := p.observe(snap, now)
-	alive, draining, all := p.polls.states(snap, now)
+	changed := p.own(ctx, snap, now)
+	releasing := ownership.Releasing(&p.object.state, p.Cell, p.owners.wanted)
+	own, plan := p.owned(snap, releasing)
+	p.poll(ctx, own)
+	changed = p.observe(own, now) || changed
+	alive, draining, all := p.polls.states(own, now)
 	if (all || now.Sub(p.started) >= deadAfter) && (changed || p.due(now, snap, alive, draining)) {
-		changed = p.rounds.Round(placement.Input{Now: now, Snapshot: snap, Ledger: p.ledger, Alive: alive, Draining: draining, Demand: p.Demand()}) || changed
+		in := placement.Input{Now: now, Snapshot: plan, Ledger: p.ledger, Alive: alive, Draining: draining, Demand: p.Demand()}
+		p.assign(&in, snap, now)
+		changed = p.rounds.Round(in) || changed
 	}
+	changed = p.release(releasing) || changed
 	if changed {
 		err := p.store(ctx)
 		p.explain(err)
@@ -137,8 +164,8 @@
 	if !p.pending() {
 		return nil
 	}
-	for _, s := range p.sender.Due(now, snap, p.ledger, alive) {
-		p.send(ctx, snap.Endpoint(s.Endpoint).Address, s.Intent)
+	for _, s := range p.sender.Due(now, own, p.ledger, alive) {
+		p.send(ctx, own.Endpoint(s.Endpoint).Address, s)
 	}
 	return nil
 }
@@ -238,15 +265,15 @@
 func (p *planner) sendWindow() time.Duration { return p.LateBound / 2 }
 
 // send hands an order to a worker. If none is free, or the call fails, the order is sent again after ResendAfter.
-func (p *planner) send(ctx context.Context, addr string, in wire.Intent) {
-	decided := time.Now()
+func (p *planner) send(ctx context.Context, addr string, s placement.Send) {
+	decided, in, base := time.Now(), s.Intent, p.ledger.Endpoint(s.Endpoint).FenceBase
 	err := p.pool.Submit(func() {
 		if ctx.Err() != nil || !p.Valid() || time.Since(decided) > p.sendWindow() {
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, min(maxOrderTimeout, p.LateBound/4))
 		defer cancel()
-		err := p.Engines.Order(ctx, addr, order(in))
+		err := p.Engines.Order(ctx, addr, order(in, base))
 		if errors.Is(err, engine.ErrStaleFence) {
 			p.stale.Store(true)
 		}
@@ -259,10 +286,10 @@
 	}
 }
 
-func order(in wire.Intent) engine.Order {
+func order(in wire.Intent, fenceBase uint64) engine.Order {
 	action := engine.ActionLoad
 	if in.Action == wire.ActionUnload {
 		action = engine.ActionUnload
 	}
-	return engine.Order{ID: in.ID, Fence: in.Epoch, Action: action, Name: in.Name, Adapter: in.Adapter, Base: in.Base, Bytes: in.Bytes}
+	return engine.Order{ID: in.ID, Fence: fenceBase + in.Epoch, Action: action, Name: in.Name, Adapter: in.Adapter, Base: in.Base, Bytes: in.Bytes}
 }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -12,7 +12,7 @@
 type SycamoreEntry struct {
 	Host              string        // Name of this host.
 	Zone              string        // Availability zone of this host.
-	Cell              string        // Cell of this host.
+	Cell              string        // Cell of this host; auto takes that of the local control process.
 	Listen            string        // Address for callers.
 	PeerListen        string        // Address for other entry processes.
 	Control           string        // Address of the local control process.
@@ -47,7 +47,7 @@
 func (s *SycamoreEntry) Register(app *kingpin.Application) {
 	s.all.register(app, Spec{Flag: "host", Env: "SYCAMORE_ENTRY_HOST", Kind: "string", Required: true, Help: "Name of this host."}, &s.Host)
 	s.all.register(app, Spec{Flag: "zone", Env: "SYCAMORE_ENTRY_ZONE", Kind: "string", Required: true, Help: "Availability zone of this host."}, &s.Zone)
-	s.all.register(app, Spec{Flag: "cell", Env: "SYCAMORE_ENTRY_CELL", Kind: "string", Default: "cell-1", Help: "Cell of this host."}, &s.Cell)
+	s.all.register(app, Spec{Flag: "cell", Env: "SYCAMORE_ENTRY_CELL", Kind: "string", Default: "cell-1", Help: "Cell of this host; auto takes that of the local control process."}, &s.Cell)
 	s.all.register(app, Spec{Flag: "listen", Env: "SYCAMORE_ENTRY_LISTEN", Kind: "address", Required: true, Help: "Address for callers."}, &s.Listen)
 	s.all.register(app, Spec{Flag: "peer-listen", Env: "SYCAMORE_ENTRY_PEER_LISTEN", Kind: "address", Required: true, Help: "Address for other entry processes."}, &s.PeerListen)
 	s.all.register(app, Spec{Flag: "control", Env: "SYCAMORE_ENTRY_CONTROL", Kind: "address", Required: true, Help: "Address of the local control process."}, &s.Control)
@@ -74,9 +74,11 @@
 type SycamoreControl struct {
 	Host          string        // Name of this host.
 	Zone          string        // Availability zone of this host.
-	Cell          string        // Cell of this host.
+	Cell          string        // Cell of this host; auto joins one of its region.
+	Region        string        // Region of this host; its cell owns endpoints of the same region only.
 	Listen        string        // Address for the project's own processes.
 	EntryAddress  string        // Address of the local entry process for other entry processes.
+	CallerAddress string        // Address of the local entry process for callers; without it other cells forward no requests to this host.
 	AdminListen   string        // Address of the admin HTTP server; none without it.
 	AdminToken    string        // Operators' bearer token for the /v1 paths of the admin server; without it they answer loopback clients only.
 	TLSCert       string        // PEM file of this process's certificate for connections between the project's own processes; plain TCP without it.
@@ -109,9 +111,11 @@
 func (s *SycamoreControl) Register(app *kingpin.Application) {
 	s.all.register(app, Spec{Flag: "host", Env: "SYCAMORE_CONTROL_HOST", Kind: "string", Required: true, Help: "Name of this host."}, &s.Host)
 	s.all.register(app, Spec{Flag: "zone", Env: "SYCAMORE_CONTROL_ZONE", Kind: "string", Required: true, Help: "Availability zone of this host."}, &s.Zone)
-	s.all.register(app, Spec{Flag: "cell", Env: "SYCAMORE_CONTROL_CELL", Kind: "string", Default: "cell-1", Help: "Cell of this host."}, &s.Cell)
+	s.all.register(app, Spec{Flag: "cell", Env: "SYCAMORE_CONTROL_CELL", Kind: "string", Default: "cell-1", Help: "Cell of this host; auto joins one of its region."}, &s.Cell)
+	s.all.register(app, Spec{Flag: "region", Env: "SYCAMORE_CONTROL_REGION", Kind: "string", Help: "Region of this host; its cell owns endpoints of the same region only."}, &s.Region)
 	s.all.register(app, Spec{Flag: "listen", Env: "SYCAMORE_CONTROL_LISTEN", Kind: "address", Required: true, Help: "Address for the project's own processes."}, &s.Listen)
 	s.all.register(app, Spec{Flag: "entry-address", Env: "SYCAMORE_CONTROL_ENTRY_ADDRESS", Kind: "address", Required: true, Help: "Address of the local entry process for other entry processes."}, &s.EntryAddress)
+	s.all.register(app, Spec{Flag: "caller-address", Env: "SYCAMORE_CONTROL_CALLER_ADDRESS", Kind: "address", Help: "Address of the local entry process for callers; without it other cells forward no requests to this host."}, &s.CallerAddress)
 	s.all.register(app, Spec{Flag: "admin-listen", Env: "SYCAMORE_CONTROL_ADMIN_LISTEN", Kind: "address", Help: "Address of the admin HTTP server; none without it."}, &s.AdminListen)
 	s.all.register(app, Spec{Flag: "admin-token", Env: "SYCAMORE_CONTROL_ADMIN_TOKEN", Kind: "secret", Help: "Operators' bearer token for the /v1 paths of the admin server; without it they answer loopback clients only."}, &s.AdminToken)
 	s.all.register(app, Spec{Flag: "tls-cert", Env: "SYCAMORE_CONTROL_TLS_CERT", Kind: "string", Help: "PEM file of this process's certificate for connections between the project's own processes; plain TCP without it."}, &s.TLSCert)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -41,6 +41,7 @@
 	KindAck
 	KindInquiry
 	KindInquiryReply
+	KindDirectoryUpdate
 )
 
 // Message is implemented by every struct of this package that travels in a frame of its own.
@@ -87,6 +88,7 @@
 	KindAck:             func() Message { return new(Ack) },
 	KindInquiry:         func() Message { return new(Inquiry) },
 	KindInquiryReply:    func() Message { return new(InquiryReply) },
+	KindDirectoryUpdate: func() Message { return new(DirectoryUpdate) },
 }
 
 func (*Hello) Kind() Kind           { return KindHello }
@@ -116,3 +118,4 @@
 func (*Ack) Kind() Kind             { return KindAck }
 func (*Inquiry) Kind() Kind         { return KindInquiry }
 func (*InquiryReply) Kind() Kind    { return KindInquiryReply }
+func (*DirectoryUpdate) Kind() Kind { return KindDirectoryUpdate }
