Hand out no free address twice in one process

Cause: the system hands out a port again that nothing listens on yet. A fleet of 20 hosts never became ready because one entry process had ended at its start. Change: FreeAddr remembers what it has returned.

--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -99,14 +99,11 @@
 	if err != nil {
 		return err
 	}
-	moved, used := make(map[string]string), make(map[string]bool)
+	moved := make(map[string]string)
 	for _, file := range files {
 		content := addressPattern.ReplaceAllFunc(file.Content, func(old []byte) []byte {
-			for moved[string(old)] == "" {
-				// The system may hand out a port again that nothing listens on yet.
-				if addr := FreeAddr(); !used[addr] {
-					moved[string(old)], used[addr] = addr, true
-				}
+			if moved[string(old)] == "" {
+				moved[string(old)] = FreeAddr()
 			}
 			return []byte(moved[string(old)])
 		})
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -108,14 +108,22 @@
 	return "", errors.Trace(err)
 }
 
-// FreeAddr returns an unused TCP address on the loopback interface.
+var given sync.Map // addresses that FreeAddr has returned
+
+// FreeAddr returns an unused TCP address on the loopback interface. It returns none twice: the system may hand out a
+// port again that nothing listens on yet.
 func FreeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			panic(err)
+		}
+		addr := l.Addr().String()
+		l.Close()
+		if _, known := given.LoadOrStore(addr, true); !known {
+			return addr
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // Start runs a program of the project.
