--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -141,7 +141,7 @@
 	for i, h := range f.Hosts {
 		st := &d.after.status[i]
 		role := "control"
-		if st.Lease.Holder == h.Name {
+		if st.Lease.Held > 0 {
 			role = "holder"
 		}
 		d.usage(role, d.before.control[i], d.after.control[i])
