--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -11,7 +11,6 @@
 func (e *Entry) routes() {
 	e.http.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok") })
 	e.http.GET("/readyz", e.readyz)
-	e.http.GET("/statusz", e.statusz)
 	e.http.POST("/v1/chat/completions", e.handle(e.completions))
 	e.http.GET("/v1/models", e.handle(e.models))
 	e.http.Any("/svc/:service/*path", e.handle(e.service))
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -1,14 +1,6 @@
 package entry
 
-import (
-	"context"
-	"net"
-	"net/http"
-
-	"github.com/cloudwego/hertz/pkg/app"
-
-	"sycamoredeal/internal/transport"
-)
+import "sycamoredeal/internal/transport"
 
 // counters count the messages of the entry process by their purpose.
 type counters struct {
@@ -26,7 +18,7 @@
 	ReceivedMessages uint64 `json:"receivedMessages"`
 }
 
-// Status is the answer to GET /statusz.
+// Status is the answer to GET /v1/status of the admin port.
 type Status struct {
 	Host       string       `json:"host"`
 	Asks       MessageCount `json:"asks"`       // with the dispatcher at another host
@@ -39,15 +31,10 @@
 	return MessageCount{c.Sent.Load(), c.Received.Load(), c.SentMessages.Load(), c.ReceivedMessages.Load()}
 }
 
-// statusz answers processes of the same host only, because the entry's port is the callers' one.
-func (e *Entry) statusz(_ context.Context, c *app.RequestContext) {
-	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
-		c.String(http.StatusNotFound, "not found")
-		return
-	}
-	c.JSON(http.StatusOK, Status{
+// Status returns what the process has exchanged with others.
+func (e *Entry) Status() Status {
+	return Status{
 		Host: e.opts.Host, Asks: count(&e.counters.asks), Dispatcher: count(&e.counters.dispatcher),
 		Claims: count(&e.counters.claims), Control: count(&e.counters.control),
-	})
+	}
 }
--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +13,7 @@
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/control"
 	"sycamoredeal/internal/engine"
+	"sycamoredeal/internal/httpjson"
 	"sycamoredeal/internal/testbed"
 )
 
@@ -150,7 +149,7 @@
 	since := time.Now()
 	for {
 		var st control.Status
-		err := getJSON(ctx, "http://"+f.Hosts[0].AdminAddr+"/v1/status", &st)
+		err := httpjson.Get(ctx, "http://"+f.Hosts[0].AdminAddr+"/v1/status", &st)
 		if err == nil && (st.Orders != orders || resident(&st) < s.models) {
 			orders, since = st.Orders, time.Now()
 		}
@@ -172,18 +171,3 @@
 	}
 	return len(names)
 }
-
-func getJSON(ctx context.Context, url string, v any) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer resp.Body.Close()
-	return errors.Annotate(json.NewDecoder(resp.Body).Decode(v), url)
-}
--- a/internal/slopes/load.go
+++ b/internal/slopes/load.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/control"
+	"sycamoredeal/internal/httpjson"
 	"sycamoredeal/internal/load"
 	"sycamoredeal/internal/testbed"
 )
@@ -96,7 +97,7 @@
 		return 0, errors.Trace(err)
 	}
 	var st control.Status
-	if err := getJSON(ctx, "http://"+f.Hosts[0].AdminAddr+"/v1/status", &st); err != nil {
+	if err := httpjson.Get(ctx, "http://"+f.Hosts[0].AdminAddr+"/v1/status", &st); err != nil {
 		return 0, err
 	}
 	want, started := st.Revision+1, time.Now()
@@ -105,7 +106,7 @@
 	}
 	for _, h := range f.Hosts {
 		for {
-			if err := getJSON(ctx, "http://"+h.AdminAddr+"/v1/status", &st); err != nil {
+			if err := httpjson.Get(ctx, "http://"+h.AdminAddr+"/v1/status", &st); err != nil {
 				return 0, err
 			}
 			if st.Revision >= want {
--- a/internal/transport/guard.go
+++ b/internal/transport/guard.go
@@ -9,8 +9,8 @@
 
 const (
 	bodyChunk   = 64 << 10 // a body is allocated as its bytes arrive, not by the length that the frame states
-	maxDepth    = 16       // nesting of arrays; the deepest message has 5 levels
-	maxElements = 1 << 18  // of all arrays of one message
+	maxDepth    = 16       // nesting of arrays and maps; the deepest message has 5 levels
+	maxElements = 1 << 18  // of all arrays and maps of one message; a map counts keys and values
 )
 
 // readBody reads n bytes and allocates no more than twice what has arrived, plus a chunk.
@@ -29,7 +29,8 @@
 	return body, nil
 }
 
-// checkBody walks a message before it is decoded: the generated decoders allocate arrays by the length in the header.
+// checkBody walks a message before it is decoded: the generated decoders allocate arrays by the length in
+// the header.
 // Each element takes at least one byte, so a header may not state more elements than bytes follow. This bounds what a
 // frame makes a decoder allocate to its own size times the size of the largest struct.
 func checkBody(b []byte) error {
@@ -42,18 +43,26 @@
 }
 
 func walk(b []byte, depth int, left *int) ([]byte, error) {
-	if msgp.NextType(b) != msgp.ArrayType {
-		if msgp.NextType(b) == msgp.MapType {
-			return b, errors.New("maps are not part of the protocol")
-		}
+	var n int64
+	var rest []byte
+	var err error
+	switch msgp.NextType(b) {
+	case msgp.ArrayType:
+		var size uint32
+		size, rest, err = msgp.ReadArrayHeaderBytes(b)
+		n = int64(size)
+	case msgp.MapType:
+		var size uint32
+		size, rest, err = msgp.ReadMapHeaderBytes(b)
+		n = 2 * int64(size) // keys and values
+	default:
 		return msgp.Skip(b)
 	}
-	n, rest, err := msgp.ReadArrayHeaderBytes(b)
 	if err != nil {
 		return b, err
 	}
-	if depth >= maxDepth || int64(n) > int64(len(rest)) || int64(n) > int64(*left) {
-		return b, errors.Errorf("array of %d elements at depth %d in %d bytes exceeds the limits", n, depth, len(b))
+	if depth >= maxDepth || n > int64(len(rest)) || n > int64(*left) {
+		return b, errors.Errorf("%d elements at depth %d in %d bytes exceed the limits", n, depth, len(b))
 	}
 	*left -= int(n)
 	for range n {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -273,7 +273,19 @@
 	return nil
 }
 
+// read returns the next message. It passes over kinds that this version does not know, which a later version of another
+// process may send.
 func (c *Conn) read(r *bufio.Reader) (uint64, wire.Message, error) {
+	for {
+		corr, m, err := c.readFrame(r)
+		if err != nil || m != nil {
+			return corr, m, err
+		}
+	}
+}
+
+// readFrame returns a nil message for an unknown kind.
+func (c *Conn) readFrame(r *bufio.Reader) (uint64, wire.Message, error) {
 	var h [4 + headerBytes]byte
 	if _, err := io.ReadFull(r, h[:]); err != nil {
 		return 0, nil, err
@@ -284,7 +296,8 @@
 	}
 	m := wire.New(wire.Kind(h[4]))
 	if m == nil {
-		return 0, nil, errors.Errorf("unknown message kind %d", h[4])
+		_, err := r.Discard(int(n - headerBytes))
+		return 0, nil, err
 	}
 	body, err := readBody(r, int(n-headerBytes))
 	if err != nil {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -1,9 +1,9 @@
 package wire
 
-//msgp:tuple Hello Heartbeat Head HeadFile HeadRequest HeadReply FileRequest FileReply File Subscribe ConfigUpdate
-//msgp:tuple Placement EndpointPlacement Resident Intent PlacementUpdate Member MembersUpdate EndpointState EndpointsUpdate
-//msgp:tuple ModelDemand EntryStatus DemandReport Ask Queued Grant Refuse Done Cancel Preempt Running Resync
-//msgp:tuple ClaimRequest ClaimReply ClaimResult Ack Inquiry InquiryReply Decision DecisionField ModelCells CellMembers DirectoryUpdate
+// Heartbeat and the elements of long lists are encoded as arrays, because their size counts against the budget of
+// control traffic. Their fields never change; an extension needs a new message.
+//
+//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField
 
 // Role names the process that opened a connection.
 type Role uint8
@@ -16,11 +16,11 @@
 
 // Hello is the first message in each direction of a connection.
 type Hello struct {
-	Host        string
-	Role        Role
-	Incarnation uint64 // start of the process, unique per host
-	Cell        string
-	Zone        string // availability zone
+	Host        string `msg:"a"`
+	Role        Role   `msg:"b"`
+	Incarnation uint64 `msg:"c"` // start of the process, unique per host
+	Cell        string `msg:"d"`
+	Zone        string `msg:"e"` // availability zone
 }
 
 // Heartbeat is sent by every control process to every other one of its cell, once a second.
@@ -37,10 +37,10 @@
 
 // Head names the files of one configuration revision.
 type Head struct {
-	Revision uint64     `json:"revision"`
-	Author   string     `json:"author"`
-	UnixTime int64      `json:"unixTime"` // seconds, for display only
-	Files    []HeadFile `json:"files"`
+	Revision uint64     `json:"revision" msg:"a"`
+	Author   string     `json:"author" msg:"b"`
+	UnixTime int64      `json:"unixTime" msg:"c"` // seconds, for display only
+	Files    []HeadFile `json:"files" msg:"d"`
 }
 
 // HeadFile is the digest of one declaration file.
@@ -51,33 +51,39 @@
 
 // File is one declaration file with its content.
 type File struct {
-	Name    string `json:"name"`
-	Digest  string `json:"digest"`
-	Content []byte `json:"content"`
+	Name    string `json:"name" msg:"a"`
+	Digest  string `json:"digest" msg:"b"`
+	Content []byte `json:"content" msg:"c"`
 }
 
 // HeadRequest asks another control process for its configuration head.
 type HeadRequest struct{}
 
 // HeadReply answers a HeadRequest. Revision 0 means that the sender has no configuration.
-type HeadReply struct{ Head Head }
+type HeadReply struct {
+	Head Head `msg:"a"`
+}
 
 // FileRequest asks another control process for files by digest.
-type FileRequest struct{ Digests []string }
+type FileRequest struct {
+	Digests []string `msg:"a"`
+}
 
 // FileReply answers a FileRequest with the files that the sender has.
-type FileReply struct{ Files []File }
+type FileReply struct {
+	Files []File `msg:"a"`
+}
 
 // Subscribe asks a control process to push updates to an entry process. Revision is the one the entry has.
 type Subscribe struct {
-	Revision  uint64
-	Placement uint64
+	Revision  uint64 `msg:"a"`
+	Placement uint64 `msg:"b"`
 }
 
 // ConfigUpdate carries a whole configuration revision to an entry process.
 type ConfigUpdate struct {
-	Head  Head
-	Files []File
+	Head  Head   `msg:"a"`
+	Files []File `msg:"b"`
 }
 
 // Action is an order to an engine.
@@ -98,72 +104,76 @@
 
 // Intent is an order that is stored before it is sent and charged until a report resolves it.
 type Intent struct {
-	ID      uint64 `json:"id"`
-	Epoch   uint64 `json:"epoch"` // fencing token that the order carries
-	Action  Action `json:"action"`
-	Name    string `json:"name"`
-	Adapter bool   `json:"adapter,omitempty"`
-	Base    string `json:"base,omitempty"` // base model of an adapter
-	Bytes   int64  `json:"bytes"`
+	ID      uint64 `json:"id" msg:"a"`
+	Epoch   uint64 `json:"epoch" msg:"b"` // fencing token that the order carries
+	Action  Action `json:"action" msg:"c"`
+	Name    string `json:"name" msg:"d"`
+	Adapter bool   `json:"adapter,omitempty" msg:"e"`
+	Base    string `json:"base,omitempty" msg:"f"` // base model of an adapter
+	Bytes   int64  `json:"bytes" msg:"g"`
 }
 
 // EndpointPlacement is what one endpoint holds and what has been ordered from it.
 type EndpointPlacement struct {
-	Endpoint    string     `json:"endpoint"`
-	Incarnation string     `json:"incarnation,omitempty"` // of the engine process whose reports proved the residents
-	Sequence    uint64     `json:"sequence,omitempty"`    // of the report that proved the residents
-	Residents   []Resident `json:"residents,omitempty"`
-	Intents     []Intent   `json:"intents,omitempty"`
-	Leaving     bool       `json:"leaving,omitempty"`
+	Endpoint    string     `json:"endpoint" msg:"a"`
+	Incarnation string     `json:"incarnation,omitempty" msg:"b"` // of the engine process whose reports proved the residents
+	Sequence    uint64     `json:"sequence,omitempty" msg:"c"`    // of the report that proved the residents
+	Residents   []Resident `json:"residents,omitempty" msg:"d"`
+	Intents     []Intent   `json:"intents,omitempty" msg:"e"`
+	Leaving     bool       `json:"leaving,omitempty" msg:"f"`
 	// Generation counts the changes of the endpoint's owner. The cell may order the endpoint only while its own
 	// placement holds an account that is not released.
-	Generation uint64 `json:"generation,omitempty"`
-	Released   bool   `json:"released,omitempty"`  // given up by this cell with this generation, or taken from it
-	FenceBase  uint64 `json:"fenceBase,omitempty"` // added to the epoch, so that fencing tokens also grow across owners
+	Generation uint64 `json:"generation,omitempty" msg:"g"`
+	Released   bool   `json:"released,omitempty" msg:"h"`  // given up by this cell with this generation, or taken from it
+	FenceBase  uint64 `json:"fenceBase,omitempty" msg:"i"` // added to the epoch, so that fencing tokens also grow across owners
 }
 
 // Placement is the content of a cell's placement object. Only the holder of the cell's lease writes it.
 type Placement struct {
-	Cell       string              `json:"cell"`
-	Epoch      uint64              `json:"epoch"`
-	Version    uint64              `json:"version"` // grows by one with each write
-	NextIntent uint64              `json:"nextIntent"`
-	Endpoints  []EndpointPlacement `json:"endpoints"`
-	Takeovers  uint64              `json:"takeovers,omitempty"` // writes by other cells that took endpoints over
+	Cell       string              `json:"cell" msg:"a"`
+	Epoch      uint64              `json:"epoch" msg:"b"`
+	Version    uint64              `json:"version" msg:"c"` // grows by one with each write
+	NextIntent uint64              `json:"nextIntent" msg:"d"`
+	Endpoints  []EndpointPlacement `json:"endpoints" msg:"e"`
+	Takeovers  uint64              `json:"takeovers,omitempty" msg:"f"` // writes by other cells that took endpoints over
 }
 
 // PlacementUpdate carries the cell's placement to an entry process.
-type PlacementUpdate struct{ Placement Placement }
+type PlacementUpdate struct {
+	Placement Placement `msg:"a"`
+}
 
 // Member is a live host of the cell.
 type Member struct {
-	Host           string `json:"host"`
-	Zone           string `json:"zone"`
-	Incarnation    uint64 `json:"incarnation"`
-	ControlAddress string `json:"controlAddress"` // ip:port of the control process for other processes
-	EntryAddress   string `json:"entryAddress"`   // ip:port of the entry process for other entries
-	Leaving        bool   `json:"leaving,omitempty"`
-	CallerAddress  string `json:"callerAddress,omitempty"` // ip:port of the entry process for callers and forwarded requests
+	Host           string `json:"host" msg:"a"`
+	Zone           string `json:"zone" msg:"b"`
+	Incarnation    uint64 `json:"incarnation" msg:"c"`
+	ControlAddress string `json:"controlAddress" msg:"d"` // ip:port of the control process for other processes
+	EntryAddress   string `json:"entryAddress" msg:"e"`   // ip:port of the entry process for other entries
+	Leaving        bool   `json:"leaving,omitempty" msg:"f"`
+	CallerAddress  string `json:"callerAddress,omitempty" msg:"g"` // ip:port of the entry process for callers and forwarded requests
 }
 
 // MembersUpdate carries the live hosts of the cell to an entry process.
 type MembersUpdate struct {
-	Members []Member
-	Holder  string // host that holds the cell's lease, empty if unknown
+	Members []Member `msg:"a"`
+	Holder  string   `msg:"b"` // host that holds the cell's lease, empty if unknown
 }
 
 // EndpointState is the latest known state of an endpoint.
 type EndpointState struct {
-	Endpoint string
-	Leaving  bool // no new work may be sent
-	Reason   string
-	Running  uint32
-	Waiting  uint32
-	AgeMs    uint32 // age of the report
+	Endpoint string `msg:"a"`
+	Leaving  bool   `msg:"b"` // no new work may be sent
+	Reason   string `msg:"c"`
+	Running  uint32 `msg:"d"`
+	Waiting  uint32 `msg:"e"`
+	AgeMs    uint32 `msg:"f"` // age of the report
 }
 
 // EndpointsUpdate carries endpoint states to an entry process.
-type EndpointsUpdate struct{ States []EndpointState }
+type EndpointsUpdate struct {
+	States []EndpointState `msg:"a"`
+}
 
 // ModelDemand is the work that arrived for one model or adapter since the previous report.
 type ModelDemand struct {
@@ -175,87 +185,93 @@
 
 // EntryStatus is sent by an entry process to the control process it is subscribed to, once a second.
 type EntryStatus struct {
-	Revision uint64
-	InFlight uint32
-	Load     uint16 // per mille
-	Leaving  bool
-	Demand   []ModelDemand
+	Revision uint64        `msg:"a"`
+	InFlight uint32        `msg:"b"`
+	Load     uint16        `msg:"c"` // per mille
+	Leaving  bool          `msg:"d"`
+	Demand   []ModelDemand `msg:"e"`
 }
 
 // DemandReport forwards demand from a control process to the holder of the lease.
 type DemandReport struct {
-	Host   string
-	Demand []ModelDemand
+	Host   string        `msg:"a"`
+	Demand []ModelDemand `msg:"b"`
 }
 
 // Ask requests an endpoint for one attempt of a request.
 type Ask struct {
-	ID           uint64 // unique per entry process
-	Caller       string
-	Rank         string
-	Model        string // model or adapter
-	PromptTokens uint32
-	MaxTokens    uint32
-	DeadlineMs   uint32 // time left until the first token is useless to the caller
-	PrefixHash   uint64 // hash of the prompt's prefix, 0 if unknown
-	Exclude      []string
-	Resumed      bool   // the attempt continues a stream that has begun; it is not refused for its deadline
-	Preemptions  uint8  // how often the request has been preempted
-	Bound        string // endpoint that the entry chose alone: the dispatcher only counts it and does not answer
-	Request      string // request id of the caller, for the decision journal
+	ID           uint64   `msg:"a"` // unique per entry process
+	Caller       string   `msg:"b"`
+	Rank         string   `msg:"c"`
+	Model        string   `msg:"d"` // model or adapter
+	PromptTokens uint32   `msg:"e"`
+	MaxTokens    uint32   `msg:"f"`
+	DeadlineMs   uint32   `msg:"g"` // time left until the first token is useless to the caller
+	PrefixHash   uint64   `msg:"h"` // hash of the prompt's prefix, 0 if unknown
+	Exclude      []string `msg:"i"`
+	Resumed      bool     `msg:"j"` // the attempt continues a stream that has begun; it is not refused for its deadline
+	Preemptions  uint8    `msg:"k"` // how often the request has been preempted
+	Bound        string   `msg:"l"` // endpoint that the entry chose alone: the dispatcher only counts it and does not answer
+	Request      string   `msg:"m"` // request id of the caller, for the decision journal
 }
 
 // Queued tells that an Ask waits in the queue.
-type Queued struct{ ID uint64 }
+type Queued struct {
+	ID uint64 `msg:"a"`
+}
 
 // Grant binds a request to an endpoint and reserves a slot there until Done or Cancel.
 type Grant struct {
-	ID       uint64
-	Endpoint string
+	ID       uint64 `msg:"a"`
+	Endpoint string `msg:"b"`
 }
 
 // Refuse is the final answer to an Ask that can't be served in time.
 type Refuse struct {
-	ID           uint64
-	Reason       string
-	RetryAfterMs uint32
+	ID           uint64 `msg:"a"`
+	Reason       string `msg:"b"`
+	RetryAfterMs uint32 `msg:"c"`
 }
 
 // Done releases the slot of a granted request.
 type Done struct {
-	ID       uint64
-	Endpoint string
-	Outcome  uint8 // attempt.Outcome
-	Tokens   uint32
-	FirstMs  uint32 // time to first token
-	TotalMs  uint32
-	Failed   bool // the endpoint failed: it counts towards its ejection
+	ID       uint64 `msg:"a"`
+	Endpoint string `msg:"b"`
+	Outcome  uint8  `msg:"c"` // attempt.Outcome
+	Tokens   uint32 `msg:"d"`
+	FirstMs  uint32 `msg:"e"` // time to first token
+	TotalMs  uint32 `msg:"f"`
+	Failed   bool   `msg:"g"` // the endpoint failed: it counts towards its ejection
 }
 
 // Cancel withdraws an Ask or releases a grant that was not used.
-type Cancel struct{ ID uint64 }
+type Cancel struct {
+	ID uint64 `msg:"a"`
+}
 
 // Preempt asks the entry to stop a granted request and to Ask again, so that its slot goes to more urgent work.
-type Preempt struct{ ID uint64 }
+type Preempt struct {
+	ID uint64 `msg:"a"`
+}
 
 // Running is a granted request in a Resync.
 type Running struct {
-	Ask      Ask
-	Endpoint string
+	Ask      Ask    `msg:"a"`
+	Endpoint string `msg:"b"`
 }
 
 // Resync tells a new dispatcher what an entry has waiting and in flight.
 type Resync struct {
-	Waiting []Ask
-	Running []Running
+	Waiting []Ask     `msg:"a"`
+	Running []Running `msg:"b"`
 }
 
 // ClaimRequest claims an idempotency key for one attempt before it is sent.
 type ClaimRequest struct {
-	Caller      string
-	Key         string
-	Attempt     string // unique id of the attempt
-	Fingerprint uint64 // hash of method, path and body
+	Caller      string `msg:"a"`
+	Key         string `msg:"b"`
+	Attempt     string `msg:"c"` // unique id of the attempt
+	Fingerprint uint64 `msg:"d"` // hash of method, path and body
 }
 
 // ClaimState is the answer to a ClaimRequest.
@@ -271,19 +287,19 @@
 
 // ClaimReply answers a ClaimRequest.
 type ClaimReply struct {
-	State        ClaimState
-	Outcome      uint8 // attempt.Outcome recorded for the key, if ClaimTaken; with ClaimUnavailable, NotSent if nothing was stored
-	Status       uint16
-	RetryAfterMs uint32
+	State        ClaimState `msg:"a"`
+	Outcome      uint8      `msg:"b"` // attempt.Outcome recorded for the key, if ClaimTaken; with ClaimUnavailable, NotSent if nothing was stored
+	Status       uint16     `msg:"c"`
+	RetryAfterMs uint32     `msg:"d"`
 }
 
 // ClaimResult records how a claimed attempt ended. A result that proves that the request was not run releases the key.
 type ClaimResult struct {
-	Caller  string
-	Key     string
-	Attempt string
-	Outcome uint8
-	Status  uint16
+	Caller  string `msg:"a"`
+	Key     string `msg:"b"`
+	Attempt string `msg:"c"`
+	Outcome uint8  `msg:"d"`
+	Status  uint16 `msg:"e"`
 }
 
 // Ack confirms a message that has no other reply.
@@ -292,45 +308,48 @@
 // Inquiry asks a process for what it knows when an operator asks. A control process also asks the entries subscribed to
 // it. It costs nothing while no operator asks.
 type Inquiry struct {
-	Subject string // request id, model or endpoint whose decisions are wanted, empty for none
-	Reports bool   // the latest reports of endpoints are wanted, which only the holder of the lease has
+	Subject string `msg:"a"` // request id, model or endpoint whose decisions are wanted, empty for none
+	Reports bool   `msg:"b"` // the latest reports of endpoints are wanted, which only the holder of the lease has
 }
 
 // InquiryReply answers an Inquiry.
 type InquiryReply struct {
-	Decisions []Decision
-	Reports   []EndpointState
-	Missing   []string // processes that did not answer in time
+	Decisions []Decision      `msg:"a"`
+	Reports   []EndpointState `msg:"b"`
+	Missing   []string        `msg:"c"` // processes that did not answer in time
 }
 
 // Decision is an entry of a process's decision journal.
 type Decision struct {
-	UnixMicro int64 // by the clock of the process, for display only
-	Part      string
-	Subject   string
-	Decision  string
-	Reason    string
-	Fields    []DecisionField // in the order of their names
+	UnixMicro int64           `msg:"a"` // by the clock of the process, for display only
+	Part      string          `msg:"b"`
+	Subject   string          `msg:"c"`
+	Decision  string          `msg:"d"`
+	Reason    string          `msg:"e"`
+	Fields    []DecisionField `msg:"f"` // in the order of their names
 }
 
 // DecisionField is one further fact about a decision. A list of them stands for a map, which the protocol does not allow.
-type DecisionField struct{ Name, Value string }
+type DecisionField struct {
+	Name  string
+	Value string
+}
 
 // ModelCells names the cells that serve a model or adapter.
 type ModelCells struct {
-	Model string
-	Cells []string
+	Model string   `msg:"a"`
+	Cells []string `msg:"b"`
 }
 
 // CellMembers are the hosts of a cell.
 type CellMembers struct {
-	Cell    string
-	Members []Member
+	Cell    string   `msg:"a"`
+	Members []Member `msg:"b"`
 }
 
 // DirectoryUpdate carries what is known of the other cells to an entry process. A model that no other cell serves and
 // the own cell are left out.
 type DirectoryUpdate struct {
-	Models []ModelCells
-	Cells  []CellMembers
+	Models []ModelCells  `msg:"a"`
+	Cells  []CellMembers `msg:"b"`
 }
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -9,22 +9,37 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Ack) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 0
-	o = append(o, 0x90)
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Ack) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 0 {
-		err = msgp.ArrayError{Wanted: 0, Got: zb0001}
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -67,116 +82,168 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Ask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 13
-	o = append(o, 0x9d)
+	// map header, size 13
+	// string "a"
+	o = append(o, 0x8d, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Caller)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendString(o, z.Rank)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Model)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendUint32(o, z.PromptTokens)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendUint32(o, z.MaxTokens)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendUint32(o, z.DeadlineMs)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendUint64(o, z.PrefixHash)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Exclude)))
 	for za0001 := range z.Exclude {
 		o = msgp.AppendString(o, z.Exclude[za0001])
 	}
+	// string "j"
+	o = append(o, 0xa1, 0x6a)
 	o = msgp.AppendBool(o, z.Resumed)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendUint8(o, z.Preemptions)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendString(o, z.Bound)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendString(o, z.Request)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Ask) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 13 {
-		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Caller, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Caller")
-		return
-	}
-	z.Rank, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Rank")
-		return
-	}
-	z.Model, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	z.PromptTokens, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "PromptTokens")
-		return
-	}
-	z.MaxTokens, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "MaxTokens")
-		return
-	}
-	z.DeadlineMs, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "DeadlineMs")
-		return
-	}
-	z.PrefixHash, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "PrefixHash")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Exclude")
-		return
-	}
-	if cap(z.Exclude) >= int(zb0002) {
-		z.Exclude = (z.Exclude)[:zb0002]
-	} else {
-		z.Exclude = make([]string, zb0002)
-	}
-	for za0001 := range z.Exclude {
-		z.Exclude[za0001], bts, err = msgp.ReadStringBytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Exclude", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
-	}
-	z.Resumed, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Resumed")
-		return
-	}
-	z.Preemptions, bts, err = msgp.ReadUint8Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Preemptions")
-		return
-	}
-	z.Bound, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Bound")
-		return
-	}
-	z.Request, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Request")
-		return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "b":
+			z.Caller, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Caller")
+				return
+			}
+		case "c":
+			z.Rank, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rank")
+				return
+			}
+		case "d":
+			z.Model, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Model")
+				return
+			}
+		case "e":
+			z.PromptTokens, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PromptTokens")
+				return
+			}
+		case "f":
+			z.MaxTokens, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxTokens")
+				return
+			}
+		case "g":
+			z.DeadlineMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DeadlineMs")
+				return
+			}
+		case "h":
+			z.PrefixHash, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PrefixHash")
+				return
+			}
+		case "i":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Exclude")
+				return
+			}
+			if cap(z.Exclude) >= int(zb0002) {
+				z.Exclude = (z.Exclude)[:zb0002]
+			} else {
+				z.Exclude = make([]string, zb0002)
+			}
+			for za0001 := range z.Exclude {
+				z.Exclude[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Exclude", za0001)
+					return
+				}
+			}
+		case "j":
+			z.Resumed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Resumed")
+				return
+			}
+		case "k":
+			z.Preemptions, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Preemptions")
+				return
+			}
+		case "l":
+			z.Bound, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Bound")
+				return
+			}
+		case "m":
+			z.Request, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -184,39 +251,55 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Ask) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Caller) + msgp.StringPrefixSize + len(z.Rank) + msgp.StringPrefixSize + len(z.Model) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Rank) + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Exclude {
 		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
 	}
-	s += msgp.BoolSize + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Bound) + msgp.StringPrefixSize + len(z.Request)
+	s += 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Bound) + 2 + msgp.StringPrefixSize + len(z.Request)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Cancel) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Cancel) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -224,16 +307,19 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Cancel) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *CellMembers) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Cell)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
 	for za0001 := range z.Members {
 		o, err = z.Members[za0001].MarshalMsg(o)
@@ -247,38 +333,54 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *CellMembers) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Cell, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Cell")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Members")
-		return
-	}
-	if cap(z.Members) >= int(zb0002) {
-		z.Members = (z.Members)[:zb0002]
-	} else {
-		z.Members = make([]Member, zb0002)
-	}
-	for za0001 := range z.Members {
-		bts, err = z.Members[za0001].UnmarshalMsg(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Cell, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cell")
+				return
+			}
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				bts, err = z.Members[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -286,7 +388,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CellMembers) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Cell) + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Cell) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
@@ -296,50 +398,75 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
 	o = msgp.AppendUint8(o, uint8(z.State))
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendUint8(o, z.Outcome)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint16(o, z.Status)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint32(o, z.RetryAfterMs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *ClaimReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	{
-		var zb0002 uint8
-		zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "State")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.State = ClaimState(zb0002)
-	}
-	z.Outcome, bts, err = msgp.ReadUint8Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Outcome")
-		return
-	}
-	z.Status, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Status")
-		return
-	}
-	z.RetryAfterMs, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "RetryAfterMs")
-		return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			{
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = ClaimState(zb0002)
+			}
+		case "b":
+			z.Outcome, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcome")
+				return
+			}
+		case "c":
+			z.Status, bts, err = msgp.ReadUint16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+		case "d":
+			z.RetryAfterMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -347,53 +474,78 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ClaimReply) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint16Size + msgp.Uint32Size
+	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.Uint8Size + 2 + msgp.Uint16Size + 2 + msgp.Uint32Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Caller)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Key)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendString(o, z.Attempt)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint64(o, z.Fingerprint)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *ClaimRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.Caller, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Caller")
-		return
-	}
-	z.Key, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	z.Attempt, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Attempt")
-		return
-	}
-	z.Fingerprint, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Fingerprint")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Caller, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Caller")
+				return
+			}
+		case "b":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "c":
+			z.Attempt, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+		case "d":
+			z.Fingerprint, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fingerprint")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -401,59 +553,87 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ClaimRequest) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Caller) + msgp.StringPrefixSize + len(z.Key) + msgp.StringPrefixSize + len(z.Attempt) + msgp.Uint64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Attempt) + 2 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimResult) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// map header, size 5
+	// string "a"
+	o = append(o, 0x85, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Caller)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Key)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendString(o, z.Attempt)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint8(o, z.Outcome)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendUint16(o, z.Status)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *ClaimResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
-		return
-	}
-	z.Caller, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Caller")
-		return
-	}
-	z.Key, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	z.Attempt, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Attempt")
-		return
-	}
-	z.Outcome, bts, err = msgp.ReadUint8Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Outcome")
-		return
-	}
-	z.Status, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Status")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Caller, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Caller")
+				return
+			}
+		case "b":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "c":
+			z.Attempt, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+		case "d":
+			z.Outcome, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcome")
+				return
+			}
+		case "e":
+			z.Status, bts, err = msgp.ReadUint16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -461,7 +641,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ClaimResult) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Caller) + msgp.StringPrefixSize + len(z.Key) + msgp.StringPrefixSize + len(z.Attempt) + msgp.Uint8Size + msgp.Uint16Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Attempt) + 2 + msgp.Uint8Size + 2 + msgp.Uint16Size
 	return
 }
 
@@ -496,19 +676,27 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o, err = z.Head.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Head")
 		return
 	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Files)))
 	for za0001 := range z.Files {
-		// array header, size 3
-		o = append(o, 0x93)
+		// map header, size 3
+		// string "a"
+		o = append(o, 0x83, 0xa1, 0x61)
 		o = msgp.AppendString(o, z.Files[za0001].Name)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
 		o = msgp.AppendString(o, z.Files[za0001].Digest)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
 		o = msgp.AppendBytes(o, z.Files[za0001].Content)
 	}
 	return
@@ -516,57 +704,88 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *ConfigUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	bts, err = z.Head.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Head")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Files")
-		return
-	}
-	if cap(z.Files) >= int(zb0002) {
-		z.Files = (z.Files)[:zb0002]
-	} else {
-		z.Files = make([]File, zb0002)
-	}
-	for za0001 := range z.Files {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001)
-			return
-		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Files[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001, "Name")
-			return
-		}
-		z.Files[za0001].Digest, bts, err = msgp.ReadStringBytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001, "Digest")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.Files[za0001].Content, bts, err = msgp.ReadBytesBytes(bts, z.Files[za0001].Content)
-		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001, "Content")
-			return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			bts, err = z.Head.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Head")
+				return
+			}
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Files")
+				return
+			}
+			if cap(z.Files) >= int(zb0002) {
+				z.Files = (z.Files)[:zb0002]
+			} else {
+				z.Files = make([]File, zb0002)
+			}
+			for za0001 := range z.Files {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Files", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Files", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Files[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Files", za0001, "Name")
+							return
+						}
+					case "b":
+						z.Files[za0001].Digest, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Files", za0001, "Digest")
+							return
+						}
+					case "c":
+						z.Files[za0001].Content, bts, err = msgp.ReadBytesBytes(bts, z.Files[za0001].Content)
+						if err != nil {
+							err = msgp.WrapError(err, "Files", za0001, "Content")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Files", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
 	o = bts
@@ -575,9 +794,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigUpdate) Msgsize() (s int) {
-	s = 1 + z.Head.Msgsize() + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.Head.Msgsize() + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Files {
-		s += 1 + msgp.StringPrefixSize + len(z.Files[za0001].Name) + msgp.StringPrefixSize + len(z.Files[za0001].Digest) + msgp.BytesPrefixSize + len(z.Files[za0001].Content)
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Files[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Files[za0001].Digest) + 2 + msgp.BytesPrefixSize + len(z.Files[za0001].Content)
 	}
 	return
 }
@@ -585,13 +804,24 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Decision) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// map header, size 6
+	// string "a"
+	o = append(o, 0x86, 0xa1, 0x61)
 	o = msgp.AppendInt64(o, z.UnixMicro)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Part)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendString(o, z.Subject)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Decision)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendString(o, z.Reason)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Fields)))
 	for za0001 := range z.Fields {
 		// array header, size 2
@@ -604,72 +834,92 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Decision) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
-		return
-	}
-	z.UnixMicro, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "UnixMicro")
-		return
-	}
-	z.Part, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Part")
-		return
-	}
-	z.Subject, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Subject")
-		return
-	}
-	z.Decision, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Decision")
-		return
-	}
-	z.Reason, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Reason")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Fields")
-		return
-	}
-	if cap(z.Fields) >= int(zb0002) {
-		z.Fields = (z.Fields)[:zb0002]
-	} else {
-		z.Fields = make([]DecisionField, zb0002)
-	}
-	for za0001 := range z.Fields {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001)
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		z.Fields[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001, "Name")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.Fields[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Fields", za0001, "Value")
-			return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.UnixMicro, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UnixMicro")
+				return
+			}
+		case "b":
+			z.Part, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "c":
+			z.Subject, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Subject")
+				return
+			}
+		case "d":
+			z.Decision, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Decision")
+				return
+			}
+		case "e":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "f":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fields")
+				return
+			}
+			if cap(z.Fields) >= int(zb0002) {
+				z.Fields = (z.Fields)[:zb0002]
+			} else {
+				z.Fields = make([]DecisionField, zb0002)
+			}
+			for za0001 := range z.Fields {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fields", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Fields[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fields", za0001, "Name")
+					return
+				}
+				z.Fields[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fields", za0001, "Value")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
 	o = bts
@@ -678,7 +928,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Decision) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.StringPrefixSize + len(z.Part) + msgp.StringPrefixSize + len(z.Subject) + msgp.StringPrefixSize + len(z.Decision) + msgp.StringPrefixSize + len(z.Reason) + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Part) + 2 + msgp.StringPrefixSize + len(z.Subject) + 2 + msgp.StringPrefixSize + len(z.Decision) + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Fields {
 		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
@@ -730,9 +980,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *DemandReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Host)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
 	for za0001 := range z.Demand {
 		o, err = z.Demand[za0001].MarshalMsg(o)
@@ -746,38 +999,54 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *DemandReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Host, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Host")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Demand")
-		return
-	}
-	if cap(z.Demand) >= int(zb0002) {
-		z.Demand = (z.Demand)[:zb0002]
-	} else {
-		z.Demand = make([]ModelDemand, zb0002)
-	}
-	for za0001 := range z.Demand {
-		bts, err = z.Demand[za0001].UnmarshalMsg(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Demand", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Host, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand")
+				return
+			}
+			if cap(z.Demand) >= int(zb0002) {
+				z.Demand = (z.Demand)[:zb0002]
+			} else {
+				z.Demand = make([]ModelDemand, zb0002)
+			}
+			for za0001 := range z.Demand {
+				bts, err = z.Demand[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Demand", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -785,7 +1054,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *DemandReport) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Host) + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Demand {
 		s += z.Demand[za0001].Msgsize()
 	}
@@ -795,23 +1064,32 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *DirectoryUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
 	for za0001 := range z.Models {
-		// array header, size 2
-		o = append(o, 0x92)
+		// map header, size 2
+		// string "a"
+		o = append(o, 0x82, 0xa1, 0x61)
 		o = msgp.AppendString(o, z.Models[za0001].Model)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Models[za0001].Cells)))
 		for za0002 := range z.Models[za0001].Cells {
 			o = msgp.AppendString(o, z.Models[za0001].Cells[za0002])
 		}
 	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
 	for za0003 := range z.Cells {
-		// array header, size 2
-		o = append(o, 0x92)
+		// map header, size 2
+		// string "a"
+		o = append(o, 0x82, 0xa1, 0x61)
 		o = msgp.AppendString(o, z.Cells[za0003].Cell)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Cells[za0003].Members)))
 		for za0004 := range z.Cells[za0003].Members {
 			o, err = z.Cells[za0003].Members[za0004].MarshalMsg(o)
@@ -826,104 +1104,148 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *DirectoryUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Models")
-		return
-	}
-	if cap(z.Models) >= int(zb0002) {
-		z.Models = (z.Models)[:zb0002]
-	} else {
-		z.Models = make([]ModelCells, zb0002)
-	}
-	for za0001 := range z.Models {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001)
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		z.Models[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001, "Model")
-			return
-		}
-		var zb0004 uint32
-		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001, "Cells")
+			err = msgp.WrapError(err)
 			return
 		}
-		if cap(z.Models[za0001].Cells) >= int(zb0004) {
-			z.Models[za0001].Cells = (z.Models[za0001].Cells)[:zb0004]
-		} else {
-			z.Models[za0001].Cells = make([]string, zb0004)
-		}
-		for za0002 := range z.Models[za0001].Cells {
-			z.Models[za0001].Cells[za0002], bts, err = msgp.ReadStringBytes(bts)
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Models", za0001, "Cells", za0002)
+				err = msgp.WrapError(err, "Models")
 				return
 			}
-		}
-	}
-	var zb0005 uint32
-	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Cells")
-		return
-	}
-	if cap(z.Cells) >= int(zb0005) {
-		z.Cells = (z.Cells)[:zb0005]
-	} else {
-		z.Cells = make([]CellMembers, zb0005)
-	}
-	for za0003 := range z.Cells {
-		var zb0006 uint32
-		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Cells", za0003)
-			return
-		}
-		if zb0006 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
-			return
-		}
-		z.Cells[za0003].Cell, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Cells", za0003, "Cell")
-			return
-		}
-		var zb0007 uint32
-		zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Cells", za0003, "Members")
-			return
-		}
-		if cap(z.Cells[za0003].Members) >= int(zb0007) {
-			z.Cells[za0003].Members = (z.Cells[za0003].Members)[:zb0007]
-		} else {
-			z.Cells[za0003].Members = make([]Member, zb0007)
-		}
-		for za0004 := range z.Cells[za0003].Members {
-			bts, err = z.Cells[za0003].Members[za0004].UnmarshalMsg(bts)
+			if cap(z.Models) >= int(zb0002) {
+				z.Models = (z.Models)[:zb0002]
+			} else {
+				z.Models = make([]ModelCells, zb0002)
+			}
+			for za0001 := range z.Models {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Models", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Models[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Models", za0001, "Model")
+							return
+						}
+					case "b":
+						var zb0004 uint32
+						zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Models", za0001, "Cells")
+							return
+						}
+						if cap(z.Models[za0001].Cells) >= int(zb0004) {
+							z.Models[za0001].Cells = (z.Models[za0001].Cells)[:zb0004]
+						} else {
+							z.Models[za0001].Cells = make([]string, zb0004)
+						}
+						for za0002 := range z.Models[za0001].Cells {
+							z.Models[za0001].Cells[za0002], bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Models", za0001, "Cells", za0002)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Models", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "b":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Cells", za0003, "Members", za0004)
+				err = msgp.WrapError(err, "Cells")
+				return
+			}
+			if cap(z.Cells) >= int(zb0005) {
+				z.Cells = (z.Cells)[:zb0005]
+			} else {
+				z.Cells = make([]CellMembers, zb0005)
+			}
+			for za0003 := range z.Cells {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Cells", za0003)
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Cells", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Cells[za0003].Cell, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Cells", za0003, "Cell")
+							return
+						}
+					case "b":
+						var zb0007 uint32
+						zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Cells", za0003, "Members")
+							return
+						}
+						if cap(z.Cells[za0003].Members) >= int(zb0007) {
+							z.Cells[za0003].Members = (z.Cells[za0003].Members)[:zb0007]
+						} else {
+							z.Cells[za0003].Members = make([]Member, zb0007)
+						}
+						for za0004 := range z.Cells[za0003].Members {
+							bts, err = z.Cells[za0003].Members[za0004].UnmarshalMsg(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Cells", za0003, "Members", za0004)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Cells", za0003)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
 				return
 			}
 		}
@@ -934,16 +1256,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *DirectoryUpdate) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Models {
-		s += 1 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + msgp.ArrayHeaderSize
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.ArrayHeaderSize
 		for za0002 := range z.Models[za0001].Cells {
 			s += msgp.StringPrefixSize + len(z.Models[za0001].Cells[za0002])
 		}
 	}
-	s += msgp.ArrayHeaderSize
+	s += 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.Cells {
-		s += 1 + msgp.StringPrefixSize + len(z.Cells[za0003].Cell) + msgp.ArrayHeaderSize
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Cells[za0003].Cell) + 2 + msgp.ArrayHeaderSize
 		for za0004 := range z.Cells[za0003].Members {
 			s += z.Cells[za0003].Members[za0004].Msgsize()
 		}
@@ -954,64 +1276,98 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Done) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// map header, size 7
+	// string "a"
+	o = append(o, 0x87, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Endpoint)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint8(o, z.Outcome)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint32(o, z.Tokens)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendUint32(o, z.FirstMs)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendUint32(o, z.TotalMs)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendBool(o, z.Failed)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Done) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Endpoint")
-		return
-	}
-	z.Outcome, bts, err = msgp.ReadUint8Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Outcome")
-		return
-	}
-	z.Tokens, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
-		return
-	}
-	z.FirstMs, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "FirstMs")
-		return
-	}
-	z.TotalMs, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "TotalMs")
-		return
-	}
-	z.Failed, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Failed")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "b":
+			z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoint")
+				return
+			}
+		case "c":
+			z.Outcome, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcome")
+				return
+			}
+		case "d":
+			z.Tokens, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		case "e":
+			z.FirstMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstMs")
+				return
+			}
+		case "f":
+			z.TotalMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TotalMs")
+				return
+			}
+		case "g":
+			z.Failed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -1019,18 +1375,25 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Done) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Endpoint) + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointPlacement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// map header, size 9
+	// string "a"
+	o = append(o, 0x89, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Endpoint)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Incarnation)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint64(o, z.Sequence)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Residents)))
 	for za0001 := range z.Residents {
 		// array header, size 3
@@ -1039,6 +1402,8 @@
 		o = msgp.AppendBool(o, z.Residents[za0001].Adapter)
 		o = msgp.AppendInt64(o, z.Residents[za0001].Bytes)
 	}
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Intents)))
 	for za0002 := range z.Intents {
 		o, err = z.Intents[za0002].MarshalMsg(o)
@@ -1047,189 +1412,251 @@
 			return
 		}
 	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendBool(o, z.Leaving)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendUint64(o, z.Generation)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendBool(o, z.Released)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendUint64(o, z.FenceBase)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *EndpointPlacement) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
-		return
-	}
-	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Endpoint")
-		return
-	}
-	z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
-	}
-	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Residents")
-		return
-	}
-	if cap(z.Residents) >= int(zb0002) {
-		z.Residents = (z.Residents)[:zb0002]
-	} else {
-		z.Residents = make([]Resident, zb0002)
-	}
-	for za0001 := range z.Residents {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Residents", za0001)
-			return
-		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Residents[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Residents", za0001, "Name")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.Residents[za0001].Adapter, bts, err = msgp.ReadBoolBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Residents", za0001, "Adapter")
-			return
-		}
-		z.Residents[za0001].Bytes, bts, err = msgp.ReadInt64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Residents", za0001, "Bytes")
-			return
-		}
-	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Intents")
-		return
-	}
-	if cap(z.Intents) >= int(zb0004) {
-		z.Intents = (z.Intents)[:zb0004]
-	} else {
-		z.Intents = make([]Intent, zb0004)
-	}
-	for za0002 := range z.Intents {
-		bts, err = z.Intents[za0002].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Intents", za0002)
-			return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoint")
+				return
+			}
+		case "b":
+			z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "c":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "d":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Residents")
+				return
+			}
+			if cap(z.Residents) >= int(zb0002) {
+				z.Residents = (z.Residents)[:zb0002]
+			} else {
+				z.Residents = make([]Resident, zb0002)
+			}
+			for za0001 := range z.Residents {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Residents", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Residents[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Residents", za0001, "Name")
+					return
+				}
+				z.Residents[za0001].Adapter, bts, err = msgp.ReadBoolBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Residents", za0001, "Adapter")
+					return
+				}
+				z.Residents[za0001].Bytes, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Residents", za0001, "Bytes")
+					return
+				}
+			}
+		case "e":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Intents")
+				return
+			}
+			if cap(z.Intents) >= int(zb0004) {
+				z.Intents = (z.Intents)[:zb0004]
+			} else {
+				z.Intents = make([]Intent, zb0004)
+			}
+			for za0002 := range z.Intents {
+				bts, err = z.Intents[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Intents", za0002)
+					return
+				}
+			}
+		case "f":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "g":
+			z.Generation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Generation")
+				return
+			}
+		case "h":
+			z.Released, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Released")
+				return
+			}
+		case "i":
+			z.FenceBase, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FenceBase")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
-	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
-	}
-	z.Generation, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Generation")
-		return
-	}
-	z.Released, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Released")
-		return
-	}
-	z.FenceBase, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "FenceBase")
-		return
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointPlacement) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.StringPrefixSize + len(z.Incarnation) + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.StringPrefixSize + len(z.Incarnation) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Residents {
 		s += 1 + msgp.StringPrefixSize + len(z.Residents[za0001].Name) + msgp.BoolSize + msgp.Int64Size
 	}
-	s += msgp.ArrayHeaderSize
+	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Intents {
 		s += z.Intents[za0002].Msgsize()
 	}
-	s += msgp.BoolSize + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size
+	s += 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// map header, size 6
+	// string "a"
+	o = append(o, 0x86, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Endpoint)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBool(o, z.Leaving)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendString(o, z.Reason)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint32(o, z.Running)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendUint32(o, z.Waiting)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendUint32(o, z.AgeMs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *EndpointState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
-		return
-	}
-	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Endpoint")
-		return
-	}
-	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
-	}
-	z.Reason, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Reason")
-		return
-	}
-	z.Running, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Running")
-		return
-	}
-	z.Waiting, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Waiting")
-		return
-	}
-	z.AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMs")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoint")
+				return
+			}
+		case "b":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "c":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "d":
+			z.Running, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+		case "e":
+			z.Waiting, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "f":
+			z.AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -1237,15 +1664,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointState) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.BoolSize + msgp.StringPrefixSize + len(z.Reason) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointsUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.States)))
 	for za0001 := range z.States {
 		o, err = z.States[za0001].MarshalMsg(o)
@@ -1259,33 +1687,48 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *EndpointsUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "States")
-		return
-	}
-	if cap(z.States) >= int(zb0002) {
-		z.States = (z.States)[:zb0002]
-	} else {
-		z.States = make([]EndpointState, zb0002)
-	}
-	for za0001 := range z.States {
-		bts, err = z.States[za0001].UnmarshalMsg(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "States", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "States")
+				return
+			}
+			if cap(z.States) >= int(zb0002) {
+				z.States = (z.States)[:zb0002]
+			} else {
+				z.States = make([]EndpointState, zb0002)
+			}
+			for za0001 := range z.States {
+				bts, err = z.States[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "States", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -1293,7 +1736,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointsUpdate) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.States {
 		s += z.States[za0001].Msgsize()
 	}
@@ -1303,12 +1746,21 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EntryStatus) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// map header, size 5
+	// string "a"
+	o = append(o, 0x85, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.Revision)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendUint32(o, z.InFlight)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint16(o, z.Load)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBool(o, z.Leaving)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
 	for za0001 := range z.Demand {
 		o, err = z.Demand[za0001].MarshalMsg(o)
@@ -1322,53 +1774,72 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *EntryStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
-		return
-	}
-	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	z.InFlight, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
-		return
-	}
-	z.Load, bts, err = msgp.ReadUint16Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Load")
-		return
-	}
-	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Demand")
-		return
-	}
-	if cap(z.Demand) >= int(zb0002) {
-		z.Demand = (z.Demand)[:zb0002]
-	} else {
-		z.Demand = make([]ModelDemand, zb0002)
-	}
-	for za0001 := range z.Demand {
-		bts, err = z.Demand[za0001].UnmarshalMsg(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Demand", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "b":
+			z.InFlight, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		case "c":
+			z.Load, bts, err = msgp.ReadUint16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load")
+				return
+			}
+		case "d":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand")
+				return
+			}
+			if cap(z.Demand) >= int(zb0002) {
+				z.Demand = (z.Demand)[:zb0002]
+			} else {
+				z.Demand = make([]ModelDemand, zb0002)
+			}
+			for za0001 := range z.Demand {
+				bts, err = z.Demand[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Demand", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -1376,7 +1847,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EntryStatus) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint16Size + msgp.BoolSize + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.Uint16Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Demand {
 		s += z.Demand[za0001].Msgsize()
 	}
@@ -1386,40 +1857,62 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *File) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Name)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Digest)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendBytes(o, z.Content)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *File) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.Name, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
-	}
-	z.Digest, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Digest")
-		return
-	}
-	z.Content, bts, err = msgp.ReadBytesBytes(bts, z.Content)
-	if err != nil {
-		err = msgp.WrapError(err, "Content")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "b":
+			z.Digest, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "c":
+			z.Content, bts, err = msgp.ReadBytesBytes(bts, z.Content)
+			if err != nil {
+				err = msgp.WrapError(err, "Content")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -1427,21 +1920,27 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *File) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Digest) + msgp.BytesPrefixSize + len(z.Content)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Digest) + 2 + msgp.BytesPrefixSize + len(z.Content)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *FileReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Files)))
 	for za0001 := range z.Files {
-		// array header, size 3
-		o = append(o, 0x93)
+		// map header, size 3
+		// string "a"
+		o = append(o, 0x83, 0xa1, 0x61)
 		o = msgp.AppendString(o, z.Files[za0001].Name)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
 		o = msgp.AppendString(o, z.Files[za0001].Digest)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
 		o = msgp.AppendBytes(o, z.Files[za0001].Content)
 	}
 	return
@@ -1449,52 +1948,82 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *FileReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Files")
-		return
-	}
-	if cap(z.Files) >= int(zb0002) {
-		z.Files = (z.Files)[:zb0002]
-	} else {
-		z.Files = make([]File, zb0002)
-	}
-	for za0001 := range z.Files {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001)
-			return
-		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Files[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001, "Name")
-			return
-		}
-		z.Files[za0001].Digest, bts, err = msgp.ReadStringBytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001, "Digest")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.Files[za0001].Content, bts, err = msgp.ReadBytesBytes(bts, z.Files[za0001].Content)
-		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001, "Content")
-			return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Files")
+				return
+			}
+			if cap(z.Files) >= int(zb0002) {
+				z.Files = (z.Files)[:zb0002]
+			} else {
+				z.Files = make([]File, zb0002)
+			}
+			for za0001 := range z.Files {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Files", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Files", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Files[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Files", za0001, "Name")
+							return
+						}
+					case "b":
+						z.Files[za0001].Digest, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Files", za0001, "Digest")
+							return
+						}
+					case "c":
+						z.Files[za0001].Content, bts, err = msgp.ReadBytesBytes(bts, z.Files[za0001].Content)
+						if err != nil {
+							err = msgp.WrapError(err, "Files", za0001, "Content")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Files", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
 	o = bts
@@ -1503,9 +2032,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FileReply) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Files {
-		s += 1 + msgp.StringPrefixSize + len(z.Files[za0001].Name) + msgp.StringPrefixSize + len(z.Files[za0001].Digest) + msgp.BytesPrefixSize + len(z.Files[za0001].Content)
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Files[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Files[za0001].Digest) + 2 + msgp.BytesPrefixSize + len(z.Files[za0001].Content)
 	}
 	return
 }
@@ -1513,8 +2042,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FileRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Digests)))
 	for za0001 := range z.Digests {
 		o = msgp.AppendString(o, z.Digests[za0001])
@@ -1524,41 +2054,56 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *FileRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Digests")
-		return
-	}
-	if cap(z.Digests) >= int(zb0002) {
-		z.Digests = (z.Digests)[:zb0002]
-	} else {
-		z.Digests = make([]string, zb0002)
-	}
-	for za0001 := range z.Digests {
-		z.Digests[za0001], bts, err = msgp.ReadStringBytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Digests", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
-	}
-	o = bts
-	return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digests")
+				return
+			}
+			if cap(z.Digests) >= int(zb0002) {
+				z.Digests = (z.Digests)[:zb0002]
+			} else {
+				z.Digests = make([]string, zb0002)
+			}
+			for za0001 := range z.Digests {
+				z.Digests[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Digests", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FileRequest) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Digests {
 		s += msgp.StringPrefixSize + len(z.Digests[za0001])
 	}
@@ -1568,34 +2113,53 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Grant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Endpoint)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Grant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Endpoint")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "b":
+			z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoint")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -1603,18 +2167,25 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Grant) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Endpoint)
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Head) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.Revision)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Author)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendInt64(o, z.UnixTime)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Files)))
 	for za0001 := range z.Files {
 		// array header, size 2
@@ -1627,62 +2198,80 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Head) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	z.Author, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Author")
-		return
-	}
-	z.UnixTime, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "UnixTime")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Files")
-		return
-	}
-	if cap(z.Files) >= int(zb0002) {
-		z.Files = (z.Files)[:zb0002]
-	} else {
-		z.Files = make([]HeadFile, zb0002)
-	}
-	for za0001 := range z.Files {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001)
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		z.Files[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001, "Name")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.Files[za0001].Digest, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Files", za0001, "Digest")
-			return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "b":
+			z.Author, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Author")
+				return
+			}
+		case "c":
+			z.UnixTime, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UnixTime")
+				return
+			}
+		case "d":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Files")
+				return
+			}
+			if cap(z.Files) >= int(zb0002) {
+				z.Files = (z.Files)[:zb0002]
+			} else {
+				z.Files = make([]HeadFile, zb0002)
+			}
+			for za0001 := range z.Files {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Files", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Files[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Files", za0001, "Name")
+					return
+				}
+				z.Files[za0001].Digest, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Files", za0001, "Digest")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
 	o = bts
@@ -1691,7 +2280,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Head) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Author) + msgp.Int64Size + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Author) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Files {
 		s += 1 + msgp.StringPrefixSize + len(z.Files[za0001].Name) + msgp.StringPrefixSize + len(z.Files[za0001].Digest)
 	}
@@ -1743,8 +2332,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HeadReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
 	o, err = z.Head.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Head")
@@ -1755,20 +2345,35 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *HeadReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	bts, err = z.Head.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Head")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			bts, err = z.Head.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Head")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -1776,29 +2381,44 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HeadReply) Msgsize() (s int) {
-	s = 1 + z.Head.Msgsize()
+	s = 1 + 2 + z.Head.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z HeadRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 0
-	o = append(o, 0x90)
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *HeadRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 0 {
-		err = msgp.ArrayError{Wanted: 0, Got: zb0001}
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -1891,56 +2511,84 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// map header, size 5
+	// string "a"
+	o = append(o, 0x85, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Host)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendUint8(o, uint8(z.Role))
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Cell)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendString(o, z.Zone)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Hello) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
-		return
-	}
-	z.Host, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Host")
-		return
-	}
-	{
-		var zb0002 uint8
-		zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Role")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.Role = Role(zb0002)
-	}
-	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
-	}
-	z.Cell, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Cell")
-		return
-	}
-	z.Zone, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Host, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "b":
+			{
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Role")
+					return
+				}
+				z.Role = Role(zb0002)
+			}
+		case "c":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "d":
+			z.Cell, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cell")
+				return
+			}
+		case "e":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -1948,41 +2596,60 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hello) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Host) + msgp.Uint8Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Cell) + msgp.StringPrefixSize + len(z.Zone)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Cell) + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Inquiry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Subject)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBool(o, z.Reports)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Inquiry) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Subject, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Subject")
-		return
-	}
-	z.Reports, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Reports")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Subject, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Subject")
+				return
+			}
+		case "b":
+			z.Reports, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reports")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -1990,15 +2657,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Inquiry) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Subject) + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Subject) + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *InquiryReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Decisions)))
 	for za0001 := range z.Decisions {
 		o, err = z.Decisions[za0001].MarshalMsg(o)
@@ -2007,6 +2675,8 @@
 			return
 		}
 	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Reports)))
 	for za0002 := range z.Reports {
 		o, err = z.Reports[za0002].MarshalMsg(o)
@@ -2015,6 +2685,8 @@
 			return
 		}
 	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Missing)))
 	for za0003 := range z.Missing {
 		o = msgp.AppendString(o, z.Missing[za0003])
@@ -2024,68 +2696,85 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *InquiryReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Decisions")
-		return
-	}
-	if cap(z.Decisions) >= int(zb0002) {
-		z.Decisions = (z.Decisions)[:zb0002]
-	} else {
-		z.Decisions = make([]Decision, zb0002)
-	}
-	for za0001 := range z.Decisions {
-		bts, err = z.Decisions[za0001].UnmarshalMsg(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Decisions", za0001)
-			return
-		}
-	}
-	var zb0003 uint32
-	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Reports")
-		return
-	}
-	if cap(z.Reports) >= int(zb0003) {
-		z.Reports = (z.Reports)[:zb0003]
-	} else {
-		z.Reports = make([]EndpointState, zb0003)
-	}
-	for za0002 := range z.Reports {
-		bts, err = z.Reports[za0002].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Reports", za0002)
+			err = msgp.WrapError(err)
 			return
 		}
-	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Missing")
-		return
-	}
-	if cap(z.Missing) >= int(zb0004) {
-		z.Missing = (z.Missing)[:zb0004]
-	} else {
-		z.Missing = make([]string, zb0004)
-	}
-	for za0003 := range z.Missing {
-		z.Missing[za0003], bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Missing", za0003)
-			return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Decisions")
+				return
+			}
+			if cap(z.Decisions) >= int(zb0002) {
+				z.Decisions = (z.Decisions)[:zb0002]
+			} else {
+				z.Decisions = make([]Decision, zb0002)
+			}
+			for za0001 := range z.Decisions {
+				bts, err = z.Decisions[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Decisions", za0001)
+					return
+				}
+			}
+		case "b":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reports")
+				return
+			}
+			if cap(z.Reports) >= int(zb0003) {
+				z.Reports = (z.Reports)[:zb0003]
+			} else {
+				z.Reports = make([]EndpointState, zb0003)
+			}
+			for za0002 := range z.Reports {
+				bts, err = z.Reports[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Reports", za0002)
+					return
+				}
+			}
+		case "c":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Missing")
+				return
+			}
+			if cap(z.Missing) >= int(zb0004) {
+				z.Missing = (z.Missing)[:zb0004]
+			} else {
+				z.Missing = make([]string, zb0004)
+			}
+			for za0003 := range z.Missing {
+				z.Missing[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Missing", za0003)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
 	o = bts
@@ -2094,15 +2783,15 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *InquiryReply) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Decisions {
 		s += z.Decisions[za0001].Msgsize()
 	}
-	s += msgp.ArrayHeaderSize
+	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Reports {
 		s += z.Reports[za0002].Msgsize()
 	}
-	s += msgp.ArrayHeaderSize
+	s += 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.Missing {
 		s += msgp.StringPrefixSize + len(z.Missing[za0003])
 	}
@@ -2112,68 +2801,102 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Intent) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// map header, size 7
+	// string "a"
+	o = append(o, 0x87, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendUint64(o, z.Epoch)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint8(o, uint8(z.Action))
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Name)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendBool(o, z.Adapter)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendString(o, z.Base)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendInt64(o, z.Bytes)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Intent) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
-		return
-	}
-	{
-		var zb0002 uint8
-		zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Action")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.Action = Action(zb0002)
-	}
-	z.Name, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
-	}
-	z.Adapter, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Adapter")
-		return
-	}
-	z.Base, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Base")
-		return
-	}
-	z.Bytes, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Bytes")
-		return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "b":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "c":
+			{
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Action")
+					return
+				}
+				z.Action = Action(zb0002)
+			}
+		case "d":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "e":
+			z.Adapter, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Adapter")
+				return
+			}
+		case "f":
+			z.Base, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
+		case "g":
+			z.Bytes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Bytes")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2181,71 +2904,105 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Intent) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Name) + msgp.BoolSize + msgp.StringPrefixSize + len(z.Base) + msgp.Int64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Base) + 2 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// map header, size 7
+	// string "a"
+	o = append(o, 0x87, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Host)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Zone)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.ControlAddress)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendString(o, z.EntryAddress)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendBool(o, z.Leaving)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendString(o, z.CallerAddress)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
-		return
-	}
-	z.Host, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Host")
-		return
-	}
-	z.Zone, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
-	}
-	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
-	}
-	z.ControlAddress, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ControlAddress")
-		return
-	}
-	z.EntryAddress, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "EntryAddress")
-		return
-	}
-	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
-	}
-	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "CallerAddress")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Host, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "b":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "c":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "d":
+			z.ControlAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ControlAddress")
+				return
+			}
+		case "e":
+			z.EntryAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EntryAddress")
+				return
+			}
+		case "f":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "g":
+			z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CallerAddress")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2253,15 +3010,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Host) + msgp.StringPrefixSize + len(z.Zone) + msgp.Uint64Size + msgp.StringPrefixSize + len(z.ControlAddress) + msgp.StringPrefixSize + len(z.EntryAddress) + msgp.BoolSize + msgp.StringPrefixSize + len(z.CallerAddress)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.ControlAddress) + 2 + msgp.StringPrefixSize + len(z.EntryAddress) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.CallerAddress)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *MembersUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
 	for za0001 := range z.Members {
 		o, err = z.Members[za0001].MarshalMsg(o)
@@ -2270,44 +3028,62 @@
 			return
 		}
 	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Holder)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *MembersUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Members")
-		return
-	}
-	if cap(z.Members) >= int(zb0002) {
-		z.Members = (z.Members)[:zb0002]
-	} else {
-		z.Members = make([]Member, zb0002)
-	}
-	for za0001 := range z.Members {
-		bts, err = z.Members[za0001].UnmarshalMsg(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
-	}
-	z.Holder, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Holder")
-		return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				bts, err = z.Members[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
+		case "b":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holder")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2315,61 +3091,80 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *MembersUpdate) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
-	s += msgp.StringPrefixSize + len(z.Holder)
+	s += 2 + msgp.StringPrefixSize + len(z.Holder)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ModelCells) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Model)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
 	for za0001 := range z.Cells {
 		o = msgp.AppendString(o, z.Cells[za0001])
 	}
 	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ModelCells) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Model, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ModelCells) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Cells")
+		err = msgp.WrapError(err)
 		return
 	}
-	if cap(z.Cells) >= int(zb0002) {
-		z.Cells = (z.Cells)[:zb0002]
-	} else {
-		z.Cells = make([]string, zb0002)
-	}
-	for za0001 := range z.Cells {
-		z.Cells[za0001], bts, err = msgp.ReadStringBytes(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Cells", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Model, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Model")
+				return
+			}
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cells")
+				return
+			}
+			if cap(z.Cells) >= int(zb0002) {
+				z.Cells = (z.Cells)[:zb0002]
+			} else {
+				z.Cells = make([]string, zb0002)
+			}
+			for za0001 := range z.Cells {
+				z.Cells[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Cells", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2377,7 +3172,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ModelCells) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Model) + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Cells {
 		s += msgp.StringPrefixSize + len(z.Cells[za0001])
 	}
@@ -2441,12 +3236,21 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Placement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// map header, size 6
+	// string "a"
+	o = append(o, 0x86, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Cell)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendUint64(o, z.Epoch)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint64(o, z.Version)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint64(o, z.NextIntent)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		o, err = z.Endpoints[za0001].MarshalMsg(o)
@@ -2455,64 +3259,86 @@
 			return
 		}
 	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendUint64(o, z.Takeovers)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Placement) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
-		return
-	}
-	z.Cell, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Cell")
-		return
-	}
-	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
-		return
-	}
-	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	z.NextIntent, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "NextIntent")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Endpoints")
-		return
-	}
-	if cap(z.Endpoints) >= int(zb0002) {
-		z.Endpoints = (z.Endpoints)[:zb0002]
-	} else {
-		z.Endpoints = make([]EndpointPlacement, zb0002)
-	}
-	for za0001 := range z.Endpoints {
-		bts, err = z.Endpoints[za0001].UnmarshalMsg(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
-	}
-	z.Takeovers, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Takeovers")
-		return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Cell, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cell")
+				return
+			}
+		case "b":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "c":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "d":
+			z.NextIntent, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NextIntent")
+				return
+			}
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoints")
+				return
+			}
+			if cap(z.Endpoints) >= int(zb0002) {
+				z.Endpoints = (z.Endpoints)[:zb0002]
+			} else {
+				z.Endpoints = make([]EndpointPlacement, zb0002)
+			}
+			for za0001 := range z.Endpoints {
+				bts, err = z.Endpoints[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001)
+					return
+				}
+			}
+		case "f":
+			z.Takeovers, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Takeovers")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2520,19 +3346,20 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Placement) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Cell) + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Cell) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Endpoints {
 		s += z.Endpoints[za0001].Msgsize()
 	}
-	s += msgp.Uint64Size
+	s += 2 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *PlacementUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
 	o, err = z.Placement.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Placement")
@@ -2543,20 +3370,35 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *PlacementUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	bts, err = z.Placement.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Placement")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			bts, err = z.Placement.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Placement")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2564,35 +3406,51 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PlacementUpdate) Msgsize() (s int) {
-	s = 1 + z.Placement.Msgsize()
+	s = 1 + 2 + z.Placement.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Preempt) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Preempt) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2600,35 +3458,51 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Preempt) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Queued) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Queued) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2636,47 +3510,69 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Queued) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Refuse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Reason)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint32(o, z.RetryAfterMs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Refuse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Reason, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Reason")
-		return
-	}
-	z.RetryAfterMs, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "RetryAfterMs")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "b":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "c":
+			z.RetryAfterMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2684,7 +3580,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Refuse) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Reason) + msgp.Uint32Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Uint32Size
 	return
 }
 
@@ -2739,8 +3635,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Resync) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Waiting)))
 	for za0001 := range z.Waiting {
 		o, err = z.Waiting[za0001].MarshalMsg(o)
@@ -2749,15 +3646,20 @@
 			return
 		}
 	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Running)))
 	for za0002 := range z.Running {
-		// array header, size 2
-		o = append(o, 0x92)
+		// map header, size 2
+		// string "a"
+		o = append(o, 0x82, 0xa1, 0x61)
 		o, err = z.Running[za0002].Ask.MarshalMsg(o)
 		if err != nil {
 			err = msgp.WrapError(err, "Running", za0002, "Ask")
 			return
 		}
+		// string "b"
+		o = append(o, 0xa1, 0x62)
 		o = msgp.AppendString(o, z.Running[za0002].Endpoint)
 	}
 	return
@@ -2765,65 +3667,95 @@
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Resync) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Waiting")
-		return
-	}
-	if cap(z.Waiting) >= int(zb0002) {
-		z.Waiting = (z.Waiting)[:zb0002]
-	} else {
-		z.Waiting = make([]Ask, zb0002)
-	}
-	for za0001 := range z.Waiting {
-		bts, err = z.Waiting[za0001].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Waiting", za0001)
-			return
-		}
-	}
-	var zb0003 uint32
-	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Running")
-		return
-	}
-	if cap(z.Running) >= int(zb0003) {
-		z.Running = (z.Running)[:zb0003]
-	} else {
-		z.Running = make([]Running, zb0003)
-	}
-	for za0002 := range z.Running {
-		var zb0004 uint32
-		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Running", za0002)
-			return
-		}
-		if zb0004 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
-			return
-		}
-		bts, err = z.Running[za0002].Ask.UnmarshalMsg(bts)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Running", za0002, "Ask")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.Running[za0002].Endpoint, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Running", za0002, "Endpoint")
-			return
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+			if cap(z.Waiting) >= int(zb0002) {
+				z.Waiting = (z.Waiting)[:zb0002]
+			} else {
+				z.Waiting = make([]Ask, zb0002)
+			}
+			for za0001 := range z.Waiting {
+				bts, err = z.Waiting[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Waiting", za0001)
+					return
+				}
+			}
+		case "b":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+			if cap(z.Running) >= int(zb0003) {
+				z.Running = (z.Running)[:zb0003]
+			} else {
+				z.Running = make([]Running, zb0003)
+			}
+			for za0002 := range z.Running {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Running", za0002)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Running", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						bts, err = z.Running[za0002].Ask.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Running", za0002, "Ask")
+							return
+						}
+					case "b":
+						z.Running[za0002].Endpoint, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Running", za0002, "Endpoint")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Running", za0002)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
 	o = bts
@@ -2832,13 +3764,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Resync) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Waiting {
 		s += z.Waiting[za0001].Msgsize()
 	}
-	s += msgp.ArrayHeaderSize
+	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Running {
-		s += 1 + z.Running[za0002].Ask.Msgsize() + msgp.StringPrefixSize + len(z.Running[za0002].Endpoint)
+		s += 1 + 2 + z.Running[za0002].Ask.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Running[za0002].Endpoint)
 	}
 	return
 }
@@ -2874,38 +3806,57 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Running) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o, err = z.Ask.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Ask")
 		return
 	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Endpoint)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Running) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	bts, err = z.Ask.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Ask")
-		return
-	}
-	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Endpoint")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			bts, err = z.Ask.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
+		case "b":
+			z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoint")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2913,41 +3864,60 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Running) Msgsize() (s int) {
-	s = 1 + z.Ask.Msgsize() + msgp.StringPrefixSize + len(z.Endpoint)
+	s = 1 + 2 + z.Ask.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Endpoint)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Subscribe) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.Revision)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendUint64(o, z.Placement)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Subscribe) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	z.Placement, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Placement")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "b":
+			z.Placement, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Placement")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -2955,6 +3925,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Subscribe) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,8 +1,10 @@
 // Package wire is the schema of the messages that the project's own processes exchange.
 //
-// Each message is a Go struct; the codecs in wire_gen.go are generated from it by msgp and committed. Messages are
-// encoded as msgpack arrays (tuples), so fields may only be appended, never reordered. Durations are integers with the
-// unit in the field's name, because hosts never compare wall clocks.
+// Each message is a Go struct; the codecs in messages_gen.go are generated from it by msgp and committed. A message is
+// a msgpack map with one-letter keys. Processes of two versions run side by side during an upgrade: a decoder skips
+// keys that it does not know and leaves fields without a key at zero. So a new field takes the next letter, and a letter
+// is never used again. Durations are integers with the unit in the field's name, because hosts never compare wall
+// clocks.
 package wire
 
 //go:generate go tool msgp -tests=false -io=false -file messages.go -o messages_gen.go
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,34 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/tinylib/msgp/msgp"
+)
+
+// TestMixedVersions guards against processes of two versions that refuse each other's messages during an upgrade.
+func TestMixedVersions(t *testing.T) {
+	newer := msgp.AppendMapHeader(nil, 3)
+	newer = msgp.AppendUint64(msgp.AppendString(newer, "a"), 7)
+	newer = msgp.AppendString(msgp.AppendString(newer, "b"), "e1")
+	newer = msgp.AppendArrayHeader(msgp.AppendString(newer, "z"), 1) // a field of a later version
+	newer = msgp.AppendString(newer, "later")
+	var g Grant
+	if _, err := g.UnmarshalMsg(newer); err != nil || g != (Grant{ID: 7, Endpoint: "e1"}) {
+		t.Errorf("message of a later version: %+v, %v", g, err)
+	}
+	older := msgp.AppendUint64(msgp.AppendString(msgp.AppendMapHeader(nil, 1), "a"), 7)
+	g = Grant{}
+	if _, err := g.UnmarshalMsg(older); err != nil || g != (Grant{ID: 7}) {
+		t.Errorf("message of an earlier version: %+v, %v", g, err)
+	}
+}
+
+// TestKinds guards against a kind without a constructor, or with that of another message.
+func TestKinds(t *testing.T) {
+	for k, f := range constructors {
+		if got := f().Kind(); got != k {
+			t.Errorf("constructor of kind %d returns a message of kind %d", k, got)
+		}
+	}
+}
