Give a claim shard one owner over all cells, and hash in one place

Cause: entries chose the owner of a claim shard in their own cell, so that with 17 cells 17 owners would have written the same segment and failed against each other. Rendezvous hashing stood in three places. Change: entries order the cells that they know, then the hosts of the cell, by rendezvous hashing; the last of the three owners asked is in another cell. The keyed calls and forward tests pass.

--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -9,6 +9,7 @@
 	"sycamoredeal/internal/membership"
 	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/rendezvous"
 	"sycamoredeal/internal/wire"
 )
 
@@ -50,7 +51,7 @@
 
 // pollRank returns the place of this host among the pollers, or -1.
 func (c *Control) pollRank() int {
-	for i, h := range membership.Order("poll/"+c.opts.Cell, membership.Hosts(c.view.Load().live)) {
+	for i, h := range rendezvous.Order("poll/"+c.opts.Cell, membership.Hosts(c.view.Load().live)) {
 		if i < pollers && h == c.opts.Host {
 			return i
 		}
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/claims"
+	"sycamoredeal/internal/rendezvous"
 	"sycamoredeal/internal/routing"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
@@ -66,33 +65,53 @@
 	return c
 }
 
-// owners returns control addresses in rendezvous order for a shard. Hosts that leave come last.
-func owners(v *routing.View, shard int, local string) []string {
-	type scored struct {
-		addr    string
-		leaving bool
-		score   uint64
+// owners returns control addresses in the order in which they are asked for a shard. All cells choose the same owner, so
+// that its writes meet no conflicts; one of the next cell follows in case the first cell can't be reached. Hosts that
+// leave come last in their cell.
+func owners(v *routing.View, cell string, shard int, local string) []string {
+	cells := map[string][]wire.Member{cell: v.Members}
+	names := []string{cell}
+	for _, c := range v.Cells {
+		cells[c.Cell] = c.Members
+		names = append(names, c.Cell)
+	}
+	key := claims.Name(shard, 0)
+	var out []string
+	for _, name := range rendezvous.Order(key, names) {
+		addrs := cellOwners(cells[name], key)
+		if len(names) > 1 {
+			addrs = addrs[:min(len(addrs), claimOwners-1)]
+		}
+		out = append(out, addrs...)
+		if len(out) >= claimOwners {
+			return out[:claimOwners]
+		}
 	}
-	var list []scored
-	for _, m := range v.Members {
+	if len(out) == 0 {
+		return []string{local}
+	}
+	return out
+}
+
+// cellOwners returns the control addresses of a cell's hosts in rendezvous order, those that leave last.
+func cellOwners(members []wire.Member, key string) []string {
+	byHost := make(map[string]wire.Member)
+	var hosts []string
+	for _, m := range members {
 		if m.ControlAddress != "" {
-			list = append(list, scored{m.ControlAddress, m.Leaving, xxhash.Sum64String(m.Host + "\x00" + claims.Name(shard, 0))})
+			byHost[m.Host] = m
+			hosts = append(hosts, m.Host)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].leaving != list[j].leaving {
-			return list[j].leaving
+	var staying, leaving []string
+	for _, h := range rendezvous.Order(key, hosts) {
+		if m := byHost[h]; m.Leaving {
+			leaving = append(leaving, m.ControlAddress)
+		} else {
+			staying = append(staying, m.ControlAddress)
 		}
-		return list[i].score > list[j].score
-	})
-	if len(list) == 0 {
-		return []string{local}
 	}
-	out := make([]string, 0, claimOwners)
-	for _, s := range list[:min(len(list), claimOwners)] {
-		out = append(out, s.addr)
-	}
-	return out
+	return append(staying, leaving...)
 }
 
 // Claim implements claimer. The same attempt may be claimed at several owners: it is granted to this attempt only.
@@ -100,7 +119,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTotal)
 	defer cancel()
 	sent := false
-	for _, addr := range owners(c.view(), claims.ShardOf(r.Caller, r.Key), c.local) {
+	for _, addr := range owners(c.view(), c.base.Hello.Cell, claims.ShardOf(r.Caller, r.Key), c.local) {
 		m, err := c.call(ctx, addr, &r, claimTimeout)
 		if reply, ok := m.(*wire.ClaimReply); ok && err == nil {
 			if reply.State == wire.ClaimUnavailable && (sent || !attempt.Outcome(reply.Outcome).NotRun()) {
@@ -149,7 +168,7 @@
 		defer close(done)
 		deadline := time.Now().Add(finishTotal)
 		for n := 0; ; n++ {
-			for _, addr := range owners(c.view(), claims.ShardOf(r.Caller, r.Key), c.local) {
+			for _, addr := range owners(c.view(), c.base.Hello.Cell, claims.ShardOf(r.Caller, r.Key), c.local) {
 				if _, err := c.call(c.ctx, addr, &r, finishTimeout); err == nil {
 					return
 				}
@@ -194,9 +213,15 @@
 // prune closes the connections to control processes that have left the cell. The caller holds the lock.
 func (c *claimClient) prune() {
 	live := map[string]bool{c.local: true}
-	for _, m := range c.view().Members {
+	v := c.view()
+	for _, m := range v.Members {
 		live[m.ControlAddress] = true
 	}
+	for _, cell := range v.Cells {
+		for _, m := range cell.Members {
+			live[m.ControlAddress] = true
+		}
+	}
 	for addr, cl := range c.clients {
 		if !live[addr] {
 			delete(c.clients, addr)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -12,7 +12,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/attempt"
-	"sycamoredeal/internal/membership"
+	"sycamoredeal/internal/rendezvous"
 	"sycamoredeal/internal/wire"
 )
 
@@ -93,7 +93,7 @@
 	for a := range hosts {
 		addrs = append(addrs, a)
 	}
-	return membership.Owner(r.upstream, addrs)
+	return rendezvous.Pick(r.upstream, addrs)
 }
 
 // forward makes one attempt at an entry of another cell. The answer is read like that of an endpoint, so a stream that
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"sycamoredeal/internal/config"
-	"sycamoredeal/internal/membership"
+	"sycamoredeal/internal/rendezvous"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
 )
@@ -107,7 +107,7 @@
 	if len(addrs) == 0 {
 		return
 	}
-	addrs = membership.Order(l.e.opts.Host, addrs)
+	addrs = rendezvous.Order(l.e.opts.Host, addrs)
 	addr := addrs[(slices.Index(addrs, l.failed)+1)%len(addrs)]
 	l.e.opts.Log.Warn().Str("address", addr).Msg("Control process of this host does not answer, using another.")
 	l.backup = l.dial(ctx, addr)
@@ -154,7 +154,7 @@
 	case *wire.MembersUpdate:
 		next.Members, next.Holder = m.Members, m.Holder
 	case *wire.DirectoryUpdate:
-		next.Remote = remoteHosts(m)
+		next.Remote, next.Cells = remoteHosts(m), m.Cells
 	case *wire.EndpointsUpdate:
 		next.Leaving = make(map[string]bool)
 		for _, s := range m.States {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -6,8 +6,6 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sycamoredeal/internal/wire"
 )
 
@@ -146,23 +144,3 @@
 	}
 	return out
 }
-
-// Order returns the hosts in the order of their rendezvous weight for a key, the owner first. When a host leaves, only
-// its own keys move.
-func Order(key string, hosts []string) []string {
-	out := append([]string(nil), hosts...)
-	weight := func(h string) uint64 { return xxhash.Sum64String(key + "\x00" + h) }
-	sort.Slice(out, func(i, j int) bool {
-		a, b := weight(out[i]), weight(out[j])
-		return a > b || a == b && out[i] < out[j]
-	})
-	return out
-}
-
-// Owner returns the host that owns a key, or "" if there are no hosts.
-func Owner(key string, hosts []string) string {
-	if len(hosts) == 0 {
-		return ""
-	}
-	return Order(key, hosts)[0]
-}
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"pgregory.net/rapid"
 )
 
 // Guards against the owner of a key moving when another host leaves, and against most keys falling to few hosts.
@@ -26,3 +28,19 @@
 		t.Error("owner without hosts")
 	}
 }
+
+// TestKeysStay guards against keys that move between hosts that stay.
+func TestKeysStay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.SliceOfNDistinct(rapid.StringMatching("h[0-9]{1,3}"), 1, 20, rapid.ID).Draw(t, "hosts")
+		gone := rapid.IntRange(0, len(hosts)-1).Draw(t, "gone")
+		rest := append(append([]string(nil), hosts[:gone]...), hosts[gone+1:]...)
+		for i := range 16 {
+			key := fmt.Sprint("shard/", i)
+			before, after := Pick(key, hosts), Pick(key, rest)
+			if before != hosts[gone] && before != after {
+				t.Fatalf("%s moved from %s to %s when %s left", key, before, after, hosts[gone])
+			}
+		}
+	})
+}
--- a/internal/routing/binder.go
+++ b/internal/routing/binder.go
@@ -43,6 +43,7 @@
 	Leaving   map[string]bool               // endpoints that take no new work
 	Members   []wire.Member                 // live hosts of the cell
 	Holder    string                        // host that holds the cell's lease, empty if unknown
+	Cells     []wire.CellMembers            // hosts of the other cells
 	Remote    map[string][]wire.Member      // hosts of other cells that serve a model or adapter
 	States    map[string]wire.EndpointState // latest reports of the endpoints, empty if unknown
 }
