Share the weight store's limits between cells

Cause: each cell's planner used the declared rate of the weight store as its own; after the loss of a zone nine cells would have asked for nine times the rate. Change: a planner uses its share by the number of live cells that the owners object names; at least one load in flight each. Not measured with several cells.

--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -22,19 +22,30 @@
 	last       time.Time
 }
 
+// Share returns the limits of one of several cells, with defaults for those that are not declared. Each cell may have one
+// load in flight, so the sum over the cells can exceed the declared number; the rate bounds the loads then.
+func Share(w config.WeightStore, cells int) config.WeightStore {
+	if w.LoadsPerSecond <= 0 {
+		w.LoadsPerSecond = defaultLoadsPerSecond
+	}
+	if w.ConcurrentLoads <= 0 {
+		w.ConcurrentLoads = defaultConcurrentLoads
+	}
+	if w.AdaptersInFlight <= 0 {
+		w.AdaptersInFlight = defaultAdapters
+	}
+	cells = max(cells, 1)
+	w.LoadsPerSecond /= float64(cells)
+	w.ConcurrentLoads = max(w.ConcurrentLoads/cells, 1)
+	w.AdaptersInFlight = max(w.AdaptersInFlight/cells, 1)
+	return w
+}
+
 // Configure sets the limits from the declarations. A new budget starts with one token: the holder before may have used
 // the others just now.
 func (b *Budget) Configure(w config.WeightStore, now time.Time) {
+	w = Share(w, 1)
 	b.rate, b.concurrent, b.adapters = w.LoadsPerSecond, w.ConcurrentLoads, w.AdaptersInFlight
-	if b.rate <= 0 {
-		b.rate = defaultLoadsPerSecond
-	}
-	if b.concurrent <= 0 {
-		b.concurrent = defaultConcurrentLoads
-	}
-	if b.adapters <= 0 {
-		b.adapters = defaultAdapters
-	}
 	if b.last.IsZero() {
 		b.tokens, b.last = 1, now
 	}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -92,10 +92,7 @@
 func (p *Planner) stages(in Input) ([]stage, bool) {
 	changed := false
 	out := make([]stage, len(in.Snapshot.Endpoints))
-	rate := in.Snapshot.WeightStore.LoadsPerSecond
-	if rate <= 0 {
-		rate = defaultLoadsPerSecond
-	}
+	rate := Share(in.Snapshot.WeightStore, 1).LoadsPerSecond
 	for i := range out {
 		e := &in.Snapshot.Endpoints[i]
 		account := in.Ledger.Endpoint(e.Name)
--- a/internal/planner/owners.go
+++ b/internal/planner/owners.go
@@ -10,6 +10,7 @@
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/lease"
 	"sycamoredeal/internal/ownership"
+	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/wire"
 )
@@ -232,7 +233,19 @@
 	return true
 }
 
-// owned returns the part of the declarations that the cell may order, and the part for which it plans.
+// liveCells returns the number of cells that share the weight store, as last read.
+func (o *owners) liveCells() int {
+	n := 0
+	for c := range o.state.Cells {
+		if !o.dead[c] {
+			n++
+		}
+	}
+	return n
+}
+
+// owned returns the part of the declarations that the cell may order, and the part for which it plans, with the cell's
+// share of the weight store.
 func (p *planner) owned(snap *config.Snapshot, releasing []string) (own, plan *config.Snapshot) {
 	leaves := make(map[string]bool)
 	for _, name := range releasing {
@@ -243,6 +256,7 @@
 		return a != nil && !a.Released
 	}
 	own = snap.WithEndpoints(holds)
+	own.WeightStore = placement.Share(snap.WeightStore, p.owners.liveCells())
 	if len(leaves) == 0 {
 		return own, own
 	}
