--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -212,7 +212,7 @@
 	s.Explain(func(_ context.Context, subject string) telemetry.Explanation {
 		return telemetry.Explanation{Subject: subject, Entries: e.observer.find(subject)}
 	})
-	s.JSON("/v1/status", func(context.Context) any { return e.Status() })
+	s.JSON("/status", func(context.Context) any { return e.Status() })
 	return s.Start()
 }
 
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -33,16 +33,17 @@
 type verdict int
 
 const (
-	answered  verdict = iota // whole and right
-	refused                  // told that it was not run
-	unknown                  // told that the outcome is unknown
-	truncated                // ended without its end marker, or the connection broke
-	wrong                    // tokens missing, doubled or of another request
-	failed                   // any other answer
+	answered   verdict = iota // whole and right
+	refused                   // told that it was not run
+	unknown                   // told that the outcome is unknown
+	truncated                 // ended without its end marker, or the connection broke
+	wrong                     // tokens missing, doubled or of another request
+	failed                    // any other answer
+	unfinished                // still in progress when the run ended
 	verdicts
 )
 
-var verdictNames = [verdicts]string{"answered", "refused", "unknown", "cut", "wrong", "failed"}
+var verdictNames = [verdicts]string{"answered", "refused", "unknown", "cut", "wrong", "failed", "unfinished"}
 
 func prompt(id string, tokens int) string {
 	return id + strings.Repeat(" abc", tokens)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -28,6 +28,7 @@
 	Cut          int     `json:"cut"`
 	Wrong        int     `json:"wrong"`
 	Failed       int     `json:"failed"`
+	Unfinished   int     `json:"unfinished"` // still in progress when the run ended
 	Doubled      int     `json:"doubled"`    // executed more than once
 	RanAfterNo   int     `json:"ranAfterNo"` // executed although told "not run"
 	Lost         int     `json:"lost"`       // answered although never executed
@@ -126,6 +127,8 @@
 		row.Wrong++
 	case failed:
 		row.Failed++
+	case unfinished:
+		row.Unfinished++
 	}
 	if res.verdict != answered {
 		return false
@@ -196,11 +199,22 @@
 
 func idempotent(method string) bool { return method != "POST" && method != "PATCH" }
 
-// Violations counts requests that were lost, doubled, cut, wrong or executed although told "not run".
+// Violations counts requests that were lost, doubled, cut, wrong, without an answer when the run ended, or executed
+// although told "not run".
 func (r *Report) Violations() int {
 	n := 0
 	for _, row := range r.Rows {
-		n += row.Cut + row.Wrong + row.Failed + row.Doubled + row.RanAfterNo + row.Lost
+		n += row.Cut + row.Wrong + row.Failed + row.Unfinished + row.Doubled + row.RanAfterNo + row.Lost
+	}
+	return n
+}
+
+// Unfinished counts requests that were in progress when the run ended. They are violations unless the grace of the
+// scenario is shorter than what callers would wait.
+func (r *Report) Unfinished() int {
+	n := 0
+	for _, row := range r.Rows {
+		n += row.Unfinished
 	}
 	return n
 }
@@ -208,10 +222,10 @@
 // Table writes the report for people.
 func (r *Report) Table(w io.Writer) {
 	t := tabwriter.NewWriter(w, 2, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "caller\trank\tsent\tanswered\trefused\tunknown\tcut\twrong\tfailed\tdoubled\tfirst p50 ms\tfirst p95 ms\tbetween p95 ms\tattainment\tgoodput/s\t")
+	fmt.Fprintln(t, "caller\trank\tsent\tanswered\trefused\tunknown\tcut\twrong\tfailed\tunfinished\tdoubled\tfirst p50 ms\tfirst p95 ms\tbetween p95 ms\tattainment\tgoodput/s\t")
 	for _, x := range r.Rows {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.3f\t%.1f\t\n", x.Caller, x.Rank, x.Sent, x.Answered, x.Refused,
-			x.Unknown, x.Cut, x.Wrong, x.Failed, x.Doubled+x.RanAfterNo+x.Lost, x.FirstP50Ms, x.FirstP95Ms, x.BetweenP95Ms, x.Attainment, x.Goodput)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.3f\t%.1f\t\n", x.Caller, x.Rank, x.Sent, x.Answered, x.Refused,
+			x.Unknown, x.Cut, x.Wrong, x.Failed, x.Unfinished, x.Doubled+x.RanAfterNo+x.Lost, x.FirstP50Ms, x.FirstP95Ms, x.BetweenP95Ms, x.Attainment, x.Goodput)
 	}
 	t.Flush()
 	if r.scenario.Accelerator > 0 {
@@ -228,11 +242,11 @@
 // CSV writes the rows as comma-separated values.
 func (r *Report) CSV(w io.Writer) error {
 	c := csv.NewWriter(w)
-	c.Write([]string{"caller", "rank", "sent", "answered", "refused", "unknown", "cut", "wrong", "failed", "doubled", "first_p50_ms", "first_p95_ms", "between_p95_ms", "attainment", "goodput"})
+	c.Write([]string{"caller", "rank", "sent", "answered", "refused", "unknown", "cut", "wrong", "failed", "unfinished", "doubled", "first_p50_ms", "first_p95_ms", "between_p95_ms", "attainment", "goodput"})
 	f := func(v float64) string { return strconv.FormatFloat(v, 'f', 3, 64) }
 	for _, x := range r.Rows {
 		c.Write([]string{x.Caller, x.Rank, strconv.Itoa(x.Sent), strconv.Itoa(x.Answered), strconv.Itoa(x.Refused), strconv.Itoa(x.Unknown), strconv.Itoa(x.Cut), strconv.Itoa(x.Wrong),
-			strconv.Itoa(x.Failed), strconv.Itoa(x.Doubled + x.RanAfterNo + x.Lost), f(x.FirstP50Ms), f(x.FirstP95Ms), f(x.BetweenP95Ms), f(x.Attainment), f(x.Goodput)})
+			strconv.Itoa(x.Failed), strconv.Itoa(x.Unfinished), strconv.Itoa(x.Doubled + x.RanAfterNo + x.Lost), f(x.FirstP50Ms), f(x.FirstP95Ms), f(x.BetweenP95Ms), f(x.Attainment), f(x.Goodput)})
 	}
 	c.Flush()
 	return c.Error()
@@ -269,6 +283,7 @@
 	row.Cut += x.Cut
 	row.Wrong += x.Wrong
 	row.Failed += x.Failed
+	row.Unfinished += x.Unfinished
 	row.Attained += x.Attained
 	row.Tokens += x.Tokens
 	row.first.Merge(x.first)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -67,6 +67,9 @@
 			} else {
 				results[i] = r.call(ctx, a, id)
 			}
+			if results[i].verdict == truncated && ctx.Err() != nil {
+				results[i].verdict = unfinished // the run ended it, not the system
+			}
 			results[i].sent = a.at
 		})
 	}
--- a/internal/measure/output.go
+++ b/internal/measure/output.go
@@ -49,13 +49,13 @@
 	return []string{
 		r.Fleet, r.Variant, r.Group, strconv.Itoa(r.Row.Sent), strconv.Itoa(r.Row.Answered), strconv.Itoa(r.Row.Refused), f(r.Row.Attainment),
 		f(r.Row.Goodput), f(r.Kept), ms(r.Row.FirstP50Ms), ms(r.Row.FirstP95Ms), ms(r.Row.BetweenP95Ms), ms(r.Row.RefusedP95Ms),
-		f(r.PerAccelerator), strconv.Itoa(r.Orders), strconv.Itoa(r.Violations),
+		f(r.PerAccelerator), strconv.Itoa(r.Orders), strconv.Itoa(r.Violations), strconv.Itoa(r.Unfinished),
 	}
 }
 
 var header = []string{
 	"fleet", "variant", "group", "sent", "answered", "refused", "attainment", "goodput/s", "kept", "first p50 ms", "first p95 ms",
-	"between p95 ms", "refusal p95 ms", "worth/s/accelerator", "orders", "violations",
+	"between p95 ms", "refusal p95 ms", "worth/s/accelerator", "orders", "violations", "unfinished",
 }
 
 func writeCSV(path string, list []Result) error {
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -39,6 +39,7 @@
 	PerAccelerator             float64 // worth attained a second for each accelerator, of the whole variant
 	Orders                     int     // orders to engines during the run
 	Violations                 int     // requests lost, doubled, cut or wrong in the whole variant
+	Unfinished                 int     // requests that still waited when the generator stopped
 }
 
 // Run measures and writes the results into the folder.
@@ -139,7 +140,7 @@
 	for i, row := range rows {
 		r := Result{
 			Fleet: fleet, Experiment: e.name, Variant: v.name, Group: row.Rank, Row: row,
-			PerAccelerator: rep.AttainedPerAccelerator, Orders: rep.Moves, Violations: rep.Violations(),
+			PerAccelerator: rep.AttainedPerAccelerator, Orders: rep.Moves, Violations: rep.Violations() - rep.Unfinished(), Unfinished: rep.Unfinished(),
 		}
 		if base[i].Goodput > 0 {
 			r.Kept = row.Goodput / base[i].Goodput
