Wait in one place, and drop what nothing uses

Cause: waiting until a context ends stood in three packages; the binder RoundRobin, left from the first path, was used by tests alone, since routing.Chooser has the policy; the ring counted drops that nothing read. Change: internal/clock; the binder moved into the test that uses it; the counter is gone. Behaviour and assertions are unchanged.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/directory"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/wire"
@@ -34,9 +35,9 @@
 			log.Warn().Err(err).Msg("Directory not written.")
 		}
 		if wrote {
-			platform.Sleep(ctx, time.Duration(float64(c.opts.Term)*termsPerDirectoryWrite))
+			clock.Sleep(ctx, time.Duration(float64(c.opts.Term)*termsPerDirectoryWrite))
 		} else {
-			platform.Sleep(ctx, directoryInterval)
+			clock.Sleep(ctx, directoryInterval)
 		}
 	}
 }
@@ -92,7 +93,7 @@
 		} else if ctx.Err() == nil && !errors.Is(err, platform.ErrNotFound) {
 			log.Debug().Err(err).Msg("Directory not read.")
 		}
-		platform.Sleep(ctx, every-rand.N(every/4+1))
+		clock.Sleep(ctx, every-rand.N(every/4+1))
 	}
 }
 
--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"sort"
 
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/membership"
 	"sycamoredeal/internal/placement"
 	"sycamoredeal/internal/platform"
@@ -28,7 +29,7 @@
 	log := c.opts.Log.Part("endpoints")
 	var b platform.Backoff
 	for ctx.Err() == nil {
-		platform.Sleep(ctx, c.opts.Poll/2+rand.N(c.opts.Poll/2))
+		clock.Sleep(ctx, c.opts.Poll/2+rand.N(c.opts.Poll/2))
 		rank := c.pollRank()
 		if rank < 0 {
 			continue
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/membership"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/telemetry"
@@ -83,7 +84,7 @@
 			log.Info().Str("cell", cell).Msg("Cell learned from the control process.")
 			return cell, nil
 		}
-		platform.Sleep(ctx, 100*time.Millisecond)
+		clock.Sleep(ctx, 100*time.Millisecond)
 	}
 	return "", ctx.Err()
 }
--- a/internal/control/leaseduty.go
+++ b/internal/control/leaseduty.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/engine"
 	"sycamoredeal/internal/lease"
@@ -203,7 +204,7 @@
 		err := planner.Run(ctx, epoch, l.deps(epoch))
 		if ctx.Err() == nil {
 			l.log.Error().Err(err).Msg("Planner ended early.")
-			platform.Sleep(ctx, time.Second)
+			clock.Sleep(ctx, time.Second)
 		}
 		cancel()
 		<-directory
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/membership"
 	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/rendezvous"
@@ -47,7 +48,7 @@
 }
 
 func (c *Control) waitRoster(ctx context.Context) {
-	platform.Sleep(ctx, min(rosterPause, c.opts.Heartbeat))
+	clock.Sleep(ctx, min(rosterPause, c.opts.Heartbeat))
 	t := time.NewTimer(rosterInterval/2 + rand.N(rosterInterval/2))
 	defer t.Stop()
 	select {
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -9,6 +9,7 @@
 
 	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/claims"
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/rendezvous"
 	"sycamoredeal/internal/routing"
 	"sycamoredeal/internal/transport"
@@ -202,7 +203,7 @@
 		c.clients[addr] = cl
 	}
 	c.mu.Unlock()
-	for end := time.Now().Add(claimConnected); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 2*time.Millisecond) {
+	for end := time.Now().Add(claimConnected); time.Now().Before(end) && ctx.Err() == nil; clock.Sleep(ctx, 2*time.Millisecond) {
 		if conn := cl.Conn(); conn != nil {
 			return conn
 		}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"sycamoredeal/internal/clock"
 )
 
 const (
@@ -18,22 +20,13 @@
 func (e *Entry) drain(ctx context.Context) {
 	e.leaving.Store(true)
 	e.opts.Log.Info().Int64("inFlight", e.inFlight.Load()).Msg("Stopping.")
-	sleep(ctx, e.opts.ReadyDelay)
+	clock.Sleep(ctx, e.opts.ReadyDelay)
 	e.draining.Store(true)
 	deadline := time.Now().Add(e.opts.DrainTimeout)
 	for e.inFlight.Load() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		clock.Sleep(ctx, drainPoll)
 	}
 	if n := e.inFlight.Load(); n > 0 {
 		e.opts.Log.Error().Int64("inFlight", n).Msg("Drain timeout cuts requests.")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +14,27 @@
 	"sycamoredeal/internal/wire"
 )
 
+// inTurn is a binder that binds each request to the next resident endpoint.
+type inTurn struct {
+	view func() *routing.View
+	next atomic.Uint64
+}
+
+func (r *inTurn) Bind(_ context.Context, ask wire.Ask) (routing.Binding, error) {
+	res := r.view().Residents(ask.Model)
+	if len(res) == 0 {
+		return nil, &routing.Refusal{Reason: routing.ErrNoResident.Error(), RetryAfterMs: 1000}
+	}
+	return boundTo(res[r.next.Add(1)%uint64(len(res))]), nil
+}
+
+// boundTo is a binding to the endpoint of that name.
+type boundTo string
+
+func (b boundTo) Endpoint() string         { return string(b) }
+func (boundTo) Preempted() <-chan struct{} { return nil }
+func (boundTo) Release(wire.Done)          {}
+
 // place makes an entry know that endpoint e1 of its cell holds m1.
 func place(b *bed) {
 	v := *b.e.view.Load()
@@ -22,7 +45,7 @@
 // forwarding returns an entry whose cell does not serve m1, while the given addresses of other cells do.
 func forwarding(t *testing.T, addrs ...string) *bed {
 	b := newBed(t, Options{IdleTimeout: 300 * time.Millisecond}, nil, config.Declarations{})
-	b.e.binder = &routing.RoundRobin{View: b.e.view.Load}
+	b.e.binder = &inTurn{view: b.e.view.Load}
 	var members []wire.Member
 	for i, a := range addrs {
 		members = append(members, wire.Member{Host: fmt.Sprint("r", i), CallerAddress: strings.TrimPrefix(a, "http://")})
@@ -39,7 +62,7 @@
 	engine := newEngine(t, "", 0)
 	engine.bodies, engine.lastIDs = make(chan map[string]any, 1000), make(chan string, 1000)
 	serving := newBed(t, Options{}, nil, engines(engine))
-	serving.e.binder = &routing.RoundRobin{View: serving.e.view.Load}
+	serving.e.binder = &inTurn{view: serving.e.view.Load}
 	place(serving)
 	for _, fault := range []string{"", "cut", "freeze", "cut before end", "status 503", "dead", "not here"} {
 		for _, stream := range []bool{true, false} {
--- a/internal/measure/disturb.go
+++ b/internal/measure/disturb.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/httpjson"
 	"sycamoredeal/internal/testbed"
 )
@@ -35,7 +35,7 @@
 		return err
 	}
 	h.Entry.Kill()
-	pause(ctx, freezeFor)
+	clock.Sleep(ctx, freezeFor)
 	return f.StartEntry(h)
 }
 
@@ -48,13 +48,6 @@
 	if err := h.Entry.Freeze(); err != nil {
 		return errors.Trace(err)
 	}
-	pause(ctx, freezeFor)
+	clock.Sleep(ctx, freezeFor)
 	return errors.Trace(h.Entry.Resume())
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/measure/layout.go
+++ b/internal/measure/layout.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/httpjson"
 	"sycamoredeal/internal/testbed"
 )
@@ -21,7 +22,7 @@
 		if n := orders(ctx, f.Hosts[0].AdminAddr); n != last {
 			last, since = n, time.Now()
 		}
-		pause(ctx, 200*time.Millisecond)
+		clock.Sleep(ctx, 200*time.Millisecond)
 		if ctx.Err() != nil {
 			return errors.Errorf("the layout was not complete after %s, %d orders", layoutLimit, last)
 		}
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/load"
 	"sycamoredeal/internal/testbed"
 )
@@ -161,7 +162,7 @@
 			disturbed <- nil
 			return
 		}
-		pause(ctx, disturbAt)
+		clock.Sleep(ctx, disturbAt)
 		disturbed <- v.disturb(ctx, f)
 	}()
 	rep, err := load.Run(ctx, scenario(f, e, v, o.Duration))
@@ -185,7 +186,7 @@
 			return err
 		}
 	}
-	pause(ctx, settleTime)
+	clock.Sleep(ctx, settleTime)
 	return nil
 }
 
--- a/internal/planner/cells_test.go
+++ b/internal/planner/cells_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/engine"
 	"sycamoredeal/internal/ownership"
 	"sycamoredeal/internal/planner"
@@ -50,7 +51,7 @@
 				w.store.Store.Update(ctx, o)
 			}
 		}
-		platform.Sleep(ctx, ownersEvery/2)
+		clock.Sleep(ctx, ownersEvery/2)
 	}
 }
 
@@ -83,7 +84,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			w.store.lose.Store(1)
-			platform.Sleep(ctx, 300*time.Millisecond)
+			clock.Sleep(ctx, 300*time.Millisecond)
 		}
 	}()
 	always := func() bool { return true }
--- a/internal/platform/backoff.go
+++ b/internal/platform/backoff.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"sycamoredeal/internal/clock"
 )
 
 const (
@@ -33,17 +35,7 @@
 }
 
 // Wait sleeps for Delay(err) or until ctx ends.
-func (b *Backoff) Wait(ctx context.Context, err error) { Sleep(ctx, b.Delay(err)) }
-
-// Sleep waits for d or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
+func (b *Backoff) Wait(ctx context.Context, err error) { clock.Sleep(ctx, b.Delay(err)) }
 
 // Follow keeps fn up to date with one object until ctx ends: it reads the object, then watches it from that version,
 // and starts again when the watch ends, expires (410) or fails. A missing object is followed by a watch of the kind's
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -1,15 +1,11 @@
 // Package ring provides the bounded rings that join the goroutines of a process.
 package ring
 
-import (
-	"context"
-	"sync/atomic"
-)
+import "context"
 
 // Ring is a bounded FIFO between goroutines. The zero value is not usable.
 type Ring[T any] struct {
-	ch      chan T
-	dropped atomic.Uint64
+	ch chan T
 }
 
 // New returns a ring that holds at most size items.
@@ -17,13 +13,12 @@
 	return &Ring[T]{ch: make(chan T, size)}
 }
 
-// TryPush appends v. It returns false and counts a drop if the ring is full.
+// TryPush appends v. It returns false if the ring is full.
 func (r *Ring[T]) TryPush(v T) bool {
 	select {
 	case r.ch <- v:
 		return true
 	default:
-		r.dropped.Add(1)
 		return false
 	}
 }
@@ -54,6 +49,3 @@
 
 // Len returns the number of items waiting.
 func (r *Ring[T]) Len() int { return len(r.ch) }
-
-// Dropped returns how many items TryPush has refused.
-func (r *Ring[T]) Dropped() uint64 { return r.dropped.Load() }
--- a/internal/routing/binder.go
+++ b/internal/routing/binder.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 
 	"github.com/juju/errors"
 
@@ -70,26 +69,5 @@
 	return out
 }
 
-// RoundRobin binds each request to the next resident endpoint. It is a baseline for measurements.
-type RoundRobin struct {
-	View func() *View
-	next atomic.Uint64
-}
-
 // ErrNoResident is returned while no endpoint holds a declared model.
 var ErrNoResident = errors.New("no endpoint holds the model")
-
-// Bind implements Binder.
-func (r *RoundRobin) Bind(_ context.Context, ask wire.Ask) (Binding, error) {
-	res := r.View().Residents(ask.Model)
-	if len(res) == 0 {
-		return nil, &Refusal{Reason: ErrNoResident.Error(), RetryAfterMs: 1000}
-	}
-	return fixedBinding(res[r.next.Add(1)%uint64(len(res))]), nil
-}
-
-type fixedBinding string
-
-func (b fixedBinding) Endpoint() string         { return string(b) }
-func (fixedBinding) Preempted() <-chan struct{} { return nil }
-func (fixedBinding) Release(wire.Done)          {}
