--- a/cmd/sycamore-control/main.go
+++ b/cmd/sycamore-control/main.go
@@ -8,9 +8,9 @@
 	"syscall"
 
 	"sycamoredeal/internal/control"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/peertls"
 	"sycamoredeal/internal/placement"
-	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/settings"
 	"sycamoredeal/internal/telemetry"
 )
@@ -22,7 +22,7 @@
 		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Region: s.Region, Listen: s.Listen, EntryAddress: s.EntryAddress, CallerAddr: s.CallerAddress,
 		AdminListen: s.AdminListen, AdminToken: s.AdminToken, Seeds: settings.List(s.Seeds), Term: s.LeaseTerm, Heartbeat: s.Heartbeat,
 		Poll: s.Poll, Retention: s.KeyRetention, Placement: placement.Policies[s.Placement], LateBound: s.LateBound,
-		Store: platform.NewClient(s.Platform, s.PlatformToken), Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "control"),
+		Store: objects.NewClient(s.Platform, s.PlatformToken), Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "control"),
 	}
 	var err error
 	if o.TLS, err = (peertls.Files{Cert: s.TLSCert, Key: s.TLSKey, Authority: s.TLSCA}).Load(); err != nil {
--- a/internal/claimstore/claimstore.go
+++ b/internal/claimstore/claimstore.go
@@ -9,7 +9,7 @@
 
 	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/claims"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/ring"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/transport"
@@ -23,7 +23,7 @@
 
 // Deps are what the store needs from its process.
 type Deps struct {
-	Store     platform.Store
+	Store     objects.Store
 	Retention time.Duration // how long a key is remembered at least; 0 for claims.DefaultRetention
 	Log       telemetry.Logger
 }
--- a/internal/claimstore/claimstore_test.go
+++ b/internal/claimstore/claimstore_test.go
@@ -11,7 +11,7 @@
 	"go.uber.org/goleak"
 
 	"sycamoredeal/internal/attempt"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	standin "sycamoredeal/internal/standin/platform"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/transport"
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var ended []func()
 	for range stores {
-		s := New(Deps{Store: platform.NewClient(srv.URL, ""), Log: telemetry.Discard()})
+		s := New(Deps{Store: objects.NewClient(srv.URL, ""), Log: telemetry.Discard()})
 		done := make(chan struct{})
 		go func() {
 			s.Run(ctx)
--- a/internal/claimstore/io.go
+++ b/internal/claimstore/io.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/claims"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 )
 
 // ended is how a call to the platform ended.
@@ -53,8 +53,8 @@
 		e.version, err = s.write(ctx, a)
 		e.result = writeResult(err)
 	case claims.Delete:
-		err = s.deps.Store.Delete(ctx, platform.Object{Kind: platform.KindClaims, Name: claims.Name(s.id, a.Seq), Version: a.Version})
-		if e.result = writeResult(err); errors.Is(err, platform.ErrNotFound) {
+		err = s.deps.Store.Delete(ctx, objects.Object{Kind: objects.KindClaims, Name: claims.Name(s.id, a.Seq), Version: a.Version})
+		if e.result = writeResult(err); errors.Is(err, objects.ErrNotFound) {
 			e.result = claims.WriteDone
 		}
 	}
@@ -69,14 +69,14 @@
 	switch {
 	case err == nil:
 		return claims.WriteDone
-	case errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objects.ErrConflict) || errors.Is(err, objects.ErrNotFound):
 		return claims.WriteConflict
 	}
 	return claims.WriteUnclear
 }
 
 func (s *shard) write(ctx context.Context, a claims.Write) (string, error) {
-	o, err := platform.Encode(platform.KindClaims, claims.Name(s.id, a.Seq), a.Version, a.Segment)
+	o, err := objects.Encode(objects.KindClaims, claims.Name(s.id, a.Seq), a.Version, a.Segment)
 	if err != nil {
 		return "", err
 	}
@@ -94,7 +94,7 @@
 	if !a.All {
 		return s.follow(ctx, a.From)
 	}
-	objects, _, err := s.deps.Store.List(ctx, platform.KindClaims)
+	objects, _, err := s.deps.Store.List(ctx, objects.KindClaims)
 	if err != nil {
 		return nil, err
 	}
@@ -116,8 +116,8 @@
 func (s *shard) follow(ctx context.Context, seq uint64) ([]claims.Stored, error) {
 	var out []claims.Stored
 	for {
-		o, err := s.deps.Store.Get(ctx, platform.KindClaims, claims.Name(s.id, seq))
-		if errors.Is(err, platform.ErrNotFound) {
+		o, err := s.deps.Store.Get(ctx, objects.KindClaims, claims.Name(s.id, seq))
+		if errors.Is(err, objects.ErrNotFound) {
 			return out, nil
 		}
 		if err != nil {
@@ -135,7 +135,7 @@
 	}
 }
 
-func decode(o platform.Object) (claims.Stored, error) {
-	seg, err := platform.Decode[claims.Segment](o)
+func decode(o objects.Object) (claims.Stored, error) {
+	seg, err := objects.Decode[claims.Segment](o)
 	return claims.Stored{Segment: seg, Version: o.Version}, err
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,8 +16,8 @@
 	"sycamoredeal/internal/claimstore"
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/directory"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/placement"
-	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/ring"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/transport"
@@ -57,7 +57,7 @@
 	LateBound    time.Duration // see placement.LateBound, which is the default
 	Retention    time.Duration // how long idempotency keys are remembered
 	Placement    placement.Policy
-	Store        platform.Store
+	Store        objects.Store
 	TLS          *tls.Config // for the project's own connections, nil for plain TCP
 	Log          telemetry.Logger
 }
@@ -220,8 +220,8 @@
 // watchHead follows the configuration head.
 func (c *Control) watchHead(ctx context.Context) {
 	log := c.opts.Log.Part("head")
-	platform.Follow(ctx, c.opts.Store, platform.KindHead, "head", func(o platform.Object) {
-		head, err := platform.Decode[wire.Head](o)
+	objects.Follow(ctx, c.opts.Store, objects.KindHead, "head", func(o objects.Object) {
+		head, err := objects.Decode[wire.Head](o)
 		if err != nil {
 			log.Error().Err(err).Msg("Head not readable.")
 			return
@@ -233,8 +233,8 @@
 // watchPlacement follows the cell's placement.
 func (c *Control) watchPlacement(ctx context.Context) {
 	log := c.opts.Log.Part("placement")
-	platform.Follow(ctx, c.opts.Store, platform.KindPlacement, c.opts.Cell, func(o platform.Object) {
-		p, err := platform.Decode[wire.Placement](o)
+	objects.Follow(ctx, c.opts.Store, objects.KindPlacement, c.opts.Cell, func(o objects.Object) {
+		p, err := objects.Decode[wire.Placement](o)
 		if err != nil {
 			log.Error().Err(err).Msg("Placement not readable.")
 			return
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/goleak"
 
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	standin "sycamoredeal/internal/standin/platform"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/testbed"
@@ -34,7 +34,7 @@
 		c := New(Options{
 			Host: host, Zone: "z", Cell: "c", Listen: testbed.FreeAddr(), EntryAddress: testbed.FreeAddr(), AdminListen: testbed.FreeAddr(),
 			AdminToken: "operator", Seeds: []string{seed}, Term: 600 * time.Millisecond, Heartbeat: 100 * time.Millisecond,
-			Store: platform.NewClient(srv.URL, ""), Log: telemetry.Discard(),
+			Store: objects.NewClient(srv.URL, ""), Log: telemetry.Discard(),
 		})
 		cs = append(cs, c)
 		go func() { ended <- c.Run(ctx) }()
@@ -47,7 +47,7 @@
 			}
 		}
 		for _, c := range cs {
-			c.opts.Store.(*platform.Client).Close()
+			c.opts.Store.(*objects.Client).Close()
 		}
 		http.DefaultClient.CloseIdleConnections()
 		goleak.VerifyNone(t, leaks...)
--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -10,7 +10,7 @@
 
 	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/directory"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/wire"
 )
 
@@ -54,7 +54,7 @@
 	if _, changed := next(*written); !changed || v.snapshot == nil {
 		return false, nil
 	}
-	err := update(ctx, c.opts.Store, platform.KindDirectory, directory.Name, func(d directory.Directory) (directory.Directory, bool) {
+	err := update(ctx, c.opts.Store, objects.KindDirectory, directory.Name, func(d directory.Directory) (directory.Directory, bool) {
 		d, changed := next(d)
 		*written = d
 		return d, changed
@@ -80,17 +80,17 @@
 	every := termsPerDirectoryRead * c.opts.Term
 	c.directoryEvery.Store(int64(every))
 	for ctx.Err() == nil {
-		o, err := c.opts.Store.Get(ctx, platform.KindDirectory, directory.Name)
+		o, err := c.opts.Store.Get(ctx, objects.KindDirectory, directory.Name)
 		var d directory.Directory
 		if err == nil {
-			d, err = platform.Decode[directory.Directory](o)
+			d, err = objects.Decode[directory.Directory](o)
 		}
 		if err == nil {
 			c.cells.Store(&d)
 			every = max(termsPerDirectoryRead*c.opts.Term, time.Duration(len(o.Data))*time.Second/directoryRate)
 			c.directoryEvery.Store(int64(every))
 			c.events.Push(ctx, evDirectory{directory.Others(d, c.opts.Cell)})
-		} else if ctx.Err() == nil && !errors.Is(err, platform.ErrNotFound) {
+		} else if ctx.Err() == nil && !errors.Is(err, objects.ErrNotFound) {
 			log.Debug().Err(err).Msg("Directory not read.")
 		}
 		clock.Sleep(ctx, every-rand.N(every/4+1))
--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -8,8 +8,8 @@
 
 	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/membership"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/placement"
-	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/rendezvous"
 	"sycamoredeal/internal/wire"
 )
@@ -17,7 +17,7 @@
 // pollers is the number of hosts per cell that read the endpoint list, so that one of them may be frozen or cut off.
 const pollers = 3
 
-// endpointState is the content of an object of kind platform.KindEndpoint. Its name is that of an endpoint or of a host.
+// endpointState is the content of an object of kind objects.KindEndpoint. Its name is that of an endpoint or of a host.
 type endpointState struct {
 	Leaving bool   `json:"leaving"`
 	Reason  string `json:"reason"`
@@ -27,7 +27,7 @@
 // reads the configuration head, so that a watch that hangs without an error delays no revision.
 func (c *Control) pollEndpoints(ctx context.Context) {
 	log := c.opts.Log.Part("endpoints")
-	var b platform.Backoff
+	var b objects.Backoff
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, c.opts.Poll/2+rand.N(c.opts.Poll/2))
 		rank := c.pollRank()
@@ -61,13 +61,13 @@
 }
 
 func (c *Control) readStates(ctx context.Context) ([]wire.EndpointState, error) {
-	list, _, err := c.opts.Store.List(ctx, platform.KindEndpoint)
+	list, _, err := c.opts.Store.List(ctx, objects.KindEndpoint)
 	if err != nil {
 		return nil, err
 	}
 	var out []wire.EndpointState
 	for _, o := range list {
-		s, err := platform.Decode[endpointState](o)
+		s, err := objects.Decode[endpointState](o)
 		if err != nil {
 			return nil, err
 		}
@@ -79,11 +79,11 @@
 }
 
 func (c *Control) readHead(ctx context.Context) error {
-	o, err := c.opts.Store.Get(ctx, platform.KindHead, "head")
+	o, err := c.opts.Store.Get(ctx, objects.KindHead, "head")
 	if err != nil {
 		return err
 	}
-	head, err := platform.Decode[wire.Head](o)
+	head, err := objects.Decode[wire.Head](o)
 	if err != nil {
 		return err
 	}
--- a/internal/control/fetch.go
+++ b/internal/control/fetch.go
@@ -5,7 +5,7 @@
 
 	"github.com/juju/errors"
 
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/revision"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
@@ -38,20 +38,20 @@
 
 func (c *Control) fetchPlatform(ctx context.Context, f revision.Fetch) (*wire.Head, []wire.File, error) {
 	if f.Head {
-		o, err := c.opts.Store.Get(ctx, platform.KindHead, "head")
+		o, err := c.opts.Store.Get(ctx, objects.KindHead, "head")
 		if err != nil {
 			return nil, nil, err
 		}
-		head, err := platform.Decode[wire.Head](o)
+		head, err := objects.Decode[wire.Head](o)
 		return &head, nil, err
 	}
 	var files []wire.File
 	for _, d := range f.Digests {
-		o, err := c.opts.Store.Get(ctx, platform.KindFile, d)
+		o, err := c.opts.Store.Get(ctx, objects.KindFile, d)
 		if err != nil {
 			return nil, files, err
 		}
-		file, err := platform.Decode[wire.File](o)
+		file, err := objects.Decode[wire.File](o)
 		if err != nil {
 			return nil, files, err
 		}
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -6,7 +6,7 @@
 
 	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/membership"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
@@ -20,7 +20,7 @@
 // bound on its size matters less than a host that serves.
 func JoinCell(ctx context.Context, o Options) (string, error) {
 	self := wire.Member{Host: o.Host, Zone: o.Zone, ControlAddress: o.Listen, EntryAddress: o.EntryAddress, CallerAddress: o.CallerAddr}
-	var b platform.Backoff
+	var b objects.Backoff
 	for {
 		cell, err := tryJoin(ctx, o.Store, self, o.Region)
 		if err == nil && cell != "" {
@@ -40,14 +40,14 @@
 }
 
 // tryJoin makes one attempt. After a conflict or an unknown outcome the next attempt reads what is stored.
-func tryJoin(ctx context.Context, s platform.Store, self wire.Member, region string) (string, error) {
-	list, _, err := s.List(ctx, platform.KindRoster)
+func tryJoin(ctx context.Context, s objects.Store, self wire.Member, region string) (string, error) {
+	list, _, err := s.List(ctx, objects.KindRoster)
 	if err != nil {
 		return "", err
 	}
 	rosters, versions := make(map[string]membership.Roster), make(map[string]string)
 	for _, o := range list {
-		r, err := platform.Decode[membership.Roster](o)
+		r, err := objects.Decode[membership.Roster](o)
 		if err != nil {
 			return "", err
 		}
@@ -59,7 +59,7 @@
 	}
 	r := rosters[cell]
 	r.Region, r.Members = region, append(r.Members, self)
-	if err := put(ctx, s, platform.KindRoster, cell, versions[cell], r); err != nil {
+	if err := put(ctx, s, objects.KindRoster, cell, versions[cell], r); err != nil {
 		return "", err
 	}
 	return cell, nil
--- a/internal/control/join_test.go
+++ b/internal/control/join_test.go
@@ -10,21 +10,21 @@
 	"time"
 
 	"sycamoredeal/internal/membership"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	platformstandin "sycamoredeal/internal/standin/platform"
 	"sycamoredeal/internal/telemetry"
 )
 
 // lossy loses the answers of some updates after they took effect.
 type lossy struct {
-	platform.Store
+	objects.Store
 	n atomic.Int32
 }
 
-func (s *lossy) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (s *lossy) Update(ctx context.Context, o objects.Object) (objects.Object, error) {
 	o, err := s.Store.Update(ctx, o)
 	if err == nil && s.n.Add(1)%5 == 0 {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	return o, err
 }
@@ -34,7 +34,7 @@
 func TestJoinCell(t *testing.T) {
 	srv := httptest.NewServer(platformstandin.New())
 	defer srv.Close()
-	store := &lossy{Store: platform.NewClient(srv.URL, "")}
+	store := &lossy{Store: objects.NewClient(srv.URL, "")}
 	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -53,13 +53,13 @@
 		})
 	}
 	wg.Wait()
-	list, _, err := store.List(ctx, platform.KindRoster)
+	list, _, err := store.List(ctx, objects.KindRoster)
 	if err != nil || len(list) != 4 {
 		t.Fatalf("%d cells, want 4: %v", len(list), err)
 	}
 	hosts := 0
 	for _, o := range list {
-		r, _ := platform.Decode[membership.Roster](o)
+		r, _ := objects.Decode[membership.Roster](o)
 		if hosts += len(r.Members); len(r.Members) > membership.MaxCell {
 			t.Errorf("%s has %d hosts", o.Name, len(r.Members))
 		}
--- a/internal/control/leaseduty.go
+++ b/internal/control/leaseduty.go
@@ -12,8 +12,8 @@
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/engine"
 	"sycamoredeal/internal/lease"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/planner"
-	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/ring"
 	"sycamoredeal/internal/telemetry"
 )
@@ -138,7 +138,7 @@
 		m.OnWritten(now, rec, version)
 	case err == nil:
 		m.OnRead(now, rec, version)
-	case errors.Is(err, platform.ErrNotFound) && a.Kind == lease.Read:
+	case errors.Is(err, objects.ErrNotFound) && a.Kind == lease.Read:
 		m.OnAbsent(now)
 	default:
 		m.OnUnsure(now, a.Kind == lease.Write)
@@ -150,11 +150,11 @@
 }
 
 func (l *leaseDuty) call(ctx context.Context, a lease.Action) (lease.Record, string, error) {
-	var o platform.Object
+	var o objects.Object
 	var err error
 	if a.Kind == lease.Read {
-		o, err = l.c.opts.Store.Get(ctx, platform.KindLease, l.c.opts.Cell)
-	} else if o, err = platform.Encode(platform.KindLease, l.c.opts.Cell, a.Version, a.Record); err == nil {
+		o, err = l.c.opts.Store.Get(ctx, objects.KindLease, l.c.opts.Cell)
+	} else if o, err = objects.Encode(objects.KindLease, l.c.opts.Cell, a.Version, a.Record); err == nil {
 		if a.Version == "" {
 			o, err = l.c.opts.Store.Create(ctx, o)
 		} else {
@@ -164,7 +164,7 @@
 	if err != nil {
 		return lease.Record{}, "", err
 	}
-	rec, err := platform.Decode[lease.Record](o)
+	rec, err := objects.Decode[lease.Record](o)
 	return rec, o.Version, err
 }
 
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -12,7 +12,7 @@
 
 	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/membership"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/rendezvous"
 	"sycamoredeal/internal/wire"
 )
@@ -26,7 +26,7 @@
 // keepRoster joins the cell and keeps the members up to date. A host that was removed while it was frozen joins again.
 func (c *Control) keepRoster(ctx context.Context) {
 	log := c.opts.Log.Part("roster")
-	var b platform.Backoff
+	var b objects.Backoff
 	first := true
 	for ctx.Err() == nil && !c.view.Load().leaving {
 		members, err := c.updateRoster(ctx, func(r []wire.Member) []wire.Member { return c.joined(r, first) })
@@ -104,7 +104,7 @@
 // which finds the change made or makes it again.
 func (c *Control) updateRoster(ctx context.Context, change func([]wire.Member) []wire.Member) ([]wire.Member, error) {
 	var out []wire.Member
-	err := update(ctx, c.opts.Store, platform.KindRoster, c.opts.Cell, func(r membership.Roster) (membership.Roster, bool) {
+	err := update(ctx, c.opts.Store, objects.KindRoster, c.opts.Cell, func(r membership.Roster) (membership.Roster, bool) {
 		out = change(r.Members)
 		return membership.Roster{Region: c.opts.Region, Members: out}, r.Region != c.opts.Region || !reflect.DeepEqual(out, r.Members)
 	})
@@ -113,17 +113,17 @@
 
 // update reads an object, lets change compute its next content, and stores that if it differs. It tries again after a
 // conflict or an unknown outcome, a few times.
-func update[T any](ctx context.Context, s platform.Store, kind, name string, change func(T) (T, bool)) error {
-	var b platform.Backoff
+func update[T any](ctx context.Context, s objects.Store, kind, name string, change func(T) (T, bool)) error {
+	var b objects.Backoff
 	var err error
 	for range 5 {
-		var o platform.Object
-		if o, err = s.Get(ctx, kind, name); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		var o objects.Object
+		if o, err = s.Get(ctx, kind, name); err != nil && !errors.Is(err, objects.ErrNotFound) {
 			return err
 		}
 		var old T
 		if err == nil {
-			if old, err = platform.Decode[T](o); err != nil {
+			if old, err = objects.Decode[T](o); err != nil {
 				return err
 			}
 		}
@@ -139,8 +139,8 @@
 	return err
 }
 
-func put(ctx context.Context, s platform.Store, kind, name, version string, v any) error {
-	o, err := platform.Encode(kind, name, version, v)
+func put(ctx context.Context, s objects.Store, kind, name, version string, v any) error {
+	o, err := objects.Encode(kind, name, version, v)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/claimclient_test.go
+++ b/internal/entry/claimclient_test.go
@@ -14,7 +14,7 @@
 	"sycamoredeal/internal/claims"
 	"sycamoredeal/internal/claimstore"
 	"sycamoredeal/internal/config"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/routing"
 	standin "sycamoredeal/internal/standin/platform"
 	"sycamoredeal/internal/telemetry"
@@ -25,7 +25,7 @@
 // claimOwner hosts a claim store like a control process does.
 func claimOwner(t *testing.T, url string) (addr string, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := claimstore.New(claimstore.Deps{Store: platform.NewClient(url, ""), Log: telemetry.Discard()})
+	s := claimstore.New(claimstore.Deps{Store: objects.NewClient(url, ""), Log: telemetry.Discard()})
 	go s.Run(ctx)
 	srv, err := transport.Listen(ctx, "127.0.0.1:0", transport.Options{Handler: func(c *transport.Conn, corr uint64, m wire.Message) { s.Handle(c, corr, m) }})
 	if err != nil {
--- a/internal/platform/client.go
+++ b/internal/objects/client.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"bufio"
--- a/internal/platform/client_test.go
+++ b/internal/objects/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objects_test
 
 import (
 	"context"
@@ -10,15 +10,15 @@
 
 	"github.com/juju/errors"
 
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	standin "sycamoredeal/internal/standin/platform"
 )
 
-func server(t *testing.T) (*platform.Client, func(string)) {
+func server(t *testing.T) (*objects.Client, func(string)) {
 	srv := httptest.NewServer(standin.New())
 	t.Cleanup(srv.CloseClientConnections)
 	t.Cleanup(srv.Close)
-	return platform.NewClient(srv.URL, ""), func(faults string) {
+	return objects.NewClient(srv.URL, ""), func(faults string) {
 		t.Helper()
 		req, _ := http.NewRequest(http.MethodPut, srv.URL+"/_faults", strings.NewReader(faults))
 		resp, err := http.DefaultClient.Do(req)
@@ -33,17 +33,17 @@
 // of an update open.
 func TestFaults(t *testing.T) {
 	c, faults := server(t)
-	o, _ := platform.Encode(platform.KindLease, "c", "", 1)
+	o, _ := objects.Encode(objects.KindLease, "c", "", 1)
 	for _, v := range []struct {
 		name, faults string
 		want         error
 		stored       bool
 	}{
-		{"outage", `{"outage":true}`, platform.ErrUnavailable, false},
+		{"outage", `{"outage":true}`, objects.ErrUnavailable, false},
 		{"rate limit", `{"writesPerSecond":-1,"readsPerSecond":0}`, nil, true},
-		{"exists", `{}`, platform.ErrConflict, true},
-		{"timeout", `{"delayMs":1300}`, platform.ErrUnavailable, true},
-		{"answer lost", `{"loseAnswer":1}`, platform.ErrUnavailable, true},
+		{"exists", `{}`, objects.ErrConflict, true},
+		{"timeout", `{"delayMs":1300}`, objects.ErrUnavailable, true},
+		{"answer lost", `{"loseAnswer":1}`, objects.ErrUnavailable, true},
 	} {
 		faults(v.faults)
 		if v.name == "answer lost" {
@@ -62,7 +62,7 @@
 	var throttled bool
 	for range 3 {
 		_, err := c.Create(t.Context(), o)
-		throttled = throttled || errors.Is(err, platform.ErrThrottled)
+		throttled = throttled || errors.Is(err, objects.ErrThrottled)
 	}
 	if !throttled {
 		t.Error("no call was throttled")
@@ -73,13 +73,13 @@
 func TestListLag(t *testing.T) {
 	c, faults := server(t)
 	faults(`{"listLagMs":200}`)
-	o, _ := platform.Encode(platform.KindEndpoint, "e", "", 1)
+	o, _ := objects.Encode(objects.KindEndpoint, "e", "", 1)
 	if _, err := c.Create(t.Context(), o); err != nil {
 		t.Fatal(err)
 	}
 	start := time.Now()
 	for {
-		l, _, err := c.List(t.Context(), platform.KindEndpoint)
+		l, _, err := c.List(t.Context(), objects.KindEndpoint)
 		if err != nil || time.Since(start) > 2*time.Second {
 			t.Fatal(l, err)
 		}
@@ -99,7 +99,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
 	defer cancel()
 	got := make(chan string, 1<<14)
-	go platform.Follow(ctx, c, platform.KindHead, "head", func(o platform.Object) { got <- string(o.Data) }, func(error) {})
+	go objects.Follow(ctx, c, objects.KindHead, "head", func(o objects.Object) { got <- string(o.Data) }, func(error) {})
 	want := func(data string) {
 		t.Helper()
 		for {
@@ -113,7 +113,7 @@
 			}
 		}
 	}
-	o, _ := platform.Encode(platform.KindHead, "head", "", 1)
+	o, _ := objects.Encode(objects.KindHead, "head", "", 1)
 	o, err := c.Create(ctx, o)
 	if err != nil {
 		t.Fatal(err)
@@ -131,7 +131,7 @@
 // TestExpiredWatch guards against a 410 that is not told from other errors.
 func TestExpiredWatch(t *testing.T) {
 	c, _ := server(t)
-	o, _ := platform.Encode(platform.KindLease, "l", "", 0)
+	o, _ := objects.Encode(objects.KindLease, "l", "", 0)
 	o, err := c.Create(t.Context(), o)
 	for i := 0; i < 4200 && err == nil; i++ {
 		o, err = c.Update(t.Context(), o)
@@ -139,7 +139,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := c.Watch(t.Context(), o.Kind, o.Name, "1", func(platform.Event) {}); !errors.Is(err, platform.ErrExpired) {
-		t.Fatalf("%v, want %v", err, platform.ErrExpired)
+	if err := c.Watch(t.Context(), o.Kind, o.Name, "1", func(objects.Event) {}); !errors.Is(err, objects.ErrExpired) {
+		t.Fatalf("%v, want %v", err, objects.ErrExpired)
 	}
 }
--- a/internal/platform/store.go
+++ b/internal/objects/store.go
@@ -1,9 +1,9 @@
-// Package platform is the client of the platform's object API.
+// Package objects is the client of the platform's object API.
 //
 // Objects live under /apis/sycamoredeal/v1/{kind}/{name}. Each carries metadata.resourceVersion, an opaque string that
 // changes with every update. Updates are conditional on it; a stale one is answered with 409. A watch is a stream of
 // JSON events, one a line; 410 says that the version asked for is too old to resume from.
-package platform
+package objects
 
 import (
 	"context"
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/config"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/wire"
 )
 
@@ -38,8 +38,8 @@
 
 // Apply stores the changes of a folder since its base as the next revision. The error is config.Findings for refused
 // declarations and *ConflictError for files that another operator changed too; nothing has changed then. After
-// platform.ErrUnavailable the change may have taken effect; applying again settles it.
-func Apply(ctx context.Context, store platform.Store, r ApplyRequest) (ApplyResult, error) {
+// objects.ErrUnavailable the change may have taken effect; applying again settles it.
+func Apply(ctx context.Context, store objects.Store, r ApplyRequest) (ApplyResult, error) {
 	if r.Author == "" {
 		return ApplyResult{}, ErrAuthor
 	}
@@ -64,7 +64,7 @@
 }
 
 type applier struct {
-	store    platform.Store
+	store    objects.Store
 	req      ApplyRequest
 	local    map[string]wire.File
 	digests  map[string]string
@@ -86,10 +86,10 @@
 		switch {
 		case err == nil:
 			return res, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, objects.ErrConflict):
 			last = err
 			continue
-		case !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrThrottled):
+		case !errors.Is(err, objects.ErrUnavailable) && !errors.Is(err, objects.ErrThrottled):
 			return ApplyResult{}, err
 		}
 		last = err
@@ -165,11 +165,11 @@
 		if !ok || f.Digest != digest || a.stored[digest] {
 			continue
 		}
-		o, err := platform.Encode(platform.KindFile, digest, "", f)
+		o, err := objects.Encode(objects.KindFile, digest, "", f)
 		if err != nil {
 			return err
 		}
-		if _, err := a.store.Create(ctx, o); err != nil && !errors.Is(err, platform.ErrConflict) {
+		if _, err := a.store.Create(ctx, o); err != nil && !errors.Is(err, objects.ErrConflict) {
 			return errors.Annotatef(err, "store file %s", name)
 		}
 		a.stored[digest] = true
--- a/internal/operator/apply_test.go
+++ b/internal/operator/apply_test.go
@@ -13,15 +13,15 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/config"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	standin "sycamoredeal/internal/standin/platform"
 )
 
-func newStore(t *testing.T) platform.Store {
+func newStore(t *testing.T) objects.Store {
 	t.Helper()
 	srv := httptest.NewServer(standin.New())
 	t.Cleanup(srv.Close)
-	return platform.NewClient(srv.URL, "")
+	return objects.NewClient(srv.URL, "")
 }
 
 const endpointFile = "endpoints: [{name: e1, host: h1, zone: z1, address: \"127.0.0.1:1\", memory: 800GiB, slots: 4}]\n"
@@ -38,7 +38,7 @@
 }
 
 // checkout returns a folder in step with the store, which holds at least an endpoint and models a and b.
-func checkout(t *testing.T, store platform.Store) string {
+func checkout(t *testing.T, store objects.Store) string {
 	t.Helper()
 	dir := t.TempDir()
 	if h, err := LoadHead(t.Context(), store); err == nil && h.Revision == 0 {
@@ -54,7 +54,7 @@
 	return dir
 }
 
-func mustApply(t *testing.T, store platform.Store, dir, author string) ApplyResult {
+func mustApply(t *testing.T, store objects.Store, dir, author string) ApplyResult {
 	t.Helper()
 	res, err := Apply(t.Context(), store, ApplyRequest{Dir: dir, Author: author})
 	if err != nil {
@@ -63,7 +63,7 @@
 	return res
 }
 
-func memoryOf(t *testing.T, store platform.Store, name string) config.Bytes {
+func memoryOf(t *testing.T, store objects.Store, name string) config.Bytes {
 	t.Helper()
 	d, err := StoredDeclarations(t.Context(), store)
 	if err != nil {
@@ -183,15 +183,15 @@
 
 // lossy loses the answer of head updates: before the update or after it took effect.
 type lossy struct {
-	platform.Store
+	objects.Store
 	before, after int
 	beforeUpdate  func()
 }
 
-func (l *lossy) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (l *lossy) Update(ctx context.Context, o objects.Object) (objects.Object, error) {
 	if l.before > 0 {
 		l.before--
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	if l.beforeUpdate != nil {
 		f := l.beforeUpdate
@@ -201,7 +201,7 @@
 	got, err := l.Store.Update(ctx, o)
 	if err == nil && l.after > 0 {
 		l.after--
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	return got, err
 }
--- a/internal/operator/cli.go
+++ b/internal/operator/cli.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/config"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 )
 
 // Exit codes of sycamorectl.
@@ -96,17 +96,17 @@
 	switch {
 	case errors.As(err, &usage), errors.Is(err, ErrAuthor):
 		return ExitUsage
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrThrottled), errors.Is(err, ErrControl):
+	case errors.Is(err, objects.ErrUnavailable), errors.Is(err, objects.ErrThrottled), errors.Is(err, ErrControl):
 		return ExitUnavailable
 	}
 	return ExitFindings
 }
 
-func (c *CLI) store() (platform.Store, error) {
+func (c *CLI) store() (objects.Store, error) {
 	if c.Platform == "" {
 		return nil, usageError{"the URL of the platform is missing: use --platform or SYCAMORECTL_PLATFORM"}
 	}
-	return platform.NewClient(c.Platform, c.PlatformToken), nil
+	return objects.NewClient(c.Platform, c.PlatformToken), nil
 }
 
 func (c *CLI) admin() (Admin, error) {
--- a/internal/operator/head.go
+++ b/internal/operator/head.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/config"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/wire"
 )
 
@@ -52,15 +52,15 @@
 }
 
 // LoadHead returns the stored head; a platform without one has revision 0.
-func LoadHead(ctx context.Context, store platform.Store) (Stored, error) {
-	o, err := store.Get(ctx, platform.KindHead, headName)
-	if errors.Is(err, platform.ErrNotFound) {
+func LoadHead(ctx context.Context, store objects.Store) (Stored, error) {
+	o, err := store.Get(ctx, objects.KindHead, headName)
+	if errors.Is(err, objects.ErrNotFound) {
 		return Stored{}, nil
 	}
 	if err != nil {
 		return Stored{}, errors.Annotate(err, "read the stored head")
 	}
-	h, err := platform.Decode[Head](o)
+	h, err := objects.Decode[Head](o)
 	return Stored{Head: h, version: o.Version, exists: true}, err
 }
 
@@ -93,8 +93,8 @@
 	return Change{}, false
 }
 
-func (s Stored) write(ctx context.Context, store platform.Store, next Head) error {
-	o, err := platform.Encode(platform.KindHead, headName, s.version, next)
+func (s Stored) write(ctx context.Context, store objects.Store, next Head) error {
+	o, err := objects.Encode(objects.KindHead, headName, s.version, next)
 	if err != nil {
 		return err
 	}
@@ -137,7 +137,7 @@
 }
 
 // fetch returns the files with the given digests from the platform, checked against their digests.
-func fetch(ctx context.Context, store platform.Store, want map[string]string) (map[string]wire.File, error) {
+func fetch(ctx context.Context, store objects.Store, want map[string]string) (map[string]wire.File, error) {
 	var mu sync.Mutex
 	got := make(map[string]wire.File, len(want))
 	var failed error
@@ -160,15 +160,15 @@
 	return got, failed
 }
 
-func fetchOne(ctx context.Context, store platform.Store, name, digest string) (wire.File, error) {
+func fetchOne(ctx context.Context, store objects.Store, name, digest string) (wire.File, error) {
 	if !validName(name) {
 		return wire.File{}, errors.Errorf("the stored head names a file %q, which is not a plain .yaml file name", name)
 	}
-	o, err := store.Get(ctx, platform.KindFile, digest)
+	o, err := store.Get(ctx, objects.KindFile, digest)
 	if err != nil {
 		return wire.File{}, errors.Annotatef(err, "read stored file %s", name)
 	}
-	f, err := platform.Decode[wire.File](o)
+	f, err := objects.Decode[wire.File](o)
 	if err == nil && config.Digest(f.Content) != digest {
 		err = errors.Errorf("stored file %s does not match its digest %s", name, digest)
 	}
--- a/internal/operator/maintenance.go
+++ b/internal/operator/maintenance.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/placement"
-	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/wire"
 )
 
@@ -29,7 +29,7 @@
 }
 
 // StoredDeclarations returns the declarations of the stored head.
-func StoredDeclarations(ctx context.Context, store platform.Store) (config.Declarations, error) {
+func StoredDeclarations(ctx context.Context, store objects.Store) (config.Declarations, error) {
 	head, err := LoadHead(ctx, store)
 	if err != nil {
 		return config.Declarations{}, err
--- a/internal/operator/pull.go
+++ b/internal/operator/pull.go
@@ -9,12 +9,12 @@
 
 	"github.com/juju/errors"
 
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/wire"
 )
 
 // Diff compares a folder with the stored head. Files of others are those that the folder did not touch.
-func Diff(ctx context.Context, store platform.Store, dir string) ([]FileState, map[string]wire.File, error) {
+func Diff(ctx context.Context, store objects.Store, dir string) ([]FileState, map[string]wire.File, error) {
 	states, _, _, err := compareFolder(ctx, store, dir)
 	if err != nil {
 		return nil, nil, err
@@ -29,7 +29,7 @@
 	return states, stored, err
 }
 
-func compareFolder(ctx context.Context, store platform.Store, dir string) ([]FileState, Base, Stored, error) {
+func compareFolder(ctx context.Context, store objects.Store, dir string) ([]FileState, Base, Stored, error) {
 	files, err := ReadFolder(dir)
 	if err != nil {
 		if entries, rerr := os.ReadDir(dir); rerr != nil || hasYAML(entries) {
@@ -61,7 +61,7 @@
 // Pull brings the files that the folder did not change in step with the stored head. Local edits stay. For a conflict
 // the stored content is written beside the file as NAME.r<revision> and *ConflictError is returned; resolved names files
 // whose conflict the operator has merged by hand, so that the next apply stores them over the head.
-func Pull(ctx context.Context, store platform.Store, dir string, resolved []string) (PullResult, error) {
+func Pull(ctx context.Context, store objects.Store, dir string, resolved []string) (PullResult, error) {
 	states, base, head, err := compareFolder(ctx, store, dir)
 	if err != nil {
 		return PullResult{}, err
--- a/internal/planner/cells_test.go
+++ b/internal/planner/cells_test.go
@@ -10,9 +10,9 @@
 
 	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/engine"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/ownership"
 	"sycamoredeal/internal/planner"
-	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/wire"
 )
@@ -43,9 +43,9 @@
 func (w *world) renew(ctx context.Context, cell string, valid func() bool) {
 	for n := 0; ctx.Err() == nil; n++ {
 		if valid() {
-			old, err := w.store.Store.Get(ctx, platform.KindLease, cell)
-			o, _ := platform.Encode(platform.KindLease, cell, old.Version, n)
-			if errors.Is(err, platform.ErrNotFound) {
+			old, err := w.store.Store.Get(ctx, objects.KindLease, cell)
+			o, _ := objects.Encode(objects.KindLease, cell, old.Version, n)
+			if errors.Is(err, objects.ErrNotFound) {
 				w.store.Store.Create(ctx, o)
 			} else if err == nil {
 				w.store.Store.Update(ctx, o)
@@ -57,11 +57,11 @@
 
 func (w *world) owners() map[string]int {
 	out := make(map[string]int)
-	o, err := w.store.Store.Get(context.Background(), platform.KindOwners, ownership.Name)
+	o, err := w.store.Store.Get(context.Background(), objects.KindOwners, ownership.Name)
 	if err != nil {
 		return out
 	}
-	owners, _ := platform.Decode[ownership.Owners](o)
+	owners, _ := objects.Decode[ownership.Owners](o)
 	for _, r := range owners.Endpoints {
 		if r.Transit == nil {
 			out[r.Owner]++
--- a/internal/planner/object.go
+++ b/internal/planner/object.go
@@ -7,8 +7,8 @@
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/placement"
-	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/wire"
 )
 
@@ -51,14 +51,14 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	o := &p.object
-	got, err := p.Store.Get(ctx, platform.KindPlacement, p.Cell)
-	if errors.Is(err, platform.ErrNotFound) {
+	got, err := p.Store.Get(ctx, objects.KindPlacement, p.Cell)
+	if errors.Is(err, objects.ErrNotFound) {
 		o.loaded, o.known, o.version, o.state = false, true, "", wire.Placement{Cell: p.Cell}
 		return nil
 	} else if err != nil {
 		return errors.Annotate(err, "read the placement")
 	}
-	stored, err := platform.Decode[wire.Placement](got)
+	stored, err := objects.Decode[wire.Placement](got)
 	if err != nil {
 		return err
 	}
@@ -84,7 +84,7 @@
 	o.state.Cell, o.state.Epoch = p.Cell, p.epoch
 	o.state.Version++
 	o.unsaved = true
-	obj, err := platform.Encode(platform.KindPlacement, p.Cell, o.version, &o.state)
+	obj, err := objects.Encode(objects.KindPlacement, p.Cell, o.version, &o.state)
 	if err != nil {
 		return err
 	}
--- a/internal/planner/owners.go
+++ b/internal/planner/owners.go
@@ -9,9 +9,9 @@
 
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/lease"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/ownership"
 	"sycamoredeal/internal/placement"
-	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/wire"
 )
 
@@ -85,27 +85,27 @@
 	defer cancel()
 	o := &p.owners
 	at := time.Now()
-	leases, _, err := p.Store.List(ctx, platform.KindLease)
+	leases, _, err := p.Store.List(ctx, objects.KindLease)
 	if err != nil {
 		return errors.Annotate(err, "list leases")
 	}
-	got, err := p.Store.Get(ctx, platform.KindOwners, ownership.Name)
+	got, err := p.Store.Get(ctx, objects.KindOwners, ownership.Name)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objects.ErrNotFound):
 		if o.state, err = p.importPlacements(ctx); err != nil {
 			return err
 		}
 	case err != nil:
 		return errors.Annotate(err, "read the owners")
 	default:
-		if o.state, err = platform.Decode[ownership.Owners](got); err != nil {
+		if o.state, err = objects.Decode[ownership.Owners](got); err != nil {
 			return err
 		}
 	}
 	o.version, o.known = got.Version, true
 	seen := make(map[string]ownership.Lease)
 	for _, l := range leases {
-		rec, _ := platform.Decode[lease.Record](l) // of an unreadable lease the version counts alone
+		rec, _ := objects.Decode[lease.Record](l) // of an unreadable lease the version counts alone
 		seen[l.Name] = ownership.Lease{Version: l.Version, Term: time.Duration(rec.TermMs) * time.Millisecond}
 	}
 	var cells []string
@@ -123,13 +123,13 @@
 }
 
 func (p *planner) importPlacements(ctx context.Context) (ownership.Owners, error) {
-	list, _, err := p.Store.List(ctx, platform.KindPlacement)
+	list, _, err := p.Store.List(ctx, objects.KindPlacement)
 	if err != nil {
 		return ownership.Owners{}, errors.Annotate(err, "list placements")
 	}
 	var all []wire.Placement
 	for _, obj := range list {
-		pl, err := platform.Decode[wire.Placement](obj)
+		pl, err := objects.Decode[wire.Placement](obj)
 		if err != nil {
 			return ownership.Owners{}, err
 		}
@@ -141,7 +141,7 @@
 func (p *planner) writeOwners(ctx context.Context, next ownership.Owners) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	obj, err := platform.Encode(platform.KindOwners, ownership.Name, p.owners.version, next)
+	obj, err := objects.Encode(objects.KindOwners, ownership.Name, p.owners.version, next)
 	if err != nil {
 		return err
 	}
@@ -181,11 +181,11 @@
 func (p *planner) takeFrom(ctx context.Context, dead string, names []string) (map[string]ownership.Account, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	obj, err := p.Store.Get(ctx, platform.KindPlacement, dead)
+	obj, err := p.Store.Get(ctx, objects.KindPlacement, dead)
 	pl := wire.Placement{Cell: dead}
 	if err == nil {
-		pl, err = platform.Decode[wire.Placement](obj)
-	} else if errors.Is(err, platform.ErrNotFound) {
+		pl, err = objects.Decode[wire.Placement](obj)
+	} else if errors.Is(err, objects.ErrNotFound) {
 		err = nil
 	}
 	if err != nil {
@@ -195,7 +195,7 @@
 	if !changed {
 		return taken, nil
 	}
-	next, err := platform.Encode(platform.KindPlacement, dead, obj.Version, &pl)
+	next, err := objects.Encode(objects.KindPlacement, dead, obj.Version, &pl)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -15,9 +15,9 @@
 
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/engine"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/ownership"
 	"sycamoredeal/internal/placement"
-	"sycamoredeal/internal/platform"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/wire"
 )
@@ -47,7 +47,7 @@
 // Deps are what the planner needs of its process.
 type Deps struct {
 	Cell     string
-	Store    platform.Store
+	Store    objects.Store
 	Engines  *engine.Client
 	Snapshot func() *config.Snapshot            // latest configuration, nil before the first
 	Valid    func() bool                        // whether the lease is still held by the process's own clock; called concurrently
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -16,8 +16,8 @@
 
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/engine"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/planner"
-	"sycamoredeal/internal/platform"
 	standin "sycamoredeal/internal/standin/engine"
 	platformstandin "sycamoredeal/internal/standin/platform"
 	"sycamoredeal/internal/telemetry"
@@ -26,25 +26,25 @@
 
 // lossyStore loses answers of updates and can be out.
 type lossyStore struct {
-	platform.Store
+	objects.Store
 	lose atomic.Int32 // answers of the next updates are lost after they took effect
 	out  atomic.Bool
 }
 
-func (s *lossyStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *lossyStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	if s.out.Load() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	return s.Store.Get(ctx, kind, name)
 }
 
-func (s *lossyStore) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (s *lossyStore) Update(ctx context.Context, o objects.Object) (objects.Object, error) {
 	if s.out.Load() {
-		return o, platform.ErrUnavailable
+		return o, objects.ErrUnavailable
 	}
 	o, err := s.Store.Update(ctx, o)
 	if err == nil && s.lose.Add(-1) >= 0 {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	return o, err
 }
@@ -59,7 +59,7 @@
 func newWorld(t *testing.T, engines, models int, fencing bool) *world {
 	plat := httptest.NewServer(platformstandin.New())
 	t.Cleanup(plat.Close)
-	w := &world{t: t, store: &lossyStore{Store: platform.NewClient(plat.URL, "")}}
+	w := &world{t: t, store: &lossyStore{Store: objects.NewClient(plat.URL, "")}}
 	d := config.Declarations{WeightStore: config.WeightStore{LoadsPerSecond: 50, ConcurrentLoads: 5, AdaptersInFlight: 10}}
 	for i := range engines {
 		e := standin.New(standin.Options{MemoryBytes: 24, Slots: 2, ChecksFencing: fencing, LoadTime: 20 * time.Millisecond})
@@ -115,11 +115,11 @@
 
 // settled tells whether the stored placement has no unresolved intent.
 func (w *world) settled() bool {
-	o, err := w.store.Store.Get(context.Background(), platform.KindPlacement, "c")
+	o, err := w.store.Store.Get(context.Background(), objects.KindPlacement, "c")
 	if err != nil {
 		return false
 	}
-	p, err := platform.Decode[wire.Placement](o)
+	p, err := objects.Decode[wire.Placement](o)
 	for _, e := range p.Endpoints {
 		if len(e.Intents) > 0 {
 			return false
@@ -135,7 +135,7 @@
 			for _, e := range w.engines {
 				w.t.Logf("%+v", e.Report())
 			}
-			o, err := w.store.Store.Get(context.Background(), platform.KindPlacement, "c")
+			o, err := w.store.Store.Get(context.Background(), objects.KindPlacement, "c")
 			w.t.Fatalf("not within %s: %s; stored %s, %v", limit, what, o.Data, err)
 		}
 	}
@@ -156,18 +156,18 @@
 // holds the lease when it wakes up.
 type sleepyLease struct {
 	ctx    context.Context
-	store  platform.Store
+	store  objects.Store
 	paused chan struct{} // closed when the holder sleeps
 	wake   chan struct{}
 	asleep atomic.Bool
 }
 
 func (l *sleepyLease) valid() bool {
-	o, err := l.store.Get(context.Background(), platform.KindPlacement, "c")
+	o, err := l.store.Get(context.Background(), objects.KindPlacement, "c")
 	if err != nil {
 		return true
 	}
-	if p, err := platform.Decode[wire.Placement](o); err == nil {
+	if p, err := objects.Decode[wire.Placement](o); err == nil {
 		for _, e := range p.Endpoints {
 			if len(e.Intents) > 0 {
 				if l.asleep.CompareAndSwap(false, true) {
--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -12,7 +12,7 @@
 	"sycamoredeal/internal/control"
 	"sycamoredeal/internal/entry"
 	"sycamoredeal/internal/httpjson"
-	client "sycamoredeal/internal/platform"
+	client "sycamoredeal/internal/objects"
 	"sycamoredeal/internal/standin/platform"
 	"sycamoredeal/internal/testbed"
 )
--- a/test/integration/cells_test.go
+++ b/test/integration/cells_test.go
@@ -17,7 +17,7 @@
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/engine"
 	"sycamoredeal/internal/ownership"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/testbed"
 )
 
@@ -90,11 +90,11 @@
 // owned returns the endpoints by cell whose transfer has ended.
 func (w *cellsWorld) owned() map[string][]int {
 	out := make(map[string][]int)
-	o, err := platform.NewClient("http://"+w.platform, "").Get(w.ctx, platform.KindOwners, ownership.Name)
+	o, err := objects.NewClient("http://"+w.platform, "").Get(w.ctx, objects.KindOwners, ownership.Name)
 	if err != nil {
 		return out
 	}
-	owners, _ := platform.Decode[ownership.Owners](o)
+	owners, _ := objects.Decode[ownership.Owners](o)
 	for i := range 6 {
 		if r := owners.Endpoints[fmt.Sprint("e", i)]; r.Transit == nil {
 			out[r.Owner] = append(out[r.Owner], i)
--- a/test/integration/control_test.go
+++ b/test/integration/control_test.go
@@ -17,7 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"sycamoredeal/internal/control"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/testbed"
 	"sycamoredeal/internal/wire"
 )
@@ -278,7 +278,7 @@
 		t.Fatal("the stopped process does not end")
 	}
 	c.until("left the roster", 2*time.Second, func() bool {
-		o, err := platform.NewClient("http://"+c.platform, "").Get(c.ctx, platform.KindRoster, "cell-1")
+		o, err := objects.NewClient("http://"+c.platform, "").Get(c.ctx, objects.KindRoster, "cell-1")
 		return err == nil && !strings.Contains(string(o.Data), fmt.Sprintf("%q", old.host))
 	})
 }
@@ -375,22 +375,22 @@
 	c.apply(1)
 	c.apply(2)
 	c.until("revision 2", 5*time.Second, c.at(2, c.nodes...))
-	store := platform.NewClient("http://"+c.platform, "")
-	o, err := store.Get(c.ctx, platform.KindHead, "head")
+	store := objects.NewClient("http://"+c.platform, "")
+	o, err := store.Get(c.ctx, objects.KindHead, "head")
 	if err != nil {
 		t.Fatal(err)
 	}
-	head, err := platform.Decode[wire.Head](o)
+	head, err := objects.Decode[wire.Head](o)
 	if err != nil {
 		t.Fatal(err)
 	}
 	head.Revision = 1
-	low, _ := platform.Encode(platform.KindHead, "head", o.Version, head)
+	low, _ := objects.Encode(objects.KindHead, "head", o.Version, head)
 	if low, err = store.Update(c.ctx, low); err != nil {
 		t.Fatal(err)
 	}
 	head.Revision = 3
-	high, _ := platform.Encode(platform.KindHead, "head", low.Version, head)
+	high, _ := objects.Encode(objects.KindHead, "head", low.Version, head)
 	time.AfterFunc(time.Second, func() { store.Update(c.ctx, high) })
 	c.until("revision 3", 5*time.Second, func() bool {
 		for _, n := range c.nodes {
@@ -409,8 +409,8 @@
 	c.until("revision 1", 5*time.Second, c.at(1, c.nodes...))
 	c.until("all hear each other", 4*time.Second, c.hears(5, c.nodes...))
 	c.faults(`{"listLagMs":500}`)
-	o, _ := platform.Encode(platform.KindEndpoint, "e1", "", map[string]any{"leaving": true, "reason": "maintenance"})
-	if _, err := platform.NewClient("http://"+c.platform, "").Create(c.ctx, o); err != nil {
+	o, _ := objects.Encode(objects.KindEndpoint, "e1", "", map[string]any{"leaving": true, "reason": "maintenance"})
+	if _, err := objects.NewClient("http://"+c.platform, "").Create(c.ctx, o); err != nil {
 		t.Fatal(err)
 	}
 	c.until("leaving known everywhere", 3*time.Second, func() bool {
@@ -427,9 +427,9 @@
 func TestDirectory(t *testing.T) {
 	c := newCell(t, 2)
 	c.apply(2)
-	store := platform.NewClient("http://"+c.platform, "")
+	store := objects.NewClient("http://"+c.platform, "")
 	c.until("directory complete", 8*time.Second, func() bool {
-		o, err := store.Get(c.ctx, platform.KindDirectory, "directory")
+		o, err := store.Get(c.ctx, objects.KindDirectory, "directory")
 		if err != nil {
 			return false
 		}
--- a/test/integration/integrity_test.go
+++ b/test/integration/integrity_test.go
@@ -19,7 +19,7 @@
 
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/load"
-	"sycamoredeal/internal/platform"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/standin/engine"
 	"sycamoredeal/internal/testbed"
 )
@@ -531,8 +531,8 @@
 	f.faults(f.URL, `{"listLagMs":300}`)
 	f.play(f.scenario(7*time.Second, 100, 30), func() {
 		time.Sleep(time.Second)
-		o, _ := platform.Encode(platform.KindEndpoint, "e0", "", map[string]any{"leaving": true})
-		if _, err := platform.NewClient(f.URL, "").Create(f.ctx, o); err != nil {
+		o, _ := objects.Encode(objects.KindEndpoint, "e0", "", map[string]any{"leaving": true})
+		if _, err := objects.NewClient(f.URL, "").Create(f.ctx, o); err != nil {
 			t.Error(err)
 		}
 		since := map[string]time.Time{"e0": time.Now()}
