--- /dev/null
+++ b/internal/copies/copies.go
@@ -0,0 +1,336 @@
+// Package copies decides which models each engine holds. Planner is deterministic and does no I/O: it is given what
+// engines hold, what they have at hand, and the demand for each model, and returns orders.
+//
+// Invariants:
+//   - the last usable copy of a model is never unloaded;
+//   - an endpoint is never ordered to hold more than its memory, with all its adapter places filled;
+//   - loads from the weight store stay within its rate.
+package copies
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"sycamoredeal/internal/fleet"
+)
+
+const (
+	fallTime     = 5 * time.Second // demand that falls is forgotten over it, demand that rises counts at once
+	gainFactor   = 1.6             // by how much the load per copy must differ for a copy to be exchanged
+	leastShare   = 0.12            // of an endpoint's slots: a model below it per copy needs no further copy
+	dwell        = 1500 * time.Millisecond
+	mostChanges  = 4   // endpoints that change at a time
+	budgetUse    = 0.8 // of the loads from the weight store that the window allows
+	spareBudget  = 0.5 // of those, for copies of models that have one
+	waitingScale = 1.0 // weight of waiting requests beside those in progress
+)
+
+// Source tells where an endpoint loads a model's weights from.
+type Source uint8
+
+// Sources of weights, fastest first.
+const (
+	FromMemory Source = iota
+	FromDisk
+	FromStore
+)
+
+// String returns the name of the source.
+func (s Source) String() string { return [...]string{"memory", "disk", "store"}[s] }
+
+// Endpoint is an engine as the planner sees it.
+type Endpoint struct {
+	ID       string
+	Usable   bool     // up, not leaving, and its state is known
+	Busy     bool     // an order for a model is in progress
+	Models   []string // held or being loaded
+	InMemory []string // weights at hand
+	OnDisk   []string
+	Running  map[string]int // requests in progress by model
+}
+
+func (e *Endpoint) holds(model string) bool { return slices.Contains(e.Models, model) }
+
+func (e *Endpoint) source(model string) Source {
+	switch {
+	case slices.Contains(e.InMemory, model):
+		return FromMemory
+	case slices.Contains(e.OnDisk, model):
+		return FromDisk
+	}
+	return FromStore
+}
+
+// Demand is the work for a model.
+type Demand struct {
+	PerSec  float64 // arrivals
+	HoldSec float64 // mean time that a request holds its place
+	Running int
+	Waiting int
+}
+
+// Input is what one round is computed from.
+type Input struct {
+	Now       time.Duration
+	Engine    *fleet.Engine
+	Endpoints []Endpoint
+	Demand    map[string]Demand
+}
+
+// Order changes one endpoint: Unload first if it is set, then Load.
+type Order struct {
+	Endpoint string
+	Unload   string
+	Load     string
+	From     Source
+	Reason   string
+	Need     float64 // demand for the loaded model in places
+	Copies   int     // of the loaded model before
+}
+
+// Limits bound the loads from the weight store.
+type Limits struct {
+	Window time.Duration
+	Over   float64 // factor on the store's rate
+	Extra  float64 // loads beyond the rate in a window
+}
+
+// Planner keeps smoothed demand and the history of loads.
+type Planner struct {
+	limits  Limits
+	need    map[string]float64
+	last    time.Duration
+	loads   []time.Duration // from the weight store, within the window
+	changed map[string]time.Duration
+}
+
+// New returns a planner that has taken over at now: what its predecessor loaded from the weight store in the last window
+// is unknown, so half of the window counts as used.
+func New(now time.Duration, l Limits, loadsPerSecond float64) *Planner {
+	p := &Planner{limits: l, need: make(map[string]float64), last: now, changed: make(map[string]time.Duration)}
+	for range int(loadsPerSecond * l.Window.Seconds() / 2) {
+		p.loads = append(p.loads, now)
+	}
+	return p
+}
+
+// Round returns the orders to give now. The caller counts them as carried out.
+func (p *Planner) Round(in Input) []Order {
+	p.follow(in)
+	r := &round{p: p, in: &in, copies: make(map[string]int)}
+	for i := range in.Endpoints {
+		e := &in.Endpoints[i]
+		if e.Busy {
+			r.changes++
+		}
+		if !e.Usable {
+			continue
+		}
+		for _, m := range e.Models {
+			r.copies[m]++
+		}
+	}
+	r.cover()
+	r.grow()
+	r.exchange()
+	return r.out
+}
+
+// follow updates the need for each model, in places: demand that rises counts at once.
+func (p *Planner) follow(in Input) {
+	dt := (in.Now - p.last).Seconds()
+	p.last = in.Now
+	keep := math.Exp(-dt / fallTime.Seconds())
+	for i := range in.Engine.Models {
+		name := in.Engine.Models[i].Name
+		d := in.Demand[name]
+		now := max(d.PerSec*d.HoldSec, float64(d.Running)) + waitingScale*float64(d.Waiting)
+		p.need[name] = max(now, now+(p.need[name]-now)*keep)
+	}
+	p.loads = slices.DeleteFunc(p.loads, func(t time.Duration) bool { return in.Now-t > p.limits.Window })
+}
+
+// mayLoad tells whether a load from the source is within a share of what the weight store allows.
+func (p *Planner) mayLoad(in *Input, from Source, share float64) bool {
+	if from != FromStore {
+		return true
+	}
+	allowed := in.Engine.LoadsPerSecond*p.limits.Window.Seconds()*p.limits.Over + p.limits.Extra
+	return float64(len(p.loads)+1) <= share*budgetUse*allowed
+}
+
+type round struct {
+	p       *Planner
+	in      *Input
+	copies  map[string]int
+	changes int
+	out     []Order
+}
+
+func (r *round) order(e *Endpoint, o Order) {
+	o.Endpoint, o.From = e.ID, e.source(o.Load)
+	o.Need, o.Copies = r.p.need[o.Load], r.copies[o.Load]
+	if o.From == FromStore {
+		r.p.loads = append(r.p.loads, r.in.Now)
+	}
+	r.p.changed[e.ID] = r.in.Now
+	r.copies[o.Load]++
+	if o.Unload != "" {
+		r.copies[o.Unload]--
+		e.Models = slices.DeleteFunc(e.Models, func(m string) bool { return m == o.Unload })
+	}
+	e.Models = append(e.Models, o.Load)
+	e.Busy = true
+	r.changes++
+	r.out = append(r.out, o)
+}
+
+// open tells whether an endpoint can take an order.
+func (r *round) open(e *Endpoint) bool {
+	return e.Usable && !e.Busy && r.changes < mostChanges
+}
+
+func (r *round) settled(e *Endpoint) bool {
+	at, ok := r.p.changed[e.ID]
+	return !ok || r.in.Now-at >= dwell
+}
+
+// free returns the memory that is left beside the models and a full set of adapters.
+func (r *round) free(e *Endpoint) float64 {
+	left := r.in.Engine.MB
+	largest := 0.0
+	for i := range r.in.Engine.Models {
+		largest = max(largest, r.in.Engine.Models[i].AdapterMB)
+	}
+	left -= largest * float64(r.in.Engine.AdapterSlots)
+	for _, name := range e.Models {
+		m := r.in.Engine.Model(name)
+		if m == nil {
+			return -1 // of unknown size
+		}
+		left -= m.MB
+	}
+	return left
+}
+
+// byNeed returns the declared models, most needed per copy first.
+func (r *round) byNeed() []*fleet.Model {
+	out := make([]*fleet.Model, len(r.in.Engine.Models))
+	for i := range r.in.Engine.Models {
+		out[i] = &r.in.Engine.Models[i]
+	}
+	sort.SliceStable(out, func(i, j int) bool { return r.pressure(out[i].Name) > r.pressure(out[j].Name) })
+	return out
+}
+
+// pressure is the need for a model per copy.
+func (r *round) pressure(model string) float64 {
+	return r.p.need[model] / float64(max(r.copies[model], 1))
+}
+
+// cover loads models without a usable copy, the most needed first.
+func (r *round) cover() {
+	for _, m := range r.byNeed() {
+		if r.copies[m.Name] > 0 {
+			continue
+		}
+		if e, victim := r.placeFor(m, 0); e != nil {
+			r.order(e, Order{Load: m.Name, Unload: victim, Reason: "no usable copy"})
+		}
+	}
+}
+
+// placeFor returns the endpoint where a model is loaded fastest, and the model that makes room, empty if there is room.
+// A victim keeps at least one copy; its load per copy afterwards is at most limit, or any if limit is 0.
+func (r *round) placeFor(m *fleet.Model, limit float64) (best *Endpoint, victim string) {
+	cost := math.Inf(1)
+	for i := range r.in.Endpoints {
+		e := &r.in.Endpoints[i]
+		if !r.open(e) || e.holds(m.Name) || limit > 0 && !r.settled(e) {
+			continue
+		}
+		from := e.source(m.Name)
+		share := 1.0
+		if r.copies[m.Name] > 0 {
+			share = spareBudget
+		}
+		if !r.p.mayLoad(r.in, from, share) {
+			continue
+		}
+		free := r.free(e)
+		if free >= m.MB {
+			if c := loadCost(m, from); c < cost {
+				best, victim, cost = e, "", c
+			}
+			continue
+		}
+		if v, after := r.victim(e, m, free); v != "" && (limit == 0 || after <= limit) {
+			// Requests in progress end before the memory is free.
+			c := loadCost(m, from) + 0.05*float64(e.Running[v]) + after/float64(max(r.in.Engine.Slots, 1))
+			if c < cost {
+				best, victim, cost = e, v, c
+			}
+		}
+	}
+	return best, victim
+}
+
+// loadCost is the time of a load in seconds.
+func loadCost(m *fleet.Model, from Source) float64 {
+	switch from {
+	case FromMemory:
+		return m.WarmLoad.Seconds()
+	case FromDisk:
+		return m.DiskLoad.Seconds()
+	}
+	return m.Load.Seconds()
+}
+
+// victim returns the model of an endpoint whose loss costs least, with its load per copy afterwards.
+func (r *round) victim(e *Endpoint, m *fleet.Model, free float64) (name string, after float64) {
+	after = math.Inf(1)
+	for _, v := range e.Models {
+		d := r.in.Engine.Model(v)
+		switch {
+		case d == nil, r.copies[v] < 2, free+d.MB < m.MB:
+			continue
+		}
+		if a := r.p.need[v] / float64(r.copies[v]-1); a < after {
+			name, after = v, a
+		}
+	}
+	return name, after
+}
+
+// grow uses free memory for the models that are most needed per copy.
+func (r *round) grow() {
+	for _, m := range r.byNeed() {
+		for i := range r.in.Endpoints {
+			e := &r.in.Endpoints[i]
+			if !r.open(e) || e.holds(m.Name) || r.free(e) < m.MB || !r.p.mayLoad(r.in, e.source(m.Name), spareBudget) {
+				continue
+			}
+			r.order(e, Order{Load: m.Name, Reason: "free memory"})
+			break
+		}
+	}
+}
+
+// exchange replaces copies of models that are little used by copies of models that are used much more.
+func (r *round) exchange() {
+	least := leastShare * float64(r.in.Engine.Slots)
+	for _, m := range r.byNeed() {
+		p := r.pressure(m.Name)
+		if p < least || r.changes >= mostChanges {
+			return
+		}
+		if r.copies[m.Name] == 0 {
+			continue
+		}
+		if e, victim := r.placeFor(m, p/gainFactor); e != nil {
+			r.order(e, Order{Load: m.Name, Unload: victim, Reason: "more work per copy"})
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/request.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"net/http"
+	"time"
+
+	"sycamoredeal/internal/wire"
+)
+
+// Request is one request of a caller, independent of the interface that it came in by.
+type Request struct {
+	ID           string
+	Route        *Route
+	Service      string
+	Model        string // empty for plain services
+	Adapter      string // name within the model, empty for none
+	PromptTokens uint32
+	MaxTokens    uint32
+	ExpectTokens uint32 // the caller's estimate of the output, 0 if unknown
+	Parts        []wire.PromptPart
+	Arrived      time.Time
+	Deadline     time.Time // when the caller stops waiting, zero for never
+	ResumeAfter  string    // id of the last event that the caller has, empty for none
+
+	Method string
+	Target string // path and query as the caller sent them
+	Header http.Header
+	Host   string
+	Body   []byte
+}
+
+// Limits on a caller's patience with a stream, as the platform states them.
+const (
+	leastPatience    = 2 * time.Second
+	patienceTargets  = 4 // times the target
+	patiencePauses   = 8 // times the longest pause
+	patienceFraction = 0.9
+)
+
+// StartBy returns when the answer has to begin at the latest: at the deadline, the route's timeout, or, for a stream,
+// before the caller gives up on a silent connection.
+func (q *Request) StartBy() time.Time {
+	by := q.EndBy()
+	if q.Route.Kind != Stream {
+		return by
+	}
+	p := max(leastPatience, patienceTargets*q.Route.Target, patiencePauses*q.Route.MaxPause)
+	if t := q.Arrived.Add(time.Duration(patienceFraction * float64(p))); by.IsZero() || t.Before(by) {
+		return t
+	}
+	return by
+}
+
+// EndBy returns when the whole answer has to be there, zero for no bound.
+func (q *Request) EndBy() time.Time {
+	by := q.Deadline
+	if q.Route.Timeout > 0 {
+		if t := q.Arrived.Add(q.Route.Timeout); by.IsZero() || t.Before(by) {
+			by = t
+		}
+	}
+	return by
+}
+
+// Answer is what an endpoint's response header says, apart from the status.
+type Answer struct {
+	RequestID string // echo of the request's id, empty if there is none
+	Sealed    bool   // the endpoint vouches for the response
+	NotRun    bool   // the endpoint states that the request did not run
+	Instance  string // id of the server, if it states it
+}
--- /dev/null
+++ b/internal/host/dispatcher.go
@@ -0,0 +1,198 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"sycamoredeal/internal/ring"
+	"sycamoredeal/internal/sched"
+	"sycamoredeal/internal/telemetry"
+	"sycamoredeal/internal/wire"
+)
+
+const (
+	dispatcherEvents = 16384                  // some seconds of asks at the target size
+	busyTick         = 15 * time.Millisecond  // bounds how late a hopeless request is refused
+	idleTick         = 100 * time.Millisecond // without waiting requests
+	stateEvery       = 150 * time.Millisecond // between broadcasts; they also prove that the dispatcher lives
+	rebuildTime      = 120 * time.Millisecond // in which hosts send what they have in flight
+	holderSilence    = 700 * time.Millisecond // without a beat, no holder is announced
+)
+
+type dispatcherEvent struct {
+	host string
+	peer peer
+	m    wire.Message // nil for the end of the connection
+}
+
+// dispatcher hosts the queue of the fleet. It keeps no state until a host turns to it. One goroutine runs it.
+type dispatcher struct {
+	h      *Host
+	log    telemetry.Logger
+	events *ring.Ring[dispatcherEvent]
+	viewed chan struct{}
+	start  time.Time
+
+	state  *sched.State
+	peers  map[string]peer
+	sent   time.Time // of the latest broadcast
+	beat   wire.HolderBeat
+	beatAt time.Time
+}
+
+func newDispatcher(h *Host) *dispatcher {
+	return &dispatcher{
+		h: h, log: h.log.Part("dispatcher"), events: ring.New[dispatcherEvent](dispatcherEvents), viewed: make(chan struct{}, 1),
+		start: time.Now(), peers: make(map[string]peer),
+	}
+}
+
+// push queues a message. One that is lost would leave a place counted for ever, so the connection is closed and the host
+// sends its state again.
+func (d *dispatcher) push(host string, p peer, m wire.Message) {
+	if !d.events.TryPush(dispatcherEvent{host, p, m}) && m != nil {
+		p.Close()
+	}
+}
+
+func (d *dispatcher) viewChanged() {
+	select {
+	case d.viewed <- struct{}{}:
+	default:
+	}
+}
+
+func (d *dispatcher) now() time.Duration { return time.Since(d.start) }
+
+func (d *dispatcher) run(ctx context.Context) {
+	t := time.NewTimer(idleTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-d.events.C():
+			d.handle(e)
+		case <-d.viewed:
+			if d.state != nil {
+				d.state.SetView(d.now(), d.h.directory.view())
+			}
+		case <-t.C:
+			d.tick()
+			t.Reset(d.pause())
+		}
+		d.flush()
+	}
+}
+
+func (d *dispatcher) pause() time.Duration {
+	if d.state != nil && d.state.Waiting() > 0 {
+		return busyTick
+	}
+	return idleTick
+}
+
+func (d *dispatcher) tick() {
+	if d.state == nil {
+		return
+	}
+	d.state.Tick(d.now())
+	if now := time.Now(); now.Sub(d.sent) >= stateEvery {
+		d.sent = now
+		d.broadcast()
+	}
+}
+
+func (d *dispatcher) broadcast() {
+	f := d.state.Load()
+	if time.Since(d.beatAt) < holderSilence {
+		f.Holder, f.Epoch = d.beat.Host, d.beat.Epoch
+	}
+	for _, p := range d.peers {
+		d.send(p, &f)
+	}
+}
+
+// send closes a connection that can't take a message: its host connects again and sends its state.
+func (d *dispatcher) send(p peer, m wire.Message) {
+	if p.Send(m) != nil {
+		p.Close()
+	}
+}
+
+func (d *dispatcher) handle(e dispatcherEvent) {
+	if e.m == nil {
+		d.down(e)
+		return
+	}
+	if d.peers[e.host] != e.peer {
+		if e.m.Kind() != wire.KindResync {
+			return // of an earlier connection, or of one that has not sent its state
+		}
+		d.up(e)
+	}
+	now := d.now()
+	switch m := e.m.(type) {
+	case *wire.Ask:
+		d.state.Ask(now, e.host, *m)
+	case *wire.Started:
+		d.state.Started(now, e.host, *m)
+	case *wire.Done:
+		d.state.Done(now, e.host, *m)
+	case *wire.Cancel:
+		d.state.Cancel(now, e.host, m.ID)
+	case *wire.Resync:
+		d.state.Resync(now, e.host, *m)
+	case *wire.HolderBeat:
+		d.holderBeat(m)
+	}
+}
+
+// holderBeat takes the word of the holder with the highest epoch.
+func (d *dispatcher) holderBeat(m *wire.HolderBeat) {
+	if m.Epoch < d.beat.Epoch {
+		return
+	}
+	d.beat, d.beatAt = *m, time.Now()
+	d.state.SetCopies(d.now(), m.Closing, m.Loaded)
+}
+
+func (d *dispatcher) up(e dispatcherEvent) {
+	if d.state == nil {
+		dep := &d.h.opts.Deployment
+		d.state = sched.New(d.now(), sched.Config{
+			Seed: d.h.incarnation, RetryRatio: dep.RetryRatio, RetryExtra: dep.RetryExtra, RetryWindow: dep.RetryWindow, Rebuild: rebuildTime,
+		}, d.h.directory.view())
+		d.log.Info().Str("first", e.host).Msg("Dispatcher's duty taken.")
+	}
+	d.peers[e.host] = e.peer
+	d.state.HostUp(d.now(), e.host)
+}
+
+func (d *dispatcher) down(e dispatcherEvent) {
+	if d.peers[e.host] != e.peer {
+		return
+	}
+	delete(d.peers, e.host)
+	d.state.HostDown(d.now(), e.host)
+	if len(d.peers) == 0 {
+		d.state = nil
+		d.log.Info().Str("last", e.host).Msg("Dispatcher's duty ended.")
+	}
+}
+
+// flush sends the outputs of the last event.
+func (d *dispatcher) flush() {
+	if d.state == nil {
+		return
+	}
+	for _, o := range d.state.Take() {
+		if m, ok := o.Message.(*wire.Refuse); ok {
+			d.log.Info().Str("request", o.Request).Str("host", o.To).Str("reason", o.Reason).Int64("waitMs", o.WaitMs).
+				Int("waiting", o.Waiting).Uint32("retryMs", m.RetryAfterMs).Msg("Refused.")
+		}
+		if p := d.peers[o.To]; p != nil {
+			d.send(p, o.Message)
+		}
+	}
+}
--- /dev/null
+++ b/internal/host/holder.go
@@ -0,0 +1,381 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/clock"
+	"sycamoredeal/internal/copies"
+	"sycamoredeal/internal/fleet"
+	"sycamoredeal/internal/lease"
+	"sycamoredeal/internal/objects"
+	"sycamoredeal/internal/telemetry"
+	"sycamoredeal/internal/transport"
+	"sycamoredeal/internal/wire"
+)
+
+const (
+	kindLeases = "sycamore-leases"
+	leaseName  = "placement"
+
+	termShare    = 0.8 // of the deployment's lease time
+	renewShare   = 0.2
+	marginShare  = 0.1
+	leaseTick    = 50 * time.Millisecond
+	leaseCall    = 700 * time.Millisecond
+	holderQuiet  = 500 * time.Millisecond // without a sign of the holder before its lease is read
+	rankDelay    = 250 * time.Millisecond // hosts later in the order challenge later
+	dutyDelay    = 2 * time.Second        // the dispatcher challenges last
+	orderMargin  = 60 * time.Millisecond  // of the term, in which no order is sent any more
+	beatEvery    = 150 * time.Millisecond
+	planEvery    = 150 * time.Millisecond
+	demandFresh  = time.Second
+	ceilingExtra = 3.0 // loads beyond the rate that the platform's rule allows in a window
+)
+
+// holder keeps the placement lease, and gives orders to engines while it is held.
+type holder struct {
+	h       *Host
+	log     telemetry.Logger
+	release chan struct{}
+	once    sync.Once
+	ended   chan struct{}
+
+	mu    sync.Mutex
+	epoch uint64
+	until time.Duration // end of the term on the boot clock
+	spent uint64        // epoch that endpoints have refused
+
+	clientMu sync.Mutex
+	to       string // host that client leads to
+	client   *transport.Client
+
+	fleet *ledgers
+}
+
+func newHolder(h *Host) *holder {
+	o := &holder{h: h, log: h.log.Part("placement"), release: make(chan struct{}), ended: make(chan struct{})}
+	o.fleet = newLedgers(o)
+	return o
+}
+
+// held returns the epoch under which orders may be sent now, or 0.
+func (o *holder) held() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.epoch == 0 || o.epoch == o.spent || clock.Boot() > o.until-orderMargin {
+		return 0
+	}
+	return o.epoch
+}
+
+// fenced notes that a later epoch has given orders: this one gives none any more.
+func (o *holder) fenced(epoch uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.spent < epoch {
+		o.spent = epoch
+		o.log.Warn().Uint64("epoch", epoch).Msg("An endpoint has seen a later epoch, no more orders.")
+	}
+}
+
+// handOver gives the lease up and waits until that is stored or ctx ends.
+func (o *holder) handOver(ctx context.Context) {
+	o.once.Do(func() { close(o.release) })
+	select {
+	case <-o.ended:
+	case <-ctx.Done():
+	}
+}
+
+func (o *holder) run(ctx context.Context) {
+	term := float64(o.h.opts.Deployment.LeaseTerm)
+	m := lease.New(lease.Config{
+		Host: o.h.opts.Deployment.Host, Incarnation: o.h.incarnation, Term: time.Duration(termShare * term),
+		Renew: time.Duration(renewShare * term), Margin: time.Duration(marginShare * term), Quiet: holderQuiet, Seed: o.h.incarnation,
+	})
+	t := time.NewTicker(leaseTick)
+	defer t.Stop()
+	release := o.release
+	heard := clock.Boot()
+	var stopDuty context.CancelFunc
+	defer func() {
+		if stopDuty != nil {
+			stopDuty()
+		}
+		close(o.ended)
+	}()
+	for !m.Released() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-release:
+			release = nil
+			m.Release()
+		case <-t.C:
+		}
+		now := clock.Boot()
+		if f, age := o.h.binder.fleetState(); f.Holder != "" && age < demandFresh {
+			m.Heard(now)
+			heard = now
+		}
+		if m.Held(now) > 0 || release == nil || o.mayChallenge(now-heard) {
+			o.step(ctx, m)
+		}
+		stopDuty = o.follow(ctx, m, stopDuty)
+	}
+}
+
+// mayChallenge tells whether this host reads the lease after a silence of the holder. Hosts do so in their order, so
+// that few of them call the store, and the dispatcher last: the two duties are kept apart.
+func (o *holder) mayChallenge(silence time.Duration) bool {
+	if o.h.leaving.Load() || !o.h.directory.complete() {
+		return false
+	}
+	wait := holderQuiet
+	for i, h := range o.h.directory.view().Hosts {
+		if h.Name == o.h.opts.Deployment.Host {
+			wait += time.Duration(max(i-1, 0)) * rankDelay
+		}
+	}
+	if o.h.binder.isDispatcher() {
+		wait += dutyDelay
+	}
+	return silence > wait
+}
+
+// step carries out the lease action that is due.
+func (o *holder) step(ctx context.Context, m *lease.Machine) {
+	a := m.Next(clock.Boot())
+	if a.Kind == lease.None {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	rec, version, err := o.call(call, a)
+	now := clock.Boot()
+	switch {
+	case err == nil && a.Kind == lease.Write:
+		m.OnWritten(now, rec, version)
+	case err == nil:
+		m.OnRead(now, rec, version)
+	case errors.Is(err, objects.ErrNotFound) && a.Kind == lease.Read:
+		m.OnAbsent(now)
+	default:
+		m.OnUnsure(now, a.Kind == lease.Write)
+		o.log.Debug().Err(err).Msg("Lease call failed.")
+	}
+}
+
+func (o *holder) call(ctx context.Context, a lease.Action) (lease.Record, string, error) {
+	var obj objects.Object
+	var err error
+	if a.Kind == lease.Read {
+		obj, err = o.h.opts.Store.Get(ctx, kindLeases, leaseName)
+	} else if obj, err = objects.Encode(kindLeases, leaseName, a.Version, a.Record); err == nil {
+		if a.Version == "" {
+			obj, err = o.h.opts.Store.Create(ctx, obj)
+		} else {
+			obj, err = o.h.opts.Store.Update(ctx, obj)
+		}
+	}
+	if err != nil {
+		return lease.Record{}, "", err
+	}
+	rec, err := objects.Decode[lease.Record](obj)
+	return rec, obj.Version, err
+}
+
+// follow starts and stops the duty with the lease.
+func (o *holder) follow(ctx context.Context, m *lease.Machine, stop context.CancelFunc) context.CancelFunc {
+	epoch := m.Held(clock.Boot())
+	o.mu.Lock()
+	before := o.epoch
+	o.epoch, o.until = epoch, m.Until()
+	o.mu.Unlock()
+	if epoch == before {
+		return stop
+	}
+	if stop != nil {
+		stop()
+		o.log.Info().Uint64("epoch", before).Msg("Placement lease no longer held.")
+	}
+	if epoch == 0 {
+		return nil
+	}
+	o.log.Info().Uint64("epoch", epoch).Msg("Placement lease held.")
+	ctx, cancel := context.WithCancel(ctx)
+	go o.duty(ctx, epoch)
+	return cancel
+}
+
+// duty plans copies and tells the dispatcher of the holder until ctx ends.
+func (o *holder) duty(ctx context.Context, epoch uint64) {
+	o.fleet.takeOver(epoch)
+	planners := make(map[string]*copies.Planner)
+	beat := time.NewTicker(beatEvery)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-beat.C:
+		case <-o.fleet.changed:
+		}
+		if o.held() != epoch {
+			continue
+		}
+		o.fleet.refresh(ctx, o.h.directory.view())
+		o.plan(ctx, planners)
+		o.h.binder.sendBeat(o.fleet.beat(o.h.opts.Deployment.Host, epoch, o.h.directory.view()))
+	}
+}
+
+// plan runs a round for each service of engines.
+func (o *holder) plan(ctx context.Context, planners map[string]*copies.Planner) {
+	state, age := o.h.binder.fleetState()
+	v := o.h.directory.view()
+	if age > demandFresh || v.Config == nil {
+		return // without demand, what is there stays
+	}
+	now := clock.Boot()
+	for name, svc := range v.Config.Services {
+		if svc.Engine == nil {
+			continue
+		}
+		p := planners[name]
+		if p == nil {
+			d := &o.h.opts.Deployment
+			p = copies.New(now, copies.Limits{Window: d.LoadWindow, Over: d.LoadOver, Extra: ceilingExtra}, svc.Engine.LoadsPerSecond)
+			planners[name] = p
+		}
+		in := copies.Input{Now: now, Engine: svc.Engine, Endpoints: o.fleet.planned(name, v), Demand: demandOf(name, &state)}
+		for _, c := range p.Round(in) {
+			o.log.Info().Str("endpoint", c.Endpoint).Str("load", c.Load).Str("unload", c.Unload).Str("from", c.From.String()).
+				Float64("need", c.Need).Int("copies", c.Copies).Int64("demandAgeMs", age.Milliseconds()).Str("reason", c.Reason).Msg("Copy ordered.")
+			o.fleet.change(ctx, c, svc.Engine)
+		}
+	}
+}
+
+func demandOf(service string, f *wire.FleetState) map[string]copies.Demand {
+	out := make(map[string]copies.Demand)
+	for _, m := range f.Models {
+		if m.Service == service {
+			out[m.Model] = copies.Demand{PerSec: float64(m.PerSec), HoldSec: float64(m.HoldSec), Running: int(m.Running), Waiting: int(m.Waiting)}
+		}
+	}
+	return out
+}
+
+// prepare loads an adapter for another host, or this one, and replies once. It does not block.
+func (o *holder) prepare(m *wire.Prepare, reply func(*wire.PrepareReply)) {
+	if o.held() == 0 {
+		reply(&wire.PrepareReply{Reason: "this host does not hold the placement lease"})
+		return
+	}
+	o.fleet.prepare(m, reply)
+}
+
+const prepareTimeout = 400 * time.Millisecond
+
+// ask sends a Prepare to the holder.
+func (o *holder) ask(ctx context.Context, to string, m *wire.Prepare) (*wire.PrepareReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	if to == o.h.opts.Deployment.Host {
+		ch := make(chan *wire.PrepareReply, 1)
+		o.prepare(m, func(r *wire.PrepareReply) { ch <- r })
+		select {
+		case r := <-ch:
+			return r, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	c := o.clientTo(to)
+	if c == nil {
+		return nil, errors.Errorf("holder %s is not registered", to)
+	}
+	conn, err := waitConn(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	r, err := conn.Call(ctx, m)
+	if err != nil {
+		return nil, errors.Annotatef(err, "holder %s", to)
+	}
+	reply, ok := r.(*wire.PrepareReply)
+	if !ok {
+		return nil, errors.Errorf("holder %s sent a message of kind %d", to, r.Kind())
+	}
+	return reply, nil
+}
+
+const connPoll = 2 * time.Millisecond
+
+func waitConn(ctx context.Context, c *transport.Client) (*transport.Conn, error) {
+	for {
+		if conn := c.Conn(); conn != nil {
+			return conn, nil
+		}
+		if clock.Sleep(ctx, connPoll); ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// clientTo returns the connection to the holder's host.
+func (o *holder) clientTo(host string) *transport.Client {
+	o.clientMu.Lock()
+	defer o.clientMu.Unlock()
+	var addr string
+	for _, h := range o.h.directory.view().Hosts {
+		if h.Name == host {
+			addr = h.Address
+		}
+	}
+	if addr == "" {
+		return nil
+	}
+	if o.client == nil || o.to != host || o.client.Addr() != addr {
+		if o.client != nil {
+			go o.client.Close()
+		}
+		o.to = host
+		o.client = o.h.dialPeer(context.Background(), addr, func(*transport.Conn, uint64, wire.Message) {}, nil, nil)
+	}
+	return o.client
+}
+
+// order sends one order under the held epoch.
+func (o *holder) order(ctx context.Context, e *fleet.Endpoint, ord fleet.Order) fleet.OrderResult {
+	epoch := o.held()
+	if epoch == 0 {
+		return fleet.OrderInvalid
+	}
+	ord.Endpoint, ord.Holder, ord.Fence = e.ID, o.h.opts.Deployment.Host, epoch
+	q, err := o.h.opts.Codec.Order(e, &ord)
+	if err != nil {
+		o.log.Error().Err(err).Msg("Order can't be encoded.")
+		return fleet.OrderInvalid
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	result := fleet.OrderUnknown
+	resp, err := o.h.pool.RoundTrip(ctx, q, false)
+	if err == nil {
+		result = o.h.opts.Codec.OrderResult(resp.StatusCode)
+		_, more, rerr := resp.ReadAll(maxReport)
+		resp.Close(rerr == nil && !more)
+	}
+	if result == fleet.OrderFenced {
+		o.fenced(epoch)
+	}
+	o.log.Info().Str("endpoint", e.ID).Bool("load", ord.Load).Str("model", ord.Model).Str("adapter", ord.Adapter).
+		Int64("expect", ord.Expect).Uint64("epoch", epoch).Str("result", result.String()).Err(err).Msg("Order sent.")
+	return result
+}
--- /dev/null
+++ b/internal/host/peers.go
@@ -0,0 +1,39 @@
+package host
+
+import (
+	"context"
+
+	"sycamoredeal/internal/transport"
+	"sycamoredeal/internal/wire"
+)
+
+// peer is the sending side of a connection between two hosts, or within one.
+type peer interface {
+	Send(m wire.Message) error
+	Close()
+}
+
+// peerOptions serve the connections that other hosts open: to the dispatcher and to the holder of the placement lease.
+func (h *Host) peerOptions() transport.Options {
+	log := h.log.Part("peers")
+	return transport.Options{
+		Hello: h.hello(),
+		Handler: func(c *transport.Conn, corr uint64, m wire.Message) {
+			switch m := m.(type) {
+			case *wire.Prepare:
+				h.holder.prepare(m, func(r *wire.PrepareReply) { c.Reply(corr, r) })
+			case *wire.ViewRequest:
+				c.Reply(corr, h.directory.reply())
+			default:
+				h.dispatcher.push(c.Remote().Host, c, m)
+			}
+		},
+		OnDown:   func(c *transport.Conn) { h.dispatcher.push(c.Remote().Host, c, nil) },
+		OnFailed: func(addr string, err error) { log.Debug().Str("peer", addr).Err(err).Msg("Handshake failed.") },
+	}
+}
+
+// dialPeer opens a connection to another host.
+func (h *Host) dialPeer(ctx context.Context, addr string, handler transport.Handler, up, down func(*transport.Conn)) *transport.Client {
+	return transport.Dial(ctx, addr, transport.Options{Hello: h.hello(), Handler: handler, OnUp: up, OnDown: down})
+}
--- a/internal/objects/backoff.go
+++ b/internal/objects/backoff.go
@@ -1,6 +1,7 @@
 package objects
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -17,20 +18,24 @@
 )
 
 // Backoff paces the retries of one duty. The zero value is ready for use. It is not safe for concurrent use.
-type Backoff struct{ next time.Duration }
+type Backoff struct {
+	Least, Most time.Duration // of a delay; 0 for the defaults
+
+	next time.Duration
+}
 
 // Reset is called after a success.
 func (b *Backoff) Reset() { b.next = 0 }
 
-// Delay returns the jittered time to wait after err, between half and the whole of a value that doubles up to 2 s. A
+// Delay returns the jittered time to wait after err, between half and the whole of a value that doubles up to Most. A
 // throttled call waits longer at first.
 func (b *Backoff) Delay(err error) time.Duration {
-	least := firstBackoff
+	least, most := cmp.Or(b.Least, firstBackoff), cmp.Or(b.Most, maxBackoff)
 	if errors.Is(err, ErrThrottled) {
 		least = throttledBackoff
 	}
 	d := max(b.next, least)
-	b.next = min(2*d, maxBackoff)
+	b.next = min(2*d, most)
 	return d/2 + rand.N(d/2)
 }
 
--- /dev/null
+++ b/internal/sched/budget.go
@@ -0,0 +1,54 @@
+package sched
+
+import "time"
+
+const (
+	bucketWidth = 500 * time.Millisecond
+	budgetUse   = 0.8 // of the repeats that the platform allows: hosts that decide alone use the rest
+)
+
+// budget counts the first sends and repeats of a service over a sliding window.
+type budget struct {
+	cfg     *Config
+	buckets []bucket
+	at      int64 // number of the newest bucket
+}
+
+type bucket struct{ first, repeat float64 }
+
+func (s *State) budget(service string) *budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = &budget{cfg: &s.cfg, buckets: make([]bucket, max(int(s.cfg.RetryWindow/bucketWidth), 1)+1)}
+		s.budgets[service] = b
+	}
+	return b
+}
+
+func (b *budget) current(now time.Duration) *bucket {
+	n := int64(now / bucketWidth)
+	for ; b.at < n; b.at++ {
+		b.buckets[(b.at+1)%int64(len(b.buckets))] = bucket{}
+		if n-b.at > int64(len(b.buckets)) {
+			b.at = n - int64(len(b.buckets))
+		}
+	}
+	return &b.buckets[n%int64(len(b.buckets))]
+}
+
+func (b *budget) first(now time.Duration) { b.current(now).first++ }
+
+// repeat takes one repeat from the budget, or returns false.
+func (b *budget) repeat(now time.Duration) bool {
+	cur := b.current(now)
+	var sum bucket
+	for _, x := range b.buckets {
+		sum.first += x.first
+		sum.repeat += x.repeat
+	}
+	if sum.repeat+1 > budgetUse*(b.cfg.RetryRatio*sum.first+b.cfg.RetryExtra) {
+		return false
+	}
+	cur.repeat++
+	return true
+}
--- /dev/null
+++ b/internal/sched/endpoint.go
@@ -0,0 +1,231 @@
+package sched
+
+import (
+	"sort"
+	"time"
+
+	"sycamoredeal/internal/fleet"
+	"sycamoredeal/internal/wire"
+)
+
+const (
+	initialHold      = 2.0 // seconds, until requests of the model were measured
+	initialPlainHold = 0.08
+	holdSmoothing    = 0.05
+	rateSmoothing    = 0.6 // of arrivals: demand moves within a second or two
+	measureEvery     = 500 * time.Millisecond
+
+	initialTokensPerMs = 25.0 // prompt tokens that an engine reads beside the generation of others
+	baseFirstMs        = 12.0 // connection, admission and one step of a batch
+	stepFirstMs        = 12.0 // more at a full endpoint, whose steps are longer
+	firstSmoothing     = 0.08 // of measured over predicted time to the first piece
+	minSlowness        = 0.3
+	maxSlowness        = 20.0
+	relaxAfter         = time.Second // without a measurement, a slow endpoint is believed to recover
+	relaxShare         = 0.15        // of the slowness above normal, per measureEvery
+	kvShare            = 0.95        // of an endpoint's memory for tokens that grants may fill
+	keptParts          = 4096        // prompt parts remembered for each endpoint
+	defaultOutput      = 300.0       // tokens, without an estimate of the caller
+)
+
+type adapterKey struct{ model, adapter string }
+
+type partKey struct {
+	model, adapter string
+	id             uint64
+}
+
+// endpoint is what the dispatcher knows of a server.
+type endpoint struct {
+	id, zone string
+	born     int64
+	service  string
+	engine   *fleet.Engine // nil for a plain service
+	slots    int
+	present  bool // in the view
+	draining bool
+	models   map[string]bool
+	loaded   map[adapterKey]bool // adapters believed to be loaded
+	running  map[adapterKey]int  // granted requests by adapter
+
+	used     int
+	backlog  float64 // prompt tokens of granted requests without a first piece
+	kv       float64 // tokens in memory when the granted requests are done
+	slowness float64 // measured over predicted time to the first piece
+	learned  time.Duration
+	parts    partCache
+	health   health
+}
+
+func newEndpoint(p *fleet.Endpoint) *endpoint {
+	return &endpoint{
+		id: p.ID, born: p.Born, slowness: 1, running: make(map[adapterKey]int), loaded: make(map[adapterKey]bool),
+		parts: newPartCache(keptParts),
+	}
+}
+
+// apply takes over an entry of the list. Adapters are learned from outcomes as well, because servers don't announce
+// them: the list only adds what it shows after the endpoint's models have changed.
+func (e *endpoint) apply(p *fleet.Endpoint, svc *fleet.Service) {
+	e.present, e.draining, e.zone, e.service = true, p.Draining, p.Zone, p.Service
+	e.slots, e.engine = max(p.Slots, 1), nil
+	if svc != nil {
+		e.engine = svc.Engine
+	}
+	before := e.models
+	e.models = make(map[string]bool, len(p.Models))
+	for i := range p.Models {
+		m := &p.Models[i]
+		e.models[m.Model] = true
+		if before == nil || !before[m.Model] {
+			for _, a := range m.Adapters {
+				e.loaded[adapterKey{m.Model, a}] = true
+			}
+		}
+	}
+	for k := range e.loaded {
+		if !e.models[k.model] {
+			delete(e.loaded, k)
+		}
+	}
+}
+
+func (e *endpoint) hasAdapter(model, adapter string) bool {
+	return e.loaded[adapterKey{model, adapter}]
+}
+
+// forget removes a belief that an answer of the endpoint has disproved.
+func (e *endpoint) forget(model, adapter string) {
+	if adapter != "" {
+		delete(e.loaded, adapterKey{model, adapter})
+		return
+	}
+	delete(e.models, model)
+}
+
+// busyAdapters returns the adapters of a model that granted requests use.
+func (e *endpoint) busyAdapters(model string) []string {
+	var out []string
+	for k := range e.running {
+		if k.model == model {
+			out = append(out, k.adapter)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// output estimates the tokens that a request generates.
+func output(a *wire.Ask) float64 {
+	switch {
+	case a.ExpectTokens > 0:
+		return float64(a.ExpectTokens)
+	case a.MaxTokens > 0:
+		return min(float64(a.MaxTokens), defaultOutput)
+	}
+	return defaultOutput
+}
+
+// unread returns the prompt tokens that the endpoint has to read: what follows the leading parts that it keeps.
+func (e *endpoint) unread(a *wire.Ask) float64 {
+	kept := uint32(0)
+	for _, p := range a.Parts {
+		if !e.parts.has(partKey{a.Model, a.Adapter, p.ID}) {
+			break
+		}
+		kept += p.Tokens
+	}
+	return float64(a.PromptTokens - min(kept, a.PromptTokens))
+}
+
+// firstMs predicts the time to the first piece of a request that is sent now.
+func (e *endpoint) firstMs(r *request) float64 {
+	t := baseFirstMs + stepFirstMs*float64(e.used)/float64(e.slots) + (e.backlog+e.unread(&r.ask))/initialTokensPerMs
+	return t * e.slowness
+}
+
+// take counts a granted request.
+func (e *endpoint) take(r *request) {
+	e.used++
+	if e.engine == nil {
+		return
+	}
+	a := &r.ask
+	r.fresh = e.unread(a)
+	r.tokens = float64(a.PromptTokens) + output(a)
+	e.backlog += r.fresh
+	e.kv += r.tokens
+	for _, p := range a.Parts {
+		e.parts.add(partKey{a.Model, a.Adapter, p.ID})
+	}
+	if a.Adapter != "" {
+		k := adapterKey{a.Model, a.Adapter}
+		e.running[k]++
+		e.loaded[k] = true
+	}
+}
+
+// read notes that the prompt of a request has been read.
+func (e *endpoint) read(r *request) {
+	if !r.started {
+		r.started = true
+		e.backlog = max(e.backlog-r.fresh, 0)
+	}
+}
+
+// free undoes take.
+func (e *endpoint) free(r *request) {
+	e.used = max(e.used-1, 0)
+	if e.engine == nil {
+		return
+	}
+	e.read(r)
+	e.kv = max(e.kv-r.tokens, 0)
+	if a := &r.ask; a.Adapter != "" {
+		k := adapterKey{a.Model, a.Adapter}
+		if e.running[k]--; e.running[k] <= 0 {
+			delete(e.running, k)
+		}
+	}
+}
+
+// learnFirst takes in a measured over a predicted time.
+func (e *endpoint) learnFirst(now time.Duration, ratio float64) {
+	e.learned = now
+	// A single long wait says little; it is cut so that one outlier does not take the endpoint out.
+	ratio = min(ratio*e.slowness, 3*e.slowness+1)
+	e.slowness = min(max(e.slowness+firstSmoothing*(ratio-e.slowness), minSlowness), maxSlowness)
+}
+
+// relax lets an endpoint without measurements return to normal, so that it gets requests again.
+func (e *endpoint) relax(now time.Duration) {
+	if e.slowness > 1 && now-e.learned > relaxAfter {
+		e.slowness -= relaxShare * (e.slowness - 1)
+	}
+}
+
+// partCache remembers the prompt parts that were sent to an endpoint. It keeps between half and all of its size, oldest
+// out first.
+type partCache struct {
+	size     int
+	new, old map[partKey]struct{}
+}
+
+func newPartCache(size int) partCache {
+	return partCache{size: size, new: make(map[partKey]struct{}), old: make(map[partKey]struct{})}
+}
+
+func (c *partCache) has(k partKey) bool {
+	if _, ok := c.new[k]; ok {
+		return true
+	}
+	_, ok := c.old[k]
+	return ok
+}
+
+func (c *partCache) add(k partKey) {
+	if len(c.new) >= c.size/2 {
+		c.old, c.new = c.new, make(map[partKey]struct{})
+	}
+	c.new[k] = struct{}{}
+}
--- /dev/null
+++ b/internal/sched/health.go
@@ -0,0 +1,130 @@
+package sched
+
+import "time"
+
+// Fault tells what failed in an attempt. Its values travel in wire messages and are never reused.
+type Fault uint8
+
+// Faults of an attempt.
+const (
+	NoFault   Fault = iota
+	Connect         // no connection was made
+	Silent          // no answer in time
+	Broken          // the connection ended without a whole answer, or the bytes are no answer
+	ErrorSaid       // the endpoint answered with an error of its own
+	Elsewhere       // another server has the address
+)
+
+// String returns the name of the fault.
+func (f Fault) String() string {
+	return [...]string{"none", "no connection", "silent", "broken answer", "error status", "another server"}[f]
+}
+
+const (
+	firstPause    = 500 * time.Millisecond // doubles with each further one
+	maxPause      = 4 * time.Second
+	forgetAfter   = 10 * time.Second // without a fault, pauses are short again
+	avoidFor      = time.Second      // by a host that alone can't reach the endpoint
+	provenFor     = 400 * time.Millisecond
+	failShare     = 0.3 // of the latest requests: an endpoint that fails more of them is paused
+	failSmoothing = 0.08
+	failSamples   = 8
+	maxRatePaused = 0.5 // share of a service's endpoints that are paused by their failure rate
+)
+
+// health decides whether an endpoint gets requests. A host that is cut off sees all endpoints fail, so one host's word
+// only counts for itself while others are served.
+type health struct {
+	until    time.Duration // paused before it
+	pauses   int
+	lastBad  time.Duration
+	trial    bool // after a pause, one request at a time until one succeeds
+	inTrial  time.Duration
+	okAt     time.Duration
+	everOK   bool
+	accusers map[string]time.Duration // hosts that met a fault since the last success
+	avoid    map[string]time.Duration // hosts that leave the endpoint alone until a time
+	rate     float64
+	samples  int
+}
+
+// trialGap is the time between two requests to an endpoint on trial.
+const trialGap = 300 * time.Millisecond
+
+func (h *health) usable(now time.Duration, host string) bool {
+	if now < h.until || now < h.avoid[host] {
+		return false
+	}
+	return !h.trial || now >= h.inTrial
+}
+
+// granted notes a request that was sent: on trial, the next one waits for its outcome or the gap.
+func (h *health) granted(now time.Duration) {
+	if h.trial {
+		h.inTrial = now + trialGap
+	}
+}
+
+func (h *health) down(now time.Duration) bool { return now < h.until || h.trial }
+
+func (h *health) success(now time.Duration, host string) {
+	h.okAt, h.everOK, h.trial = now, true, false
+	h.rate -= failSmoothing * h.rate
+	h.samples++
+	clear(h.accusers)
+	delete(h.avoid, host)
+	if now-h.lastBad > forgetAfter {
+		h.pauses = 0
+	}
+}
+
+// failure records a fault. mayEject limits pauses by failure rate to a share of the endpoints.
+func (h *health) failure(now time.Duration, host string, f Fault, mayEject bool) {
+	h.lastBad = now
+	h.rate += failSmoothing * (1 - h.rate)
+	h.samples++
+	if f == ErrorSaid {
+		if h.samples >= failSamples && h.rate > failShare && mayEject {
+			h.pause(now)
+		}
+		return
+	}
+	if h.accusers == nil {
+		h.accusers, h.avoid = make(map[string]time.Duration), make(map[string]time.Duration)
+	}
+	again := h.accusers[host] > 0
+	h.accusers[host] = now
+	proven := h.everOK && now-h.okAt < provenFor
+	switch {
+	case h.trial, f == Elsewhere, len(h.accusers) > 1, !proven && (f == Connect || again):
+		h.pause(now)
+	case h.samples >= failSamples && h.rate > failShare && mayEject:
+		h.pause(now)
+	default:
+		h.avoid[host] = now + avoidFor
+	}
+}
+
+func (h *health) pause(now time.Duration) {
+	if now < h.until {
+		return
+	}
+	h.until = now + min(firstPause<<min(h.pauses, 8), maxPause)
+	h.pauses++
+	h.trial, h.inTrial = true, h.until
+	clear(h.accusers)
+}
+
+// mayEject tells whether a further endpoint of the service may be paused for its failure rate.
+func (s *State) mayEject(e *endpoint) bool {
+	all, down := 0, 0
+	for _, o := range s.order {
+		if o.service == e.service && o.present && !o.draining {
+			all++
+			if o.health.down(s.now) {
+				down++
+			}
+		}
+	}
+	return float64(down+1) <= maxRatePaused*float64(all)
+}
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,492 @@
+// Package sched is the queue of the fleet: it grants endpoints to requests, makes them wait, or refuses them.
+//
+// State is a deterministic state machine without goroutine, socket, clock or log. Time is the monotonic time since an
+// arbitrary start. Unlike a queue of slots, it predicts the time to the first piece from the prompt tokens that an
+// engine still has to read, so that a request is sent where its target can be met and waits here otherwise.
+//
+// Invariants:
+//   - a grant never takes an endpoint above its slots or its memory for tokens;
+//   - every Ask without Bound gets exactly one final answer (Grant or Refuse), unless it is cancelled or its host is lost;
+//   - an endpoint that is draining or gone from the view gets no grant.
+package sched
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"sycamoredeal/internal/fleet"
+	"sycamoredeal/internal/wire"
+)
+
+// Config holds the settings of a dispatcher.
+type Config struct {
+	Seed        uint64
+	RetryRatio  float64       // repeats that reach a service, per request for it
+	RetryExtra  float64       // repeats allowed in a window beyond the ratio
+	RetryWindow time.Duration // over which repeats are counted
+	Rebuild     time.Duration // after the start, while other hosts' requests are not all known
+}
+
+const (
+	rebuildShare = 0.5             // of an endpoint's slots that are granted while rebuilding
+	lostAfter    = 2 * time.Second // grants of a host that left are forgotten after it: its requests ended or are known elsewhere
+	maxWaiting   = 4096            // requests in all; bounds the memory of the queue
+	minRetry     = 150 * time.Millisecond
+	maxRetry     = 4 * time.Second
+)
+
+// Output is an answer to a host, with the inputs of the decision for the log.
+type Output struct {
+	To      string // host
+	Message wire.Message
+	Request string // id of the caller's request
+	Reason  string
+	WaitMs  int64 // time in the queue, or the predicted one of a refusal
+	Waiting int   // requests that wait for the same model
+}
+
+type key struct {
+	host string
+	id   uint64
+}
+
+type request struct {
+	key
+	ask     wire.Ask
+	model   *model
+	asked   time.Duration
+	target  time.Duration // the first piece is late after it
+	startBy time.Duration // refused if it can't start before it
+
+	endpoint *endpoint // nil while it waits
+	granted  time.Duration
+	fresh    float64 // prompt tokens that the endpoint has to read for it
+	predict  float64 // predicted ms to the first piece
+	started  bool    // first piece seen
+	tokens   float64 // memory at the endpoint
+}
+
+type modelKey struct{ service, model string }
+
+// model is the demand for a model, or for a plain service.
+type model struct {
+	key      modelKey
+	waiting  []*request
+	running  int
+	arrivals float64 // since the last measurement
+	perSec   float64
+	hold     float64 // mean seconds that a request holds its place
+}
+
+type hostState struct {
+	up   bool
+	lost time.Duration
+}
+
+// State is the queue. It is not safe for concurrent use.
+type State struct {
+	cfg       Config
+	rng       *rand.Rand
+	now       time.Duration
+	started   time.Duration
+	view      *fleet.View
+	endpoints map[string]*endpoint
+	order     []*endpoint // usable by id, sorted
+	models    map[modelKey]*model
+	requests  map[key]*request
+	hosts     map[string]*hostState
+	budgets   map[string]*budget
+	closing   map[wire.ModelCopy]bool
+	loaded    []wire.ModelCopy
+	waiting   int
+	measured  time.Duration
+	out       []Output
+}
+
+// New returns a dispatcher that knows nothing of the requests in flight.
+func New(now time.Duration, cfg Config, view *fleet.View) *State {
+	s := &State{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 5)), now: now, started: now, measured: now,
+		endpoints: make(map[string]*endpoint), models: make(map[modelKey]*model), requests: make(map[key]*request),
+		hosts: make(map[string]*hostState), budgets: make(map[string]*budget), closing: make(map[wire.ModelCopy]bool),
+	}
+	s.SetView(now, view)
+	return s
+}
+
+// Take returns the outputs since the last call. They are valid until the next event.
+func (s *State) Take() []Output {
+	out := s.out
+	s.out = s.out[:0]
+	return out
+}
+
+// SetView applies a new list of endpoints and configuration. Requests keep their places.
+func (s *State) SetView(now time.Duration, v *fleet.View) {
+	s.now, s.view = now, v
+	for _, e := range s.endpoints {
+		e.present = false
+	}
+	s.order = s.order[:0]
+	for i := range v.Endpoints {
+		s.place(&v.Endpoints[i])
+	}
+	s.showLoaded()
+	sort.Slice(s.order, func(i, j int) bool { return s.order[i].id < s.order[j].id })
+	for id, e := range s.endpoints {
+		if !e.present && e.used == 0 {
+			delete(s.endpoints, id)
+		}
+	}
+	s.fillAll()
+}
+
+func (s *State) place(p *fleet.Endpoint) {
+	e := s.endpoints[p.ID]
+	if e == nil || e.born != p.Born {
+		fresh := newEndpoint(p)
+		if e != nil {
+			fresh.used, fresh.kv = e.used, e.kv
+		}
+		e = fresh
+		s.endpoints[p.ID] = e
+	}
+	e.apply(p, s.service(p.Service))
+	s.order = append(s.order, e)
+}
+
+func (s *State) service(name string) *fleet.Service {
+	if s.view.Config == nil {
+		return nil
+	}
+	return s.view.Config.Services[name]
+}
+
+// SetCopies replaces what the holder of the placement lease says of copies: those that are about to be unloaded, and
+// those that were loaded lately.
+func (s *State) SetCopies(now time.Duration, closing, loaded []wire.ModelCopy) {
+	s.now = now
+	clear(s.closing)
+	for _, c := range closing {
+		s.closing[c] = true
+	}
+	s.loaded = append(s.loaded[:0], loaded...)
+	s.showLoaded()
+	s.fillAll()
+}
+
+func (s *State) showLoaded() {
+	for _, c := range s.loaded {
+		if e := s.endpoints[c.Endpoint]; e != nil && e.models != nil {
+			e.models[c.Model] = true
+		}
+	}
+}
+
+func (s *State) modelOf(a *wire.Ask) *model {
+	k := modelKey{a.Service, a.Model}
+	m := s.models[k]
+	if m == nil {
+		m = &model{key: k, hold: initialHold}
+		if a.Model == "" {
+			m.hold = initialPlainHold
+		}
+		s.models[k] = m
+	}
+	return m
+}
+
+// Ask adds a request: it is granted, queued or refused at once. One with Bound is only counted: its host has decided
+// alone.
+func (s *State) Ask(now time.Duration, host string, ask wire.Ask) {
+	s.now = now
+	k := key{host, ask.ID}
+	if s.requests[k] != nil {
+		return // a repeated message: the request has its answer or waits
+	}
+	r := &request{key: k, ask: ask, model: s.modelOf(&ask), asked: now}
+	r.target = now + ms(ask.TargetMs)
+	r.startBy = now + ms(ask.DeadlineMs)
+	b := s.budget(ask.Service)
+	if !ask.Repeat {
+		b.first(now)
+		r.model.arrivals++
+	}
+	if ask.Bound != "" {
+		if e := s.endpoints[ask.Bound]; e != nil {
+			s.occupy(r, e)
+		}
+		return
+	}
+	if ask.Repeat && !b.repeat(now) {
+		s.refuse(r, "the budget of repeats is used up", 0)
+		return
+	}
+	if e := s.choose(r); e != nil {
+		s.grant(r, e)
+		return
+	}
+	wait := s.predictWait(r)
+	if now+wait+s.ownFirst(r) > r.startBy {
+		s.refuse(r, "can't start in time", wait)
+		return
+	}
+	if s.waiting >= maxWaiting {
+		s.refuse(r, "queue is full", wait)
+		return
+	}
+	s.requests[k] = r
+	r.model.waiting = append(r.model.waiting, r)
+	s.waiting++
+	s.emit(r, &wire.Queued{ID: ask.ID}, "", 0)
+}
+
+func ms(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (s *State) emit(r *request, m wire.Message, reason string, wait time.Duration) {
+	s.out = append(s.out, Output{
+		To: r.host, Message: m, Request: r.ask.Request, Reason: reason, WaitMs: wait.Milliseconds(),
+		Waiting: len(r.model.waiting),
+	})
+}
+
+// refuse answers a request that does not run. The times to return are spread, so that callers don't come back together.
+func (s *State) refuse(r *request, reason string, wait time.Duration) {
+	back := time.Duration(float64(max(wait, minRetry)) * (0.7 + 0.6*s.rng.Float64()))
+	s.emit(r, &wire.Refuse{ID: r.id, Reason: reason, RetryAfterMs: uint32(min(back, maxRetry).Milliseconds())}, reason, wait)
+}
+
+func (s *State) grant(r *request, e *endpoint) {
+	prepare := r.ask.Adapter != "" && !e.hasAdapter(r.ask.Model, r.ask.Adapter)
+	r.predict = e.firstMs(r)
+	used := e.used
+	s.occupy(r, e)
+	wait := s.now - r.asked
+	s.emit(r, &wire.Grant{
+		ID: r.id, Endpoint: e.id, Prepare: prepare, Used: uint16(used), Waiting: uint16(len(r.model.waiting)),
+		QueueMs: uint32(wait.Milliseconds()), FirstMs: uint32(r.predict),
+	}, "", wait)
+}
+
+func (s *State) occupy(r *request, e *endpoint) {
+	s.requests[r.key] = r
+	r.endpoint, r.granted = e, s.now
+	r.model.running++
+	e.take(r)
+	e.health.granted(s.now)
+}
+
+// vacate frees the place of a granted request and forgets it.
+func (s *State) vacate(r *request) {
+	delete(s.requests, r.key)
+	r.model.running--
+	r.endpoint.free(r)
+	if !r.endpoint.present && r.endpoint.used == 0 && s.endpoints[r.endpoint.id] == r.endpoint {
+		delete(s.endpoints, r.endpoint.id)
+	}
+}
+
+func (s *State) dequeue(r *request) {
+	delete(s.requests, r.key)
+	i := slices.Index(r.model.waiting, r)
+	r.model.waiting = slices.Delete(r.model.waiting, i, i+1)
+	s.waiting--
+}
+
+// Cancel withdraws a waiting request or frees an unused grant.
+func (s *State) Cancel(now time.Duration, host string, id uint64) {
+	s.now = now
+	if r := s.requests[key{host, id}]; r != nil {
+		s.drop(r)
+	}
+}
+
+func (s *State) drop(r *request) {
+	if r.endpoint == nil {
+		s.dequeue(r)
+		return
+	}
+	e := r.endpoint
+	s.vacate(r)
+	s.fill(e)
+}
+
+// Started notes the first piece of a request's answer: its prompt has been read.
+func (s *State) Started(now time.Duration, host string, m wire.Started) {
+	s.now = now
+	r := s.requests[key{host, m.ID}]
+	if r == nil || r.endpoint == nil || r.started {
+		return
+	}
+	e := r.endpoint
+	e.read(r)
+	if r.predict > 0 && !r.ask.Resumed {
+		e.learnFirst(now, float64(m.FirstMs)/r.predict)
+	}
+	e.health.success(now, host)
+	s.fill(e)
+}
+
+// Done frees the place of a request and learns from its outcome.
+func (s *State) Done(now time.Duration, host string, d wire.Done) {
+	s.now = now
+	r := s.requests[key{host, d.ID}]
+	if r == nil || r.endpoint == nil {
+		return
+	}
+	e := r.endpoint
+	s.vacate(r)
+	if d.Missing {
+		e.forget(r.ask.Model, r.ask.Adapter)
+	}
+	fault := Fault(d.Fault)
+	switch {
+	case fault != NoFault:
+		e.health.failure(now, host, fault, s.mayEject(e))
+	case !d.Missing && d.TotalMs > 0:
+		e.health.success(now, host)
+		r.model.hold += holdSmoothing * (float64(d.TotalMs)/1000 - r.model.hold)
+		if e.engine == nil {
+			e.learnFirst(now, float64(d.TotalMs)/1000/r.model.hold)
+		}
+	}
+	s.fill(e)
+}
+
+// Tick refuses what can't start in time any more and serves what became possible. It is called every few tens of
+// milliseconds.
+func (s *State) Tick(now time.Duration) {
+	s.now = now
+	for _, m := range s.models {
+		s.expire(m)
+	}
+	for name, h := range s.hosts {
+		if !h.up && now-h.lost > lostAfter {
+			delete(s.hosts, name)
+			for _, r := range s.of(name) {
+				s.drop(r)
+			}
+		}
+	}
+	s.measure()
+	s.fillAll()
+}
+
+// expire refuses waiting requests whose time to start has passed.
+func (s *State) expire(m *model) {
+	for i := 0; i < len(m.waiting); i++ {
+		r := m.waiting[i]
+		if s.now+s.ownFirst(r) < r.startBy {
+			continue
+		}
+		s.dequeue(r)
+		i--
+		s.refuse(r, "waited until it could not start in time", s.predictWait(r))
+	}
+}
+
+// measure estimates arrivals per second over the last half second.
+func (s *State) measure() {
+	dt := (s.now - s.measured).Seconds()
+	if dt < measureEvery.Seconds() {
+		return
+	}
+	s.measured = s.now
+	for _, m := range s.models {
+		m.perSec += rateSmoothing * (m.arrivals/dt - m.perSec)
+		m.arrivals = 0
+	}
+	for _, e := range s.endpoints {
+		e.relax(s.now)
+	}
+}
+
+// HostUp records a connection of a host. Its Resync follows.
+func (s *State) HostUp(now time.Duration, host string) {
+	s.now = now
+	s.hosts[host] = &hostState{up: true}
+}
+
+// HostDown records that the connection of a host ended. Its waiting requests are forgotten, because it asks elsewhere.
+func (s *State) HostDown(now time.Duration, host string) {
+	s.now = now
+	if h := s.hosts[host]; h != nil {
+		h.up, h.lost = false, now
+	}
+	for _, r := range s.of(host) {
+		if r.endpoint == nil {
+			s.dequeue(r)
+		}
+	}
+}
+
+// Resync replaces what is known of a host's requests.
+func (s *State) Resync(now time.Duration, host string, m wire.Resync) {
+	s.now = now
+	for _, r := range s.of(host) {
+		if r.endpoint == nil {
+			s.dequeue(r)
+		} else {
+			s.vacate(r)
+		}
+	}
+	for _, x := range m.Running {
+		x.Ask.Bound, x.Ask.Repeat = x.Endpoint, true // counted when it was first asked for
+		s.Ask(now, host, x.Ask)
+	}
+	for _, a := range m.Waiting {
+		s.Ask(now, host, a)
+	}
+	s.fillAll()
+}
+
+// of returns the requests of a host in the order of their ids.
+func (s *State) of(host string) []*request {
+	var out []*request
+	for k, r := range s.requests {
+		if k.host == host {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
+	return out
+}
+
+// Load returns what the dispatcher knows of endpoints and demand.
+func (s *State) Load() wire.FleetState {
+	f := wire.FleetState{}
+	for _, h := range s.hosts {
+		if h.up {
+			f.Hosts++
+		}
+	}
+	for _, e := range s.order {
+		f.Endpoints = append(f.Endpoints, wire.EndpointLoad{Endpoint: e.id, Used: uint16(e.used), Down: e.health.down(s.now)})
+	}
+	for _, m := range s.models {
+		f.Models = append(f.Models, s.demand(m))
+	}
+	sort.Slice(f.Models, func(i, j int) bool {
+		a, b := &f.Models[i], &f.Models[j]
+		return a.Service < b.Service || a.Service == b.Service && a.Model < b.Model
+	})
+	return f
+}
+
+func (s *State) demand(m *model) wire.ModelLoad {
+	l := wire.ModelLoad{
+		Service: m.key.service, Model: m.key.model, Running: uint16(m.running), Waiting: uint16(len(m.waiting)),
+		PerSec: float32(m.perSec), HoldSec: float32(m.hold),
+	}
+	for _, e := range s.order {
+		for _, name := range e.busyAdapters(m.key.model) {
+			l.Adapters = append(l.Adapters, wire.AdapterUse{Endpoint: e.id, Adapter: name, Running: 1})
+		}
+	}
+	return l
+}
+
+// Waiting returns the number of requests in the queue.
+func (s *State) Waiting() int { return s.waiting }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -136,6 +136,34 @@
 // Validate implements Program.
 func (s *SycamoreControl) Validate() error { return s.all.validate() }
 
+// SycamoreHost is the settings of the program sycamore-host.
+type SycamoreHost struct {
+	SettingsFile string // Settings file of the platform.
+	AdminPort    int    // Port of the metrics server; 0 for none. In port.
+	LogLevel     string // Least severe log lines that are written.
+
+	all set
+}
+
+var _ Program = (*SycamoreHost)(nil)
+
+// Application implements Program.
+func (s *SycamoreHost) Application() *kingpin.Application {
+	app := kingpin.New("sycamore-host", "Serves callers on the users' platform; the platform's settings file tells the rest.")
+	s.Register(app)
+	return app
+}
+
+// Register adds the flags and environment variables to app.
+func (s *SycamoreHost) Register(app *kingpin.Application) {
+	s.all.register(app, Spec{Flag: "settings-file", Env: "SYCAMOREDEAL_SETTINGS", Kind: "string", Required: true, Help: "Settings file of the platform."}, &s.SettingsFile)
+	s.all.register(app, Spec{Flag: "admin-port", Env: "SYCAMORE_HOST_ADMIN_PORT", Kind: "int", Default: "9464", Min: "0", Max: "65535", Help: "Port of the metrics server; 0 for none."}, &s.AdminPort)
+	s.all.register(app, Spec{Flag: "log-level", Env: "SYCAMORE_HOST_LOG_LEVEL", Kind: "enum", Default: "info", Values: []string{"debug", "info", "warn", "error"}, Help: "Least severe log lines that are written."}, &s.LogLevel)
+}
+
+// Validate implements Program.
+func (s *SycamoreHost) Validate() error { return s.all.validate() }
+
 // Sycamorectl is the settings of the program sycamorectl.
 type Sycamorectl struct {
 	Platform      string // URL of the platform's object API; needed by commands that read or change stored declarations.
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -36,3 +36,15 @@
 
 // Error starts a line at error level.
 func (g Logger) Error() *log.Entry { return g.l.Error().Str("part", g.part) }
+
+// asyncLines is the number of lines that wait for a slow output. Further ones are dropped, so that a process never waits
+// for its log.
+const asyncLines = 2048
+
+// NewAsyncLogger is like NewLogger, but writes from a goroutine of its own and drops lines while the output is blocked.
+// The returned function writes what waits; the logger must not be used after it.
+func NewAsyncLogger(w io.Writer, level, part string) (Logger, func()) {
+	async := &log.AsyncWriter{Writer: log.IOWriter{Writer: w}, ChannelSize: asyncLines, DiscardOnFull: true}
+	l := &log.Logger{Level: log.ParseLevel(level), TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: async}
+	return Logger{l: l, part: part}, func() { async.Close() }
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -159,7 +159,8 @@
 // isReply tells whether a message kind answers a request, so that a correlation id of ours is looked up for it.
 func isReply(k wire.Kind) bool {
 	switch k {
-	case wire.KindHeadReply, wire.KindFileReply, wire.KindClaimReply, wire.KindAck, wire.KindInquiryReply:
+	case wire.KindHeadReply, wire.KindFileReply, wire.KindClaimReply, wire.KindAck, wire.KindInquiryReply,
+		wire.KindPrepareReply, wire.KindViewReply:
 		return true
 	}
 	return false
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -3,7 +3,7 @@
 // Heartbeat and the elements of long lists are encoded as arrays, because their size counts against the budget of
 // control traffic. Their fields never change; an extension needs a new message.
 //
-//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField
+//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField PromptPart EndpointLoad ModelLoad AdapterUse ModelCopy StoredObject
 
 // Role names the process that opened a connection.
 type Role uint8
@@ -12,6 +12,7 @@
 const (
 	RoleEntry Role = iota + 1
 	RoleControl
+	RoleHost
 )
 
 // Hello is the first message in each direction of a connection.
@@ -213,6 +214,22 @@
 	Preemptions  uint8    `msg:"k"` // how often the request has been preempted
 	Bound        string   `msg:"l"` // endpoint that the entry chose alone: the dispatcher only counts it and does not answer
 	Request      string   `msg:"m"` // request id of the caller, for the decision journal
+
+	// The following are set by hosts whose dispatcher counts tokens and time (package sched).
+
+	Service      string       `msg:"n"`
+	Adapter      string       `msg:"o"` // name within the model, empty for none
+	Priority     uint8        `msg:"p"` // rank, 0 is the most urgent
+	TargetMs     uint32       `msg:"q"` // time left until the first piece is late
+	Parts        []PromptPart `msg:"r"` // of the prompt, in order
+	ExpectTokens uint32       `msg:"s"` // output tokens that the caller expects, 0 if unknown
+	Repeat       bool         `msg:"t"` // an earlier attempt of the request reached an endpoint
+}
+
+// PromptPart is a part of a prompt that requests may share.
+type PromptPart struct {
+	ID     uint64
+	Tokens uint32
 }
 
 // Queued tells that an Ask waits in the queue.
@@ -224,6 +241,11 @@
 type Grant struct {
 	ID       uint64 `msg:"a"`
 	Endpoint string `msg:"b"`
+	Prepare  bool   `msg:"c"` // the request's adapter has to be loaded first
+	Used     uint16 `msg:"d"` // places taken at the endpoint before
+	Waiting  uint16 `msg:"e"` // requests that wait for the same model
+	QueueMs  uint32 `msg:"f"` // time in the queue
+	FirstMs  uint32 `msg:"g"` // predicted time to the first piece
 }
 
 // Refuse is the final answer to an Ask that can't be served in time.
@@ -242,6 +264,93 @@
 	FirstMs  uint32 `msg:"e"` // time to first token
 	TotalMs  uint32 `msg:"f"`
 	Failed   bool   `msg:"g"` // the endpoint failed: it counts towards its ejection
+	Fault    uint8  `msg:"h"` // what failed, a sched.Fault; 0 for nothing
+	Missing  bool   `msg:"i"` // the endpoint does not hold the request's model or adapter
+}
+
+// Started tells that the first piece of a granted request's answer has arrived.
+type Started struct {
+	ID      uint64 `msg:"a"`
+	FirstMs uint32 `msg:"b"` // time since the request was sent
+}
+
+// EndpointLoad is the work at one endpoint that the dispatcher has granted.
+type EndpointLoad struct {
+	Endpoint string
+	Used     uint16 // places taken
+	Down     bool   // takes no work because requests failed there
+}
+
+// ModelLoad is the demand for one model as the dispatcher sees it.
+type ModelLoad struct {
+	Service  string
+	Model    string
+	Running  uint16
+	Waiting  uint16
+	PerSec   float32 // arrivals a second
+	HoldSec  float32 // mean time that a request holds its place
+	Adapters []AdapterUse
+}
+
+// AdapterUse counts the granted requests for an adapter at an endpoint.
+type AdapterUse struct {
+	Endpoint string
+	Adapter  string
+	Running  uint16
+}
+
+// FleetState is sent by the dispatcher to all hosts several times a second.
+type FleetState struct {
+	Endpoints []EndpointLoad `msg:"a"`
+	Models    []ModelLoad    `msg:"b"`
+	Holder    string         `msg:"c"` // host that holds the placement lease, empty if none was heard of lately
+	Epoch     uint64         `msg:"d"`
+	Hosts     uint16         `msg:"e"` // connected hosts
+}
+
+// HolderBeat is sent by the holder of the placement lease to the dispatcher.
+type HolderBeat struct {
+	Host    string      `msg:"a"`
+	Epoch   uint64      `msg:"b"`
+	Closing []ModelCopy `msg:"c"` // copies that are about to be unloaded: no new work for them
+	Loaded  []ModelCopy `msg:"d"` // copies that the list of endpoints may not show yet
+}
+
+// ModelCopy is a copy of a model at an endpoint.
+type ModelCopy struct {
+	Endpoint string
+	Model    string
+}
+
+// Prepare asks the holder of the placement lease to load an adapter.
+type Prepare struct {
+	Endpoint string `msg:"a"`
+	Model    string `msg:"b"`
+	Adapter  string `msg:"c"`
+	Missing  bool   `msg:"d"` // the endpoint said that it does not hold the adapter
+}
+
+// PrepareReply answers a Prepare.
+type PrepareReply struct {
+	OK     bool   `msg:"a"`
+	WaitMs uint32 `msg:"b"` // until the adapter can be used
+	Reason string `msg:"c"` // if not OK
+}
+
+// ViewRequest asks a host for what it knows, while the platform's store can't be read.
+type ViewRequest struct{}
+
+// StoredObject is an object of the platform's store.
+type StoredObject struct {
+	Kind    string
+	Name    string
+	Version string
+	Data    []byte
+}
+
+// ViewReply answers a ViewRequest.
+type ViewReply struct {
+	Objects []StoredObject `msg:"a"`
 }
 
 // Cancel withdraws an Ask or releases a grant that was not used.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -79,12 +79,60 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z AdapterUse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Endpoint)
+	o = msgp.AppendString(o, z.Adapter)
+	o = msgp.AppendUint16(o, z.Running)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AdapterUse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoint")
+		return
+	}
+	z.Adapter, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Adapter")
+		return
+	}
+	z.Running, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z AdapterUse) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.StringPrefixSize + len(z.Adapter) + msgp.Uint16Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Ask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 20
 	// string "a"
-	o = append(o, 0x8d, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x14, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -125,6 +173,33 @@
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendString(o, z.Request)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Service)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Adapter)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendUint8(o, z.Priority)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendUint32(o, z.TargetMs)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0002 := range z.Parts {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint64(o, z.Parts[za0002].ID)
+		o = msgp.AppendUint32(o, z.Parts[za0002].Tokens)
+	}
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint32(o, z.ExpectTokens)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendBool(o, z.Repeat)
 	return
 }
 
@@ -237,6 +312,76 @@
 				err = msgp.WrapError(err, "Request")
 				return
 			}
+		case "n":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "o":
+			z.Adapter, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Adapter")
+				return
+			}
+		case "p":
+			z.Priority, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "q":
+			z.TargetMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TargetMs")
+				return
+			}
+		case "r":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0003) {
+				z.Parts = (z.Parts)[:zb0003]
+			} else {
+				z.Parts = make([]PromptPart, zb0003)
+			}
+			for za0002 := range z.Parts {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0002)
+					return
+				}
+				if zb0004 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+					return
+				}
+				z.Parts[za0002].ID, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0002, "ID")
+					return
+				}
+				z.Parts[za0002].Tokens, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0002, "Tokens")
+					return
+				}
+			}
+		case "s":
+			z.ExpectTokens, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ExpectTokens")
+				return
+			}
+		case "t":
+			z.Repeat, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Repeat")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -251,11 +396,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Ask) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Rank) + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Rank) + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Exclude {
 		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Bound) + 2 + msgp.StringPrefixSize + len(z.Request)
+	s += 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Bound) + 2 + msgp.StringPrefixSize + len(z.Request) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Adapter) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (11 + msgp.Uint64Size + msgp.Uint32Size)) + 2 + msgp.Uint32Size + 2 + msgp.BoolSize
 	return
 }
 
@@ -1276,9 +1421,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Done) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 9
 	// string "a"
-	o = append(o, 0x87, 0xa1, 0x61)
+	o = append(o, 0x89, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -1298,6 +1443,12 @@
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendBool(o, z.Failed)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendUint8(o, z.Fault)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendBool(o, z.Missing)
 	return
 }
 
@@ -1361,6 +1512,18 @@
 				err = msgp.WrapError(err, "Failed")
 				return
 			}
+		case "h":
+			z.Fault, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fault")
+				return
+			}
+		case "i":
+			z.Missing, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Missing")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1375,7 +1538,55 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Done) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z EndpointLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Endpoint)
+	o = msgp.AppendUint16(o, z.Used)
+	o = msgp.AppendBool(o, z.Down)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoint")
+		return
+	}
+	z.Used, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Used")
+		return
+	}
+	z.Down, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Down")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z EndpointLoad) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.Uint16Size + msgp.BoolSize
 	return
 }
 
@@ -2111,20 +2322,43 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Grant) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 5
 	// string "a"
-	o = append(o, 0x82, 0xa1, 0x61)
-	o = msgp.AppendUint64(o, z.ID)
+	o = append(o, 0x85, 0xa1, 0x61)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
+	for za0001 := range z.Endpoints {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Endpoints[za0001].Endpoint)
+		o = msgp.AppendUint16(o, z.Endpoints[za0001].Used)
+		o = msgp.AppendBool(o, z.Endpoints[za0001].Down)
+	}
 	// string "b"
 	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendString(o, z.Endpoint)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
+	for za0002 := range z.Models {
+		o, err = z.Models[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Models", za0002)
+			return
+		}
+	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendString(o, z.Holder)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint16(o, z.Hosts)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Grant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *FleetState) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2142,15 +2376,79 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "a":
-			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Endpoints")
 				return
 			}
+			if cap(z.Endpoints) >= int(zb0002) {
+				z.Endpoints = (z.Endpoints)[:zb0002]
+			} else {
+				z.Endpoints = make([]EndpointLoad, zb0002)
+			}
+			for za0001 := range z.Endpoints {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Endpoints[za0001].Endpoint, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001, "Endpoint")
+					return
+				}
+				z.Endpoints[za0001].Used, bts, err = msgp.ReadUint16Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001, "Used")
+					return
+				}
+				z.Endpoints[za0001].Down, bts, err = msgp.ReadBoolBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001, "Down")
+					return
+				}
+			}
 		case "b":
-			z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Endpoint")
+				err = msgp.WrapError(err, "Models")
+				return
+			}
+			if cap(z.Models) >= int(zb0004) {
+				z.Models = (z.Models)[:zb0004]
+			} else {
+				z.Models = make([]ModelLoad, zb0004)
+			}
+			for za0002 := range z.Models {
+				bts, err = z.Models[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0002)
+					return
+				}
+			}
+		case "c":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holder")
+				return
+			}
+		case "d":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "e":
+			z.Hosts, bts, err = msgp.ReadUint16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hosts")
 				return
 			}
 		default:
@@ -2166,38 +2464,49 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Grant) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint)
+func (z *FleetState) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Endpoints {
+		s += 1 + msgp.StringPrefixSize + len(z.Endpoints[za0001].Endpoint) + msgp.Uint16Size + msgp.BoolSize
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Models {
+		s += z.Models[za0002].Msgsize()
+	}
+	s += 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint16Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Head) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Grant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 7
 	// string "a"
-	o = append(o, 0x84, 0xa1, 0x61)
-	o = msgp.AppendUint64(o, z.Revision)
+	o = append(o, 0x87, 0xa1, 0x61)
+	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendString(o, z.Author)
+	o = msgp.AppendString(o, z.Endpoint)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendInt64(o, z.UnixTime)
+	o = msgp.AppendBool(o, z.Prepare)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Files)))
-	for za0001 := range z.Files {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Files[za0001].Name)
-		o = msgp.AppendString(o, z.Files[za0001].Digest)
-	}
+	o = msgp.AppendUint16(o, z.Used)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint16(o, z.Waiting)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendUint32(o, z.QueueMs)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendUint32(o, z.FirstMs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Head) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Grant) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2215,25 +2524,128 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "a":
-			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Revision")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
 		case "b":
-			z.Author, bts, err = msgp.ReadStringBytes(bts)
+			z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Author")
+				err = msgp.WrapError(err, "Endpoint")
 				return
 			}
 		case "c":
-			z.UnixTime, bts, err = msgp.ReadInt64Bytes(bts)
+			z.Prepare, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "UnixTime")
+				err = msgp.WrapError(err, "Prepare")
 				return
 			}
 		case "d":
-			var zb0002 uint32
+			z.Used, bts, err = msgp.ReadUint16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Used")
+				return
+			}
+		case "e":
+			z.Waiting, bts, err = msgp.ReadUint16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "f":
+			z.QueueMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "QueueMs")
+				return
+			}
+		case "g":
+			z.FirstMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Grant) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.BoolSize + 2 + msgp.Uint16Size + 2 + msgp.Uint16Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Head) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
+	o = msgp.AppendUint64(o, z.Revision)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendString(o, z.Author)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt64(o, z.UnixTime)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Files)))
+	for za0001 := range z.Files {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Files[za0001].Name)
+		o = msgp.AppendString(o, z.Files[za0001].Digest)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Head) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "b":
+			z.Author, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Author")
+				return
+			}
+		case "c":
+			z.UnixTime, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UnixTime")
+				return
+			}
+		case "d":
+			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Files")
@@ -2600,6 +3012,160 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *HolderBeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Host)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Closing)))
+	for za0001 := range z.Closing {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Closing[za0001].Endpoint)
+		o = msgp.AppendString(o, z.Closing[za0001].Model)
+	}
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loaded)))
+	for za0002 := range z.Loaded {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Loaded[za0002].Endpoint)
+		o = msgp.AppendString(o, z.Loaded[za0002].Model)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HolderBeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Host, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "b":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Closing")
+				return
+			}
+			if cap(z.Closing) >= int(zb0002) {
+				z.Closing = (z.Closing)[:zb0002]
+			} else {
+				z.Closing = make([]ModelCopy, zb0002)
+			}
+			for za0001 := range z.Closing {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Closing", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Closing[za0001].Endpoint, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Closing", za0001, "Endpoint")
+					return
+				}
+				z.Closing[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Closing", za0001, "Model")
+					return
+				}
+			}
+		case "d":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loaded")
+				return
+			}
+			if cap(z.Loaded) >= int(zb0004) {
+				z.Loaded = (z.Loaded)[:zb0004]
+			} else {
+				z.Loaded = make([]ModelCopy, zb0004)
+			}
+			for za0002 := range z.Loaded {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loaded", za0002)
+					return
+				}
+				if zb0005 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+					return
+				}
+				z.Loaded[za0002].Endpoint, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loaded", za0002, "Endpoint")
+					return
+				}
+				z.Loaded[za0002].Model, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loaded", za0002, "Model")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *HolderBeat) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Closing {
+		s += 1 + msgp.StringPrefixSize + len(z.Closing[za0001].Endpoint) + msgp.StringPrefixSize + len(z.Closing[za0001].Model)
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Loaded {
+		s += 1 + msgp.StringPrefixSize + len(z.Loaded[za0002].Endpoint) + msgp.StringPrefixSize + len(z.Loaded[za0002].Model)
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Inquiry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3179,6 +3745,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ModelCopy) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Endpoint)
+	o = msgp.AppendString(o, z.Model)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ModelCopy) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoint")
+		return
+	}
+	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ModelCopy) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.StringPrefixSize + len(z.Model)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ModelDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3234,18 +3842,133 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Placement) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ModelLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "a"
-	o = append(o, 0x86, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Cell)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendUint64(o, z.Epoch)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendUint64(o, z.Version)
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Model)
+	o = msgp.AppendUint16(o, z.Running)
+	o = msgp.AppendUint16(o, z.Waiting)
+	o = msgp.AppendFloat32(o, z.PerSec)
+	o = msgp.AppendFloat32(o, z.HoldSec)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Adapters)))
+	for za0001 := range z.Adapters {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Adapters[za0001].Endpoint)
+		o = msgp.AppendString(o, z.Adapters[za0001].Adapter)
+		o = msgp.AppendUint16(o, z.Adapters[za0001].Running)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ModelLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Running, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	z.Waiting, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Waiting")
+		return
+	}
+	z.PerSec, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PerSec")
+		return
+	}
+	z.HoldSec, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "HoldSec")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Adapters")
+		return
+	}
+	if cap(z.Adapters) >= int(zb0002) {
+		z.Adapters = (z.Adapters)[:zb0002]
+	} else {
+		z.Adapters = make([]AdapterUse, zb0002)
+	}
+	for za0001 := range z.Adapters {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Adapters", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Adapters[za0001].Endpoint, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Adapters", za0001, "Endpoint")
+			return
+		}
+		z.Adapters[za0001].Adapter, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Adapters", za0001, "Adapter")
+			return
+		}
+		z.Adapters[za0001].Running, bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Adapters", za0001, "Running")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ModelLoad) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Model) + msgp.Uint16Size + msgp.Uint16Size + msgp.Float32Size + msgp.Float32Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Adapters {
+		s += 1 + msgp.StringPrefixSize + len(z.Adapters[za0001].Endpoint) + msgp.StringPrefixSize + len(z.Adapters[za0001].Adapter) + msgp.Uint16Size
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Placement) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "a"
+	o = append(o, 0x86, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Cell)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Version)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint64(o, z.NextIntent)
@@ -3462,6 +4185,197 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Prepare) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Endpoint)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendString(o, z.Model)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendString(o, z.Adapter)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Missing)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Prepare) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoint")
+				return
+			}
+		case "b":
+			z.Model, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Model")
+				return
+			}
+		case "c":
+			z.Adapter, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Adapter")
+				return
+			}
+		case "d":
+			z.Missing, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Missing")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Prepare) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.StringPrefixSize + len(z.Adapter) + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z PrepareReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.OK)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint32(o, z.WaitMs)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendString(o, z.Reason)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PrepareReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.OK, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OK")
+				return
+			}
+		case "b":
+			z.WaitMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
+		case "c":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PrepareReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Reason)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z PromptPart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendUint32(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PromptPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PromptPart) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Queued) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3868,6 +4782,121 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Started) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
+	o = msgp.AppendUint64(o, z.ID)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint32(o, z.FirstMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Started) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "b":
+			z.FirstMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Started) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StoredObject) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.Kind)
+	o = msgp.AppendString(o, z.Name)
+	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendBytes(o, z.Data)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StoredObject) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Kind, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kind")
+		return
+	}
+	z.Name, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Data, bts, err = msgp.ReadBytesBytes(bts, z.Data)
+	if err != nil {
+		err = msgp.WrapError(err, "Data")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StoredObject) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Kind) + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Version) + msgp.BytesPrefixSize + len(z.Data)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Subscribe) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3928,3 +4957,123 @@
 	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ViewReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Objects)))
+	for za0001 := range z.Objects {
+		o, err = z.Objects[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Objects", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ViewReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Objects")
+				return
+			}
+			if cap(z.Objects) >= int(zb0002) {
+				z.Objects = (z.Objects)[:zb0002]
+			} else {
+				z.Objects = make([]StoredObject, zb0002)
+			}
+			for za0001 := range z.Objects {
+				bts, err = z.Objects[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Objects", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ViewReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Objects {
+		s += z.Objects[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ViewRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ViewRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ViewRequest) Msgsize() (s int) {
+	s = 1
+	return
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -44,6 +44,13 @@
 	KindInquiry
 	KindInquiryReply
 	KindDirectoryUpdate
+	KindStarted
+	KindFleetState
+	KindHolderBeat
+	KindPrepare
+	KindPrepareReply
+	KindViewRequest
+	KindViewReply
 )
 
 // Message is implemented by every struct of this package that travels in a frame of its own.
@@ -91,6 +98,13 @@
 	KindInquiry:         func() Message { return new(Inquiry) },
 	KindInquiryReply:    func() Message { return new(InquiryReply) },
 	KindDirectoryUpdate: func() Message { return new(DirectoryUpdate) },
+	KindStarted:         func() Message { return new(Started) },
+	KindFleetState:      func() Message { return new(FleetState) },
+	KindHolderBeat:      func() Message { return new(HolderBeat) },
+	KindPrepare:         func() Message { return new(Prepare) },
+	KindPrepareReply:    func() Message { return new(PrepareReply) },
+	KindViewRequest:     func() Message { return new(ViewRequest) },
+	KindViewReply:       func() Message { return new(ViewReply) },
 }
 
 func (*Hello) Kind() Kind           { return KindHello }
@@ -121,3 +135,10 @@
 func (*Inquiry) Kind() Kind         { return KindInquiry }
 func (*InquiryReply) Kind() Kind    { return KindInquiryReply }
 func (*DirectoryUpdate) Kind() Kind { return KindDirectoryUpdate }
+func (*Started) Kind() Kind         { return KindStarted }
+func (*FleetState) Kind() Kind      { return KindFleetState }
+func (*HolderBeat) Kind() Kind      { return KindHolderBeat }
+func (*Prepare) Kind() Kind         { return KindPrepare }
+func (*PrepareReply) Kind() Kind    { return KindPrepareReply }
+func (*ViewRequest) Kind() Kind     { return KindViewRequest }
+func (*ViewReply) Kind() Kind       { return KindViewReply }
