--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -19,7 +19,6 @@
 	Slots    int
 	Draining bool
 	Leaves   time.Duration // time until a server that leaves at short notice is gone, 0 if unknown
-	Sequence int64         // orders that it has accepted
 	Models   []Resident
 	InMemory []string // models whose weights are in the machine's memory
 	OnDisk   []string // models whose weights are on its disk
@@ -109,3 +108,16 @@
 	}
 	return nil
 }
+
+// SameModels tells whether two entries show the same models.
+func (e *Endpoint) SameModels(o *Endpoint) bool {
+	if len(e.Models) != len(o.Models) {
+		return false
+	}
+	for i := range e.Models {
+		if o.Holds(e.Models[i].Model) == nil {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -104,11 +104,11 @@
 			}
 			g = l.add(ctx, e)
 		}
+		if !e.SameModels(&g.endpoint) && !g.busy && !g.shows(e) {
+			g.known = false // an order that this holder has not counted took effect
+		}
 		g.endpoint = *e
 		g.inMemory, g.onDisk = e.InMemory, e.OnDisk
-		if e.Sequence > g.sequence && !g.busy {
-			g.known = false // orders that this holder has not counted
-		}
 		if !g.known && !g.reading && clock.Boot()-g.readAt > refreshRetry {
 			g.reading = true
 			go l.read(ctx, g)
@@ -122,6 +122,16 @@
 	}
 }
 
+// shows tells whether an entry shows the models that the holder knows of.
+func (g *ledger) shows(e *fleet.Endpoint) bool {
+	for i := range e.Models {
+		if !g.models[e.Models[i].Model] {
+			return false
+		}
+	}
+	return len(e.Models) == len(g.models)
+}
+
 func (l *ledgers) add(ctx context.Context, e *fleet.Endpoint) *ledger {
 	ctx, stop := context.WithCancel(ctx)
 	g := &ledger{endpoint: *e, tasks: ring.New[prepareTask](prepareRing), stop: stop, readAt: -refreshRetry}
