--- a/cmd/sycamore-host/main.go
+++ b/cmd/sycamore-host/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"runtime/debug"
 	"strconv"
 	"syscall"
+	"time"
 
 	"sycamoredeal/internal/host"
 	"sycamoredeal/internal/settings"
@@ -43,9 +45,44 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := host.New(o).Run(ctx); err != nil {
+	h := host.New(o)
+	go watchSettings(ctx, s.SettingsFile, h, log.Part("settings"))
+	if err := h.Run(ctx); err != nil {
 		log.Error().Err(err).Msg("Stopped with an error.")
 		flush()
 		os.Exit(1)
 	}
 }
+
+// settingsPoll is the time between looks at the settings file: it may change without a signal.
+const settingsPoll = 2 * time.Second
+
+// watchSettings reloads the settings on SIGHUP and when the file has changed. Bad settings leave the former ones in force.
+func watchSettings(ctx context.Context, path string, h *host.Host, log telemetry.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	t := time.NewTicker(settingsPoll)
+	defer t.Stop()
+	before, _ := os.ReadFile(path) // the first load has reported an unreadable file
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			signalled = true
+		case <-t.C:
+		}
+		data, err := os.ReadFile(path)
+		if err == nil && !signalled && bytes.Equal(data, before) {
+			continue
+		}
+		before = data
+		d, err := platform.LoadSettings(path)
+		if err != nil {
+			log.Error().Err(err).Msg("Settings can't be used, the former ones stay.")
+			continue
+		}
+		h.Reload(d)
+	}
+}
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -25,6 +25,9 @@
 	budgetUse    = 0.8 // of the loads from the weight store that the window allows
 	spareBudget  = 0.5 // of those, for copies of models that have one
 	waitingScale = 1.0 // weight of waiting requests beside those in progress
+	// absentFor is how long a model without a copy is given to appear: after a start, endpoints register within seconds.
+	absentFor       = 2500 * time.Millisecond
+	absentRequested = 200 * time.Millisecond // while requests wait for it
 )
 
 // Source tells where an endpoint loads a model's weights from.
@@ -88,6 +91,7 @@
 	Reason   string
 	Need     float64 // demand for the loaded model in places
 	Copies   int     // of the loaded model before
+	Takes    time.Duration
 }
 
 // Limits bound the loads from the weight store.
@@ -104,12 +108,13 @@
 	last    time.Duration
 	loads   []time.Duration // from the weight store, within the window
 	changed map[string]time.Duration
+	absent  map[string]time.Duration // models without a copy, since when
 }
 
 // New returns a planner that has taken over at now: what its predecessor loaded from the weight store in the last window
 // is unknown, so half of the window counts as used.
 func New(now time.Duration, l Limits, loadsPerSecond float64) *Planner {
-	p := &Planner{limits: l, need: make(map[string]float64), last: now, changed: make(map[string]time.Duration)}
+	p := &Planner{limits: l, need: make(map[string]float64), last: now, changed: make(map[string]time.Duration), absent: make(map[string]time.Duration)}
 	for range int(loadsPerSecond * l.Window.Seconds() / 2) {
 		p.loads = append(p.loads, now)
 	}
@@ -171,6 +176,9 @@
 
 func (r *round) order(e *Endpoint, o Order) {
 	o.Endpoint, o.From = e.ID, e.source(o.Load)
+	if m := r.in.Engine.Model(o.Load); m != nil {
+		o.Takes = time.Duration(loadCost(m, o.From) * float64(time.Second))
+	}
 	o.Need, o.Copies = r.p.need[o.Load], r.copies[o.Load]
 	if o.From == FromStore {
 		r.p.loads = append(r.p.loads, r.in.Now)
@@ -234,6 +242,19 @@
 func (r *round) cover() {
 	for _, m := range r.byNeed() {
 		if r.copies[m.Name] > 0 {
+			delete(r.p.absent, m.Name)
+			continue
+		}
+		since, known := r.p.absent[m.Name]
+		if !known {
+			since = r.in.Now
+			r.p.absent[m.Name] = since
+		}
+		patience := absentFor
+		if r.in.Demand[m.Name].Waiting > 0 {
+			patience = absentRequested
+		}
+		if r.in.Now-since < patience {
 			continue
 		}
 		if e, victim := r.placeFor(m, 0); e != nil {
--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -133,7 +133,7 @@
 
 // wanted returns the first host in the order that is not suspected. A host that knows no others serves itself.
 func (b *binder) wanted(now time.Time) fleet.Host {
-	self := b.h.opts.Deployment.Host
+	self := b.h.deployment().Host
 	for _, h := range b.h.directory.view().Hosts {
 		if h.Name == self || now.After(b.suspects[h.Name].until) {
 			return h
@@ -179,7 +179,7 @@
 }
 
 func (b *binder) suspect(l *link, now time.Time) {
-	if l.host.Name == b.h.opts.Deployment.Host {
+	if l.host.Name == b.h.deployment().Host {
 		return
 	}
 	s := b.suspects[l.host.Name]
@@ -192,7 +192,7 @@
 
 func (b *binder) open(ctx context.Context, host fleet.Host, now time.Time) *link {
 	l := &link{host: host, began: now, heard: now}
-	if host.Name == b.h.opts.Deployment.Host {
+	if host.Name == b.h.deployment().Host {
 		l.conn = &inProcess{b: b, l: l}
 		return l
 	}
@@ -243,6 +243,7 @@
 	b.closeLink(b.link)
 	b.link, b.coming = b.coming, nil
 	b.link.heard = now
+	b.state.Current = false // until the new one says so
 	r := &wire.Resync{}
 	for _, c := range b.calls {
 		switch c.state {
@@ -287,11 +288,19 @@
 	return b.state, time.Since(b.stateAt)
 }
 
+// relays tells whether another host, as dispatcher, passes the changes of the store on.
+func (b *binder) relays() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.link
+	return l != nil && l.conn != nil && l.host.Name != b.h.deployment().Host && b.state.Current && time.Since(b.stateAt) < silentFor
+}
+
 // isDispatcher tells whether this host serves itself as dispatcher.
 func (b *binder) isDispatcher() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.link != nil && b.link.host.Name == b.h.opts.Deployment.Host
+	return b.link != nil && b.link.host.Name == b.h.deployment().Host
 }
 
 func (b *binder) onMessage(l *link, m wire.Message) {
@@ -305,6 +314,10 @@
 	case *wire.FleetState:
 		b.state, b.stateAt = *m, time.Now()
 		delete(b.suspects, l.host.Name)
+	case *wire.ViewUpdate:
+		if !b.h.directory.updates.TryPush(m) {
+			l.conn.Close() // the next connection begins with the whole view
+		}
 	case *wire.Queued:
 		if c := b.calls[m.ID]; c != nil && c.state == asking {
 			c.to(queued)
@@ -570,13 +583,13 @@
 
 // Send passes a message to the dispatcher.
 func (p *inProcess) Send(m wire.Message) error {
-	p.b.h.dispatcher.push(p.b.h.opts.Deployment.Host, (*backward)(p), m)
+	p.b.h.dispatcher.push(p.b.h.deployment().Host, (*backward)(p), m)
 	return nil
 }
 
 // Close implements peer.
 func (p *inProcess) Close() {
-	go p.b.h.dispatcher.push(p.b.h.opts.Deployment.Host, (*backward)(p), nil)
+	go p.b.h.dispatcher.push(p.b.h.deployment().Host, (*backward)(p), nil)
 }
 
 // backward is the dispatcher's side of an in-process connection.
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -13,6 +13,7 @@
 	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/objects"
+	"sycamoredeal/internal/ring"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
@@ -22,9 +23,12 @@
 const kindHosts = "sycamore-hosts"
 
 const (
-	configWait   = 3 * time.Second  // of a watch: bounds how long a connection that went silent hides a change
-	endpointWait = 3 * time.Second  // likewise; a leaving endpoint must be known within two seconds of a working store
-	hostWait     = 10 * time.Second // hosts that vanish are noticed by their connections
+	// watchWait is the longest wait of a watch: a change has to be in force within two seconds, also when the connection
+	// of a watch has gone silent.
+	watchWait = 600 * time.Millisecond
+	hostWait  = 10 * time.Second       // hosts that vanish are noticed by their connections
+	probeWait = 0                      // of the calls that find out whether the store is back
+	relayPoll = 100 * time.Millisecond // while the dispatcher passes changes on
 	// returnGrace is the time after an outage of the store in which entries that lapsed meanwhile come back.
 	returnGrace   = 2 * time.Second
 	sweepLapsed   = 100 * time.Millisecond
@@ -38,10 +42,11 @@
 
 // directory keeps the view of the fleet from the store.
 type directory struct {
-	h    *Host
-	log  telemetry.Logger
-	now  atomic.Pointer[fleet.View]
-	wake chan struct{} // a host object has to be written
+	h       *Host
+	log     telemetry.Logger
+	now     atomic.Pointer[fleet.View]
+	wake    chan struct{}                // a host object has to be written
+	updates *ring.Ring[*wire.ViewUpdate] // from the dispatcher
 
 	mu        sync.Mutex
 	raw       map[string]map[string]objects.Object // by kind and name, to answer other hosts
@@ -52,14 +57,15 @@
 	hosts     map[string]fleet.Host
 	own       string // version of the own host object, empty if there is none
 	outages   map[string]time.Time
-	returned  time.Time // end of the latest outage of the list of endpoints
+	passed    []*wire.ViewUpdate // changes that were not yet handed to the dispatcher
+	returned  time.Time          // end of the latest outage of the list of endpoints
 }
 
 func newDirectory(h *Host) *directory {
 	d := &directory{
 		h: h, log: h.log.Part("directory"), wake: make(chan struct{}, 1), raw: make(map[string]map[string]objects.Object),
 		endpoints: make(map[string]fleet.Endpoint), lapsed: make(map[string]time.Time), hosts: make(map[string]fleet.Host),
-		outages: make(map[string]time.Time),
+		outages: make(map[string]time.Time), updates: ring.New[*wire.ViewUpdate](passedUpdates),
 	}
 	d.now.Store(&fleet.View{})
 	return d
@@ -80,8 +86,8 @@
 func (d *directory) run(ctx context.Context) {
 	config, endpoints := d.h.opts.Codec.Kinds()
 	feeds := []feed{
-		{config, configWait, d.putConfig, func(string) {}, func(map[string]bool) {}},
-		{endpoints, endpointWait, d.putEndpoint, d.removeEndpoint, d.keepEndpoints},
+		{config, watchWait, d.putConfig, func(string) {}, func(map[string]bool) {}},
+		{endpoints, watchWait, d.putEndpoint, d.removeEndpoint, d.keepEndpoints},
 		{kindHosts, hostWait, d.putHost, d.removeHost, d.keepHosts},
 	}
 	var wg sync.WaitGroup
@@ -90,6 +96,15 @@
 	}
 	wg.Go(func() { d.register(ctx) })
 	wg.Go(func() { d.askSeeds(ctx) })
+	wg.Go(func() {
+		for {
+			m, err := d.updates.Pop(ctx)
+			if err != nil {
+				return
+			}
+			d.update(m)
+		}
+	})
 	t := time.NewTicker(sweepLapsed)
 	defer t.Stop()
 	for ctx.Err() == nil {
@@ -108,9 +123,16 @@
 	version := ""
 	for ctx.Err() == nil {
 		var err error
-		if version == "" {
+		switch {
+		case version != "" && d.h.binder.relays(), version == "" && d.relayed(f.kind):
+			// The dispatcher follows the store for all hosts: calls to the store don't grow with the fleet.
+			d.settle(f.kind, nil)
+			version = ""
+			clock.Sleep(ctx, relayPoll)
+			continue
+		case version == "":
 			version, err = d.list(ctx, f)
-		} else {
+		default:
 			version, err = d.changes(ctx, f, version)
 		}
 		if ctx.Err() != nil {
@@ -125,6 +147,23 @@
 	}
 }
 
+// relayed tells whether the dispatcher passes a kind on that was read before.
+func (d *directory) relayed(kind string) bool {
+	if !d.h.binder.relays() {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.raw[kind]) > 0
+}
+
+// current tells whether this process follows the store and has no outage.
+func (d *directory) current() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed && d.config != nil && len(d.outages) == 0
+}
+
 func (d *directory) list(ctx context.Context, f feed) (string, error) {
 	list, version, err := d.h.opts.Store.List(ctx, f.kind)
 	if err != nil {
@@ -145,7 +184,11 @@
 }
 
 func (d *directory) changes(ctx context.Context, f feed, version string) (string, error) {
-	events, next, err := d.h.opts.Store.Changes(ctx, f.kind, version, f.wait)
+	wait := f.wait
+	if d.lost(f.kind) {
+		wait = probeWait
+	}
+	events, next, err := d.h.opts.Store.Changes(ctx, f.kind, version, wait)
 	if errors.Is(err, objects.ErrExpired) {
 		return "", err
 	}
@@ -160,7 +203,6 @@
 	defer d.mu.Unlock()
 	for _, e := range events {
 		if e.Type == objects.EventDeleted {
-			delete(d.raw[f.kind], e.Object.Name)
 			f.remove(e.Object.Name)
 		} else {
 			d.keep(e.Object)
@@ -177,6 +219,24 @@
 		d.raw[o.Kind] = make(map[string]objects.Object)
 	}
 	d.raw[o.Kind][o.Name] = o
+	d.passed = append(d.passed, &wire.ViewUpdate{Of: o.Kind, Objects: []wire.StoredObject{stored(o)}})
+}
+
+// drop forgets an object. The caller holds the lock.
+func (d *directory) drop(kind, name string) {
+	delete(d.raw[kind], name)
+	d.passed = append(d.passed, &wire.ViewUpdate{Of: kind, Removed: []string{name}})
+}
+
+func stored(o objects.Object) wire.StoredObject {
+	return wire.StoredObject{Kind: o.Kind, Name: o.Name, Version: o.Version, Data: o.Data}
+}
+
+func (d *directory) lost(kind string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, lost := d.outages[kind]
+	return lost
 }
 
 // settle logs when the store is lost and regained.
@@ -207,6 +267,10 @@
 	}
 	sortHosts(v.Hosts)
 	d.now.Store(v)
+	if len(d.passed) > 0 {
+		d.h.dispatcher.passOn(d.passed)
+		d.passed = nil
+	}
 	d.h.dispatcher.viewChanged()
 	d.h.binder.viewChanged()
 }
@@ -270,6 +334,8 @@
 	if _, ok := d.endpoints[id]; ok {
 		delete(d.endpoints, id)
 		delete(d.lapsed, id)
+		_, kind := d.h.opts.Codec.Kinds()
+		d.drop(kind, id)
 		d.log.Info().Str("endpoint", id).Str("reason", reason).Msg("Endpoint gone.")
 	}
 }
@@ -309,7 +375,7 @@
 		h.Revision = rev
 	}
 	d.hosts[o.Name] = h
-	if o.Name == d.h.opts.Deployment.Host {
+	if o.Name == d.h.deployment().Host {
 		d.own = o.Version
 		if h.Incarnation != d.h.incarnation {
 			delete(d.hosts, o.Name) // of an earlier process: its place in the order is not ours
@@ -319,7 +385,8 @@
 
 func (d *directory) removeHost(name string) {
 	delete(d.hosts, name)
-	if name == d.h.opts.Deployment.Host {
+	d.drop(kindHosts, name)
+	if name == d.h.deployment().Host {
 		d.own = ""
 		d.nudge()
 	}
@@ -363,7 +430,7 @@
 }
 
 func (d *directory) writeOwn(ctx context.Context) error {
-	dep := &d.h.opts.Deployment
+	dep := d.h.deployment()
 	d.mu.Lock()
 	version := d.own
 	_, there := d.hosts[dep.Host]
@@ -413,7 +480,7 @@
 	if version == "" {
 		return
 	}
-	err := d.h.opts.Store.Delete(ctx, objects.Object{Kind: kindHosts, Name: d.h.opts.Deployment.Host, Version: version})
+	err := d.h.opts.Store.Delete(ctx, objects.Object{Kind: kindHosts, Name: d.h.deployment().Host, Version: version})
 	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		d.log.Warn().Err(err).Msg("Host entry not removed.")
 	}
@@ -423,8 +490,8 @@
 func (d *directory) askSeeds(ctx context.Context) {
 	clock.Sleep(ctx, askSeedsAfter)
 	for ctx.Err() == nil && !d.complete() {
-		for _, addr := range d.h.opts.Deployment.Seeds {
-			if addr != d.h.opts.Deployment.Peers && d.askSeed(ctx, addr) {
+		for _, addr := range d.h.deployment().Seeds {
+			if addr != d.h.deployment().Peers && d.askSeed(ctx, addr) {
 				d.log.Info().Str("seed", addr).Msg("View taken from another host.")
 				return
 			}
@@ -483,7 +550,7 @@
 		case s.Kind == endpoints && fresh:
 			d.putEndpoint(o)
 			d.listed = true
-		case s.Kind == kindHosts && s.Name != d.h.opts.Deployment.Host:
+		case s.Kind == kindHosts && s.Name != d.h.deployment().Host:
 			if _, ok := d.hosts[s.Name]; !ok {
 				d.putHost(o)
 			}
@@ -495,13 +562,71 @@
 
 // reply returns the objects that make up the view.
 func (d *directory) reply() *wire.ViewReply {
+	out := &wire.ViewReply{}
+	for _, u := range d.whole() {
+		out.Objects = append(out.Objects, u.Objects...)
+	}
+	return out
+}
+
+// whole returns all objects, for a host that starts to follow this one.
+func (d *directory) whole() []*wire.ViewUpdate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := &wire.ViewReply{}
-	for _, byName := range d.raw {
+	out := make([]*wire.ViewUpdate, 0, len(d.raw))
+	for kind, byName := range d.raw {
+		u := &wire.ViewUpdate{Of: kind, Whole: true}
 		for _, o := range byName {
-			out.Objects = append(out.Objects, wire.StoredObject{Kind: o.Kind, Name: o.Name, Version: o.Version, Data: o.Data})
+			u.Objects = append(u.Objects, stored(o))
 		}
+		out = append(out, u)
 	}
 	return out
 }
+
+// update takes over what the dispatcher passes on. An object that is older than the known one is left out.
+func (d *directory) update(m *wire.ViewUpdate) {
+	config, endpoints := d.h.opts.Codec.Kinds()
+	puts := map[string]func(objects.Object){config: d.putConfig, endpoints: d.putEndpoint, kindHosts: d.putHost}
+	removes := map[string]func(string){endpoints: func(id string) { d.forget(id, "removed at the dispatcher") }, kindHosts: d.removeHost}
+	put, remove := puts[m.Of], removes[m.Of]
+	if put == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := make(map[string]bool, len(m.Objects))
+	for _, s := range m.Objects {
+		names[s.Name] = true
+		if known, ok := d.raw[m.Of][s.Name]; ok && !newer(s.Version, known.Version) {
+			continue
+		}
+		o := objects.Object{Kind: s.Kind, Name: s.Name, Version: s.Version, Data: s.Data}
+		d.keep(o)
+		put(o)
+	}
+	gone := m.Removed
+	if m.Whole {
+		for name := range d.raw[m.Of] {
+			if !names[name] {
+				gone = append(gone, name)
+			}
+		}
+		if m.Of == endpoints {
+			d.listed = true
+		}
+	}
+	for _, name := range gone {
+		if remove != nil {
+			remove(name)
+		}
+	}
+	d.publish()
+}
+
+// newer compares versions of objects, which are revisions of the store.
+func newer(a, b string) bool {
+	x, errA := strconv.ParseUint(a, 10, 64)
+	y, errB := strconv.ParseUint(b, 10, 64)
+	return errA != nil || errB != nil || x > y
+}
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"sycamoredeal/internal/ring"
@@ -13,6 +14,7 @@
 const (
 	dispatcherEvents = 16384                  // some seconds of asks at the target size
 	busyTick         = 15 * time.Millisecond  // bounds how late a hopeless request is refused
+	passedUpdates    = 4096                   // changes of the view that wait to be passed on
 	idleTick         = 100 * time.Millisecond // without waiting requests
 	stateEvery       = 150 * time.Millisecond // between broadcasts; they also prove that the dispatcher lives
 	rebuildTime      = 120 * time.Millisecond // in which hosts send what they have in flight
@@ -31,6 +33,7 @@
 	log    telemetry.Logger
 	events *ring.Ring[dispatcherEvent]
 	viewed chan struct{}
+	passed *ring.Ring[*wire.ViewUpdate]
 	start  time.Time
 
 	state  *sched.State
@@ -38,12 +41,15 @@
 	sent   time.Time // of the latest broadcast
 	beat   wire.HolderBeat
 	beatAt time.Time
+
+	overrun atomic.Bool // changes of the view were dropped
+	current bool        // as of the latest broadcast
 }
 
 func newDispatcher(h *Host) *dispatcher {
 	return &dispatcher{
 		h: h, log: h.log.Part("dispatcher"), events: ring.New[dispatcherEvent](dispatcherEvents), viewed: make(chan struct{}, 1),
-		start: time.Now(), peers: make(map[string]peer),
+		passed: ring.New[*wire.ViewUpdate](passedUpdates), start: time.Now(), peers: make(map[string]peer),
 	}
 }
 
@@ -62,6 +68,15 @@
 	}
 }
 
+// passOn queues changes of the view for the other hosts. If there are too many, the hosts get the whole view again.
+func (d *dispatcher) passOn(updates []*wire.ViewUpdate) {
+	for _, u := range updates {
+		if !d.passed.TryPush(u) {
+			d.overrun.Store(true)
+		}
+	}
+}
+
 func (d *dispatcher) now() time.Duration { return time.Since(d.start) }
 
 func (d *dispatcher) run(ctx context.Context) {
@@ -73,6 +88,8 @@
 			return
 		case e := <-d.events.C():
 			d.handle(e)
+		case u := <-d.passed.C():
+			d.pass(u)
 		case <-d.viewed:
 			if d.state != nil {
 				d.state.SetView(d.now(), d.h.directory.view())
@@ -85,6 +102,29 @@
 	}
 }
 
+// pass sends a change of the view to the other hosts.
+func (d *dispatcher) pass(u *wire.ViewUpdate) {
+	for host, p := range d.peers {
+		if host != d.h.deployment().Host {
+			d.send(p, u)
+		}
+	}
+	if d.overrun.Swap(false) {
+		for host, p := range d.peers {
+			d.sendWhole(host, p)
+		}
+	}
+}
+
+func (d *dispatcher) sendWhole(host string, p peer) {
+	if host == d.h.deployment().Host || !d.h.directory.current() {
+		return
+	}
+	for _, u := range d.h.directory.whole() {
+		d.send(p, u)
+	}
+}
+
 func (d *dispatcher) pause() time.Duration {
 	if d.state != nil && d.state.Waiting() > 0 {
 		return busyTick
@@ -96,6 +136,9 @@
 	if d.state == nil {
 		return
 	}
+	if d.beatAt.Before(time.Now().Add(-holderSilence)) {
+		d.state.SetHolder(d.now(), nil)
+	}
 	d.state.Tick(d.now())
 	if now := time.Now(); now.Sub(d.sent) >= stateEvery {
 		d.sent = now
@@ -105,6 +148,13 @@
 
 func (d *dispatcher) broadcast() {
 	f := d.state.Load()
+	f.Current = d.h.directory.current() && d.h.binder.isDispatcher()
+	if f.Current && !d.current {
+		for host, p := range d.peers {
+			d.sendWhole(host, p)
+		}
+	}
+	d.current = f.Current
 	if time.Since(d.beatAt) < holderSilence {
 		f.Holder, f.Epoch = d.beat.Host, d.beat.Epoch
 	}
@@ -154,12 +204,12 @@
 		return
 	}
 	d.beat, d.beatAt = *m, time.Now()
-	d.state.SetCopies(d.now(), m.Closing, m.Loaded)
+	d.state.SetHolder(d.now(), m)
 }
 
 func (d *dispatcher) up(e dispatcherEvent) {
 	if d.state == nil {
-		dep := &d.h.opts.Deployment
+		dep := d.h.deployment()
 		d.state = sched.New(d.now(), sched.Config{
 			Seed: d.h.incarnation, RetryRatio: dep.RetryRatio, RetryExtra: dep.RetryExtra, RetryWindow: dep.RetryWindow, Rebuild: rebuildTime,
 		}, d.h.directory.view())
@@ -167,6 +217,7 @@
 	}
 	d.peers[e.host] = e.peer
 	d.state.HostUp(d.now(), e.host)
+	d.sendWhole(e.host, e.peer)
 }
 
 func (d *dispatcher) down(e dispatcherEvent) {
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -41,6 +41,7 @@
 	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
 	closing   atomic.Bool // new requests are turned away
+	noStreams atomic.Bool // new streams are turned away
 	maxFlight int64
 	maxBodies int64
 
@@ -50,7 +51,7 @@
 }
 
 func newFront(h *Host) *front {
-	mb := h.opts.Deployment.MemoryMB
+	mb := h.deployment().MemoryMB
 	if mb <= 0 {
 		mb = defaultMemoryMB
 	}
@@ -63,7 +64,7 @@
 // listen opens the address at once, so that connections are accepted, and serves them with the limits of the first
 // configuration.
 func (f *front) listen(ctx context.Context, g *errgroup.Group) error {
-	ln, err := net.Listen("tcp4", f.h.opts.Deployment.Callers)
+	ln, err := net.Listen("tcp4", f.h.deployment().Callers)
 	if err != nil {
 		return errors.Annotate(err, "address for callers")
 	}
@@ -155,6 +156,10 @@
 		return
 	}
 	x.version = cfg.Version
+	if q.Route.Kind == fleet.Stream && f.noStreams.Load() {
+		x.turnAway("the host is stopping", retryWhileLeaving)
+		return
+	}
 	q.Service = q.Route.Pick(q.ID)
 	if !f.readBody(x, r) {
 		return
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -21,9 +21,9 @@
 	kindLeases = "sycamore-leases"
 	leaseName  = "placement"
 
-	termShare    = 0.8 // of the deployment's lease time
-	renewShare   = 0.2
-	marginShare  = 0.1
+	termShare    = 0.55 // of the deployment's lease time
+	renewShare   = 0.15
+	marginShare  = 0.08
 	leaseTick    = 50 * time.Millisecond
 	leaseCall    = 700 * time.Millisecond
 	holderQuiet  = 500 * time.Millisecond // without a sign of the holder before its lease is read
@@ -92,9 +92,9 @@
 }
 
 func (o *holder) run(ctx context.Context) {
-	term := float64(o.h.opts.Deployment.LeaseTerm)
+	term := float64(o.h.deployment().LeaseTerm)
 	m := lease.New(lease.Config{
-		Host: o.h.opts.Deployment.Host, Incarnation: o.h.incarnation, Term: time.Duration(termShare * term),
+		Host: o.h.deployment().Host, Incarnation: o.h.incarnation, Term: time.Duration(termShare * term),
 		Renew: time.Duration(renewShare * term), Margin: time.Duration(marginShare * term), Quiet: holderQuiet, Seed: o.h.incarnation,
 	})
 	t := time.NewTicker(leaseTick)
@@ -137,7 +137,7 @@
 	}
 	wait := holderQuiet
 	for i, h := range o.h.directory.view().Hosts {
-		if h.Name == o.h.opts.Deployment.Host {
+		if h.Name == o.h.deployment().Host {
 			wait += time.Duration(max(i-1, 0)) * rankDelay
 		}
 	}
@@ -230,7 +230,7 @@
 		}
 		o.fleet.refresh(ctx, o.h.directory.view())
 		o.plan(ctx, planners)
-		o.h.binder.sendBeat(o.fleet.beat(o.h.opts.Deployment.Host, epoch, o.h.directory.view()))
+		o.h.binder.sendBeat(o.fleet.beat(o.h.deployment().Host, epoch, o.h.directory.view()))
 	}
 }
 
@@ -248,7 +248,7 @@
 		}
 		p := planners[name]
 		if p == nil {
-			d := &o.h.opts.Deployment
+			d := o.h.deployment()
 			p = copies.New(now, copies.Limits{Window: d.LoadWindow, Over: d.LoadOver, Extra: ceilingExtra}, svc.Engine.LoadsPerSecond)
 			planners[name] = p
 		}
@@ -286,7 +286,7 @@
 func (o *holder) ask(ctx context.Context, to string, m *wire.Prepare) (*wire.PrepareReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
-	if to == o.h.opts.Deployment.Host {
+	if to == o.h.deployment().Host {
 		ch := make(chan *wire.PrepareReply, 1)
 		o.prepare(m, func(r *wire.PrepareReply) { ch <- r })
 		select {
@@ -357,7 +357,7 @@
 	if epoch == 0 {
 		return fleet.OrderInvalid
 	}
-	ord.Endpoint, ord.Holder, ord.Fence = e.ID, o.h.opts.Deployment.Host, epoch
+	ord.Endpoint, ord.Holder, ord.Fence = e.ID, o.h.deployment().Host, epoch
 	q, err := o.h.opts.Codec.Order(e, &ord)
 	if err != nil {
 		o.log.Error().Err(err).Msg("Order can't be encoded.")
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -32,6 +32,8 @@
 	Update(ctx context.Context, o objects.Object) (objects.Object, error)
 	Delete(ctx context.Context, o objects.Object) error
 	Calls() uint64
+	// Move changes the address of the store.
+	Move(address string)
 }
 
 // Codec translates the messages of callers and endpoints, and the objects that the platform writes.
@@ -72,11 +74,13 @@
 	pool        *upstream.Pool
 	front       *front
 	leaving     atomic.Bool // stop was asked for: the readiness check fails
+	place       atomic.Pointer[fleet.Deployment]
 }
 
 // New returns a host that does nothing yet.
 func New(o Options) *Host {
 	h := &Host{opts: o, log: o.Log, incarnation: uint64(time.Now().UnixNano()), pool: upstream.NewPool(0)}
+	h.place.Store(&o.Deployment)
 	h.directory = newDirectory(h)
 	h.dispatcher = newDispatcher(h)
 	h.binder = newBinder(h)
@@ -85,15 +89,34 @@
 	return h
 }
 
+// deployment returns the settings in force. They must not be changed.
+func (h *Host) deployment() *fleet.Deployment { return h.place.Load() }
+
+// Reload puts changed settings in force. What a process is known by stays as it is until it starts again.
+func (h *Host) Reload(d fleet.Deployment) {
+	now := *h.deployment()
+	if d.Host != now.Host || d.Callers != now.Callers || d.Ready != now.Ready || d.Peers != now.Peers {
+		h.log.Warn().Str("host", d.Host).Str("callers", d.Callers).Str("peers", d.Peers).Msg("Name and addresses change with the next start only.")
+		d.Host, d.Callers, d.Ready, d.Peers = now.Host, now.Callers, now.Ready, now.Peers
+	}
+	if d.Store != now.Store {
+		h.opts.Store.Move(d.Store)
+	}
+	h.place.Store(&d)
+	h.log.Info().Str("store", d.Store).Dur("stopWithin", d.StopWithin).Float64("retryRatio", d.RetryRatio).
+		Float64("retryExtra", d.RetryExtra).Msg("Settings reloaded.")
+}
+
 func (h *Host) hello() wire.Hello {
-	d := &h.opts.Deployment
+	d := h.deployment()
 	return wire.Hello{Host: d.Host, Role: wire.RoleHost, Incarnation: h.incarnation, Zone: d.Zone}
 }
 
 const (
-	sweepEvery     = 500 * time.Millisecond // for idle connections to endpoints
-	stopMargin     = 700 * time.Millisecond // of the time that a stop may take, left for the exit
-	lingerShare    = 0.45                   // of the time that a stop may take: callers still come meanwhile
+	sweepEvery     = 500 * time.Millisecond  // for idle connections to endpoints
+	stopMargin     = 700 * time.Millisecond  // of the time that a stop may take, left for the exit
+	streamLinger   = 2600 * time.Millisecond // callers still come after the signal: two failing checks lead them away
+	plainLinger    = 5 * time.Second         // requests to plain services are short
 	exitPoll       = 20 * time.Millisecond
 	readyTimeout   = time.Second
 	adminHeaderMax = 16 << 10
@@ -102,7 +125,7 @@
 // Run serves until ctx ends, then stops gracefully: the readiness check fails, requests are served on while callers are
 // led elsewhere, and requests in progress are finished within the deployment's time.
 func (h *Host) Run(ctx context.Context) error {
-	d := &h.opts.Deployment
+	d := h.deployment()
 	h.log.Info().Str("host", d.Host).Str("zone", d.Zone).Uint64("incarnation", h.incarnation).Str("callers", d.Callers).
 		Str("peers", d.Peers).Str("store", d.Store).Msg("Started.")
 	work, end := context.WithCancel(context.Background())
@@ -135,7 +158,7 @@
 
 // stop leads callers away, hands the duties over, and waits for requests in progress.
 func (h *Host) stop() {
-	grace := h.opts.Deployment.StopWithin
+	grace := h.deployment().StopWithin
 	start := time.Now()
 	h.leaving.Store(true)
 	h.log.Info().Int64("inFlight", h.front.inFlight.Load()).Msg("Stopping.")
@@ -143,7 +166,9 @@
 	defer cancel()
 	go h.holder.handOver(ctx)
 	go h.directory.deregister(ctx)
-	clock.Sleep(ctx, time.Duration(lingerShare*float64(grace)))
+	clock.Sleep(ctx, min(streamLinger, grace/3))
+	h.front.noStreams.Store(true)
+	clock.Sleep(ctx, min(plainLinger, grace*5/8)-min(streamLinger, grace/3))
 	h.front.closing.Store(true)
 	for h.front.inFlight.Load() > 0 && time.Since(start) < grace-stopMargin {
 		clock.Sleep(ctx, exitPoll)
@@ -173,7 +198,7 @@
 }
 
 func (h *Host) serveReady(ctx context.Context, g *errgroup.Group) error {
-	return serve(ctx, g, h.opts.Deployment.Ready, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return serve(ctx, g, h.deployment().Ready, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !h.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,7 +22,8 @@
 	maxReport     = 1 << 20                // bytes
 	reportLag     = 250 * time.Millisecond // by which reports are behind; the answer to an order is not in an earlier one
 	closingWait   = 40 * time.Millisecond  // for the dispatcher to hear that a copy closes
-	pollEvery     = 150 * time.Millisecond // while an order is carried out
+	pollEvery     = 250 * time.Millisecond // while an order is carried out; each report is priced
+	pollEarly     = 50 * time.Millisecond  // before the expected end of a load
 	orderPatience = 12 * time.Second       // an unload waits for the requests in progress
 	adapterReady  = 11 * time.Millisecond  // after the answer to the order; adapters take 5 to 10 ms
 	prepareRing   = 256
@@ -40,6 +42,7 @@
 	tasks    *ring.Ring[prepareTask]
 	stop     context.CancelFunc
 	sending  sync.Mutex
+	ordered  time.Duration // when the latest order was answered
 
 	known    bool // the state was read under this epoch
 	reading  bool
@@ -109,7 +112,8 @@
 		}
 		g.endpoint = *e
 		g.inMemory, g.onDisk = e.InMemory, e.OnDisk
-		if !g.known && !g.reading && clock.Boot()-g.readAt > refreshRetry {
+		// A report that was made before an order took effect shows less than the engine holds.
+		if now := clock.Boot(); !g.known && !g.reading && now-g.readAt > refreshRetry && now-g.ordered > reportLag {
 			g.reading = true
 			go l.read(ctx, g)
 		}
@@ -177,12 +181,17 @@
 func (l *ledgers) take(g *ledger, r *fleet.Report) {
 	now := clock.Boot()
 	before := g.adapters
-	g.sequence, g.known, g.busy = r.Sequence, !r.Busy, r.Busy && g.busy
+	g.sequence, g.known = r.Sequence, !r.Busy
 	g.models = make(map[string]bool, len(r.Models))
 	g.adapters = make(map[copies.Adapter]time.Duration)
 	if g.ready == nil {
 		g.ready = make(map[copies.Adapter]time.Time)
 	}
+	for _, c := range r.Coming {
+		if a, ok := comingAdapter(c); ok {
+			g.adapters[a] = now
+		}
+	}
 	for _, m := range r.Models {
 		g.models[m.Model] = true
 		for _, a := range m.Adapters {
@@ -199,6 +208,13 @@
 	}
 }
 
+// comingAdapter reads an adapter on its way, in the form MODEL/NAME@VERSION.
+func comingAdapter(s string) (copies.Adapter, bool) {
+	name, _, _ := strings.Cut(s, "@")
+	model, adapter, ok := strings.Cut(name, "/")
+	return copies.Adapter{Model: model, Name: adapter}, ok
+}
+
 // planned returns the engines of a service as the planner sees them.
 func (l *ledgers) planned(service string, v *fleet.View) []copies.Endpoint {
 	l.mu.Lock()
@@ -211,7 +227,12 @@
 			continue
 		}
 		p := copies.Endpoint{
-			ID: e.ID, Usable: !e.Draining && (g.known || g.busy), Busy: g.busy || !g.known, InMemory: g.inMemory, OnDisk: g.onDisk,
+			ID: e.ID, Usable: !e.Draining, Busy: g.busy || !g.known, InMemory: g.inMemory, OnDisk: g.onDisk,
+		}
+		if g.models == nil { // not read yet: what the list shows counts
+			for i := range e.Models {
+				p.Models = append(p.Models, e.Models[i].Model)
+			}
 		}
 		for m := range g.models {
 			if m != g.closing {
@@ -232,6 +253,9 @@
 	defer l.mu.Unlock()
 	b := &wire.HolderBeat{Host: host, Epoch: epoch}
 	for id, g := range l.byID {
+		if g.busy || !g.known {
+			b.Changing = append(b.Changing, id)
+		}
 		if g.closing != "" {
 			b.Closing = append(b.Closing, wire.ModelCopy{Endpoint: id, Model: g.closing})
 		}
@@ -277,16 +301,16 @@
 
 func (l *ledgers) carryOut(ctx context.Context, g *ledger, c copies.Order, engine *fleet.Engine) error {
 	if c.Unload != "" {
-		if err := l.model(ctx, g, c.Unload, false, engine); err != nil {
+		if err := l.model(ctx, g, c.Unload, false, engine, reportLag); err != nil {
 			return errors.Annotate(err, "unload")
 		}
 	}
-	return errors.Annotate(l.model(ctx, g, c.Load, true, engine), "load")
+	return errors.Annotate(l.model(ctx, g, c.Load, true, engine, c.Takes+reportLag/2-pollEarly), "load")
 }
 
-// model gives one order for a model and waits until the engine has carried it out. Before a load, the memory is checked
+// model gives one order for a model, which takes about as long as stated, and waits until the engine has carried it out. Before a load, the memory is checked
 // against what the engine reported, so that a late order of another holder can't lead to too much.
-func (l *ledgers) model(ctx context.Context, g *ledger, model string, load bool, engine *fleet.Engine) error {
+func (l *ledgers) model(ctx context.Context, g *ledger, model string, load bool, engine *fleet.Engine, takes time.Duration) error {
 	g.sending.Lock()
 	l.mu.Lock()
 	e, expect := g.endpoint, g.sequence
@@ -297,16 +321,17 @@
 	}
 	l.mu.Unlock()
 	result := l.o.order(ctx, &e, fleet.Order{Load: load, Model: model, Expect: expect})
+	l.mu.Lock()
+	g.ordered = clock.Boot()
 	if result == fleet.OrderAccepted {
-		l.mu.Lock()
 		g.sequence = expect + 1
-		l.mu.Unlock()
 	}
+	l.mu.Unlock()
 	g.sending.Unlock()
 	if result != fleet.OrderAccepted && result != fleet.OrderHolds {
 		return errors.Errorf("answer to the order: %s", result)
 	}
-	return l.await(ctx, g, model, load, expect+1)
+	return l.await(ctx, g, model, load, expect+1, max(takes, reportLag))
 }
 
 // roomFor tells whether a model fits beside what the engine holds and a full set of adapters. The caller holds the lock.
@@ -328,9 +353,9 @@
 }
 
 // await polls the engine until an order has been carried out.
-func (l *ledgers) await(ctx context.Context, g *ledger, model string, load bool, sequence int64) error {
+func (l *ledgers) await(ctx context.Context, g *ledger, model string, load bool, sequence int64, takes time.Duration) error {
 	deadline := time.Now().Add(orderPatience)
-	for wait := reportLag; time.Now().Before(deadline); wait = pollEvery {
+	for wait := takes; time.Now().Before(deadline); wait = pollEvery {
 		if clock.Sleep(ctx, wait); ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -467,7 +492,10 @@
 	result := l.o.order(ctx, &e, fleet.Order{Load: load, Model: key.Model, Adapter: key.Name, Expect: expect})
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	accepted := result == fleet.OrderAccepted || result == fleet.OrderHolds
+	g.ordered = clock.Boot()
+	// An unload is answered with "holds" when the adapter is gone. One that is accepted only waits for the requests that
+	// use the adapter: its place is not free yet.
+	accepted := result == fleet.OrderHolds || load && result == fleet.OrderAccepted
 	if !accepted {
 		g.known = false // read again before the next order
 		return errors.Errorf("answer to the order: %s", result)
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -40,7 +40,13 @@
 	if e.backlog > 0 && e.backlog/initialTokensPerMs*e.slowness > backlogMs {
 		return false
 	}
-	return a.Adapter == "" || e.running[adapterKey{a.Model, a.Adapter}] > 0 || len(e.running) < e.engine.AdapterSlots
+	return a.Adapter == "" || e.hasAdapter(a.Model, a.Adapter) || s.mayLoad(e)
+}
+
+// mayLoad tells whether an adapter can be loaded at an endpoint: somebody gives orders, the endpoint takes them, and not
+// all of its places are in use.
+func (s *State) mayLoad(e *endpoint) bool {
+	return s.holder && !s.changing[e.id] && len(e.running) < e.engine.AdapterSlots
 }
 
 // cap is the number of places that may be granted at an endpoint.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -100,6 +100,8 @@
 	budgets   map[string]*budget
 	closing   map[wire.ModelCopy]bool
 	loaded    []wire.ModelCopy
+	changing  map[string]bool // endpoints that take no order for an adapter
+	holder    bool            // adapters can be loaded
 	waiting   int
 	measured  time.Duration
 	out       []Output
@@ -111,6 +113,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 5)), now: now, started: now, measured: now,
 		endpoints: make(map[string]*endpoint), models: make(map[modelKey]*model), requests: make(map[key]*request),
 		hosts: make(map[string]*hostState), budgets: make(map[string]*budget), closing: make(map[wire.ModelCopy]bool),
+		changing: make(map[string]bool),
 	}
 	s.SetView(now, view)
 	return s
@@ -164,15 +167,23 @@
 	return s.view.Config.Services[name]
 }
 
-// SetCopies replaces what the holder of the placement lease says of copies: those that are about to be unloaded, and
-// those that were loaded lately.
-func (s *State) SetCopies(now time.Duration, closing, loaded []wire.ModelCopy) {
+// SetHolder takes over what the holder of the placement lease says of the endpoints. nil means that there is none: no
+// adapter can be loaded.
+func (s *State) SetHolder(now time.Duration, b *wire.HolderBeat) {
 	s.now = now
+	s.holder = b != nil
+	if b == nil {
+		return
+	}
 	clear(s.closing)
-	for _, c := range closing {
+	clear(s.changing)
+	for _, c := range b.Closing {
 		s.closing[c] = true
 	}
-	s.loaded = append(s.loaded[:0], loaded...)
+	for _, id := range b.Changing {
+		s.changing[id] = true
+	}
+	s.loaded = append(s.loaded[:0], b.Loaded...)
 	s.showLoaded()
 	s.fillAll()
 }
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/phuslu/log"
 )
@@ -42,9 +43,35 @@
 const asyncLines = 2048
 
 // NewAsyncLogger is like NewLogger, but writes from a goroutine of its own and drops lines while the output is blocked.
-// The returned function writes what waits; the logger must not be used after it.
+// The returned function writes what waits; later lines are dropped.
 func NewAsyncLogger(w io.Writer, level, part string) (Logger, func()) {
-	async := &log.AsyncWriter{Writer: log.IOWriter{Writer: w}, ChannelSize: asyncLines, DiscardOnFull: true}
+	async := &asyncWriter{w: &log.AsyncWriter{Writer: log.IOWriter{Writer: w}, ChannelSize: asyncLines, DiscardOnFull: true}}
 	l := &log.Logger{Level: log.ParseLevel(level), TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: async}
-	return Logger{l: l, part: part}, func() { async.Close() }
+	return Logger{l: l, part: part}, async.close
+}
+
+// asyncWriter can be closed while lines are written: the library's writer panics then.
+type asyncWriter struct {
+	mu     sync.RWMutex
+	closed bool
+	w      *log.AsyncWriter
+}
+
+// WriteEntry implements log.Writer.
+func (a *asyncWriter) WriteEntry(e *log.Entry) (int, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.closed {
+		return 0, nil
+	}
+	return a.w.WriteEntry(e)
+}
+
+func (a *asyncWriter) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.closed {
+		a.closed = true
+		a.w.Close()
+	}
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -306,6 +306,7 @@
 	Holder    string         `msg:"c"` // host that holds the placement lease, empty if none was heard of lately
 	Epoch     uint64         `msg:"d"`
 	Hosts     uint16         `msg:"e"` // connected hosts
+	Current   bool           `msg:"f"` // the dispatcher follows the platform's store and passes changes on
 }
 
 // HolderBeat is sent by the holder of the placement lease to the dispatcher.
@@ -314,6 +315,8 @@
 	Epoch   uint64      `msg:"b"`
 	Closing []ModelCopy `msg:"c"` // copies that are about to be unloaded: no new work for them
 	Loaded  []ModelCopy `msg:"d"` // copies that the list of endpoints may not show yet
+	// Changing are endpoints that take no order for an adapter: they carry out another one, or their state is not known.
+	Changing []string `msg:"e"`
 }
 
 // ModelCopy is a copy of a model at an endpoint.
@@ -462,3 +465,11 @@
 	Models []ModelCells  `msg:"a"`
 	Cells  []CellMembers `msg:"b"`
 }
+
+// ViewUpdate passes objects of the platform's store on to a host that does not follow the store itself.
+type ViewUpdate struct {
+	Of      string         `msg:"a"` // kind of the objects
+	Objects []StoredObject `msg:"b"`
+	Removed []string       `msg:"c"` // names
+	Whole   bool           `msg:"d"` // Objects are all of the kind
+}
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -2324,9 +2324,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "a"
-	o = append(o, 0x85, 0xa1, 0x61)
+	o = append(o, 0x86, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 3
@@ -2354,6 +2354,9 @@
 	// string "e"
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendUint16(o, z.Hosts)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Current)
 	return
 }
 
@@ -2451,6 +2454,12 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+		case "f":
+			z.Current, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Current")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2473,7 +2482,7 @@
 	for za0002 := range z.Models {
 		s += z.Models[za0002].Msgsize()
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint16Size
+	s += 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint16Size + 2 + msgp.BoolSize
 	return
 }
 
@@ -3015,9 +3024,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HolderBeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "a"
-	o = append(o, 0x84, 0xa1, 0x61)
+	o = append(o, 0x85, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Host)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -3040,6 +3049,12 @@
 		o = msgp.AppendString(o, z.Loaded[za0002].Endpoint)
 		o = msgp.AppendString(o, z.Loaded[za0002].Model)
 	}
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Changing)))
+	for za0003 := range z.Changing {
+		o = msgp.AppendString(o, z.Changing[za0003])
+	}
 	return
 }
 
@@ -3141,6 +3156,25 @@
 					return
 				}
 			}
+		case "e":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Changing")
+				return
+			}
+			if cap(z.Changing) >= int(zb0006) {
+				z.Changing = (z.Changing)[:zb0006]
+			} else {
+				z.Changing = make([]string, zb0006)
+			}
+			for za0003 := range z.Changing {
+				z.Changing[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Changing", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3163,6 +3197,10 @@
 	for za0002 := range z.Loaded {
 		s += 1 + msgp.StringPrefixSize + len(z.Loaded[za0002].Endpoint) + msgp.StringPrefixSize + len(z.Loaded[za0002].Model)
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Changing {
+		s += msgp.StringPrefixSize + len(z.Changing[za0003])
+	}
 	return
 }
 
@@ -5077,3 +5115,126 @@
 	s = 1
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ViewUpdate) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Of)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Objects)))
+	for za0001 := range z.Objects {
+		o, err = z.Objects[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Objects", za0001)
+			return
+		}
+	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+	for za0002 := range z.Removed {
+		o = msgp.AppendString(o, z.Removed[za0002])
+	}
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Whole)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ViewUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Of, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Of")
+				return
+			}
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Objects")
+				return
+			}
+			if cap(z.Objects) >= int(zb0002) {
+				z.Objects = (z.Objects)[:zb0002]
+			} else {
+				z.Objects = make([]StoredObject, zb0002)
+			}
+			for za0001 := range z.Objects {
+				bts, err = z.Objects[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Objects", za0001)
+					return
+				}
+			}
+		case "c":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Removed")
+				return
+			}
+			if cap(z.Removed) >= int(zb0003) {
+				z.Removed = (z.Removed)[:zb0003]
+			} else {
+				z.Removed = make([]string, zb0003)
+			}
+			for za0002 := range z.Removed {
+				z.Removed[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Removed", za0002)
+					return
+				}
+			}
+		case "d":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ViewUpdate) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Of) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Objects {
+		s += z.Objects[za0001].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Removed {
+		s += msgp.StringPrefixSize + len(z.Removed[za0002])
+	}
+	s += 2 + msgp.BoolSize
+	return
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -51,6 +51,7 @@
 	KindPrepareReply
 	KindViewRequest
 	KindViewReply
+	KindViewUpdate
 )
 
 // Message is implemented by every struct of this package that travels in a frame of its own.
@@ -105,6 +106,7 @@
 	KindPrepareReply:    func() Message { return new(PrepareReply) },
 	KindViewRequest:     func() Message { return new(ViewRequest) },
 	KindViewReply:       func() Message { return new(ViewReply) },
+	KindViewUpdate:      func() Message { return new(ViewUpdate) },
 }
 
 func (*Hello) Kind() Kind           { return KindHello }
@@ -142,3 +144,4 @@
 func (*PrepareReply) Kind() Kind    { return KindPrepareReply }
 func (*ViewRequest) Kind() Kind     { return KindViewRequest }
 func (*ViewReply) Kind() Kind       { return KindViewReply }
+func (*ViewUpdate) Kind() Kind      { return KindViewUpdate }
