Refuse late requests at once when arrivals leave no capacity

Cause: the queue serves requests that can still be on time first, so a late one waits behind all later arrivals; its predicted wait counted only what was ahead of it. A late request now counts on the capacity that arrivals leave, and those that wait are refused as soon as that is too little.

The relay searched long events again with each read, which took quadratic time (TestSplitEvents hung): it searches new bytes only.

--- /dev/null
+++ b/internal/copies/copies_test.go
@@ -0,0 +1,187 @@
+package copies
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sycamoredeal/internal/fleet"
+)
+
+func testEngine(models int) *fleet.Engine {
+	e := &fleet.Engine{Slots: 64, MB: 220000, AdapterSlots: 8, LoadsPerSecond: 1.6}
+	for i := range models {
+		e.Models = append(e.Models, fleet.Model{
+			Name: fmt.Sprint("m", i), MB: 72700, AdapterMB: 66, Load: 4200 * time.Millisecond, WarmLoad: 400 * time.Millisecond, DiskLoad: 840 * time.Millisecond,
+		})
+	}
+	return e
+}
+
+func limits() Limits { return Limits{Window: 5 * time.Second, Over: 1.1, Extra: 3} }
+
+// TestFollowsShift replays a shift of demand from m0 to m1: the copies have to follow within seconds.
+func TestFollowsShift(t *testing.T) {
+	engine := testEngine(4)
+	p := New(0, limits(), engine.LoadsPerSecond)
+	in := Input{Engine: engine, Demand: map[string]Demand{"m0": {PerSec: 60, HoldSec: 2, Running: 120}}}
+	for i := range 4 {
+		in.Endpoints = append(in.Endpoints, Endpoint{ID: fmt.Sprint("e", i), Usable: true, Models: []string{"m0", "m2", "m3"}})
+	}
+	in.Endpoints[0].Models[0] = "m1"
+	now := time.Duration(0)
+	play := func(until time.Duration) {
+		for ; now < until; now += 150 * time.Millisecond {
+			in.Now = now
+			for _, o := range p.Round(in) {
+				e := &in.Endpoints[slices.IndexFunc(in.Endpoints, func(e Endpoint) bool { return e.ID == o.Endpoint })]
+				e.OnDisk = append(e.OnDisk, o.Load)
+				e.Busy = false // loads end at once here; their duration is not what this test is about
+			}
+		}
+	}
+	play(5 * time.Second)
+	in.Demand = map[string]Demand{"m1": {PerSec: 60, HoldSec: 2, Running: 20, Waiting: 60}}
+	play(11 * time.Second)
+	copies := 0
+	for _, e := range in.Endpoints {
+		if e.holds("m1") {
+			copies++
+		}
+	}
+	if copies < 3 {
+		t.Errorf("%d copies of the busy model 6 s after the shift, want 3 of 4", copies)
+	}
+}
+
+// TestSettledListOnly guards against loads that are ordered while the list of endpoints is still filling after a start:
+// the models are there, their endpoints have not registered yet.
+func TestSettledListOnly(t *testing.T) {
+	engine := testEngine(6)
+	p := New(0, limits(), engine.LoadsPerSecond)
+	first := Endpoint{ID: "e0", Usable: true, Models: []string{"m0", "m1", "m2"}}
+	for now := time.Duration(0); now < 2*time.Second; now += 150 * time.Millisecond {
+		if got := p.Round(Input{Now: now, Engine: engine, Endpoints: []Endpoint{first}}); len(got) > 0 {
+			t.Fatalf("%v: ordered %v while other endpoints may still register", now, got)
+		}
+	}
+	// A model that requests wait for is loaded soon all the same.
+	in := Input{Engine: engine, Endpoints: []Endpoint{{ID: "e1", Usable: true, Models: []string{"m0", "m1"}}}, Demand: map[string]Demand{"m4": {Waiting: 3}}}
+	q := New(0, limits(), engine.LoadsPerSecond)
+	for now := 10 * time.Second; now < 10*time.Second+600*time.Millisecond; now += 150 * time.Millisecond {
+		in.Now = now
+		for _, o := range q.Round(in) {
+			if o.Load == "m4" {
+				return
+			}
+		}
+	}
+	t.Error("a model that requests wait for was not loaded")
+}
+
+// TestHysteresis guards against copies that are exchanged back and forth at a steady demand.
+func TestHysteresis(t *testing.T) {
+	engine := testEngine(3)
+	p := New(0, limits(), engine.LoadsPerSecond)
+	in := Input{Engine: engine, Demand: map[string]Demand{}}
+	for i := range 3 {
+		in.Endpoints = append(in.Endpoints, Endpoint{ID: fmt.Sprint("e", i), Usable: true, Models: []string{"m0", "m1", "m2"}})
+	}
+	engine.Models = append(engine.Models, fleet.Model{Name: "m3", MB: 72700, Load: 4 * time.Second})
+	in.Endpoints[0].Models = []string{"m0", "m1", "m3"}
+	orders := 0
+	for now := time.Duration(0); now < 30*time.Second; now += 150 * time.Millisecond {
+		wave := 1.0
+		if now/time.Second%4 < 2 {
+			wave = 1.15
+		}
+		in.Now = now
+		in.Demand = map[string]Demand{"m0": {PerSec: 20 * wave, HoldSec: 2}, "m1": {PerSec: 20 / wave, HoldSec: 2}, "m2": {PerSec: 12, HoldSec: 2}, "m3": {PerSec: 9, HoldSec: 2}}
+		for _, o := range p.Round(in) {
+			orders++
+			e := &in.Endpoints[slices.IndexFunc(in.Endpoints, func(e Endpoint) bool { return e.ID == o.Endpoint })]
+			e.Busy = false
+		}
+	}
+	if orders > 3 {
+		t.Errorf("%d orders at a demand that stays", orders)
+	}
+}
+
+// TestInvariants plays random demand over random fleets: the last copy stays, memory holds, the weight store's rate is
+// kept, and an endpoint gets one order at a time.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engine := testEngine(rapid.IntRange(1, 9).Draw(t, "models"))
+		p := New(0, limits(), engine.LoadsPerSecond)
+		in := Input{Engine: engine}
+		for i := range rapid.IntRange(1, 6).Draw(t, "endpoints") {
+			e := Endpoint{ID: fmt.Sprint("e", i), Usable: true}
+			for _, m := range rapid.Permutation(engine.Models).Draw(t, "held")[:min(3, len(engine.Models))] {
+				if rapid.Bool().Draw(t, "holds") {
+					e.Models = append(e.Models, m.Name)
+				}
+			}
+			in.Endpoints = append(in.Endpoints, e)
+		}
+		var loads []time.Duration
+		free := make(map[string]time.Duration)
+		for now := 10 * time.Second; now < 30*time.Second; now += 200 * time.Millisecond {
+			in.Now, in.Demand = now, make(map[string]Demand)
+			for _, m := range engine.Models {
+				in.Demand[m.Name] = Demand{PerSec: float64(rapid.IntRange(0, 40).Draw(t, "rate")), HoldSec: 2, Waiting: rapid.IntRange(0, 5).Draw(t, "waiting")}
+			}
+			held := make(map[string]int)
+			for i := range in.Endpoints {
+				in.Endpoints[i].Busy = free[in.Endpoints[i].ID] > now
+				for _, m := range in.Endpoints[i].Models {
+					held[m]++
+				}
+			}
+			for _, o := range p.Round(in) {
+				if free[o.Endpoint] > now {
+					t.Fatalf("order %v to an endpoint that carries out another one", o)
+				}
+				free[o.Endpoint] = now + o.Takes
+				if o.Unload != "" {
+					if held[o.Unload]--; held[o.Unload] < 1 {
+						t.Fatalf("order %v unloads the last copy", o)
+					}
+				}
+				held[o.Load]++
+				if o.From == FromStore {
+					loads = append(loads, now)
+				}
+			}
+			for _, e := range in.Endpoints {
+				if sum := 72700*float64(len(e.Models)) + 8*66; sum > engine.MB && len(e.Models) > 3 {
+					t.Fatalf("endpoint %s holds %v", e.ID, e.Models)
+				}
+			}
+			recent := 0
+			for _, at := range loads {
+				if now-at <= 5*time.Second {
+					recent++
+				}
+			}
+			if allowed := 1.6*5*1.1 + 3; float64(recent) > allowed {
+				t.Fatalf("%d loads from the weight store in 5 s, %f are allowed", recent, allowed)
+			}
+		}
+	})
+}
+
+// TestEvict guards against the eviction of an adapter that requests use, which the engine only carries out later.
+func TestEvict(t *testing.T) {
+	a, b, c := Adapter{"m", "a"}, Adapter{"m", "b"}, Adapter{"n", "a"}
+	used := map[Adapter]time.Duration{a: 1, b: 2, c: 3}
+	if v, ok := Evict(used, map[Adapter]bool{a: true}); !ok || v != b {
+		t.Errorf("evicts %v, %v", v, ok)
+	}
+	if _, ok := Evict(used, map[Adapter]bool{a: true, b: true, c: true}); ok {
+		t.Error("evicts an adapter that is in use")
+	}
+}
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -156,8 +156,11 @@
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
 		}
 		n, err := r.Read(buf[len(buf):cap(buf)])
+		// Bytes that were searched before are not searched again: a long event would take quadratic time.
+		seen := max(len(buf)-len("\r\n\r\n")+1, 0)
 		buf = buf[:len(buf)+n]
-		if end := lastEventEnd(buf); end > 0 {
+		if end := lastEventEnd(buf[seen:]); end > 0 {
+			end += seen
 			// Events that arrive together are passed on together.
 			if ferr := fn(buf[:end]); ferr != nil {
 				return ferr
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -88,7 +88,7 @@
 // before tells whether a waiting request goes before another one: those that can still be on time come first, by rank
 // and then by target. Late ones follow by rank and by the time at which they have to start.
 func (s *State) before(a, b *request) bool {
-	la, lb := a.target < s.now+s.ownFirst(a), b.target < s.now+s.ownFirst(b)
+	la, lb := s.late(a), s.late(b)
 	switch {
 	case la != lb:
 		return lb
@@ -139,36 +139,67 @@
 	}
 }
 
-// predictWait estimates how long a new request waits: by the requests of its model that go before it, and the rates at
-// which the model's endpoints free places and read prompts. Without an endpoint that holds the model, a copy has to be
-// loaded first and nothing is predicted.
+// predictWait estimates how long a request waits, by the requests of its model that go before it and the rates at which
+// the model's endpoints free places and read prompts. A request that will be late also lets later arrivals pass, so that
+// only the capacity that they leave counts for it. Without an endpoint that holds the model, a copy has to be loaded first
+// and nothing is predicted.
 func (s *State) predictWait(r *request) time.Duration {
-	var places, tokensPerMs float64
-	for _, e := range s.order {
-		if !e.present || e.draining || e.service != r.ask.Service || e.health.down(s.now) {
-			continue
-		}
-		if e.engine != nil && !e.models[r.ask.Model] {
-			continue
-		}
-		places += float64(e.slots) * s.shareOf(e, r.model)
-		tokensPerMs += initialTokensPerMs / e.slowness * s.shareOf(e, r.model)
-	}
-	if places == 0 {
+	perSec, tokensPerMs := s.capacity(r)
+	if perSec == 0 {
 		return 0
 	}
-	ahead, tokens := 0.0, 0.0
+	var ahead, tokens, lateAhead float64
 	for _, w := range r.model.waiting {
-		if s.before(w, r) {
+		switch {
+		case w == r:
+		case s.late(w):
+			lateAhead++
+		case s.before(w, r):
 			ahead++
 			tokens += float64(w.ask.PromptTokens)
 		}
 	}
-	wait := ahead * r.model.hold / places
-	if r.ask.Model != "" {
+	wait := ahead / perSec
+	if tokensPerMs > 0 {
 		wait = max(wait, tokens/tokensPerMs/1000)
 	}
-	return time.Duration(wait * float64(time.Second))
+	if s.now+seconds(wait)+s.ownFirst(r) <= r.target {
+		return seconds(wait)
+	}
+	left := perSec - r.model.perSec
+	if left <= leastLeft*perSec {
+		return maxWait
+	}
+	return min(seconds((ahead+lateAhead)/left), maxWait)
+}
+
+const (
+	// leastLeft is the share of the capacity that arrivals must leave for late requests to be served at all.
+	leastLeft = 0.05
+	maxWait   = 30 * time.Second // longer predictions mean that the request won't be served
+)
+
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
+func (s *State) late(r *request) bool { return r.target < s.now+s.ownFirst(r) }
+
+// capacity returns the requests that the endpoints of a request's model can start a second, and the prompt tokens that
+// they read in a ms.
+func (s *State) capacity(r *request) (perSec, tokensPerMs float64) {
+	for _, e := range s.order {
+		if !e.present || e.draining || e.service != r.ask.Service || e.health.down(s.now) {
+			continue
+		}
+		if e.engine != nil && !e.models[r.ask.Model] {
+			continue
+		}
+		share := s.shareOf(e, r.model)
+		perSec += float64(e.slots) * share / max(r.model.hold, 0.001)
+		if e.engine != nil {
+			tokensPerMs += initialTokensPerMs / e.slowness * share
+		}
+	}
+	return perSec, tokensPerMs
 }
 
 // shareOf estimates which share of an endpoint's work is that of a model, by the requests that run there and wait.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -385,16 +385,22 @@
 	s.fillAll()
 }
 
-// expire refuses waiting requests whose time to start has passed.
+// expire refuses waiting requests whose time to start has passed, and late ones that won't start before it has.
 func (s *State) expire(m *model) {
 	for i := 0; i < len(m.waiting); i++ {
 		r := m.waiting[i]
-		if s.now+s.ownFirst(r) < r.startBy {
+		reason := ""
+		switch {
+		case s.now+s.ownFirst(r) >= r.startBy:
+			reason = "waited until it could not start in time"
+		case s.late(r) && s.now+s.predictWait(r) > r.startBy:
+			reason = "late, and arrivals leave no capacity"
+		default:
 			continue
 		}
 		s.dequeue(r)
 		i--
-		s.refuse(r, "waited until it could not start in time", s.predictWait(r))
+		s.refuse(r, reason, s.predictWait(r))
 	}
 }
 
