Plan copies by the load of endpoints

Cause: the planner compared the need for a model per copy. The needs are now spread over the endpoints that hold the models, and a model whose emptiest endpoint is loaded gets a copy where there is room. A holder that stops tells the dispatcher that its lease is free.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -18,10 +18,11 @@
 
 const (
 	fallTime     = 5 * time.Second // demand that falls is forgotten over it, demand that rises counts at once
-	gainFactor   = 1.6             // by how much the load per copy must differ for a copy to be exchanged
-	leastShare   = 0.12            // of an endpoint's slots: a model below it per copy needs no further copy
+	gainFactor   = 1.4             // by how much the load of endpoints must differ for a copy to be exchanged
+	leastShare   = 0.25            // of an endpoint's slots: endpoints below it need no relief
+	spreadRounds = 4               // of spreading the needs over the endpoints; further ones change little
 	dwell        = 1500 * time.Millisecond
-	mostChanges  = 4   // endpoints that change at a time
+	mostChanges  = 5   // endpoints that change at a time
 	budgetUse    = 0.8 // of the loads from the weight store that the window allows
 	spareBudget  = 0.5 // of those, for copies of models that have one
 	waitingScale = 1.0 // weight of waiting requests beside those in progress
@@ -137,6 +138,7 @@
 			r.copies[m]++
 		}
 	}
+	r.spread()
 	r.cover()
 	r.grow()
 	r.exchange()
@@ -172,6 +174,71 @@
 	copies  map[string]int
 	changes int
 	out     []Order
+
+	load  []float64            // expected places in use, by endpoint
+	share []map[string]float64 // of each model in it
+}
+
+// spread divides the need for each model among its endpoints, so that their loads differ as little as possible: the
+// dispatcher sends a request where there is most room.
+func (r *round) spread() {
+	n := len(r.in.Endpoints)
+	r.load, r.share = make([]float64, n), make([]map[string]float64, n)
+	at := make(map[string][]int)
+	for i := range r.in.Endpoints {
+		r.share[i] = make(map[string]float64)
+		if !r.in.Endpoints[i].Usable {
+			continue
+		}
+		for _, m := range r.in.Endpoints[i].Models {
+			at[m] = append(at[m], i)
+		}
+	}
+	names := make([]string, 0, len(at))
+	for m := range at {
+		names = append(names, m)
+	}
+	sort.Strings(names)
+	for range spreadRounds {
+		for _, m := range names {
+			r.fill(m, at[m])
+		}
+	}
+}
+
+// fill divides the need for one model among its endpoints, given what other models need there: the emptiest are filled up
+// to a common level.
+func (r *round) fill(m string, at []int) {
+	for _, i := range at {
+		r.load[i] -= r.share[i][m]
+	}
+	sort.Slice(at, func(a, b int) bool { return r.load[at[a]] < r.load[at[b]] })
+	need, level, used := r.p.need[m], 0.0, 0
+	for sum := 0.0; used < len(at); used++ {
+		if used > 0 && level <= r.load[at[used]] {
+			break
+		}
+		sum += r.load[at[used]]
+		level = (need + sum) / float64(used+1)
+	}
+	for k, i := range at {
+		r.share[i][m] = 0
+		if k < used {
+			r.share[i][m] = level - r.load[i]
+			r.load[i] = level
+		}
+	}
+}
+
+// level returns the load of the emptiest endpoint that holds a model: that is where its requests go.
+func (r *round) level(model string) float64 {
+	least := math.Inf(1)
+	for i := range r.in.Endpoints {
+		if e := &r.in.Endpoints[i]; e.Usable && e.holds(model) {
+			least = min(least, r.load[i])
+		}
+	}
+	return least
 }
 
 func (r *round) order(e *Endpoint, o Order) {
@@ -193,6 +260,7 @@
 	e.Busy = true
 	r.changes++
 	r.out = append(r.out, o)
+	r.spread()
 }
 
 // open tells whether an endpoint can take an order.
@@ -223,21 +291,20 @@
 	return left
 }
 
-// byNeed returns the declared models, most needed per copy first.
+// byNeed returns the declared models: those without a copy first, then by the load where their requests go.
 func (r *round) byNeed() []*fleet.Model {
 	out := make([]*fleet.Model, len(r.in.Engine.Models))
 	for i := range r.in.Engine.Models {
 		out[i] = &r.in.Engine.Models[i]
 	}
-	sort.SliceStable(out, func(i, j int) bool { return r.pressure(out[i].Name) > r.pressure(out[j].Name) })
+	levels := make(map[string]float64, len(out))
+	for _, m := range out {
+		levels[m.Name] = r.level(m.Name) + r.p.need[m.Name]/float64(max(r.copies[m.Name], 1))
+	}
+	sort.SliceStable(out, func(i, j int) bool { return levels[out[i].Name] > levels[out[j].Name] })
 	return out
 }
 
-// pressure is the need for a model per copy.
-func (r *round) pressure(model string) float64 {
-	return r.p.need[model] / float64(max(r.copies[model], 1))
-}
-
 // cover loads models without a usable copy, the most needed first.
 func (r *round) cover() {
 	for _, m := range r.byNeed() {
@@ -263,13 +330,14 @@
 	}
 }
 
-// placeFor returns the endpoint where a model is loaded fastest, and the model that makes room, empty if there is room.
-// A victim keeps at least one copy; its load per copy afterwards is at most limit, or any if limit is 0.
+// placeFor returns the endpoint where a further copy of a model helps soonest, and the model that makes room, empty if
+// there is room. With a limit above 0, neither the endpoint nor what takes the victim's requests over may be loaded
+// beyond it.
 func (r *round) placeFor(m *fleet.Model, limit float64) (best *Endpoint, victim string) {
 	cost := math.Inf(1)
 	for i := range r.in.Endpoints {
 		e := &r.in.Endpoints[i]
-		if !r.open(e) || e.holds(m.Name) || limit > 0 && !r.settled(e) {
+		if !r.open(e) || e.holds(m.Name) || limit > 0 && (!r.settled(e) || r.load[i] > limit) {
 			continue
 		}
 		from := e.source(m.Name)
@@ -280,24 +348,31 @@
 		if !r.p.mayLoad(r.in, from, share) {
 			continue
 		}
+		c := loadCost(m, from) + loadedCost*r.load[i]/float64(max(r.in.Engine.Slots, 1))
 		free := r.free(e)
 		if free >= m.MB {
-			if c := loadCost(m, from); c < cost {
+			if c < cost {
 				best, victim, cost = e, "", c
 			}
 			continue
 		}
-		if v, after := r.victim(e, m, free); v != "" && (limit == 0 || after <= limit) {
-			// Requests in progress end before the memory is free.
-			c := loadCost(m, from) + 0.05*float64(e.Running[v]) + after/float64(max(r.in.Engine.Slots, 1))
-			if c < cost {
-				best, victim, cost = e, v, c
-			}
+		v, after := r.victim(i, m, free)
+		if v == "" || limit > 0 && after > limit {
+			continue
+		}
+		if e.Running[v] > 0 { // the memory is free when the requests in progress have ended
+			c += r.in.Demand[v].HoldSec
+		}
+		if c < cost {
+			best, victim, cost = e, v, c
 		}
 	}
 	return best, victim
 }
 
+// loadedCost is what a full endpoint counts against another one that loads faster, in seconds.
+const loadedCost = 6.0
+
 // loadCost is the time of a load in seconds.
 func loadCost(m *fleet.Model, from Source) float64 {
 	switch from {
@@ -309,24 +384,33 @@
 	return m.Load.Seconds()
 }
 
-// victim returns the model of an endpoint whose loss costs least, with its load per copy afterwards.
-func (r *round) victim(e *Endpoint, m *fleet.Model, free float64) (name string, after float64) {
+// victim returns the model of an endpoint whose requests find most room elsewhere, with the load there afterwards.
+func (r *round) victim(at int, m *fleet.Model, free float64) (name string, after float64) {
 	after = math.Inf(1)
-	for _, v := range e.Models {
+	for _, v := range r.in.Endpoints[at].Models {
 		d := r.in.Engine.Model(v)
-		switch {
-		case d == nil, r.copies[v] < 2, free+d.MB < m.MB:
+		if d == nil || r.copies[v] < 2 || free+d.MB < m.MB {
 			continue
 		}
-		if a := r.p.need[v] / float64(r.copies[v]-1); a < after {
+		others := math.Inf(1)
+		for i := range r.in.Endpoints {
+			if e := &r.in.Endpoints[i]; i != at && e.Usable && e.holds(v) {
+				others = min(others, r.load[i])
+			}
+		}
+		if a := others + r.share[at][v]/float64(r.copies[v]-1); a < after {
 			name, after = v, a
 		}
 	}
 	return name, after
 }
 
-// grow uses free memory for the models that are most needed per copy.
+// grow uses free memory for further copies of the models whose endpoints are loaded most. While a model has no copy, the
+// memory is kept for it.
 func (r *round) grow() {
+	if len(r.p.absent) > 0 {
+		return
+	}
 	for _, m := range r.byNeed() {
 		for i := range r.in.Endpoints {
 			e := &r.in.Endpoints[i]
@@ -339,19 +423,20 @@
 	}
 }
 
-// exchange replaces copies of models that are little used by copies of models that are used much more.
+// exchange relieves models whose requests find only loaded endpoints, by copies in place of models that have room
+// elsewhere.
 func (r *round) exchange() {
 	least := leastShare * float64(r.in.Engine.Slots)
 	for _, m := range r.byNeed() {
-		p := r.pressure(m.Name)
-		if p < least || r.changes >= mostChanges {
+		if r.changes >= mostChanges {
 			return
 		}
-		if r.copies[m.Name] == 0 {
+		level := r.level(m.Name)
+		if r.copies[m.Name] == 0 || level < least || r.p.need[m.Name] < 1 {
 			continue
 		}
-		if e, victim := r.placeFor(m, p/gainFactor); e != nil {
-			r.order(e, Order{Load: m.Name, Unload: victim, Reason: "more work per copy"})
+		if e, victim := r.placeFor(m, level/gainFactor); e != nil {
+			r.order(e, Order{Load: m.Name, Unload: victim, Reason: "its endpoints are loaded"})
 		}
 	}
 }
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -157,6 +157,8 @@
 	d.current = f.Current
 	if time.Since(d.beatAt) < holderSilence {
 		f.Holder, f.Epoch = d.beat.Host, d.beat.Epoch
+	} else if d.beat.Leaving {
+		f.Vacant, f.Epoch = true, d.beat.Epoch
 	}
 	for _, p := range d.peers {
 		d.send(p, &f)
@@ -204,6 +206,12 @@
 		return
 	}
 	d.beat, d.beatAt = *m, time.Now()
+	if m.Leaving {
+		d.beatAt = time.Time{}
+		d.state.SetHolder(d.now(), nil)
+		d.broadcast() // hosts that may take the lease over need not wait for its end
+		return
+	}
 	d.state.SetHolder(d.now(), m)
 }
 
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -101,6 +101,7 @@
 	defer t.Stop()
 	release := o.release
 	heard := clock.Boot()
+	var vacant uint64 // epoch whose end was acted on
 	var stopDuty context.CancelFunc
 	defer func() {
 		if stopDuty != nil {
@@ -114,13 +115,23 @@
 			return
 		case <-release:
 			release = nil
+			if epoch := m.Held(clock.Boot()); epoch > 0 {
+				defer o.h.binder.sendBeat(&wire.HolderBeat{Host: o.h.deployment().Host, Epoch: epoch, Leaving: true})
+			}
 			m.Release()
 		case <-t.C:
 		}
 		now := clock.Boot()
-		if f, age := o.h.binder.fleetState(); f.Holder != "" && age < demandFresh {
+		f, age := o.h.binder.fleetState()
+		switch {
+		case age >= demandFresh:
+		case f.Holder != "":
 			m.Heard(now)
 			heard = now
+		case f.Vacant && f.Epoch > vacant && !o.h.leaving.Load() && !o.h.binder.isDispatcher():
+			vacant = f.Epoch
+			heard -= holderQuiet
+			m.Hurry()
 		}
 		if m.Held(now) > 0 || release == nil || o.mayChallenge(now-heard) {
 			o.step(ctx, m)
@@ -252,7 +263,7 @@
 			p = copies.New(now, copies.Limits{Window: d.LoadWindow, Over: d.LoadOver, Extra: ceilingExtra}, svc.Engine.LoadsPerSecond)
 			planners[name] = p
 		}
-		in := copies.Input{Now: now, Engine: svc.Engine, Endpoints: o.fleet.planned(name, v), Demand: demandOf(name, &state)}
+		in := copies.Input{Now: now, Engine: svc.Engine, Endpoints: o.fleet.planned(name, v, &state), Demand: demandOf(name, &state)}
 		for _, c := range p.Round(in) {
 			o.log.Info().Str("endpoint", c.Endpoint).Str("load", c.Load).Str("unload", c.Unload).Str("from", c.From.String()).
 				Float64("need", c.Need).Int("copies", c.Copies).Int64("demandAgeMs", age.Milliseconds()).Str("reason", c.Reason).Msg("Copy ordered.")
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -216,7 +216,16 @@
 }
 
 // planned returns the engines of a service as the planner sees them.
-func (l *ledgers) planned(service string, v *fleet.View) []copies.Endpoint {
+func (l *ledgers) planned(service string, v *fleet.View, state *wire.FleetState) []copies.Endpoint {
+	running := make(map[string]map[string]int)
+	for _, m := range state.Models {
+		for _, c := range m.Copies {
+			if running[c.Endpoint] == nil {
+				running[c.Endpoint] = make(map[string]int)
+			}
+			running[c.Endpoint][m.Model] = int(c.Running)
+		}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []copies.Endpoint
@@ -228,6 +237,7 @@
 		}
 		p := copies.Endpoint{
 			ID: e.ID, Usable: !e.Draining, Busy: g.busy || !g.known, InMemory: g.inMemory, OnDisk: g.onDisk,
+			Running: running[e.ID],
 		}
 		if g.models == nil { // not read yet: what the list shows counts
 			for i := range e.Models {
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -49,9 +49,10 @@
 	running  map[adapterKey]int  // granted requests by adapter
 
 	used     int
-	backlog  float64 // prompt tokens of granted requests without a first piece
-	kv       float64 // tokens in memory when the granted requests are done
-	slowness float64 // measured over predicted time to the first piece
+	byModel  map[string]int // granted requests
+	backlog  float64        // prompt tokens of granted requests without a first piece
+	kv       float64        // tokens in memory when the granted requests are done
+	slowness float64        // measured over predicted time to the first piece
 	learned  time.Duration
 	parts    partCache
 	health   health
@@ -59,7 +60,7 @@
 
 func newEndpoint(p *fleet.Endpoint) *endpoint {
 	return &endpoint{
-		id: p.ID, born: p.Born, slowness: 1, running: make(map[adapterKey]int), loaded: make(map[adapterKey]bool),
+		id: p.ID, born: p.Born, slowness: 1, byModel: make(map[string]int), running: make(map[adapterKey]int), loaded: make(map[adapterKey]bool),
 		parts: newPartCache(keptParts),
 	}
 }
@@ -151,6 +152,7 @@
 		return
 	}
 	a := &r.ask
+	e.byModel[a.Model]++
 	r.fresh = e.unread(a)
 	r.tokens = float64(a.PromptTokens) + output(a)
 	e.backlog += r.fresh
@@ -180,6 +182,9 @@
 		return
 	}
 	e.read(r)
+	if e.byModel[r.ask.Model]--; e.byModel[r.ask.Model] <= 0 {
+		delete(e.byModel, r.ask.Model)
+	}
 	e.kv = max(e.kv-r.tokens, 0)
 	if a := &r.ask; a.Adapter != "" {
 		k := adapterKey{a.Model, a.Adapter}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -498,6 +498,9 @@
 		PerSec: float32(m.perSec), HoldSec: float32(m.hold),
 	}
 	for _, e := range s.order {
+		if n := e.byModel[m.key.model]; n > 0 {
+			l.Copies = append(l.Copies, wire.CopyUse{Endpoint: e.id, Running: uint16(n)})
+		}
 		for _, name := range e.busyAdapters(m.key.model) {
 			l.Adapters = append(l.Adapters, wire.AdapterUse{Endpoint: e.id, Adapter: name, Running: 1})
 		}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -3,7 +3,7 @@
 // Heartbeat and the elements of long lists are encoded as arrays, because their size counts against the budget of
 // control traffic. Their fields never change; an extension needs a new message.
 //
-//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField PromptPart EndpointLoad ModelLoad AdapterUse ModelCopy StoredObject
+//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField PromptPart EndpointLoad ModelLoad AdapterUse CopyUse ModelCopy StoredObject
 
 // Role names the process that opened a connection.
 type Role uint8
@@ -290,6 +290,13 @@
 	PerSec   float32 // arrivals a second
 	HoldSec  float32 // mean time that a request holds its place
 	Adapters []AdapterUse
+	Copies   []CopyUse
+}
+
+// CopyUse counts the granted requests for a model at an endpoint.
+type CopyUse struct {
+	Endpoint string
+	Running  uint16
 }
 
 // AdapterUse counts the granted requests for an adapter at an endpoint.
@@ -306,6 +313,7 @@
 	Holder    string         `msg:"c"` // host that holds the placement lease, empty if none was heard of lately
 	Epoch     uint64         `msg:"d"`
 	Hosts     uint16         `msg:"e"` // connected hosts
+	Vacant    bool           `msg:"g"` // the holder has given the lease up and nobody has taken it
 	Current   bool           `msg:"f"` // the dispatcher follows the platform's store and passes changes on
 }
 
@@ -317,6 +325,7 @@
 	Loaded  []ModelCopy `msg:"d"` // copies that the list of endpoints may not show yet
 	// Changing are endpoints that take no order for an adapter: they carry out another one, or their state is not known.
 	Changing []string `msg:"e"`
+	Leaving  bool     `msg:"f"` // the lease has been given up
 }
 
 // ModelCopy is a copy of a model at an endpoint.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -946,6 +946,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z CopyUse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Endpoint)
+	o = msgp.AppendUint16(o, z.Running)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CopyUse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoint")
+		return
+	}
+	z.Running, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CopyUse) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.Uint16Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Decision) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2324,9 +2366,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "a"
-	o = append(o, 0x86, 0xa1, 0x61)
+	o = append(o, 0x87, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 3
@@ -2354,6 +2396,9 @@
 	// string "e"
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendUint16(o, z.Hosts)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendBool(o, z.Vacant)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendBool(o, z.Current)
@@ -2454,6 +2499,12 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+		case "g":
+			z.Vacant, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Vacant")
+				return
+			}
 		case "f":
 			z.Current, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -2482,7 +2533,7 @@
 	for za0002 := range z.Models {
 		s += z.Models[za0002].Msgsize()
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint16Size + 2 + msgp.BoolSize
+	s += 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint16Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -3024,9 +3075,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HolderBeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "a"
-	o = append(o, 0x85, 0xa1, 0x61)
+	o = append(o, 0x86, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Host)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -3055,6 +3106,9 @@
 	for za0003 := range z.Changing {
 		o = msgp.AppendString(o, z.Changing[za0003])
 	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Leaving)
 	return
 }
 
@@ -3175,6 +3229,12 @@
 					return
 				}
 			}
+		case "f":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3201,6 +3261,7 @@
 	for za0003 := range z.Changing {
 		s += msgp.StringPrefixSize + len(z.Changing[za0003])
 	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
@@ -3882,8 +3943,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ModelLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Model)
 	o = msgp.AppendUint16(o, z.Running)
@@ -3898,6 +3959,13 @@
 		o = msgp.AppendString(o, z.Adapters[za0001].Adapter)
 		o = msgp.AppendUint16(o, z.Adapters[za0001].Running)
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Copies)))
+	for za0002 := range z.Copies {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Copies[za0002].Endpoint)
+		o = msgp.AppendUint16(o, z.Copies[za0002].Running)
+	}
 	return
 }
 
@@ -3909,8 +3977,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -3981,6 +4049,39 @@
 			return
 		}
 	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Copies")
+		return
+	}
+	if cap(z.Copies) >= int(zb0004) {
+		z.Copies = (z.Copies)[:zb0004]
+	} else {
+		z.Copies = make([]CopyUse, zb0004)
+	}
+	for za0002 := range z.Copies {
+		var zb0005 uint32
+		zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Copies", za0002)
+			return
+		}
+		if zb0005 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+			return
+		}
+		z.Copies[za0002].Endpoint, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Copies", za0002, "Endpoint")
+			return
+		}
+		z.Copies[za0002].Running, bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Copies", za0002, "Running")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -3991,6 +4092,10 @@
 	for za0001 := range z.Adapters {
 		s += 1 + msgp.StringPrefixSize + len(z.Adapters[za0001].Endpoint) + msgp.StringPrefixSize + len(z.Adapters[za0001].Adapter) + msgp.Uint16Size
 	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Copies {
+		s += 1 + msgp.StringPrefixSize + len(z.Copies[za0002].Endpoint) + msgp.Uint16Size
+	}
 	return
 }
 
