--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -20,6 +20,7 @@
 	fallTime     = 5 * time.Second // demand that falls is forgotten over it, demand that rises counts at once
 	gainFactor   = 1.4             // by how much the load of endpoints must differ for a copy to be exchanged
 	leastShare   = 0.25            // of an endpoint's slots: endpoints below it need no relief
+	leastRelief  = 0.05            // of an endpoint's slots: requests that a further copy takes off loaded endpoints
 	spreadRounds = 4               // of spreading the needs over the endpoints; further ones change little
 	dwell        = 1500 * time.Millisecond
 	mostChanges  = 5   // endpoints that change at a time
@@ -125,7 +126,7 @@
 // Round returns the orders to give now. The caller counts them as carried out.
 func (p *Planner) Round(in Input) []Order {
 	p.follow(in)
-	r := &round{p: p, in: &in, copies: make(map[string]int)}
+	r := &round{p: p, in: &in, copies: make(map[string]int), tried: make(map[string]bool)}
 	for i := range in.Endpoints {
 		e := &in.Endpoints[i]
 		if e.Busy {
@@ -175,6 +176,8 @@
 	changes int
 	out     []Order
 
+	tried map[string]bool // models for which an exchange was looked for
+
 	load  []float64            // expected places in use, by endpoint
 	share []map[string]float64 // of each model in it
 }
@@ -360,9 +363,7 @@
 		if v == "" || limit > 0 && after > limit {
 			continue
 		}
-		if e.Running[v] > 0 { // the memory is free when the requests in progress have ended
-			c += r.in.Demand[v].HoldSec
-		}
+		c += unloadCost(e.Running[v], r.in.Demand[v].HoldSec)
 		if c < cost {
 			best, victim, cost = e, v, c
 		}
@@ -370,6 +371,15 @@
 	return best, victim
 }
 
+// unloadCost is the time until the last of the requests in progress has ended, in seconds, when their durations are
+// exponentially distributed: the memory is free then.
+func unloadCost(running int, holdSec float64) float64 {
+	if running == 0 {
+		return 0
+	}
+	return holdSec * (math.Log(float64(running)) + 0.58)
+}
+
 // loadedCost is what a full endpoint counts against another one that loads faster, in seconds.
 const loadedCost = 6.0
 
@@ -424,19 +434,27 @@
 }
 
 // exchange relieves models whose requests find only loaded endpoints, by copies in place of models that have room
-// elsewhere.
+// elsewhere. The model that gains most comes first.
 func (r *round) exchange() {
-	least := leastShare * float64(r.in.Engine.Slots)
-	for _, m := range r.byNeed() {
-		if r.changes >= mostChanges {
-			return
+	slots := float64(r.in.Engine.Slots)
+	for r.changes < mostChanges {
+		var best *fleet.Model
+		most := leastRelief * slots
+		for i := range r.in.Engine.Models {
+			m := &r.in.Engine.Models[i]
+			if level := r.level(m.Name); r.copies[m.Name] == 0 || r.tried[m.Name] || level < leastShare*slots {
+				continue
+			}
+			if relief := r.p.need[m.Name] / float64(r.copies[m.Name]+1); relief > most {
+				best, most = m, relief
+			}
 		}
-		level := r.level(m.Name)
-		if r.copies[m.Name] == 0 || level < least || r.p.need[m.Name] < 1 {
-			continue
+		if best == nil {
+			return
 		}
-		if e, victim := r.placeFor(m, level/gainFactor); e != nil {
-			r.order(e, Order{Load: m.Name, Unload: victim, Reason: "its endpoints are loaded"})
+		r.tried[best.Name] = true
+		if e, victim := r.placeFor(best, r.level(best.Name)/gainFactor); e != nil {
+			r.order(e, Order{Load: best.Name, Unload: victim, Reason: "its endpoints are loaded"})
 		}
 	}
 }
