Keep connections to engines for 5 s and prefer endpoints with one

Hosts now name the endpoints to which they keep a connection, and the dispatcher counts a new one as 8 ms.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -102,10 +102,23 @@
 	return wire.Ask{
 		Caller: q.Route.Name, Service: q.Service, Model: q.Model, Adapter: q.Adapter, PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens,
 		ExpectTokens: q.ExpectTokens, Parts: q.Parts, Priority: uint8(min(max(q.Route.Rank, 0), 255)), Request: q.ID,
-		Exclude: x.exclude, Repeat: x.sends > 0, Resumed: x.stream != nil,
+		Exclude: x.exclude, Repeat: x.sends > 0, Resumed: x.stream != nil, Warm: x.warm(),
 	}
 }
 
+// warm returns the endpoints of the request's service to which a connection is kept.
+func (x *exchange) warm() []string {
+	kept := x.f.h.pool.Warm(time.Now())
+	var out []string
+	v := x.f.h.directory.view()
+	for i := range v.Endpoints {
+		if e := &v.Endpoints[i]; e.Service == x.q.Service && kept[e.Address] {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
 // mayRepeat tells whether another attempt is allowed after one with this outcome. An answer with an error of the
 // endpoint counts as answered; it may be repeated like an unknown outcome.
 func (x *exchange) mayRepeat(o attempt.Outcome) bool {
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -15,6 +15,8 @@
 	loadMs      = 40.0 // added at a full endpoint: its steps are longer for all that run there
 	adapterMs   = 15.0 // for an adapter that has to be loaded first
 	spreadMs    = 4.0  // random, so that equal endpoints are used alike
+	coldMs      = 8.0  // for a connection that has to be opened: round trips, and the endpoint's time for it
+	plainCold   = 0.12 // the same for plain services
 	plainLoad   = 1.0  // per share of the slots in use
 	plainSpread = 0.05
 )
@@ -75,10 +77,18 @@
 // score is the expected cost of a request at an endpoint, in ms for engines. Lower is better.
 func (s *State) score(e *endpoint, r *request) float64 {
 	load := float64(e.used) / float64(e.slots)
+	warm := slices.Contains(r.ask.Warm, e.id)
 	if e.engine == nil {
-		return plainLoad*load + e.slowness/4 + plainSpread*s.rng.Float64()
+		v := plainLoad*load + e.slowness/4 + plainSpread*s.rng.Float64()
+		if !warm {
+			v += plainCold
+		}
+		return v
 	}
 	v := e.firstMs(r) + loadMs*load + spreadMs*s.rng.Float64()
+	if !warm {
+		v += coldMs
+	}
 	if a := &r.ask; a.Adapter != "" && !e.hasAdapter(a.Model, a.Adapter) {
 		v += adapterMs
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -235,6 +235,24 @@
 	}
 }
 
+// TestWarmConnection guards against a new connection for a request where another endpoint does as well.
+func TestWarmConnection(t *testing.T) {
+	s := New(0, testConfig(), testView(8, [][]string{{"m"}, {"m"}, {"m"}}, 3))
+	for i := range uint64(5) {
+		a := chat(2*i+1, "m")
+		a.Warm = []string{"e1", "p2"}
+		s.Ask(0, "h", a)
+		s.Ask(0, "h", wire.Ask{ID: 2*i + 2, Service: plainService, DeadlineMs: 1000, Warm: a.Warm})
+		for id, m := range answers(s) {
+			if e := endpointOf(t, m); e != "e1" && e != "p2" {
+				t.Errorf("request %d goes to %s", id, e)
+			}
+			s.Started(0, "h", wire.Started{ID: id, FirstMs: 20})
+			s.Done(0, "h", wire.Done{ID: id, TotalMs: 20})
+		}
+	}
+}
+
 // TestHealth guards against requests that keep going to a dead endpoint, and against one host that is cut off taking
 // endpoints out for all.
 func TestHealth(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,15 +14,17 @@
 )
 
 const (
-	dialTimeout  = 400 * time.Millisecond // zones are about a millisecond apart; a server that is up accepts at once
-	userTimeout  = 1500 * time.Millisecond
-	probeIdle    = time.Second // silence after which TCP asks whether the other side is there
-	probeEvery   = 500 * time.Millisecond
-	probeCount   = 2
-	readBuffer   = 4 << 10
-	maxHeaders   = 64 << 10
-	idleMargin   = 0.75 // of the idle time that the endpoint states
-	unstatedIdle = 400 * time.Millisecond
+	dialTimeout = 400 * time.Millisecond // zones are about a millisecond apart; a server that is up accepts at once
+	userTimeout = 1500 * time.Millisecond
+	probeIdle   = time.Second // silence after which TCP asks whether the other side is there
+	probeEvery  = 500 * time.Millisecond
+	probeCount  = 2
+	readBuffer  = 4 << 10
+	maxHeaders  = 64 << 10
+	idleMargin  = 0.75 // of the idle time that the endpoint states
+	// unstatedIdle is used where the endpoint states no idle time. On the users' platform, engines state none and keep
+	// connections for more than 6 s.
+	unstatedIdle = 5 * time.Second
 )
 
 const tcpUserTimeout = 0x12 // TCP_USER_TIMEOUT of Linux
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -115,6 +115,19 @@
 	}
 }
 
+// Warm returns the addresses to which an idle connection is kept.
+func (p *Pool) Warm(now time.Time) map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]bool, len(p.idle))
+	for addr, list := range p.idle {
+		if n := len(list); n > 0 && now.Sub(list[n-1].idleSince) < list[n-1].idleLimit {
+			out[addr] = true
+		}
+	}
+	return out
+}
+
 func (p *Pool) drop(addr string, c *conn) {
 	c.Close()
 	p.mu.Lock()
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -224,6 +224,7 @@
 	Parts        []PromptPart `msg:"r"` // of the prompt, in order
 	ExpectTokens uint32       `msg:"s"` // output tokens that the caller expects, 0 if unknown
 	Repeat       bool         `msg:"t"` // an earlier attempt of the request reached an endpoint
+	Warm         []string     `msg:"u"` // endpoints to which the host keeps an idle connection
 }
 
 // PromptPart is a part of a prompt that requests may share.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -130,9 +130,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Ask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 20
+	// map header, size 21
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x14, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x15, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -200,6 +200,12 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendBool(o, z.Repeat)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Warm)))
+	for za0003 := range z.Warm {
+		o = msgp.AppendString(o, z.Warm[za0003])
+	}
 	return
 }
 
@@ -382,6 +388,25 @@
 				err = msgp.WrapError(err, "Repeat")
 				return
 			}
+		case "u":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Warm")
+				return
+			}
+			if cap(z.Warm) >= int(zb0005) {
+				z.Warm = (z.Warm)[:zb0005]
+			} else {
+				z.Warm = make([]string, zb0005)
+			}
+			for za0003 := range z.Warm {
+				z.Warm[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Warm", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -400,7 +425,10 @@
 	for za0001 := range z.Exclude {
 		s += msgp.StringPrefixSize + len(z.Exclude[za0001])
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Bound) + 2 + msgp.StringPrefixSize + len(z.Request) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Adapter) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (11 + msgp.Uint64Size + msgp.Uint32Size)) + 2 + msgp.Uint32Size + 2 + msgp.BoolSize
+	s += 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Bound) + 2 + msgp.StringPrefixSize + len(z.Request) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Adapter) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (11 + msgp.Uint64Size + msgp.Uint32Size)) + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Warm {
+		s += msgp.StringPrefixSize + len(z.Warm[za0003])
+	}
 	return
 }
 
