Tell the dispatcher of evicted adapters, and stand-ins of the users' platform

Stand-ins of the platform's store, servers and clients, and tests with real host processes on them: all kinds, models and adapters; dispatcher killed and frozen, holder killed, SIGHUP, SIGTERM, store outage, start during an outage, draining, failing and crashed servers, late orders.

TestPlatformServes failed first, 21 of 72 requests with adapters: the dispatcher took an evicted adapter for loaded, the endpoint answered 421 and was left out, and no other one held the model. The holder now names evicted adapters, an endpoint that lacks something is left out only after three tries, and a grant names the holder to ask (a host's own view of it may be older).

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -557,14 +557,19 @@
 	b.send(&d)
 }
 
-// prepare has the holder of the placement lease load the request's adapter, and returns how long to wait until it can be
+// prepareAdapter has the holder of the placement lease load the request's adapter, and returns how long to wait until it can be
 // used.
-func (b *binder) prepare(ctx context.Context, m *wire.Prepare) (time.Duration, error) {
-	state, age := b.fleetState()
-	if state.Holder == "" || age > stateFresh {
+func (x *binding) prepareAdapter(ctx context.Context, m *wire.Prepare) (time.Duration, error) {
+	holder := x.c.grant.Holder
+	if holder == "" {
+		if state, age := x.b.fleetState(); age < stateFresh {
+			holder = state.Holder
+		}
+	}
+	if holder == "" {
 		return 0, errors.New("no holder of the placement lease is known")
 	}
-	reply, err := b.h.holder.ask(ctx, state.Holder, m)
+	reply, err := x.b.h.holder.ask(ctx, holder, m)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -24,6 +24,8 @@
 	firstSilence   = 2500 * time.Millisecond // before the first event of such a stream
 	adapterRetry   = 8 * time.Millisecond    // until an adapter that is on its way can be used
 	adapterRetries = 3
+	mostLacking    = 3 // attempts at one endpoint that lacks the model or adapter
+	lackingPause   = 20 * time.Millisecond
 	defaultRetry   = 200 * time.Millisecond // in which a request that did not run may come back
 )
 
@@ -40,7 +42,8 @@
 	sends    int
 	ran      int // attempts that may have run
 	exclude  []string
-	fallback *whole // an error answer of an endpoint, kept while another one is tried
+	lacking  map[string]int // attempts at endpoints that lacked the model or adapter
+	fallback *whole         // an error answer of an endpoint, kept while another one is tried
 	last     *binding
 	lastErr  error
 	stream   *relay
@@ -79,7 +82,7 @@
 		}
 		x.outcome = attempt.Combine(x.outcome, r.outcome)
 		x.lastErr = r.err
-		x.exclude = append(x.exclude, b.endpoint)
+		x.leaveOut(ctx, b.endpoint, r.missing)
 		if r.answer != nil {
 			x.fallback = r.answer
 		}
@@ -95,6 +98,21 @@
 	}
 }
 
+// leaveOut keeps further attempts away from an endpoint. One that lacks the model or adapter may be asked again: the
+// dispatcher knows of it now, and it may be the only one that can serve the request.
+func (x *exchange) leaveOut(ctx context.Context, endpoint string, missing bool) {
+	if missing {
+		if x.lacking == nil {
+			x.lacking = make(map[string]int)
+		}
+		if x.lacking[endpoint]++; x.lacking[endpoint] < mostLacking {
+			return
+		}
+		clock.Sleep(ctx, lackingPause)
+	}
+	x.exclude = append(x.exclude, endpoint)
+}
+
 func (x *exchange) target() time.Time { return x.q.Arrived.Add(x.q.Route.Target) }
 
 func (x *exchange) ask() wire.Ask {
@@ -168,7 +186,7 @@
 
 // prepare has the request's adapter loaded. It frees the place if that fails.
 func (x *exchange) prepare(ctx context.Context, b *binding, missing bool) (result, bool) {
-	wait, err := x.f.h.binder.prepare(ctx, &wire.Prepare{Endpoint: b.endpoint, Model: x.q.Model, Adapter: x.q.Adapter, Missing: missing})
+	wait, err := b.prepareAdapter(ctx, &wire.Prepare{Endpoint: b.endpoint, Model: x.q.Model, Adapter: x.q.Adapter, Missing: missing})
 	if err != nil && !b.alone {
 		b.done(wire.Done{Outcome: uint8(attempt.NotSent), Missing: true})
 		return result{outcome: attempt.NotSent, missing: true, err: errors.Annotate(err, "adapter")}, false
@@ -184,7 +202,7 @@
 func (x *exchange) reload(b *binding) {
 	m := &wire.Prepare{Endpoint: b.endpoint, Model: x.q.Model, Adapter: x.q.Adapter, Missing: true}
 	go func() {
-		if _, err := x.f.h.binder.prepare(context.Background(), m); err != nil {
+		if _, err := b.prepareAdapter(context.Background(), m); err != nil {
 			x.f.log.Debug().Str("endpoint", m.Endpoint).Str("adapter", m.Adapter).Err(err).Msg("Missing adapter is not loaded.")
 		}
 	}()
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -27,6 +27,7 @@
 	orderPatience = 12 * time.Second       // an unload waits for the requests in progress
 	adapterReady  = 11 * time.Millisecond  // after the answer to the order; adapters take 5 to 10 ms
 	prepareRing   = 256
+	evictedFor    = time.Second // for which evictions are repeated: a beat may be lost
 	refreshRetry  = 400 * time.Millisecond
 )
 
@@ -51,9 +52,10 @@
 	models   map[string]bool
 	adapters map[copies.Adapter]time.Duration // by the latest use
 	ready    map[copies.Adapter]time.Time
-	closing  string // model that is about to be unloaded
-	coming   string // model that is being loaded
-	busy     bool   // an order for a model is in progress
+	evicted  map[copies.Adapter]time.Duration // when, for the dispatcher
+	closing  string                           // model that is about to be unloaded
+	coming   string                           // model that is being loaded
+	busy     bool                             // an order for a model is in progress
 	inMemory []string
 	onDisk   []string
 }
@@ -263,6 +265,13 @@
 	defer l.mu.Unlock()
 	b := &wire.HolderBeat{Host: host, Epoch: epoch}
 	for id, g := range l.byID {
+		for a, at := range g.evicted {
+			if clock.Boot()-at > evictedFor {
+				delete(g.evicted, a)
+				continue
+			}
+			b.Evicted = append(b.Evicted, wire.AdapterCopy{Endpoint: id, Model: a.Model, Adapter: a.Name})
+		}
 		if g.busy || !g.known {
 			b.Changing = append(b.Changing, id)
 		}
@@ -516,8 +525,14 @@
 	if load {
 		g.adapters[key] = clock.Boot()
 		g.ready[key] = time.Now().Add(adapterReady)
+		delete(g.evicted, key)
 	} else {
 		delete(g.adapters, key)
+		if g.evicted == nil {
+			g.evicted = make(map[copies.Adapter]time.Duration)
+		}
+		g.evicted[key] = clock.Boot()
+		l.nudge()
 	}
 	return nil
 }
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -48,7 +48,7 @@
 // mayLoad tells whether an adapter can be loaded at an endpoint: somebody gives orders, the endpoint takes them, and not
 // all of its places are in use.
 func (s *State) mayLoad(e *endpoint) bool {
-	return s.holder && !s.changing[e.id] && len(e.running) < e.engine.AdapterSlots
+	return s.holder != "" && !s.changing[e.id] && len(e.running) < e.engine.AdapterSlots
 }
 
 // cap is the number of places that may be granted at an endpoint.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -101,7 +101,7 @@
 	closing   map[wire.ModelCopy]bool
 	loaded    []wire.ModelCopy
 	changing  map[string]bool // endpoints that take no order for an adapter
-	holder    bool            // adapters can be loaded
+	holder    string          // host that can load adapters, empty if there is none
 	waiting   int
 	measured  time.Duration
 	out       []Output
@@ -171,10 +171,16 @@
 // adapter can be loaded.
 func (s *State) SetHolder(now time.Duration, b *wire.HolderBeat) {
 	s.now = now
-	s.holder = b != nil
+	s.holder = ""
 	if b == nil {
 		return
 	}
+	s.holder = b.Host
+	for _, a := range b.Evicted {
+		if e := s.endpoints[a.Endpoint]; e != nil && e.running[adapterKey{a.Model, a.Adapter}] == 0 {
+			e.forget(a.Model, a.Adapter)
+		}
+	}
 	clear(s.closing)
 	clear(s.changing)
 	for _, c := range b.Closing {
@@ -275,8 +281,13 @@
 	used := e.used
 	s.occupy(r, e)
 	wait := s.now - r.asked
+	holder := ""
+	if prepare {
+		holder = s.holder
+	}
 	s.emit(r, &wire.Grant{
-		ID: r.id, Endpoint: e.id, Prepare: prepare, Used: uint16(used), Waiting: uint16(len(r.model.waiting)),
+		Holder: holder,
+		ID:     r.id, Endpoint: e.id, Prepare: prepare, Used: uint16(used), Waiting: uint16(len(r.model.waiting)),
 		QueueMs: uint32(wait.Milliseconds()), FirstMs: uint32(r.predict),
 	}, "", wait)
 }
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -204,7 +204,7 @@
 	}
 	s.SetHolder(20*time.Millisecond, &wire.HolderBeat{Host: "x", Epoch: 1})
 	g, ok := answers(s)[1].(*wire.Grant)
-	if !ok || !g.Prepare {
+	if !ok || !g.Prepare || g.Holder != "x" {
 		t.Fatalf("with a holder: %#v", g)
 	}
 	s.Done(30*time.Millisecond, "h", wire.Done{ID: 1, TotalMs: 20})
@@ -213,7 +213,14 @@
 	if g, ok := answers(s)[2].(*wire.Grant); !ok || g.Prepare {
 		t.Errorf("a loaded adapter is ordered again: %#v", g)
 	}
-	s.Done(50*time.Millisecond, "h", wire.Done{ID: 2, Missing: true})
+	s.Done(50*time.Millisecond, "h", wire.Done{ID: 2, TotalMs: 10})
+	s.SetHolder(52*time.Millisecond, &wire.HolderBeat{Host: "x", Epoch: 1, Evicted: []wire.AdapterCopy{{Endpoint: "e0", Model: "m", Adapter: "a1"}}})
+	a.ID = 4
+	s.Ask(53*time.Millisecond, "h", a)
+	if g, ok := answers(s)[4].(*wire.Grant); !ok || !g.Prepare {
+		t.Errorf("an adapter that was evicted counts as loaded: %#v", g)
+	}
+	s.Done(54*time.Millisecond, "h", wire.Done{ID: 4, Missing: true})
 	a.ID = 3
 	s.Ask(60*time.Millisecond, "h", a)
 	if g, ok := answers(s)[3].(*wire.Grant); !ok || !g.Prepare {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -3,7 +3,7 @@
 // Heartbeat and the elements of long lists are encoded as arrays, because their size counts against the budget of
 // control traffic. Their fields never change; an extension needs a new message.
 //
-//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField PromptPart EndpointLoad ModelLoad AdapterUse CopyUse ModelCopy StoredObject
+//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField PromptPart EndpointLoad ModelLoad AdapterUse CopyUse AdapterCopy ModelCopy StoredObject
 
 // Role names the process that opened a connection.
 type Role uint8
@@ -243,6 +243,7 @@
 	ID       uint64 `msg:"a"`
 	Endpoint string `msg:"b"`
 	Prepare  bool   `msg:"c"` // the request's adapter has to be loaded first
+	Holder   string `msg:"h"` // host that gives orders to endpoints, with Prepare
 	Used     uint16 `msg:"d"` // places taken at the endpoint before
 	Waiting  uint16 `msg:"e"` // requests that wait for the same model
 	QueueMs  uint32 `msg:"f"` // time in the queue
@@ -327,6 +328,15 @@
 	// Changing are endpoints that take no order for an adapter: they carry out another one, or their state is not known.
 	Changing []string `msg:"e"`
 	Leaving  bool     `msg:"f"` // the lease has been given up
+	// Evicted are adapters that were unloaded lately. One that was loaded again since may be named.
+	Evicted []AdapterCopy `msg:"g"`
+}
+
+// AdapterCopy is an adapter at an endpoint.
+type AdapterCopy struct {
+	Endpoint string
+	Model    string
+	Adapter  string
 }
 
 // ModelCopy is a copy of a model at an endpoint.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -79,6 +79,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z AdapterCopy) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Endpoint)
+	o = msgp.AppendString(o, z.Model)
+	o = msgp.AppendString(o, z.Adapter)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AdapterCopy) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoint")
+		return
+	}
+	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Adapter, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Adapter")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z AdapterCopy) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.StringPrefixSize + len(z.Model) + msgp.StringPrefixSize + len(z.Adapter)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z AdapterUse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2568,9 +2616,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Grant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "a"
-	o = append(o, 0x87, 0xa1, 0x61)
+	o = append(o, 0x88, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -2578,6 +2626,9 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendBool(o, z.Prepare)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Holder)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint16(o, z.Used)
@@ -2629,6 +2680,12 @@
 				err = msgp.WrapError(err, "Prepare")
 				return
 			}
+		case "h":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holder")
+				return
+			}
 		case "d":
 			z.Used, bts, err = msgp.ReadUint16Bytes(bts)
 			if err != nil {
@@ -2667,7 +2724,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Grant) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.BoolSize + 2 + msgp.Uint16Size + 2 + msgp.Uint16Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint16Size + 2 + msgp.Uint16Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
 
@@ -3103,9 +3160,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HolderBeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "a"
-	o = append(o, 0x86, 0xa1, 0x61)
+	o = append(o, 0x87, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Host)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -3137,6 +3194,16 @@
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendBool(o, z.Leaving)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evicted)))
+	for za0004 := range z.Evicted {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Evicted[za0004].Endpoint)
+		o = msgp.AppendString(o, z.Evicted[za0004].Model)
+		o = msgp.AppendString(o, z.Evicted[za0004].Adapter)
+	}
 	return
 }
 
@@ -3263,6 +3330,45 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "g":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evicted")
+				return
+			}
+			if cap(z.Evicted) >= int(zb0007) {
+				z.Evicted = (z.Evicted)[:zb0007]
+			} else {
+				z.Evicted = make([]AdapterCopy, zb0007)
+			}
+			for za0004 := range z.Evicted {
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evicted", za0004)
+					return
+				}
+				if zb0008 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0008}
+					return
+				}
+				z.Evicted[za0004].Endpoint, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evicted", za0004, "Endpoint")
+					return
+				}
+				z.Evicted[za0004].Model, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evicted", za0004, "Model")
+					return
+				}
+				z.Evicted[za0004].Adapter, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evicted", za0004, "Adapter")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3289,7 +3395,10 @@
 	for za0003 := range z.Changing {
 		s += msgp.StringPrefixSize + len(z.Changing[za0003])
 	}
-	s += 2 + msgp.BoolSize
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Evicted {
+		s += 1 + msgp.StringPrefixSize + len(z.Evicted[za0004].Endpoint) + msgp.StringPrefixSize + len(z.Evicted[za0004].Model) + msgp.StringPrefixSize + len(z.Evicted[za0004].Adapter)
+	}
 	return
 }
 
--- /dev/null
+++ b/test/integration/platform_test.go
@@ -0,0 +1,473 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sycamoredeal/internal/testbed"
+	"sycamoredeal/platform/platformtest"
+)
+
+const (
+	platformModels   = 4
+	platformAdapters = 5
+	callLimit        = 6 * time.Second
+)
+
+// platformFleet is a fleet of real host processes on stand-ins of the users' platform.
+type platformFleet struct {
+	t       *testing.T
+	ctx     context.Context
+	bed     *testbed.Bed
+	store   *platformtest.Store
+	engines []*platformtest.Server
+	plain   []*platformtest.Server
+	hosts   map[string]*platformHost
+}
+
+type platformHost struct {
+	*testbed.Process
+	front, ready, control, settings string
+}
+
+func startPlatformFleet(t *testing.T, hosts int) *platformFleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 90*time.Second)
+	t.Cleanup(cancel)
+	bed, err := testbed.New(ctx, bin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(bed.Close)
+	f := &platformFleet{t: t, ctx: ctx, bed: bed, store: platformtest.NewStore(), hosts: make(map[string]*platformHost)}
+	t.Cleanup(f.store.Close)
+	f.store.Put("config", "main", platformtest.Config(1, platformModels, platformAdapters))
+	for i, held := range [][]string{{"m0", "m1"}, {"m2", "m3"}} {
+		f.engines = append(f.engines, platformtest.NewServer(platformtest.ServerOptions{
+			ID: fmt.Sprint("e", i), Service: platformtest.EngineService, Slots: 16, Work: 10 * time.Millisecond, Events: 20,
+			Pause: 5 * time.Millisecond, Models: held, Resident: 2, AdapterSlots: 3, LoadTime: 100 * time.Millisecond,
+		}))
+	}
+	for i := range 2 {
+		f.plain = append(f.plain, platformtest.NewServer(platformtest.ServerOptions{
+			ID: fmt.Sprint("p", i), Service: platformtest.PlainService, Slots: 8, Work: 10 * time.Millisecond,
+		}))
+	}
+	for _, s := range f.servers() {
+		t.Cleanup(s.Close)
+		s.Register(f.store, "ready")
+	}
+	for i := range hosts {
+		f.startHost(fmt.Sprint("h", i))
+		f.waitFor("registration", func() bool { return len(f.store.Names("sycamore-hosts")) == i+1 })
+	}
+	for _, h := range f.hosts {
+		if err := testbed.WaitHTTP(ctx, "http://"+h.ready+"/ready"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.waitFor("a holder of the placement lease", func() bool { return f.holder() != "" })
+	return f
+}
+
+func (f *platformFleet) servers() []*platformtest.Server {
+	return append(append([]*platformtest.Server(nil), f.engines...), f.plain...)
+}
+
+func (f *platformFleet) startHost(name string) *platformHost {
+	f.t.Helper()
+	h := &platformHost{front: testbed.FreeAddr(), ready: testbed.FreeAddr(), control: testbed.FreeAddr(), settings: filepath.Join(f.t.TempDir(), name+".toml")}
+	var seeds []string
+	for _, o := range f.hosts {
+		seeds = append(seeds, o.control)
+	}
+	f.write(h, platformtest.Settings(name, h.front, h.ready, h.control, f.store.Address(), seeds...))
+	p, err := f.bed.Start(name, "sycamore-host", "--settings-file", h.settings, "--admin-port", "0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	h.Process = p
+	f.hosts[name] = h
+	return h
+}
+
+func (f *platformFleet) write(h *platformHost, settings string) {
+	f.t.Helper()
+	if err := os.WriteFile(h.settings, []byte(settings), 0o644); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// holder returns the host that holds the placement lease, by the store.
+func (f *platformFleet) holder() string {
+	var r struct {
+		Holder string `json:"holder"`
+	}
+	f.store.Spec("sycamore-leases", "placement", &r)
+	return r.Holder
+}
+
+// dispatcher returns the host that has the dispatcher's duty: the first in the order of registration.
+func (f *platformFleet) dispatcher() string { return f.store.Names("sycamore-hosts")[0] }
+
+func (f *platformFleet) waitFor(what string, ok func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("no %s in time", what)
+}
+
+func chatCall(model string) platformtest.Call {
+	return platformtest.Call{Path: platformtest.StreamPath + "x", Method: http.MethodPost, Model: model, Deadline: callLimit, Body: "prompt"}
+}
+
+func lookupCall() platformtest.Call {
+	return platformtest.Call{Path: platformtest.LookupPath + "x", Method: http.MethodGet, Deadline: callLimit}
+}
+
+func bookingCall() platformtest.Call {
+	return platformtest.Call{Path: platformtest.BookingPath + "x", Method: http.MethodPost, Deadline: callLimit, Body: "order"}
+}
+
+// checkStream fails for an answer that is cut, has gaps or is not the server's.
+func checkStream(t *testing.T, o platformtest.Outcome) {
+	t.Helper()
+	events := o.Events()
+	if o.Status != http.StatusOK || !o.Whole || !o.Sealed || len(events) != 20 {
+		t.Errorf("request %s: status %d, whole %v, sealed %v, %d events: %.80s", o.ID, o.Status, o.Whole, o.Sealed, len(events), o.Body)
+		return
+	}
+	for i, id := range events {
+		if id != i+1 {
+			t.Errorf("request %s: event %d has id %d", o.ID, i+1, id)
+			return
+		}
+	}
+}
+
+// checkPromises fails if a request that must not be repeated ran twice, if one that was said not to have run has, or if
+// an engine was ordered to hold more than fits.
+func (f *platformFleet) checkPromises(outcomes []platformtest.Outcome, repeatable bool) {
+	f.t.Helper()
+	runs := make(map[string]int)
+	for _, s := range f.servers() {
+		for id, n := range s.Runs() {
+			runs[id] += n
+		}
+		if why := s.Crashed(); why != "" {
+			f.t.Errorf("server %s: %s", s.ID(), why)
+		}
+	}
+	for _, o := range outcomes {
+		if n := runs[o.ID]; n > 1 && !repeatable {
+			f.t.Errorf("request %s ran %d times", o.ID, n)
+		}
+		if n := runs[o.ID]; n > 0 && (o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests) {
+			f.t.Errorf("request %s was said not to have run and ran %d times", o.ID, n)
+		}
+	}
+}
+
+// load sends calls from several clients to all given hosts until stopped, and returns what the clients saw.
+func (f *platformFleet) load(call func(n int) platformtest.Call, hosts ...string) (stop func() []platformtest.Outcome) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	var mu sync.Mutex
+	var out []platformtest.Outcome
+	var wg sync.WaitGroup
+	for client := range 6 {
+		wg.Go(func() {
+			for n := client; ctx.Err() == nil; n++ {
+				o := platformtest.Do(f.ctx, f.hosts[hosts[n%len(hosts)]].front, call(n))
+				mu.Lock()
+				out = append(out, o)
+				mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	return func() []platformtest.Outcome {
+		cancel()
+		wg.Wait()
+		return out
+	}
+}
+
+// TestPlatformServes guards against models, adapters or kinds of request that are not served on a calm fleet.
+func TestPlatformServes(t *testing.T) {
+	f := startPlatformFleet(t, 3)
+	for _, h := range f.hosts {
+		for m := range platformModels {
+			checkStream(t, platformtest.Do(f.ctx, h.front, chatCall(fmt.Sprint("m", m))))
+			for a := range platformAdapters {
+				checkStream(t, platformtest.Do(f.ctx, h.front, chatCall(fmt.Sprintf("m%d/a%d", m, a+1))))
+			}
+		}
+		for _, c := range []platformtest.Call{lookupCall(), bookingCall()} {
+			if o := platformtest.Do(f.ctx, h.front, c); o.Status != http.StatusOK || o.Body != "answer to "+o.ID {
+				t.Errorf("%s: %d %q", c.Path, o.Status, o.Body)
+			}
+		}
+		if o := platformtest.Do(f.ctx, h.front, platformtest.Call{Path: "/nowhere/", Method: "GET", Deadline: time.Second}); o.Status != http.StatusNotFound {
+			t.Errorf("unknown path: %d", o.Status)
+		}
+	}
+	f.checkPromises(nil, false)
+}
+
+// TestPlatformDispatcherKilled guards against requests that are lost, doubled or cut at other hosts when the dispatcher
+// dies.
+func TestPlatformDispatcherKilled(t *testing.T) {
+	f := startPlatformFleet(t, 4)
+	first := f.dispatcher()
+	var others []string
+	for name := range f.hosts {
+		if name != first {
+			others = append(others, name)
+		}
+	}
+	stop := f.load(func(n int) platformtest.Call {
+		if n%2 == 0 {
+			return bookingCall()
+		}
+		return chatCall(fmt.Sprint("m", n%platformModels))
+	}, others...)
+	time.Sleep(500 * time.Millisecond)
+	f.hosts[first].Kill()
+	time.Sleep(1500 * time.Millisecond)
+	got := stop()
+	for _, o := range got {
+		if o.Status != http.StatusOK || !o.Whole {
+			t.Errorf("request %s: status %d after %v: %.60s", o.ID, o.Status, o.Duration, o.Body)
+		}
+	}
+	if len(got) < 100 {
+		t.Errorf("%d requests only", len(got))
+	}
+	f.checkPromises(got, false)
+}
+
+// TestPlatformDispatcherFrozen guards against requests that wait for a dispatcher which stands still.
+func TestPlatformDispatcherFrozen(t *testing.T) {
+	f := startPlatformFleet(t, 3)
+	first := f.dispatcher()
+	var others []string
+	for name := range f.hosts {
+		if name != first {
+			others = append(others, name)
+		}
+	}
+	if err := f.hosts[first].Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	stop := f.load(func(int) platformtest.Call { return lookupCall() }, others...)
+	time.Sleep(1500 * time.Millisecond)
+	got := stop()
+	for _, o := range got {
+		if o.Status != http.StatusOK || o.Duration > time.Second {
+			t.Errorf("request %s: status %d after %v", o.ID, o.Status, o.Duration)
+		}
+	}
+	if err := f.hosts[first].Resume(); err != nil {
+		t.Fatal(err)
+	}
+	f.checkPromises(got, true)
+}
+
+// TestPlatformHolderKilled guards against engines that get no more orders after the holder of the lease has died.
+func TestPlatformHolderKilled(t *testing.T) {
+	f := startPlatformFleet(t, 3)
+	before := f.holder()
+	if before == f.dispatcher() {
+		t.Errorf("host %s has both duties although others are there", before)
+	}
+	f.hosts[before].Kill()
+	f.waitFor("next holder", func() bool { h := f.holder(); return h != "" && h != before })
+	for name, h := range f.hosts {
+		if name != before {
+			f.waitFor("adapter at "+name, func() bool {
+				o := platformtest.Do(f.ctx, h.front, chatCall("m0/a4"))
+				return o.Status == http.StatusOK && len(o.Events()) == 20
+			})
+		}
+	}
+	f.checkPromises(nil, false)
+}
+
+// TestPlatformReload guards against a process that ends at SIGHUP (it did), and against bad settings that are used.
+func TestPlatformReload(t *testing.T) {
+	f := startPlatformFleet(t, 1)
+	h := f.hosts["h0"]
+	f.write(h, "node_name = [")
+	if err := h.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	f.waitFor("finding", func() bool { return strings.Contains(h.Output(), "the former ones stay") })
+	f.write(h, platformtest.Settings("h0", h.front, h.ready, h.control, f.store.Address()))
+	if err := h.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	f.waitFor("reload", func() bool { return strings.Contains(h.Output(), "Settings reloaded") })
+	if o := platformtest.Do(f.ctx, h.front, lookupCall()); o.Status != http.StatusOK {
+		t.Errorf("after the reload: %d", o.Status)
+	}
+}
+
+// TestPlatformStop guards against streams and requests that are cut by a planned stop.
+func TestPlatformStop(t *testing.T) {
+	f := startPlatformFleet(t, 2)
+	h := f.hosts[f.dispatcher()]
+	ctx, cancel := context.WithTimeout(f.ctx, 2*time.Second)
+	defer cancel()
+	stop := f.load(func(n int) platformtest.Call {
+		if n%2 == 0 {
+			return chatCall("m0")
+		}
+		return bookingCall()
+	}, f.dispatcher())
+	time.Sleep(300 * time.Millisecond)
+	if err := h.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	<-ctx.Done() // callers are led away within two seconds
+	got := stop()
+	for _, o := range got {
+		if o.Status != http.StatusOK || !o.Whole {
+			t.Errorf("request %s: status %d, whole %v", o.ID, o.Status, o.Whole)
+		}
+	}
+	select {
+	case <-h.Done():
+	case <-time.After(8 * time.Second):
+		t.Error("the process is still there when it would be killed")
+	}
+	f.checkPromises(got, false)
+}
+
+// TestPlatformStoreOutage guards against service that stops with the store, against a configuration that comes into
+// force late after an outage (a watch hung for its whole time), and against one that goes back.
+func TestPlatformStoreOutage(t *testing.T) {
+	f := startPlatformFleet(t, 2)
+	f.store.SetDown(true)
+	stop := f.load(func(int) platformtest.Call { return lookupCall() }, "h0", "h1")
+	time.Sleep(1200 * time.Millisecond)
+	for _, o := range stop() {
+		if o.Status != http.StatusOK {
+			t.Errorf("request %s during the outage: %d %s", o.ID, o.Status, o.Body)
+		}
+	}
+	f.store.SetDown(false)
+	next := platformtest.Config(2, platformModels, platformAdapters)
+	next["routes"] = next["routes"].([]any)[:2] // the routes to the plain service are dropped
+	f.store.Put("config", "main", next)
+	time.Sleep(2 * time.Second)
+	for name, h := range f.hosts {
+		if o := platformtest.Do(f.ctx, h.front, lookupCall()); o.Status != http.StatusNotFound {
+			t.Errorf("host %s, two seconds after the change: %d", name, o.Status)
+		}
+	}
+	f.store.Put("config", "main", platformtest.Config(1, platformModels, platformAdapters)) // an older version
+	time.Sleep(500 * time.Millisecond)
+	for name, h := range f.hosts {
+		if o := platformtest.Do(f.ctx, h.front, lookupCall()); o.Status != http.StatusNotFound {
+			t.Errorf("host %s went back to an older version: %d", name, o.Status)
+		}
+	}
+}
+
+// TestPlatformStartDuringOutage guards against a host that answers "not found" before it knows the configuration, and
+// against one that can't serve while the store is away although other hosts know everything.
+func TestPlatformStartDuringOutage(t *testing.T) {
+	f := startPlatformFleet(t, 2)
+	f.store.SetDown(true)
+	h := f.startHost("late")
+	f.waitFor("service at the new host", func() bool {
+		o := platformtest.Do(f.ctx, h.front, lookupCall())
+		if o.Status == http.StatusNotFound {
+			t.Errorf("404 without a configuration")
+		}
+		return o.Status == http.StatusOK
+	})
+}
+
+// TestPlatformDrain guards against work for a server that is leaving.
+func TestPlatformDrain(t *testing.T) {
+	f := startPlatformFleet(t, 2)
+	f.plain[0].Register(f.store, "draining")
+	time.Sleep(time.Second)
+	before := len(f.plain[0].Runs())
+	stop := f.load(func(int) platformtest.Call { return lookupCall() }, "h0", "h1")
+	time.Sleep(700 * time.Millisecond)
+	stop()
+	if n := len(f.plain[0].Runs()) - before; n > 0 {
+		t.Errorf("%d requests sent to a server that is leaving", n)
+	}
+}
+
+// TestPlatformServerFails guards against requests that keep failing at one server while another one serves: repeatable
+// requests go on there, the others are answered with the server's own error and never run twice.
+func TestPlatformServerFails(t *testing.T) {
+	f := startPlatformFleet(t, 2)
+	f.plain[0].SetFailing(true)
+	stop := f.load(func(n int) platformtest.Call {
+		if n%2 == 0 {
+			return bookingCall()
+		}
+		return lookupCall()
+	}, "h0", "h1")
+	time.Sleep(2 * time.Second)
+	got := stop()
+	failed := 0
+	for _, o := range got {
+		if o.Status != http.StatusOK {
+			failed++
+		}
+	}
+	if share := float64(failed) / float64(len(got)); share > 0.2 {
+		t.Errorf("%d of %d requests failed beside a sound server", failed, len(got))
+	}
+	f.plain[0].Close() // and now it is gone without a word
+	stop = f.load(func(int) platformtest.Call { return lookupCall() }, "h0", "h1")
+	time.Sleep(time.Second)
+	for _, o := range stop() {
+		if o.Status != http.StatusOK {
+			t.Errorf("request %s after the crash of one server: %d", o.ID, o.Status)
+		}
+	}
+}
+
+// TestPlatformLateOrders guards against engines that are made to hold too much by orders that get no answer and are
+// carried out after newer ones.
+func TestPlatformLateOrders(t *testing.T) {
+	f := startPlatformFleet(t, 2)
+	for round := range 3 {
+		for _, e := range f.engines {
+			e.LoseOrders(3, time.Duration(200+300*round)*time.Millisecond)
+		}
+		var wg sync.WaitGroup
+		for m := range platformModels {
+			for a := range platformAdapters {
+				wg.Go(func() { platformtest.Do(f.ctx, f.hosts["h0"].front, chatCall(fmt.Sprintf("m%d/a%d", m, a+1))) })
+			}
+		}
+		wg.Wait()
+	}
+	time.Sleep(time.Second)
+	f.checkPromises(nil, false)
+	for m := range platformModels {
+		f.waitFor("service after late orders", func() bool {
+			o := platformtest.Do(f.ctx, f.hosts["h0"].front, chatCall(fmt.Sprintf("m%d/a1", m)))
+			return o.Status == http.StatusOK
+		})
+	}
+}
