--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -20,7 +20,6 @@
 	Parts        []wire.PromptPart
 	Arrived      time.Time
 	Deadline     time.Time // when the caller stops waiting, zero for never
-	ResumeAfter  string    // id of the last event that the caller has, empty for none
 
 	Method string
 	Target string // path and query as the caller sent them
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -271,6 +271,7 @@
 	}
 	sortHosts(v.Hosts)
 	d.now.Store(v)
+	d.limitConnections(v)
 	if len(d.passed) > 0 {
 		d.h.dispatcher.passOn(d.passed)
 		d.passed = nil
@@ -279,6 +280,25 @@
 	d.h.binder.viewChanged()
 }
 
+// leastConns is the number of connections to an endpoint that a host may open in any case.
+const leastConns = 8
+
+// limitConnections gives the host its share of the connections that endpoints accept from all callers.
+func (d *directory) limitConnections(v *fleet.View) {
+	if v.Config == nil {
+		return
+	}
+	least := 0
+	for _, s := range v.Config.Services {
+		if s.MaxConns > 0 && (least == 0 || s.MaxConns < least) {
+			least = s.MaxConns
+		}
+	}
+	if least > 0 {
+		d.h.pool.SetLimit(max(least/max(len(v.Hosts), 1), leastConns))
+	}
+}
+
 // sortHosts puts hosts in the order in which they take the dispatcher's duty: strong ones first, then those that
 // registered first. A host that starts again comes last, so that the duty does not return to it.
 func sortHosts(hosts []fleet.Host) {
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -237,7 +237,7 @@
 		}
 	}
 	x.sends++
-	resp, err := x.f.h.pool.RoundTrip(ctx, x.f.h.opts.Codec.Outgoing(x.q, e, left, x.resumeAfter()), false)
+	resp, err := x.f.h.pool.RoundTrip(ctx, x.f.h.opts.Codec.Outgoing(x.q, e, left, x.resumeAfter()))
 	if err != nil {
 		return x.failed(ctx, err)
 	}
@@ -426,8 +426,15 @@
 // logEnd writes the line that tells how a request ended, with the inputs of the last decision.
 func (x *exchange) logEnd(how string, status int, err error) {
 	q := x.q
+	outcome := x.outcome.String()
+	switch {
+	case how == "answered":
+		outcome = attempt.Answered.String()
+	case x.outcome == 0:
+		outcome = "no attempt"
+	}
 	l := x.f.log.Info().Str("request", q.ID).Str("how", how).Int("status", status).Int64("totalMs", time.Since(q.Arrived).Milliseconds()).
-		Uint64("config", x.version).Int("sends", x.sends).Str("outcome", x.outcome.String())
+		Uint64("config", x.version).Int("sends", x.sends).Str("outcome", outcome)
 	if q.Route != nil {
 		l = l.Str("route", q.Route.Name).Str("kind", q.Route.Kind.String()).Int("rank", q.Route.Rank).Str("service", q.Service)
 	}
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -31,7 +31,6 @@
 	retryWhenFull     = time.Second
 	retryWithoutView  = 500 * time.Millisecond
 	retryWhileLeaving = 100 * time.Millisecond
-	minWholeSeconds   = time.Second
 )
 
 // front serves callers.
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -377,7 +377,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	result := fleet.OrderUnknown
-	resp, err := o.h.pool.RoundTrip(ctx, q, false)
+	resp, err := o.h.pool.RoundTrip(ctx, q)
 	if err == nil {
 		result = o.h.opts.Codec.OrderResult(resp.StatusCode)
 		_, more, rerr := resp.ReadAll(maxReport)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -209,11 +209,38 @@
 	if h.opts.Admin == "" {
 		return nil
 	}
+	if err := h.registerMetrics(); err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", h.opts.Metrics.Handler())
 	return serve(ctx, g, h.opts.Admin, mux)
 }
 
+// registerMetrics adds what is read at each collection to the metrics of requests.
+func (h *Host) registerMetrics() error {
+	m := h.opts.Metrics
+	dials := func() uint64 { n, _ := h.pool.Counts(); return n }
+	reuses := func() uint64 { _, n := h.pool.Counts(); return n }
+	for _, err := range []error{
+		m.Counter("sycamore.store.calls", "Calls to the platform's store.", h.opts.Store.Calls),
+		m.Counter("sycamore.upstream.dials", "Connections opened to endpoints.", dials),
+		m.Counter("sycamore.upstream.reuses", "Requests sent on a kept connection.", reuses),
+		m.Gauge("sycamore.in.flight", "Requests in progress.", func() float64 { return float64(h.front.inFlight.Load()) }),
+		m.Gauge("sycamore.placement.holder", "1 while this host gives orders to engines.", func() float64 {
+			if h.holder.held() > 0 {
+				return 1
+			}
+			return 0
+		}),
+	} {
+		if err != nil {
+			return errors.Annotate(err, "metrics")
+		}
+	}
+	return nil
+}
+
 // serve runs a small HTTP server until ctx ends.
 func serve(ctx context.Context, g *errgroup.Group, addr string, handler http.Handler) error {
 	ln, err := net.Listen("tcp4", addr)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -196,15 +196,12 @@
 
 // RoundTrip writes a request on one connection, once, and returns the header of its response. When ctx ends, the
 // connection is closed, which most servers take as a cancellation; that holds until the response is closed. Errors are
-// of type *Error. With fresh set, no kept connection is used.
-func (p *Pool) RoundTrip(ctx context.Context, q *Request, fresh bool) (*Response, error) {
+// of type *Error.
+func (p *Pool) RoundTrip(ctx context.Context, q *Request) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Err: err}
 	}
-	var c *conn
-	if !fresh {
-		c = p.take(q.Address, time.Now())
-	}
+	c := p.take(q.Address, time.Now())
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, q.Address); err != nil {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -52,7 +52,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	resp, err := p.RoundTrip(ctx, q, false)
+	resp, err := p.RoundTrip(ctx, q)
 	if err != nil {
 		return "", err
 	}
@@ -172,7 +172,7 @@
 	body := strings.Repeat("x", 1<<20)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	resp, err := p.RoundTrip(ctx, &Request{Address: addr, Method: "POST", Target: "/", Body: []byte(body)}, false)
+	resp, err := p.RoundTrip(ctx, &Request{Address: addr, Method: "POST", Target: "/", Body: []byte(body)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -217,7 +217,7 @@
 	})
 	p := NewPool(0)
 	ctx, cancel := context.WithCancel(context.Background())
-	resp, err := p.RoundTrip(ctx, &Request{Address: addr, Method: "GET", Target: "/"}, false)
+	resp, err := p.RoundTrip(ctx, &Request{Address: addr, Method: "GET", Target: "/"})
 	if err != nil {
 		t.Fatal(err)
 	}
