Let the changes of copies at a time grow with the fleet

Cause: at most five endpoints changed at a time, and endpoints whose state was not known counted as changing. TestLargeFleetFollows failed with the former bound.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -23,10 +23,11 @@
 	leastRelief  = 0.05            // of an endpoint's slots: requests that a further copy takes off loaded endpoints
 	spreadRounds = 4               // of spreading the needs over the endpoints; further ones change little
 	dwell        = 1500 * time.Millisecond
-	mostChanges  = 5   // endpoints that change at a time
-	budgetUse    = 0.8 // of the loads from the weight store that the window allows
-	spareBudget  = 0.5 // of those, for copies of models that have one
-	waitingScale = 1.0 // weight of waiting requests beside those in progress
+	leastChanges = 5    // endpoints that may change at a time, in a small fleet
+	changeShare  = 0.25 // of the endpoints of a large one
+	budgetUse    = 0.8  // of the loads from the weight store that the window allows
+	spareBudget  = 0.5  // of those, for copies of models that have one
+	waitingScale = 1.0  // weight of waiting requests beside those in progress
 	// absentFor is how long a model without a copy is given to appear: after a start, endpoints register within seconds.
 	absentFor       = 2500 * time.Millisecond
 	absentRequested = 200 * time.Millisecond // while requests wait for it
@@ -49,7 +50,8 @@
 type Endpoint struct {
 	ID       string
 	Usable   bool     // up, not leaving, and its state is known
-	Busy     bool     // an order for a model is in progress
+	Busy     bool     // takes no order: one is in progress, or its state is not known
+	Changing bool     // an order for a model is in progress
 	Models   []string // held or being loaded
 	InMemory []string // weights at hand
 	OnDisk   []string
@@ -127,9 +129,10 @@
 func (p *Planner) Round(in Input) []Order {
 	p.follow(in)
 	r := &round{p: p, in: &in, copies: make(map[string]int), tried: make(map[string]bool)}
+	r.most = max(leastChanges, int(changeShare*float64(len(in.Endpoints))))
 	for i := range in.Endpoints {
 		e := &in.Endpoints[i]
-		if e.Busy {
+		if e.Changing {
 			r.changes++
 		}
 		if !e.Usable {
@@ -174,6 +177,7 @@
 	in      *Input
 	copies  map[string]int
 	changes int
+	most    int // changes at a time
 	out     []Order
 
 	tried map[string]bool // models for which an exchange was looked for
@@ -268,7 +272,7 @@
 
 // open tells whether an endpoint can take an order.
 func (r *round) open(e *Endpoint) bool {
-	return e.Usable && !e.Busy && r.changes < mostChanges
+	return e.Usable && !e.Busy && r.changes < r.most
 }
 
 func (r *round) settled(e *Endpoint) bool {
@@ -437,7 +441,7 @@
 // elsewhere. The model that gains most comes first.
 func (r *round) exchange() {
 	slots := float64(r.in.Engine.Slots)
-	for r.changes < mostChanges {
+	for r.changes < r.most {
 		var best *fleet.Model
 		most := leastRelief * slots
 		for i := range r.in.Engine.Models {
--- a/internal/copies/copies_test.go
+++ b/internal/copies/copies_test.go
@@ -57,6 +57,43 @@
 	}
 }
 
+// TestLargeFleetFollows replays a shift on a fleet of 40 engines of which a quarter can't be read: the copies have to
+// follow at the pace of the fleet, not of a small one.
+func TestLargeFleetFollows(t *testing.T) {
+	engine := testEngine(40)
+	engine.Slots, engine.LoadsPerSecond = 24, 10
+	p := New(0, limits(), engine.LoadsPerSecond)
+	in := Input{Engine: engine, Demand: map[string]Demand{"m0": {PerSec: 150, HoldSec: 2, Running: 100, Waiting: 100}}}
+	for i := range 40 {
+		e := Endpoint{ID: fmt.Sprint("e", i), Usable: true, Busy: i%4 == 0}
+		for k := range 3 {
+			e.Models = append(e.Models, fmt.Sprint("m", (i*3+k)%40))
+		}
+		in.Endpoints = append(in.Endpoints, e)
+	}
+	free := make(map[string]time.Duration)
+	for now := 10 * time.Second; now < 16*time.Second; now += 150 * time.Millisecond {
+		in.Now = now
+		for i := range in.Endpoints {
+			e := &in.Endpoints[i]
+			e.Changing = free[e.ID] > now
+			e.Busy = e.Changing || i%4 == 0
+		}
+		for _, o := range p.Round(in) {
+			free[o.Endpoint] = now + o.Takes
+		}
+	}
+	copies := 0
+	for i := range in.Endpoints {
+		if in.Endpoints[i].holds("m0") {
+			copies++
+		}
+	}
+	if copies < 13 { // 300 places at 24 each
+		t.Errorf("%d copies of a model that needs 300 places, 6 s after the shift", copies)
+	}
+}
+
 // TestSettledListOnly guards against loads that are ordered while the list of endpoints is still filling after a start:
 // the models are there, their endpoints have not registered yet.
 func TestSettledListOnly(t *testing.T) {
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -238,7 +238,7 @@
 			continue
 		}
 		p := copies.Endpoint{
-			ID: e.ID, Usable: !e.Draining, Busy: g.busy || !g.known, InMemory: g.inMemory, OnDisk: g.onDisk,
+			ID: e.ID, Usable: !e.Draining, Busy: g.busy || !g.known, Changing: g.busy, InMemory: g.inMemory, OnDisk: g.onDisk,
 			Running: running[e.ID],
 		}
 		if g.models == nil { // not read yet: what the list shows counts
