--- a/test/integration/cells_test.go
+++ b/test/integration/cells_test.go
@@ -16,8 +16,8 @@
 
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/engine"
-	"sycamoredeal/internal/ownership"
 	"sycamoredeal/internal/objects"
+	"sycamoredeal/internal/ownership"
 	"sycamoredeal/internal/testbed"
 )
 
