Send orders without an answer again, and don't free a place on stale word

It is sent again now, up to three times: it applies at one sequence only, so that one copy takes effect and late ones are refused. The word counts only if the adapter has not been used for 0.3 s, and then the engine is read.

--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -291,7 +291,8 @@
 	o.fleet.prepare(m, reply)
 }
 
-const prepareTimeout = 400 * time.Millisecond
+// prepareTimeout lets an eviction and a load be sent twice each.
+const prepareTimeout = 700 * time.Millisecond
 
 // ask sends a Prepare to the holder.
 func (o *holder) ask(ctx context.Context, to string, m *wire.Prepare) (*wire.PrepareReply, error) {
@@ -362,14 +363,29 @@
 	return o.client
 }
 
-// order sends one order under the held epoch.
+// order sends one order under the held epoch. Without an answer it is sent again: it applies at one sequence only, so that
+// at most one of the copies takes effect, and a copy that arrives late is refused.
 func (o *holder) order(ctx context.Context, e *fleet.Endpoint, ord fleet.Order) fleet.OrderResult {
-	epoch := o.held()
-	if epoch == 0 {
-		return fleet.OrderInvalid
+	ord.Endpoint, ord.Holder = e.ID, o.h.deployment().Host
+	result := fleet.OrderUnknown
+	for n := 0; n < orderSends && result == fleet.OrderUnknown && ctx.Err() == nil; n++ {
+		epoch := o.held()
+		if epoch == 0 {
+			break
+		}
+		ord.Fence = epoch
+		result = o.send(ctx, e, &ord)
+		if n > 0 && result == fleet.OrderConflict && (ord.Load || ord.Adapter == "") {
+			// An earlier copy has taken effect, or is being carried out. For models, the engine is asked afterwards.
+			result = fleet.OrderAccepted
+		}
 	}
-	ord.Endpoint, ord.Holder, ord.Fence = e.ID, o.h.deployment().Host, epoch
-	q, err := o.h.opts.Codec.Order(e, &ord)
+	return result
+}
+
+// send sends one copy of an order.
+func (o *holder) send(ctx context.Context, e *fleet.Endpoint, ord *fleet.Order) fleet.OrderResult {
+	q, err := o.h.opts.Codec.Order(e, ord)
 	if err != nil {
 		o.log.Error().Err(err).Msg("Order can't be encoded.")
 		return fleet.OrderInvalid
@@ -384,9 +400,9 @@
 		resp.Close(rerr == nil && !more)
 	}
 	if result == fleet.OrderFenced {
-		o.fenced(epoch)
+		o.fenced(ord.Fence)
 	}
 	o.log.Info().Str("endpoint", e.ID).Bool("load", ord.Load).Str("model", ord.Model).Str("adapter", ord.Adapter).
-		Int64("expect", ord.Expect).Uint64("epoch", epoch).Str("result", result.String()).Err(err).Msg("Order sent.")
+		Int64("expect", ord.Expect).Uint64("epoch", ord.Fence).Str("result", result.String()).Err(err).Msg("Order sent.")
 	return result
 }
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	orderTimeout  = 400 * time.Millisecond
+	orderTimeout  = 150 * time.Millisecond // engines answer an order at once and carry it out afterwards
+	orderSends    = 3                      // of an order that gets no answer
 	reportTimeout = 400 * time.Millisecond
 	maxReport     = 1 << 20                // bytes
 	reportLag     = 250 * time.Millisecond // by which reports are behind; the answer to an order is not in an earlier one
@@ -27,7 +28,8 @@
 	orderPatience = 12 * time.Second       // an unload waits for the requests in progress
 	adapterReady  = 11 * time.Millisecond  // after the answer to the order; adapters take 5 to 10 ms
 	prepareRing   = 256
-	evictedFor    = time.Second // for which evictions are repeated: a beat may be lost
+	missingAfter  = 300 * time.Millisecond // after its latest use, an adapter is believed to be missing
+	evictedFor    = time.Second            // for which evictions are repeated: a beat may be lost
 	refreshRetry  = 400 * time.Millisecond
 )
 
@@ -419,8 +421,13 @@
 		reply(&wire.PrepareReply{Reason: "the engine does not hold the model"})
 		return
 	}
-	if m.Missing {
-		delete(g.adapters, key)
+	// The endpoint's word that it lacks the adapter may be older than the load. If it is not, the engine is read again:
+	// only a report shows how many places are free.
+	if at, ok := g.adapters[key]; m.Missing && ok && clock.Boot()-at > missingAfter {
+		g.known = false
+		l.nudge()
+		reply(&wire.PrepareReply{Reason: "the engine lacks an adapter that was loaded"})
+		return
 	}
 	if _, ok := g.adapters[key]; ok {
 		g.adapters[key] = clock.Boot()
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"sycamoredeal/internal/testbed"
+	"sycamoredeal/internal/transport"
+	"sycamoredeal/internal/wire"
 	"sycamoredeal/platform/platformtest"
 )
 
@@ -53,7 +55,7 @@
 	for i, held := range [][]string{{"m0", "m1"}, {"m2", "m3"}} {
 		f.engines = append(f.engines, platformtest.NewServer(platformtest.ServerOptions{
 			ID: fmt.Sprint("e", i), Service: platformtest.EngineService, Slots: 16, Work: 10 * time.Millisecond, Events: 20,
-			Pause: 5 * time.Millisecond, Models: held, Resident: 2, AdapterSlots: 3, LoadTime: 100 * time.Millisecond,
+			Pause: 5 * time.Millisecond, Models: held, Resident: 2, AdapterSlots: 3, LoadTime: 100 * time.Millisecond, OrderTime: 20 * time.Millisecond,
 		}))
 	}
 	for i := range 2 {
@@ -446,6 +448,54 @@
 	}
 }
 
+// TestPlatformLostOrder guards against an order without an answer that is only given up: the request that needs it waits
+// for long, and the order takes effect seconds later.
+func TestPlatformLostOrder(t *testing.T) {
+	f := startPlatformFleet(t, 2)
+	const late = 1500 * time.Millisecond
+	time.Sleep(500 * time.Millisecond) // until the holder has read the engines
+	f.engines[0].LoseOrders(1, late)
+	o := platformtest.Do(f.ctx, f.hosts["h0"].front, chatCall("m0/a1"))
+	checkStream(t, o)
+	if o.Duration > time.Second {
+		t.Errorf("served after %v", o.Duration)
+	}
+	time.Sleep(late)
+	if n := f.engines[0].Orders(); n != 1 {
+		t.Errorf("%d orders took effect", n)
+	}
+	f.checkPromises([]platformtest.Outcome{o}, false)
+}
+
+// TestPlatformStaleMissing guards against the word of a host that an adapter is missing which was loaded since: the holder
+// counted its place as free while other loads waited, and ordered more than fits.
+func TestPlatformStaleMissing(t *testing.T) {
+	f := startPlatformFleet(t, 2)
+	up := make(chan *transport.Conn, 1)
+	c := transport.Dial(f.ctx, f.hosts[f.holder()].control, transport.Options{
+		Hello: wire.Hello{Host: "test", Role: wire.RoleHost}, Handler: func(*transport.Conn, uint64, wire.Message) {},
+		OnUp: func(c *transport.Conn) { up <- c },
+	})
+	defer c.Close()
+	conn := <-up
+	prepare := func(adapter string, missing bool) bool {
+		m, err := conn.Call(f.ctx, &wire.Prepare{Endpoint: "e0", Model: "m0", Adapter: adapter, Missing: missing})
+		r, ok := m.(*wire.PrepareReply)
+		return err == nil && ok && r.OK
+	}
+	for i := range 3 {
+		f.waitFor("adapter", func() bool { return prepare(fmt.Sprint("a", i+1), false) })
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { prepare("a4", false) })
+	time.Sleep(5 * time.Millisecond)
+	wg.Go(func() { prepare("a5", false) })
+	time.Sleep(5 * time.Millisecond)
+	wg.Go(func() { prepare("a3", true) })
+	wg.Wait()
+	f.checkPromises(nil, false)
+}
+
 // TestPlatformLateOrders guards against engines that are made to hold too much by orders that get no answer and are
 // carried out after newer ones.
 func TestPlatformLateOrders(t *testing.T) {
