--- /dev/null
+++ b/internal/telemetry/async_test.go
@@ -0,0 +1,57 @@
+package telemetry
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+)
+
+// blocked is an output that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	mu      sync.Mutex
+	out     bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out.Write(p)
+}
+
+// TestBlockedOutput guards against requests that wait for a log whose output is blocked, and against memory that its
+// lines take without bound.
+func TestBlockedOutput(t *testing.T) {
+	b := &blocked{release: make(chan struct{})}
+	log, flush := NewAsyncLogger(b, "info", "test")
+	start := time.Now()
+	for range 5 * asyncLines {
+		log.Info().Msg("A line.")
+	}
+	if d := time.Since(start); d > 2*time.Second {
+		t.Errorf("%d lines took %v with a blocked output", 5*asyncLines, d)
+	}
+	close(b.release)
+	flush()
+	if n := bytes.Count(b.out.Bytes(), []byte("\n")); n == 0 || n > 2*asyncLines {
+		t.Errorf("%d lines written after the output was released", n)
+	}
+}
+
+// TestLogAfterFlush guards against a panic in requests that still write lines while the process ends: it cut them.
+func TestLogAfterFlush(t *testing.T) {
+	log, flush := NewAsyncLogger(&bytes.Buffer{}, "info", "test")
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 1000 {
+				log.Info().Msg("A line.")
+			}
+		})
+	}
+	flush()
+	wg.Wait()
+	log.Info().Msg("A late line.")
+}
