--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -23,16 +23,35 @@
 	leastRelief  = 0.05            // of an endpoint's slots: requests that a further copy takes off loaded endpoints
 	spreadRounds = 4               // of spreading the needs over the endpoints; further ones change little
 	dwell        = 1500 * time.Millisecond
-	leastChanges = 5    // endpoints that may change at a time, in a small fleet
-	changeShare  = 0.25 // of the endpoints of a large one
-	budgetUse    = 0.8  // of the loads from the weight store that the window allows
-	spareBudget  = 0.5  // of those, for copies of models that have one
-	waitingScale = 1.0  // weight of waiting requests beside those in progress
+	leastChanges = 5   // endpoints that may change at a time, in a small fleet
+	changeShare  = 0.5 // of the endpoints of a large one
+	budgetUse    = 0.8 // of the loads from the weight store that the window allows
+	spareBudget  = 0.8 // of those, for copies of models that have one
+	waitingScale = 1.0 // weight of waiting requests beside those in progress
 	// absentFor is how long a model without a copy is given to appear: after a start, endpoints register within seconds.
 	absentFor       = 2500 * time.Millisecond
 	absentRequested = 200 * time.Millisecond // while requests wait for it
 )
 
+// Tuning holds the thresholds that experiments vary.
+type Tuning struct {
+	FallTime    time.Duration // in which demand that falls is forgotten; demand that rises counts at once
+	GainFactor  float64       // by how much the load of endpoints must differ for a copy to be exchanged
+	LeastShare  float64       // of an endpoint's slots: endpoints below it need no relief
+	LeastRelief float64       // of an endpoint's slots: requests that a further copy takes off loaded endpoints
+	Dwell       time.Duration // an endpoint is not changed again within it
+	ChangeShare float64       // of the endpoints of a large fleet that may change at a time
+	SpareBudget float64       // share of the allowed loads from the weight store for copies of models that have one
+}
+
+// DefaultTuning returns the thresholds in use.
+func DefaultTuning() Tuning {
+	return Tuning{
+		FallTime: fallTime, GainFactor: gainFactor, LeastShare: leastShare, LeastRelief: leastRelief, Dwell: dwell, ChangeShare: changeShare,
+		SpareBudget: spareBudget,
+	}
+}
+
 // Source tells where an endpoint loads a model's weights from.
 type Source uint8
 
@@ -108,6 +127,7 @@
 // Planner keeps smoothed demand and the history of loads.
 type Planner struct {
 	limits  Limits
+	tuning  Tuning
 	need    map[string]float64
 	last    time.Duration
 	loads   []time.Duration // from the weight store, within the window
@@ -115,21 +135,47 @@
 	absent  map[string]time.Duration // models without a copy, since when
 }
 
-// New returns a planner that has taken over at now: what its predecessor loaded from the weight store in the last window
-// is unknown, so half of the window counts as used.
-func New(now time.Duration, l Limits, loadsPerSecond float64) *Planner {
-	p := &Planner{limits: l, need: make(map[string]float64), last: now, changed: make(map[string]time.Duration), absent: make(map[string]time.Duration)}
+// New returns a planner that has taken over at now. Unless Recall tells what its predecessor loaded from the weight store
+// in the last window, half of the window counts as used.
+func New(now time.Duration, l Limits, t Tuning, loadsPerSecond float64) *Planner {
+	p := &Planner{limits: l, tuning: t, need: make(map[string]float64), last: now, changed: make(map[string]time.Duration), absent: make(map[string]time.Duration)}
 	for range int(loadsPerSecond * l.Window.Seconds() / 2) {
 		p.loads = append(p.loads, now)
 	}
 	return p
 }
 
+// Recall replaces the loads from the weight store that count as made, by their ages at now.
+func (p *Planner) Recall(now time.Duration, ages []time.Duration) {
+	p.loads = p.loads[:0]
+	for _, age := range ages {
+		p.loads = append(p.loads, now-age)
+	}
+}
+
+// Loads returns the ages of the loads from the weight store that still count.
+func (p *Planner) Loads(now time.Duration) []time.Duration {
+	out := make([]time.Duration, 0, len(p.loads))
+	for _, at := range p.loads {
+		out = append(out, now-at)
+	}
+	return out
+}
+
 // Round returns the orders to give now. The caller counts them as carried out.
 func (p *Planner) Round(in Input) []Order {
 	p.follow(in)
-	r := &round{p: p, in: &in, copies: make(map[string]int), tried: make(map[string]bool)}
-	r.most = max(leastChanges, int(changeShare*float64(len(in.Endpoints))))
+	r := &round{
+		p: p, in: &in, copies: make(map[string]int), tried: make(map[string]bool), models: make(map[string]*fleet.Model, len(in.Engine.Models)),
+		free: make([]float64, len(in.Endpoints)),
+	}
+	for i := range in.Engine.Models {
+		r.models[in.Engine.Models[i].Name] = &in.Engine.Models[i]
+	}
+	for i := range in.Endpoints {
+		r.free[i] = r.freeMB(&in.Endpoints[i])
+	}
+	r.most = max(leastChanges, int(p.tuning.ChangeShare*float64(len(in.Endpoints))))
 	for i := range in.Endpoints {
 		e := &in.Endpoints[i]
 		if e.Changing {
@@ -153,7 +199,7 @@
 func (p *Planner) follow(in Input) {
 	dt := (in.Now - p.last).Seconds()
 	p.last = in.Now
-	keep := math.Exp(-dt / fallTime.Seconds())
+	keep := math.Exp(-dt / p.tuning.FallTime.Seconds())
 	for i := range in.Engine.Models {
 		name := in.Engine.Models[i].Name
 		d := in.Demand[name]
@@ -180,8 +226,11 @@
 	most    int // changes at a time
 	out     []Order
 
-	tried map[string]bool // models for which an exchange was looked for
+	tried  map[string]bool // models for which an exchange was looked for
+	models map[string]*fleet.Model
+	free   []float64 // memory that is left, by endpoint; see freeMB
 
+	at    map[string][]int     // endpoints that hold each model
 	load  []float64            // expected places in use, by endpoint
 	share []map[string]float64 // of each model in it
 }
@@ -191,24 +240,24 @@
 func (r *round) spread() {
 	n := len(r.in.Endpoints)
 	r.load, r.share = make([]float64, n), make([]map[string]float64, n)
-	at := make(map[string][]int)
+	r.at = make(map[string][]int, len(r.models))
 	for i := range r.in.Endpoints {
 		r.share[i] = make(map[string]float64)
 		if !r.in.Endpoints[i].Usable {
 			continue
 		}
 		for _, m := range r.in.Endpoints[i].Models {
-			at[m] = append(at[m], i)
+			r.at[m] = append(r.at[m], i)
 		}
 	}
-	names := make([]string, 0, len(at))
-	for m := range at {
+	names := make([]string, 0, len(r.at))
+	for m := range r.at {
 		names = append(names, m)
 	}
 	sort.Strings(names)
 	for range spreadRounds {
 		for _, m := range names {
-			r.fill(m, at[m])
+			r.fill(m, r.at[m])
 		}
 	}
 }
@@ -240,17 +289,17 @@
 // level returns the load of the emptiest endpoint that holds a model: that is where its requests go.
 func (r *round) level(model string) float64 {
 	least := math.Inf(1)
-	for i := range r.in.Endpoints {
-		if e := &r.in.Endpoints[i]; e.Usable && e.holds(model) {
-			least = min(least, r.load[i])
-		}
+	for _, i := range r.at[model] {
+		least = min(least, r.load[i])
 	}
 	return least
 }
 
-func (r *round) order(e *Endpoint, o Order) {
+// order gives an order to the endpoint with an index.
+func (r *round) order(at int, o Order) {
+	e := &r.in.Endpoints[at]
 	o.Endpoint, o.From = e.ID, e.source(o.Load)
-	if m := r.in.Engine.Model(o.Load); m != nil {
+	if m := r.models[o.Load]; m != nil {
 		o.Takes = time.Duration(loadCost(m, o.From) * float64(time.Second))
 	}
 	o.Need, o.Copies = r.p.need[o.Load], r.copies[o.Load]
@@ -265,6 +314,7 @@
 	}
 	e.Models = append(e.Models, o.Load)
 	e.Busy = true
+	r.free[at] = r.freeMB(e)
 	r.changes++
 	r.out = append(r.out, o)
 	r.spread()
@@ -277,11 +327,11 @@
 
 func (r *round) settled(e *Endpoint) bool {
 	at, ok := r.p.changed[e.ID]
-	return !ok || r.in.Now-at >= dwell
+	return !ok || r.in.Now-at >= r.p.tuning.Dwell
 }
 
-// free returns the memory that is left beside the models and a full set of adapters.
-func (r *round) free(e *Endpoint) float64 {
+// freeMB returns the memory that is left beside the models and a full set of adapters.
+func (r *round) freeMB(e *Endpoint) float64 {
 	left := r.in.Engine.MB
 	largest := 0.0
 	for i := range r.in.Engine.Models {
@@ -289,7 +339,7 @@
 	}
 	left -= largest * float64(r.in.Engine.AdapterSlots)
 	for _, name := range e.Models {
-		m := r.in.Engine.Model(name)
+		m := r.models[name]
 		if m == nil {
 			return -1 // of unknown size
 		}
@@ -331,16 +381,17 @@
 		if r.in.Now-since < patience {
 			continue
 		}
-		if e, victim := r.placeFor(m, 0); e != nil {
-			r.order(e, Order{Load: m.Name, Unload: victim, Reason: "no usable copy"})
+		if at, victim := r.placeFor(m, 0); at >= 0 {
+			r.order(at, Order{Load: m.Name, Unload: victim, Reason: "no usable copy"})
 		}
 	}
 }
 
-// placeFor returns the endpoint where a further copy of a model helps soonest, and the model that makes room, empty if
-// there is room. With a limit above 0, neither the endpoint nor what takes the victim's requests over may be loaded
+// placeFor returns the index of the endpoint where a further copy of a model helps soonest, -1 if there is none, and the
+// model that makes room, empty if there is room. With a limit above 0, neither the endpoint nor what takes the victim's requests over may be loaded
 // beyond it.
-func (r *round) placeFor(m *fleet.Model, limit float64) (best *Endpoint, victim string) {
+func (r *round) placeFor(m *fleet.Model, limit float64) (best int, victim string) {
+	best = -1
 	cost := math.Inf(1)
 	for i := range r.in.Endpoints {
 		e := &r.in.Endpoints[i]
@@ -350,26 +401,28 @@
 		from := e.source(m.Name)
 		share := 1.0
 		if r.copies[m.Name] > 0 {
-			share = spareBudget
+			share = r.p.tuning.SpareBudget
 		}
 		if !r.p.mayLoad(r.in, from, share) {
 			continue
 		}
 		c := loadCost(m, from) + loadedCost*r.load[i]/float64(max(r.in.Engine.Slots, 1))
-		free := r.free(e)
-		if free >= m.MB {
+		if r.free[i] >= m.MB {
 			if c < cost {
-				best, victim, cost = e, "", c
+				best, victim, cost = i, "", c
 			}
 			continue
 		}
-		v, after := r.victim(i, m, free)
+		if c >= cost {
+			continue
+		}
+		v, after := r.victim(i, m, r.free[i])
 		if v == "" || limit > 0 && after > limit {
 			continue
 		}
 		c += unloadCost(e.Running[v], r.in.Demand[v].HoldSec)
 		if c < cost {
-			best, victim, cost = e, v, c
+			best, victim, cost = i, v, c
 		}
 	}
 	return best, victim
@@ -402,13 +455,13 @@
 func (r *round) victim(at int, m *fleet.Model, free float64) (name string, after float64) {
 	after = math.Inf(1)
 	for _, v := range r.in.Endpoints[at].Models {
-		d := r.in.Engine.Model(v)
+		d := r.models[v]
 		if d == nil || r.copies[v] < 2 || free+d.MB < m.MB {
 			continue
 		}
 		others := math.Inf(1)
-		for i := range r.in.Endpoints {
-			if e := &r.in.Endpoints[i]; i != at && e.Usable && e.holds(v) {
+		for _, i := range r.at[v] {
+			if i != at {
 				others = min(others, r.load[i])
 			}
 		}
@@ -422,31 +475,45 @@
 // grow uses free memory for further copies of the models whose endpoints are loaded most. While a model has no copy, the
 // memory is kept for it.
 func (r *round) grow() {
-	if len(r.p.absent) > 0 {
+	if len(r.p.absent) > 0 || !r.room() {
 		return
 	}
 	for _, m := range r.byNeed() {
 		for i := range r.in.Endpoints {
 			e := &r.in.Endpoints[i]
-			if !r.open(e) || e.holds(m.Name) || r.free(e) < m.MB || !r.p.mayLoad(r.in, e.source(m.Name), spareBudget) {
+			if r.free[i] < m.MB || !r.open(e) || e.holds(m.Name) || !r.p.mayLoad(r.in, e.source(m.Name), r.p.tuning.SpareBudget) {
 				continue
 			}
-			r.order(e, Order{Load: m.Name, Reason: "free memory"})
+			r.order(i, Order{Load: m.Name, Reason: "free memory"})
 			break
 		}
 	}
 }
 
+// room tells whether an endpoint that can take an order has memory for another model.
+func (r *round) room() bool {
+	least := math.Inf(1)
+	for _, m := range r.models {
+		least = min(least, m.MB)
+	}
+	for i := range r.in.Endpoints {
+		if r.free[i] >= least && r.open(&r.in.Endpoints[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 // exchange relieves models whose requests find only loaded endpoints, by copies in place of models that have room
 // elsewhere. The model that gains most comes first.
 func (r *round) exchange() {
 	slots := float64(r.in.Engine.Slots)
 	for r.changes < r.most {
 		var best *fleet.Model
-		most := leastRelief * slots
+		most := r.p.tuning.LeastRelief * slots
 		for i := range r.in.Engine.Models {
 			m := &r.in.Engine.Models[i]
-			if level := r.level(m.Name); r.copies[m.Name] == 0 || r.tried[m.Name] || level < leastShare*slots {
+			if level := r.level(m.Name); r.copies[m.Name] == 0 || r.tried[m.Name] || level < r.p.tuning.LeastShare*slots {
 				continue
 			}
 			if relief := r.p.need[m.Name] / float64(r.copies[m.Name]+1); relief > most {
@@ -457,8 +524,53 @@
 			return
 		}
 		r.tried[best.Name] = true
-		if e, victim := r.placeFor(best, r.level(best.Name)/gainFactor); e != nil {
-			r.order(e, Order{Load: best.Name, Unload: victim, Reason: "its endpoints are loaded"})
+		limit := r.level(best.Name) / r.p.tuning.GainFactor
+		if at, victim := r.placeFor(best, limit); at >= 0 {
+			r.order(at, Order{Load: best.Name, Unload: victim, Reason: "its endpoints are loaded"})
+		} else {
+			r.makeRoom(limit)
 		}
 	}
 }
+
+// makeRoom loads a second copy of a model that keeps an endpoint with a load up to a limit from taking another one, because
+// its only copy is there. The load patterns that it answers: some models take most of the requests, and the endpoints
+// with room hold nothing but last copies, while second copies of rare models lie on endpoints that are full.
+func (r *round) makeRoom(limit float64) {
+	var rare *fleet.Model
+	least := math.Inf(1)
+	for i := range r.in.Endpoints {
+		e := &r.in.Endpoints[i]
+		if !r.open(e) || !r.settled(e) || r.load[i] > limit {
+			continue
+		}
+		for _, name := range e.Models {
+			m := r.models[name]
+			if m != nil && r.copies[name] == 1 && !r.tried[name] && r.load[i]+r.p.need[name] < least {
+				rare, least = m, r.load[i]+r.p.need[name]
+			}
+		}
+	}
+	if rare == nil {
+		return
+	}
+	r.tried[rare.Name] = true
+	best, victim, cost := -1, "", math.Inf(1)
+	for i := range r.in.Endpoints {
+		e := &r.in.Endpoints[i]
+		if !r.open(e) || !r.settled(e) || e.holds(rare.Name) || !r.p.mayLoad(r.in, e.source(rare.Name), r.p.tuning.SpareBudget) {
+			continue
+		}
+		v, after := r.victim(i, rare, r.free[i])
+		if v == "" || after > max(limit, r.load[i]) {
+			continue // its requests would wait longer than they do here
+		}
+		c := loadCost(rare, e.source(rare.Name)) + loadedCost*r.load[i]/float64(max(r.in.Engine.Slots, 1)) + unloadCost(e.Running[v], r.in.Demand[v].HoldSec)
+		if c < cost {
+			best, victim, cost = i, v, c
+		}
+	}
+	if best >= 0 {
+		r.order(best, Order{Load: rare.Name, Unload: victim, Reason: "its only copy is in the way of a loaded model"})
+	}
+}
--- /dev/null
+++ b/internal/emulator/bench_test.go
@@ -0,0 +1,18 @@
+package emulator
+
+import (
+	"testing"
+
+	"sycamoredeal/internal/copies"
+)
+
+// BenchmarkLargeDay measures a day of a large fleet: experiments over hundreds of seeds depend on it.
+func BenchmarkLargeDay(b *testing.B) {
+	for _, s := range Scenarios() {
+		if s.Name == "large-shifts" {
+			for b.Loop() {
+				Play(s, 1, copies.DefaultTuning())
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/world.go
@@ -0,0 +1,272 @@
+package emulator
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"sycamoredeal/internal/copies"
+	"sycamoredeal/internal/fleet"
+	"sycamoredeal/internal/sched"
+	"sycamoredeal/internal/wire"
+)
+
+const (
+	hop          = time.Millisecond       // between two processes
+	tickEvery    = 15 * time.Millisecond  // of the dispatcher
+	planEvery    = 150 * time.Millisecond // of the holder, whose view of demand is as old
+	closingWait  = 40 * time.Millisecond  // before an unload
+	reportLag    = 250 * time.Millisecond // after an unload, until the engine's report shows it
+	refusedAfter = 2 * time.Millisecond   // a connection to an engine that has crashed
+	darkAfter    = 400 * time.Millisecond // a connection to one that does not answer
+	silentAfter  = 1500 * time.Millisecond
+	adapterTime  = 20 * time.Millisecond // to order and load an adapter
+	leastWait    = 2 * time.Second       // a caller's patience with a silent stream
+	host         = "h"
+	arrivalStep  = 2 * time.Millisecond
+)
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// world is one day.
+type world struct {
+	s       *Scenario
+	rng     *rand.Rand
+	now     time.Duration
+	seq     uint64
+	queue   events
+	state   *sched.State
+	planner *copies.Planner
+	engines []*engine
+	plain   []*engine
+	byID    map[string]*engine
+	busy    [][]int // busy models by class
+	shares  [][]float64
+	calls   map[uint64]*request
+	next    uint64
+	due     []float64 // fractions of requests that have not come yet, by class
+	loads   []int     // in progress from the weight store; one counter behind a pointer
+	result  Result
+}
+
+// Play plays a scenario with a seed.
+func Play(s Scenario, seed uint64, t copies.Tuning) Result {
+	w := &world{
+		s: &s, rng: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*engine), calls: make(map[uint64]*request),
+		due: make([]float64, len(s.Classes)), busy: make([][]int, len(s.Classes)), shares: make([][]float64, len(s.Classes)),
+		loads: make([]int, 1),
+	}
+	w.now = 0
+	w.result = newResult(&s, seed)
+	for i := range s.Engines {
+		w.addEngine(i)
+	}
+	for i := range s.Plain {
+		e := &engine{w: w, id: fmt.Sprintf("p%02d", i), slots: 6, plain: true}
+		w.plain = append(w.plain, e)
+		w.byID[e.id] = e
+	}
+	w.planner = copies.New(0, copies.Limits{Window: 5 * time.Second, Over: 1.1, Extra: 3}, t, 0)
+	w.state = sched.New(0, sched.Config{Seed: seed, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second}, w.view())
+	w.state.HostUp(0, host)
+	w.shift()
+	w.every(tickEvery, func() { w.state.Tick(w.now); w.deliver() })
+	w.every(planEvery, w.plan)
+	w.at(s.Idle, func() { w.every(arrivalStep, w.arrivals) })
+	for _, at := range s.Shifts {
+		w.at(s.Idle+at, w.shift)
+	}
+	for _, x := range s.Losses {
+		w.at(s.Idle+x.At, func() { w.lose(x) })
+	}
+	// Answers that are under way at the end are waited for.
+	for end := s.Idle + s.Length + 20*time.Second; len(w.queue) > 0 && w.queue[0].at < end; {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	for _, r := range w.calls {
+		w.end(r, outcomeFailed)
+	}
+	return w.result
+}
+
+func (w *world) at(t time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{t, w.seq, do})
+}
+
+func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
+
+func (w *world) every(d time.Duration, do func()) {
+	w.after(d, func() { do(); w.every(d, do) })
+}
+
+// since returns the time from the start of traffic.
+func (w *world) since() time.Duration { return w.now - w.s.Idle }
+
+func within(spans []Span, at time.Duration) *Span {
+	for i := range spans {
+		if x := &spans[i]; at >= x.At && at < x.At+x.For {
+			return x
+		}
+	}
+	return nil
+}
+
+// shift draws the busy models of each class. Classes with the same range share them.
+func (w *world) shift() {
+	drawn := make(map[[2]int][]int)
+	for i := range w.s.Classes {
+		c := &w.s.Classes[i]
+		if c.Events == 0 {
+			continue
+		}
+		key := [2]int{c.From, c.To}
+		if drawn[key] == nil {
+			drawn[key] = w.rng.Perm(c.To - c.From)[:c.Busy]
+		}
+		w.busy[i] = drawn[key]
+		w.shares[i] = make([]float64, c.Busy)
+		sum := 0.0
+		for k := range w.shares[i] {
+			w.shares[i][k] = 1 / math.Pow(float64(k+1), 0.6)
+			sum += w.shares[i][k]
+		}
+		for k := range w.shares[i] {
+			w.shares[i][k] /= sum
+		}
+	}
+}
+
+// arrivals lets the requests of one step come.
+func (w *world) arrivals() {
+	if w.since() > w.s.Length {
+		return
+	}
+	for i := range w.s.Classes {
+		c := &w.s.Classes[i]
+		rate := c.PerSec
+		for k := range w.s.Bursts {
+			if b := &w.s.Bursts[k]; b.Class == c.Name && within(w.s.Bursts[k:k+1], w.since()) != nil {
+				rate *= b.Factor
+			}
+		}
+		for w.due[i] += rate * arrivalStep.Seconds() * 2 * w.rng.Float64(); w.due[i] >= 1; w.due[i]-- {
+			w.come(i)
+		}
+	}
+}
+
+// view returns what hosts know of the endpoints.
+func (w *world) view() *fleet.View {
+	v := &fleet.View{Listed: true, Config: &fleet.Config{Version: 1, Services: map[string]*fleet.Service{
+		engines: {Name: engines, Engine: &w.s.Spec}, plain: {Name: plain},
+	}}}
+	for _, e := range w.engines {
+		if e.removed {
+			continue
+		}
+		x := fleet.Endpoint{ID: e.id, Born: e.born, Service: engines, Slots: e.slots}
+		for m := range e.models {
+			x.Models = append(x.Models, fleet.Resident{Model: m})
+		}
+		v.Endpoints = append(v.Endpoints, x)
+	}
+	for _, e := range w.plain {
+		v.Endpoints = append(v.Endpoints, fleet.Endpoint{ID: e.id, Service: plain, Slots: e.slots})
+	}
+	return v
+}
+
+// changed tells the dispatcher of a change of the endpoints.
+func (w *world) changed() {
+	w.state.SetView(w.now, w.view())
+	w.deliver()
+}
+
+// plan runs a round of the holder.
+func (w *world) plan() {
+	if within(w.s.Vacant, w.since()) != nil {
+		w.state.SetHolder(w.now, nil)
+		w.deliver()
+		return
+	}
+	load := w.state.Load()
+	in := copies.Input{Now: w.now, Engine: &w.s.Spec, Demand: make(map[string]copies.Demand)}
+	running := make(map[string]map[string]int)
+	for _, m := range load.Models {
+		if m.Service != engines {
+			continue
+		}
+		in.Demand[m.Model] = copies.Demand{PerSec: float64(m.PerSec), HoldSec: float64(m.HoldSec), Running: int(m.Running), Waiting: int(m.Waiting)}
+		for _, c := range m.Copies {
+			if running[c.Endpoint] == nil {
+				running[c.Endpoint] = make(map[string]int)
+			}
+			running[c.Endpoint][m.Model] = int(c.Running)
+		}
+	}
+	beat := &wire.HolderBeat{Host: host}
+	for _, e := range w.engines {
+		if e.removed {
+			continue
+		}
+		in.Endpoints = append(in.Endpoints, e.planned(running[e.id]))
+	}
+	for _, o := range w.planner.Round(in) {
+		w.result.Orders++
+		if o.From == copies.FromStore {
+			w.result.StoreLoads++
+		}
+		w.byID[o.Endpoint].change(o)
+	}
+	for _, e := range w.engines {
+		if e.changing {
+			beat.Changing = append(beat.Changing, e.id)
+		}
+		if e.closing != "" {
+			beat.Closing = append(beat.Closing, wire.ModelCopy{Endpoint: e.id, Model: e.closing})
+		}
+	}
+	w.state.SetHolder(w.now, beat)
+	w.deliver()
+}
+
+// lose takes engines away. They come back empty, with their disks.
+func (w *world) lose(x Span) {
+	n := int(math.Ceil(x.Share * float64(len(w.engines))))
+	for _, i := range w.rng.Perm(len(w.engines))[:n] {
+		e := w.engines[i]
+		e.crash(x.Dark)
+		// The platform notices after a while.
+		w.after(time.Second, func() { e.removed = true; w.changed() })
+		w.after(x.For, func() { e.restart() })
+	}
+}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -36,6 +36,11 @@
 	patienceFraction = 0.9
 )
 
+// Patience is how long a caller of a stream waits for the first or the next event.
+func (r *Route) Patience() time.Duration {
+	return max(leastPatience, patienceTargets*r.Target, patiencePauses*r.MaxPause)
+}
+
 // StartBy returns when the answer has to begin at the latest: at the deadline, the route's timeout, or, for a stream,
 // before the caller gives up on a silent connection.
 func (q *Request) StartBy() time.Time {
@@ -43,8 +48,7 @@
 	if q.Route.Kind != Stream {
 		return by
 	}
-	p := max(leastPatience, patienceTargets*q.Route.Target, patiencePauses*q.Route.MaxPause)
-	if t := q.Arrived.Add(time.Duration(patienceFraction * float64(p))); by.IsZero() || t.Before(by) {
+	if t := q.Arrived.Add(time.Duration(patienceFraction * float64(q.Route.Patience()))); by.IsZero() || t.Before(by) {
 		return t
 	}
 	return by
--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/transport"
@@ -24,7 +25,8 @@
 	silentFor    = 600 * time.Millisecond // without a broadcast, four are missing
 	frozenGap    = 300 * time.Millisecond // between two ticks: this process stood still, not the dispatcher
 	followEvery  = 50 * time.Millisecond
-	firstSuspect = 2 * time.Second // time for which a silent dispatcher is passed over; doubles
+	settleTime   = 400 * time.Millisecond // before a dispatcher that works is left for one that comes before it
+	firstSuspect = 2 * time.Second        // time for which a silent dispatcher is passed over; doubles
 	mostSuspect  = 16 * time.Second
 	aloneShare   = 1.5 // of the even share of an endpoint's places that a host uses without the dispatcher
 	aloneRetry   = 300 * time.Millisecond
@@ -93,9 +95,12 @@
 	suspects map[string]suspicion
 	state    wire.FleetState
 	stateAt  time.Time
+	loadsAt  time.Time            // of the loads of endpoints in state
 	alone    map[string]int       // places taken without the dispatcher, by endpoint
 	avoid    map[string]time.Time // endpoints that failed, for decisions alone
 	ticked   time.Time
+	better   fleet.Host // that comes before the one in use
+	betterAt time.Time  // since when
 }
 
 func newBinder(h *Host) *binder {
@@ -163,6 +168,10 @@
 	if b.link != nil && sameHost(b.link.host, want) {
 		b.closeLink(b.coming)
 		b.coming = nil
+		b.better = fleet.Host{}
+		return
+	}
+	if b.link != nil && !b.settled(want, now) {
 		return
 	}
 	if b.coming == nil || !sameHost(b.coming.host, want) {
@@ -174,6 +183,15 @@
 	}
 }
 
+// settled tells whether a host has come before the dispatcher in use for long enough. While many hosts register, the order
+// changes often, and each switch of all hosts costs a message with all that is in flight.
+func (b *binder) settled(want fleet.Host, now time.Time) bool {
+	if !sameHost(b.better, want) {
+		b.better, b.betterAt = want, now
+	}
+	return now.Sub(b.betterAt) >= settleTime
+}
+
 func sameHost(a, b fleet.Host) bool {
 	return a.Name == b.Name && a.Incarnation == b.Incarnation && a.Address == b.Address
 }
@@ -274,8 +292,8 @@
 	return true
 }
 
-// sendBeat passes the beat of the placement's holder on.
-func (b *binder) sendBeat(m *wire.HolderBeat) {
+// tell sends the dispatcher a message that is sent again if it is lost, such as a beat of the placement's holder.
+func (b *binder) tell(m wire.Message) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.send(m)
@@ -312,7 +330,12 @@
 	}
 	switch m := m.(type) {
 	case *wire.FleetState:
+		loads := b.state.Endpoints
+		if m.Endpoints != nil {
+			loads, b.loadsAt = m.Endpoints, time.Now()
+		}
 		b.state, b.stateAt = *m, time.Now()
+		b.state.Endpoints = loads
 		delete(b.suspects, l.host.Name)
 	case *wire.ViewUpdate:
 		if !b.h.directory.updates.TryPush(m) {
@@ -519,7 +542,7 @@
 
 // knownUse returns the places taken at an endpoint by the latest broadcast.
 func (b *binder) knownUse(endpoint string) int {
-	if time.Since(b.stateAt) > stateFresh {
+	if time.Since(b.loadsAt) > stateFresh {
 		return 0
 	}
 	for _, e := range b.state.Endpoints {
@@ -557,6 +580,13 @@
 	b.send(&d)
 }
 
+// release gives a place back that was not used. A nil binding has none.
+func (x *binding) release() {
+	if x != nil {
+		x.done(wire.Done{Outcome: uint8(attempt.NotSent)})
+	}
+}
+
 // prepareAdapter has the holder of the placement lease load the request's adapter, and returns how long to wait until it can be
 // used.
 func (x *binding) prepareAdapter(ctx context.Context, m *wire.Prepare) (time.Duration, error) {
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -30,6 +30,15 @@
 	probeWait  = 0                      // of the calls that find out whether the store is back
 	batchPause = 50 * time.Millisecond  // after changes: those that follow at once come with the next call
 	relayPoll  = 100 * time.Millisecond // while the dispatcher passes changes on
+	relayGrace = 500 * time.Millisecond // after the loss of a dispatcher, in which the next one takes over
+	// ownPause is batchPause of a host that follows the store beside the dispatcher, for example because it does not reach
+	// it. Each call is priced, and two seconds are allowed until a change is in force.
+	ownPause = 500 * time.Millisecond
+	// retryOwn is retryMost of such a host while it knows a view. After an outage, promises with a time bound hold again
+	// after three seconds.
+	retryOwn     = 1500 * time.Millisecond
+	differFor    = 300 * time.Millisecond // updates are on their way meanwhile
+	mostViewAsks = 2                      // before a kind is read from the store
 	// returnGrace is the time after an outage of the store in which entries that lapsed meanwhile come back.
 	returnGrace   = 2 * time.Second
 	sweepLapsed   = 100 * time.Millisecond
@@ -50,7 +59,9 @@
 	updates *ring.Ring[*wire.ViewUpdate] // from the dispatcher
 
 	mu        sync.Mutex
-	raw       map[string]map[string]objects.Object // by kind and name, to answer other hosts
+	mirror    mirror
+	stale     map[string]bool       // kinds that the dispatcher does not pass on in full: they are read from the store
+	differs   map[string]difference // by kind, from what the dispatcher has
 	config    *fleet.Config
 	endpoints map[string]fleet.Endpoint
 	lapsed    map[string]time.Time // endpoints that vanished around an outage, until when they are kept
@@ -64,7 +75,8 @@
 
 func newDirectory(h *Host) *directory {
 	d := &directory{
-		h: h, log: h.log.Part("directory"), wake: make(chan struct{}, 1), raw: make(map[string]map[string]objects.Object),
+		h: h, log: h.log.Part("directory"), wake: make(chan struct{}, 1), mirror: make(mirror),
+		stale: make(map[string]bool), differs: make(map[string]difference),
 		endpoints: make(map[string]fleet.Endpoint), lapsed: make(map[string]time.Time), hosts: make(map[string]fleet.Host),
 		outages: make(map[string]time.Time), updates: ring.New[*wire.ViewUpdate](passedUpdates),
 	}
@@ -72,6 +84,12 @@
 	return d
 }
 
+// difference of a kind's objects from those of the dispatcher.
+type difference struct {
+	since time.Time
+	asks  int
+}
+
 // view returns the current view. It must not be changed.
 func (d *directory) view() *fleet.View { return d.now.Load() }
 
@@ -87,7 +105,7 @@
 func (d *directory) run(ctx context.Context) {
 	config, endpoints := d.h.opts.Codec.Kinds()
 	feeds := []feed{
-		{config, watchWait, d.putConfig, func(string) {}, func(map[string]bool) {}},
+		{config, watchWait, d.putConfig, d.removeConfig, d.keepConfigs},
 		{endpoints, watchWait, d.putEndpoint, d.removeEndpoint, d.keepEndpoints},
 		{kindHosts, hostWait, d.putHost, d.removeHost, d.keepHosts},
 	}
@@ -112,6 +130,7 @@
 		select {
 		case <-t.C:
 			d.dropLapsed(time.Now())
+			d.compare(time.Now())
 		case <-ctx.Done():
 		}
 	}
@@ -122,13 +141,19 @@
 func (d *directory) follow(ctx context.Context, f feed) {
 	backoff := objects.Backoff{Least: retryLeast, Most: retryMost}
 	version := ""
+	var relayed time.Time // when the dispatcher passed the kind on
 	for ctx.Err() == nil {
 		var err error
+		own := d.h.binder.isDispatcher()
 		switch {
-		case version != "" && d.h.binder.relays(), version == "" && d.relayed(f.kind):
+		case d.relayed(f.kind):
 			// The dispatcher follows the store for all hosts: calls to the store don't grow with the fleet.
 			d.settle(f.kind, nil)
-			version = ""
+			version, relayed = "", time.Now()
+			clock.Sleep(ctx, relayPoll)
+			continue
+		case version == "" && !own && !d.isStale(f.kind) && time.Since(relayed) < relayGrace:
+			// The next dispatcher will pass the kind on in a moment.
 			clock.Sleep(ctx, relayPoll)
 			continue
 		case version == "":
@@ -136,7 +161,11 @@
 		default:
 			before := version
 			if version, err = d.changes(ctx, f, version); err == nil && version != before {
-				clock.Sleep(ctx, batchPause)
+				if own {
+					clock.Sleep(ctx, batchPause)
+				} else {
+					clock.Sleep(ctx, ownPause)
+				}
 			}
 		}
 		if ctx.Err() != nil {
@@ -144,6 +173,9 @@
 		}
 		d.settle(f.kind, err)
 		if err != nil && !errors.Is(err, objects.ErrExpired) {
+			if backoff.Most = retryMost; !own && d.complete() {
+				backoff.Most = retryOwn
+			}
 			backoff.Wait(ctx, err)
 		} else {
 			backoff.Reset()
@@ -158,7 +190,13 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.raw[kind]) > 0
+	return len(d.mirror[kind]) > 0 && !d.stale[kind]
+}
+
+func (d *directory) isStale(kind string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stale[kind]
 }
 
 // current tells whether this process follows the store and has no outage.
@@ -183,6 +221,7 @@
 		f.put(o)
 	}
 	f.whole(names)
+	delete(d.stale, f.kind)
 	d.publish()
 	return version, nil
 }
@@ -217,23 +256,16 @@
 	return next, nil
 }
 
-// keep remembers an object for hosts that can't reach the store. The caller holds the lock.
+// keep remembers an object for other hosts. The caller holds the lock.
 func (d *directory) keep(o objects.Object) {
-	if d.raw[o.Kind] == nil {
-		d.raw[o.Kind] = make(map[string]objects.Object)
+	if u := d.mirror.put(o); u != nil {
+		d.passed = append(d.passed, u)
 	}
-	d.raw[o.Kind][o.Name] = o
-	d.passed = append(d.passed, &wire.ViewUpdate{Of: o.Kind, Objects: []wire.StoredObject{stored(o)}})
 }
 
 // drop forgets an object. The caller holds the lock.
 func (d *directory) drop(kind, name string) {
-	delete(d.raw[kind], name)
-	d.passed = append(d.passed, &wire.ViewUpdate{Of: kind, Removed: []string{name}})
-}
-
-func stored(o objects.Object) wire.StoredObject {
-	return wire.StoredObject{Kind: o.Kind, Name: o.Name, Version: o.Version, Data: o.Data}
+	d.passed = append(d.passed, d.mirror.drop(kind, name))
 }
 
 func (d *directory) lost(kind string) bool {
@@ -326,6 +358,19 @@
 	}
 }
 
+// removeConfig forgets an object of the configuration's kind. What is in force stays.
+func (d *directory) removeConfig(name string) {
+	config, _ := d.h.opts.Codec.Kinds()
+	d.drop(config, name)
+}
+
+func (d *directory) keepConfigs(names map[string]bool) {
+	config, _ := d.h.opts.Codec.Kinds()
+	for _, name := range d.mirror.missing(config, names) {
+		d.removeConfig(name)
+	}
+}
+
 func (d *directory) putEndpoint(o objects.Object) {
 	e, err := d.h.opts.Codec.Endpoint(o)
 	if err != nil {
@@ -345,7 +390,8 @@
 // removeEndpoint drops an endpoint. Around an outage of the store, entries lapse although their servers live: such an
 // entry is kept until it had time to return.
 func (d *directory) removeEndpoint(id string) {
-	if until := d.returned.Add(returnGrace); time.Now().Before(until) && !d.endpoints[id].Draining {
+	if _, known := d.endpoints[id]; known && time.Now().Before(d.returned.Add(returnGrace)) && !d.endpoints[id].Draining {
+		until := d.returned.Add(returnGrace)
 		if _, ok := d.lapsed[id]; !ok {
 			d.lapsed[id] = until
 		}
@@ -355,21 +401,20 @@
 }
 
 func (d *directory) forget(id, reason string) {
+	_, kind := d.h.opts.Codec.Kinds()
+	d.drop(kind, id)
 	if _, ok := d.endpoints[id]; ok {
 		delete(d.endpoints, id)
 		delete(d.lapsed, id)
-		_, kind := d.h.opts.Codec.Kinds()
-		d.drop(kind, id)
 		d.log.Info().Str("endpoint", id).Str("reason", reason).Msg("Endpoint gone.")
 	}
 }
 
 func (d *directory) keepEndpoints(names map[string]bool) {
 	d.listed = true
-	for id := range d.endpoints {
-		if !names[id] {
-			d.removeEndpoint(id)
-		}
+	_, kind := d.h.opts.Codec.Kinds()
+	for _, id := range d.mirror.missing(kind, names) {
+		d.removeEndpoint(id)
 	}
 }
 
@@ -417,10 +462,8 @@
 }
 
 func (d *directory) keepHosts(names map[string]bool) {
-	for name := range d.hosts {
-		if !names[name] {
-			d.removeHost(name)
-		}
+	for _, name := range d.mirror.missing(kindHosts, names) {
+		d.removeHost(name)
 	}
 	d.nudge()
 }
@@ -587,70 +630,92 @@
 // reply returns the objects that make up the view.
 func (d *directory) reply() *wire.ViewReply {
 	out := &wire.ViewReply{}
-	for _, u := range d.whole() {
-		out.Objects = append(out.Objects, u.Objects...)
-	}
-	return out
-}
-
-// whole returns all objects, for a host that starts to follow this one.
-func (d *directory) whole() []*wire.ViewUpdate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make([]*wire.ViewUpdate, 0, len(d.raw))
-	for kind, byName := range d.raw {
-		u := &wire.ViewUpdate{Of: kind, Whole: true}
+	for _, byName := range d.mirror {
 		for _, o := range byName {
-			u.Objects = append(u.Objects, stored(o))
+			out.Objects = append(out.Objects, stored(o))
 		}
-		out = append(out, u)
 	}
 	return out
 }
 
-// update takes over what the dispatcher passes on. An object that is older than the known one is left out.
+// update takes over what the dispatcher passes on.
 func (d *directory) update(m *wire.ViewUpdate) {
 	config, endpoints := d.h.opts.Codec.Kinds()
 	puts := map[string]func(objects.Object){config: d.putConfig, endpoints: d.putEndpoint, kindHosts: d.putHost}
-	removes := map[string]func(string){endpoints: func(id string) { d.forget(id, "removed at the dispatcher") }, kindHosts: d.removeHost}
+	removes := map[string]func(string){
+		config: d.removeConfig, endpoints: func(id string) { d.forget(id, "removed at the dispatcher") }, kindHosts: d.removeHost,
+	}
 	put, remove := puts[m.Of], removes[m.Of]
 	if put == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	names := make(map[string]bool, len(m.Objects))
-	for _, s := range m.Objects {
-		names[s.Name] = true
-		if known, ok := d.raw[m.Of][s.Name]; ok && !newer(s.Version, known.Version) {
-			continue
-		}
-		o := objects.Object{Kind: s.Kind, Name: s.Name, Version: s.Version, Data: s.Data}
+	news, gone, ok := d.mirror.resolve(m)
+	if !ok || m.Fetch {
+		d.stale[m.Of] = true
+		d.log.Info().Str("kind", m.Of).Bool("long", m.Fetch).Msg("Change is read from the store.")
+	}
+	for _, o := range news {
 		d.keep(o)
 		put(o)
 	}
-	gone := m.Removed
-	if m.Whole {
-		for name := range d.raw[m.Of] {
-			if !names[name] {
-				gone = append(gone, name)
-			}
-		}
-		if m.Of == endpoints {
-			d.listed = true
-		}
+	if m.Whole && m.Of == endpoints {
+		d.listed = true
 	}
 	for _, name := range gone {
-		if remove != nil {
-			remove(name)
-		}
+		remove(name)
 	}
 	d.publish()
 }
 
-// newer compares versions of objects, which are revisions of the store.
-func newer(a, b string) bool {
-	x, errA := strconv.ParseUint(a, 10, 64)
-	y, errB := strconv.ParseUint(b, 10, 64)
-	return errA != nil || errB != nil || x > y
+// compare asks the dispatcher for what this host lacks, when the dispatcher has had other objects for a time. A kind that
+// still differs after that is read from the store.
+func (d *directory) compare(now time.Time) {
+	state, _ := d.h.binder.fleetState()
+	relays := d.h.binder.relays()
+	d.mu.Lock()
+	var asks []wire.Message
+	for _, theirs := range state.Views {
+		own := d.mirror.summary(theirs.Of)
+		x := d.differs[theirs.Of]
+		switch {
+		case !relays || own.Digest == theirs.Digest:
+			x = difference{}
+		case x.since.IsZero():
+			x.since = now
+		case now.Sub(x.since) < differFor:
+		case x.asks < mostViewAsks:
+			x.since, x.asks = now, x.asks+1
+			d.log.Info().Str("kind", theirs.Of).Uint64("newest", own.Newest).Uint64("theirs", theirs.Newest).Int("asks", x.asks).
+				Msg("Objects differ from the dispatcher's, asked for.")
+			asks = append(asks, &wire.ViewAsk{Of: theirs.Of, Newest: own.Newest})
+		default:
+			x = difference{}
+			d.stale[theirs.Of] = true
+			d.log.Warn().Str("kind", theirs.Of).Uint64("newest", own.Newest).Uint64("theirs", theirs.Newest).
+				Msg("Objects still differ from the dispatcher's, read from the store.")
+		}
+		d.differs[theirs.Of] = x
+	}
+	d.mu.Unlock()
+	for _, a := range asks {
+		d.h.binder.tell(a)
+	}
+}
+
+// since returns what another host lacks.
+func (d *directory) since(m *wire.ViewAsk) *wire.ViewUpdate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mirror.since(m.Of, m.Newest)
+}
+
+// summaries tells what this host has.
+func (d *directory) summaries() []wire.ViewSummary {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mirror.summaries()
 }
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sycamoredeal/internal/ring"
 	"sycamoredeal/internal/sched"
 	"sycamoredeal/internal/telemetry"
@@ -14,11 +15,16 @@
 const (
 	dispatcherEvents = 16384                  // some seconds of asks at the target size
 	busyTick         = 15 * time.Millisecond  // bounds how late a hopeless request is refused
+	mostEarly        = 4096                   // events that wait for the view
 	passedUpdates    = 4096                   // changes of the view that wait to be passed on
 	idleTick         = 100 * time.Millisecond // without waiting requests
 	stateEvery       = 150 * time.Millisecond // between broadcasts; they also prove that the dispatcher lives
 	rebuildTime      = 120 * time.Millisecond // in which hosts send what they have in flight
 	holderSilence    = 700 * time.Millisecond // without a beat, no holder is announced
+	loadsEvery       = 5                      // broadcasts with the loads of endpoints to one host
+	// passedBytes bounds a change of the view to all hosts together: 0.2 s of a link of 10 Mbit/s. The store has more
+	// bandwidth than a host.
+	passedBytes = 256 << 10
 )
 
 type dispatcherEvent struct {
@@ -36,14 +42,15 @@
 	passed *ring.Ring[*wire.ViewUpdate]
 	start  time.Time
 
-	state  *sched.State
-	peers  map[string]peer
-	sent   time.Time // of the latest broadcast
-	beat   wire.HolderBeat
-	beatAt time.Time
-
-	overrun atomic.Bool // changes of the view were dropped
-	current bool        // as of the latest broadcast
+	state   *sched.State
+	peers   map[string]peer
+	sent    time.Time // of the latest broadcast
+	beat    wire.HolderBeat
+	beatAt  time.Time
+	early   []dispatcherEvent // that came before the view was known
+	loads   []wire.StoreLoads // as a holder of the placement lease told them
+	loadsAt time.Time
+	round   uint64 // of the broadcasts
 }
 
 func newDispatcher(h *Host) *dispatcher {
@@ -68,11 +75,12 @@
 	}
 }
 
-// passOn queues changes of the view for the other hosts. If there are too many, the hosts get the whole view again.
+// passOn queues changes of the view for the other hosts. Hosts that miss one notice it by the summaries.
 func (d *dispatcher) passOn(updates []*wire.ViewUpdate) {
 	for _, u := range updates {
 		if !d.passed.TryPush(u) {
-			d.overrun.Store(true)
+			d.log.Warn().Str("kind", u.Of).Msg("Change not passed on, too many are waiting.")
+			return
 		}
 	}
 }
@@ -94,6 +102,7 @@
 			if d.state != nil {
 				d.state.SetView(d.now(), d.h.directory.view())
 			}
+			d.takeEarly()
 		case <-t.C:
 			d.tick()
 			t.Reset(d.pause())
@@ -102,27 +111,22 @@
 	}
 }
 
-// pass sends a change of the view to the other hosts.
+// pass sends a change of the view to the other hosts. One that is too long for the link is only announced.
 func (d *dispatcher) pass(u *wire.ViewUpdate) {
+	u = d.within(u)
 	for host, p := range d.peers {
 		if host != d.h.deployment().Host {
 			d.send(p, u)
 		}
 	}
-	if d.overrun.Swap(false) {
-		for host, p := range d.peers {
-			d.sendWhole(host, p)
-		}
-	}
 }
 
-func (d *dispatcher) sendWhole(host string, p peer) {
-	if host == d.h.deployment().Host || !d.h.directory.current() {
-		return
-	}
-	for _, u := range d.h.directory.whole() {
-		d.send(p, u)
+// within returns an update, or its announcement if all hosts together would get too many bytes.
+func (d *dispatcher) within(u *wire.ViewUpdate) *wire.ViewUpdate {
+	if size(u)*len(d.peers) > passedBytes {
+		return &wire.ViewUpdate{Of: u.Of, Fetch: true}
 	}
+	return u
 }
 
 func (d *dispatcher) pause() time.Duration {
@@ -149,29 +153,51 @@
 func (d *dispatcher) broadcast() {
 	f := d.state.Load()
 	f.Current = d.h.directory.current() && d.h.binder.isDispatcher()
-	if f.Current && !d.current {
-		for host, p := range d.peers {
-			d.sendWhole(host, p)
-		}
+	if f.Current {
+		f.Views = d.h.directory.summaries()
 	}
-	d.current = f.Current
 	if time.Since(d.beatAt) < holderSilence {
 		f.Holder, f.Epoch = d.beat.Host, d.beat.Epoch
 	} else if d.beat.Leaving {
 		f.Vacant, f.Epoch = true, d.beat.Epoch
 	}
-	// The demand for models is for the host that plans copies; the others would only pay for its bytes.
-	brief := f
-	brief.Models = nil
+	// The demand for models is for the host that plans copies, and the loads of endpoints matter to a host that has to
+	// decide alone only: sent to all each time, they would fill the dispatcher's link in a large fleet.
+	f.StoreLoads, f.LoadsTold = d.storeLoads()
+	loads := f
+	loads.Models, loads.StoreLoads, loads.LoadsTold = nil, nil, false
+	brief := loads
+	brief.Endpoints = nil
+	d.round++
 	for host, p := range d.peers {
-		if host == d.beat.Host {
+		switch {
+		case host == d.beat.Host:
 			d.send(p, &f)
-		} else {
+		case xxhash.Sum64String(host)%loadsEvery == d.round%loadsEvery:
+			d.send(p, &loads)
+		default:
 			d.send(p, &brief)
 		}
 	}
 }
 
+// storeLoads returns the loads that holders have told, with their ages now.
+func (d *dispatcher) storeLoads() ([]wire.StoreLoads, bool) {
+	if d.loadsAt.IsZero() {
+		return nil, false
+	}
+	passed := uint32(time.Since(d.loadsAt).Milliseconds())
+	out := make([]wire.StoreLoads, 0, len(d.loads))
+	for _, l := range d.loads {
+		aged := wire.StoreLoads{Service: l.Service}
+		for _, a := range l.AgesMs {
+			aged.AgesMs = append(aged.AgesMs, a+passed)
+		}
+		out = append(out, aged)
+	}
+	return out, true
+}
+
 // send closes a connection that can't take a message: its host connects again and sends its state.
 func (d *dispatcher) send(p peer, m wire.Message) {
 	if p.Send(m) != nil {
@@ -180,6 +206,38 @@
 }
 
 func (d *dispatcher) handle(e dispatcherEvent) {
+	if !d.h.directory.complete() {
+		// This host has just started. Without the view, requests would be turned away that can be served.
+		if d.early = append(d.early, e); len(d.early) > mostEarly {
+			d.refuseEarly()
+		}
+		return
+	}
+	d.takeEarly()
+	d.process(e)
+}
+
+// takeEarly handles the events that came before the view was known, once it is.
+func (d *dispatcher) takeEarly() {
+	if len(d.early) == 0 || !d.h.directory.complete() {
+		return
+	}
+	early := d.early
+	d.early = nil
+	for _, e := range early {
+		d.process(e)
+	}
+}
+
+// refuseEarly closes the connections of hosts that have waited for the view: they turn to another dispatcher.
+func (d *dispatcher) refuseEarly() {
+	for _, e := range d.early {
+		e.peer.Close()
+	}
+	d.early = nil
+}
+
+func (d *dispatcher) process(e dispatcherEvent) {
 	if e.m == nil {
 		d.down(e)
 		return
@@ -188,11 +246,6 @@
 		if e.m.Kind() != wire.KindResync {
 			return // of an earlier connection, or of one that has not sent its state
 		}
-		if e.host != d.h.deployment().Host && !d.h.directory.complete() {
-			// This host has just started. Others know the configuration and the endpoints: the next of them serves meanwhile.
-			e.peer.Close()
-			return
-		}
 		d.up(e)
 	}
 	now := d.now()
@@ -209,6 +262,8 @@
 		d.state.Resync(now, e.host, *m)
 	case *wire.HolderBeat:
 		d.holderBeat(m)
+	case *wire.ViewAsk:
+		d.send(e.peer, d.within(d.h.directory.since(m)))
 	}
 }
 
@@ -217,6 +272,9 @@
 	if m.Epoch < d.beat.Epoch {
 		return
 	}
+	if m.StoreLoads != nil {
+		d.loads, d.loadsAt = m.StoreLoads, time.Now()
+	}
 	d.beat, d.beatAt = *m, time.Now()
 	if m.Leaving {
 		d.beatAt = time.Time{}
@@ -237,7 +295,6 @@
 	}
 	d.peers[e.host] = e.peer
 	d.state.HostUp(d.now(), e.host)
-	d.sendWhole(e.host, e.peer)
 }
 
 func (d *dispatcher) down(e dispatcherEvent) {
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -47,6 +49,7 @@
 	unready  int            // attempts that ended because the adapter could not be loaded
 	fallback *whole         // an error answer of an endpoint, kept while another one is tried
 	last     *binding
+	next     *binding // place of the next attempt, if it has one already
 	lastErr  error
 	stream   *relay
 }
@@ -71,11 +74,15 @@
 
 // run makes attempts until the request is answered or no further one is safe.
 func (x *exchange) run(ctx context.Context) {
+	defer func() { x.next.release() }()
 	for {
-		b, err := x.f.h.binder.bind(ctx, x.ask(), x.q.StartBy(), x.target())
-		if err != nil {
-			x.notBound(ctx, err)
-			return
+		b := x.next
+		if x.next = nil; b == nil {
+			var err error
+			if b, err = x.f.h.binder.bind(ctx, x.ask(), x.q.StartBy(), x.target()); err != nil {
+				x.notBound(ctx, err)
+				return
+			}
 		}
 		x.last = b
 		r := x.try(ctx, b)
@@ -132,13 +139,13 @@
 	}
 }
 
-// warm returns the endpoints of the request's service to which a connection is kept.
+// warm returns the endpoints that can serve the request and to which a connection is kept.
 func (x *exchange) warm() []string {
 	kept := x.f.h.pool.Warm(time.Now())
 	var out []string
 	v := x.f.h.directory.view()
 	for i := range v.Endpoints {
-		if e := &v.Endpoints[i]; e.Service == x.q.Service && kept[e.Address] {
+		if e := &v.Endpoints[i]; e.Service == x.q.Service && kept[e.Address] && (x.q.Model == "" || e.Holds(x.q.Model) != nil) {
 			out = append(out, e.ID)
 		}
 	}
@@ -219,27 +226,102 @@
 	}()
 }
 
-// silence is the longest time without a byte of the answer before the attempt is given up; 0 for no bound but the
-// request's own.
+// movable tells whether the request may go on at another endpoint after this attempt.
+func (x *exchange) movable() bool {
+	return x.q.Route.Repeatable() && x.ran+1 < x.q.Route.MaxAttempts && x.sends < maxSends
+}
+
+// silence is the longest time without a byte of the answer before another endpoint is looked for or, if there can't be
+// another one, the caller has left; 0 for no bound but the request's own.
 func (x *exchange) silence() time.Duration {
 	rt := x.q.Route
 	switch {
-	case rt.Kind == fleet.Stream && rt.Resumable:
+	case rt.Kind == fleet.Stream && x.movable():
 		return firstSilence
 	case rt.Kind == fleet.Stream:
 		return max(time.Until(x.q.StartBy()), leastSilence)
-	case rt.Kind == fleet.Idempotent && x.ran+1 < rt.MaxAttempts:
+	case x.movable():
 		return max(time.Duration(plainSilence*float64(rt.Target)), leastSilence)
 	}
 	return 0
 }
 
+// pauseSilence is silence between two events of a stream.
+func (x *exchange) pauseSilence() time.Duration {
+	if x.movable() {
+		return streamSilence
+	}
+	return x.q.Route.Patience()
+}
+
+// mover looks for another endpoint while one is silent. The silent one may still answer: its attempt is ended only when
+// another one has a place.
+type mover struct {
+	x        *exchange
+	ask      wire.Ask
+	again    time.Duration // between two looks
+	cancel   context.CancelCauseFunc
+	watchdog *watchdog
+
+	mu    sync.Mutex
+	ended bool // the attempt is over
+	found *binding
+}
+
+// watch starts the watchdog of an attempt.
+func (x *exchange) watch(ctx context.Context, endpoint string, cancel context.CancelCauseFunc) *mover {
+	m := &mover{x: x, cancel: cancel, again: x.pauseSilence()}
+	if !x.movable() {
+		m.watchdog = newWatchdog(x.silence(), func() { cancel(errSilent) })
+		return m
+	}
+	m.ask = x.ask()
+	m.ask.Exclude = append(slices.Clone(x.exclude), endpoint)
+	m.ask.Repeat, m.ask.Resumed = true, x.q.Route.Kind == fleet.Stream
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.watchdog = newWatchdog(x.silence(), func() { m.look(ctx) })
+	return m
+}
+
+// look asks for a place that is free at once.
+func (m *mover) look(ctx context.Context) {
+	b, err := m.x.f.h.binder.bind(ctx, m.ask, time.Now(), m.x.target())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case err != nil && !m.ended:
+		m.x.f.log.Info().Str("request", m.x.q.ID).Int64("againMs", m.again.Milliseconds()).Err(err).Msg("Endpoint is silent, no other has a place.")
+		m.watchdog.alive(m.again)
+	case err != nil:
+	case m.ended:
+		b.release()
+	default:
+		m.found = b
+		m.cancel(errSilent)
+	}
+}
+
+// end stops looking, and returns the place that was found.
+func (m *mover) end() *binding {
+	m.watchdog.stop()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = true
+	return m.found
+}
+
 // send makes one exchange with an endpoint.
 func (x *exchange) send(ctx context.Context, b *binding, e *fleet.Endpoint, start time.Time) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := newWatchdog(x.silence(), func() { cancel(errSilent) })
-	defer watchdog.stop()
+	m := x.watch(ctx, b.endpoint, cancel)
+	defer func() {
+		if b := m.end(); b != nil {
+			x.next.release()
+			x.next = b
+		}
+	}()
 	var left time.Duration
 	if end := x.q.EndBy(); !end.IsZero() {
 		left = time.Until(end)
@@ -252,7 +334,7 @@
 	if err != nil {
 		return x.failed(ctx, err)
 	}
-	r := x.receive(ctx, b, e, resp, start, watchdog)
+	r := x.receive(ctx, b, e, resp, start, m.watchdog)
 	if r.err != nil && context.Cause(ctx) == errSilent {
 		r.fault, r.err = sched.Silent, errSilent
 	}
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -116,7 +116,7 @@
 		case <-release:
 			release = nil
 			if epoch := m.Held(clock.Boot()); epoch > 0 {
-				defer o.h.binder.sendBeat(&wire.HolderBeat{Host: o.h.deployment().Host, Epoch: epoch, Leaving: true})
+				defer o.h.binder.tell(&wire.HolderBeat{Host: o.h.deployment().Host, Epoch: epoch, Leaving: true})
 			}
 			m.Release()
 		case <-t.C:
@@ -240,17 +240,50 @@
 			continue
 		}
 		o.fleet.refresh(ctx, o.h.directory.view())
-		o.plan(ctx, planners)
-		o.h.binder.sendBeat(o.fleet.beat(o.h.deployment().Host, epoch, o.h.directory.view()))
+		o.plan(ctx, planners, epoch)
+		b := o.fleet.beat(o.h.deployment().Host, epoch, o.h.directory.view())
+		b.StoreLoads = told(planners)
+		o.h.binder.tell(b)
 	}
 }
 
+// told returns the loads from the weight store that the planners count. It is nil before the first round: that would
+// replace what the dispatcher knows of an earlier holder.
+func told(planners map[string]*copies.Planner) []wire.StoreLoads {
+	var out []wire.StoreLoads
+	now := clock.Boot()
+	for name, p := range planners {
+		l := wire.StoreLoads{Service: name}
+		for _, age := range p.Loads(now) {
+			l.AgesMs = append(l.AgesMs, uint32(age.Milliseconds()))
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// recall tells a new planner what an earlier holder has loaded.
+func recall(p *copies.Planner, now time.Duration, service string, state *wire.FleetState, age time.Duration) {
+	if !state.LoadsTold {
+		return // half of the window counts as used
+	}
+	var ages []time.Duration
+	for _, l := range state.StoreLoads {
+		if l.Service == service {
+			for _, a := range l.AgesMs {
+				ages = append(ages, age+time.Duration(a)*time.Millisecond)
+			}
+		}
+	}
+	p.Recall(now, ages)
+}
+
 // plan runs a round for each service of engines.
-func (o *holder) plan(ctx context.Context, planners map[string]*copies.Planner) {
+func (o *holder) plan(ctx context.Context, planners map[string]*copies.Planner, epoch uint64) {
 	state, age := o.h.binder.fleetState()
 	v := o.h.directory.view()
-	if age > demandFresh || v.Config == nil {
-		return // without demand, what is there stays
+	if age > demandFresh || v.Config == nil || state.Epoch != epoch {
+		return // without demand, what is there stays; the dispatcher sends it once it knows of this holder
 	}
 	now := clock.Boot()
 	for name, svc := range v.Config.Services {
@@ -260,7 +293,8 @@
 		p := planners[name]
 		if p == nil {
 			d := o.h.deployment()
-			p = copies.New(now, copies.Limits{Window: d.LoadWindow, Over: d.LoadOver, Extra: ceilingExtra}, svc.Engine.LoadsPerSecond)
+			p = copies.New(now, copies.Limits{Window: d.LoadWindow, Over: d.LoadOver, Extra: ceilingExtra}, copies.DefaultTuning(), svc.Engine.LoadsPerSecond)
+			recall(p, now, name, &state, age)
 			planners[name] = p
 		}
 		in := copies.Input{Now: now, Engine: svc.Engine, Endpoints: o.fleet.planned(name, v, &state), Demand: demandOf(name, &state)}
--- /dev/null
+++ b/internal/host/mirror.go
@@ -0,0 +1,185 @@
+package host
+
+import (
+	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sycamoredeal/internal/objects"
+	"sycamoredeal/internal/wire"
+)
+
+// mirror holds the objects of the store that make up the view, by kind and name, and computes what other hosts lack of
+// them. It is not safe for concurrent use.
+//
+// Hosts compare a digest of each kind with the dispatcher's. Equal digests mean equal objects, so a host that turns to
+// another dispatcher gets only what it lacks: the whole view for each of a hundred hosts would fill the dispatcher's link
+// for seconds.
+type mirror map[string]map[string]objects.Object
+
+// patchShare is the share of an object's size up to which a change travels as a patch.
+const patchShare = 0.5
+
+// put stores an object and returns the update that tells other hosts of it, or nil if its version is the known one.
+func (m mirror) put(o objects.Object) *wire.ViewUpdate {
+	if m[o.Kind] == nil {
+		m[o.Kind] = make(map[string]objects.Object)
+	}
+	old, known := m[o.Kind][o.Name]
+	if known && old.Version == o.Version {
+		return nil
+	}
+	m[o.Kind][o.Name] = o
+	if known {
+		if p := diff(old.Data, o.Data); float64(len(p.Middle)) < patchShare*float64(len(o.Data)) {
+			p.Name, p.From, p.Version = o.Name, old.Version, o.Version
+			return &wire.ViewUpdate{Of: o.Kind, Patches: []wire.ObjectPatch{p}}
+		}
+	}
+	return &wire.ViewUpdate{Of: o.Kind, Objects: []wire.StoredObject{stored(o)}}
+}
+
+// drop forgets an object and returns the update that tells other hosts of it.
+func (m mirror) drop(kind, name string) *wire.ViewUpdate {
+	delete(m[kind], name)
+	return &wire.ViewUpdate{Of: kind, Removed: []string{name}}
+}
+
+// missing returns the names of a kind's objects that a list does not show.
+func (m mirror) missing(kind string, listed map[string]bool) []string {
+	var out []string
+	for name := range m[kind] {
+		if !listed[name] {
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// diff returns the bytes between the common ends of two versions of an object's data.
+func diff(before, after []byte) wire.ObjectPatch {
+	least := min(len(before), len(after))
+	prefix := 0
+	for prefix < least && before[prefix] == after[prefix] {
+		prefix++
+	}
+	suffix := 0
+	for suffix < least-prefix && before[len(before)-1-suffix] == after[len(after)-1-suffix] {
+		suffix++
+	}
+	return wire.ObjectPatch{Prefix: uint32(prefix), Suffix: uint32(suffix), Middle: after[prefix : len(after)-suffix]}
+}
+
+// patched undoes diff. ok is false for a patch that does not fit the data.
+func patched(before []byte, p *wire.ObjectPatch) (after []byte, ok bool) {
+	if uint64(p.Prefix)+uint64(p.Suffix) > uint64(len(before)) {
+		return nil, false
+	}
+	after = make([]byte, 0, int(p.Prefix)+len(p.Middle)+int(p.Suffix))
+	after = append(after, before[:p.Prefix]...)
+	after = append(after, p.Middle...)
+	return append(after, before[len(before)-int(p.Suffix):]...), true
+}
+
+// summary returns the digest of a kind, and its newest version.
+func (m mirror) summary(kind string) wire.ViewSummary {
+	s := wire.ViewSummary{Of: kind}
+	for name, o := range m[kind] {
+		// The sum does not depend on the order of the map.
+		s.Digest += xxhash.Sum64String(name + " " + o.Version)
+		s.Newest = max(s.Newest, revisionOf(o.Version))
+	}
+	return s
+}
+
+// summaries returns the summaries of all kinds.
+func (m mirror) summaries() []wire.ViewSummary {
+	var out []wire.ViewSummary
+	for kind := range m {
+		out = append(out, m.summary(kind))
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Of < out[j].Of })
+	return out
+}
+
+// since returns what a host lacks whose newest version of a kind is given: newer objects, and the names of all.
+func (m mirror) since(kind string, newest uint64) *wire.ViewUpdate {
+	u := &wire.ViewUpdate{Of: kind, Whole: true}
+	for name, o := range m[kind] {
+		u.Names = append(u.Names, name)
+		if revisionOf(o.Version) > newest {
+			u.Objects = append(u.Objects, stored(o))
+		}
+	}
+	sort.Strings(u.Names)
+	return u
+}
+
+// resolve returns the objects of an update that are newer than the known ones, and the names of those that are gone. ok
+// is false if a patch does not fit: the kind has to be read.
+func (m mirror) resolve(u *wire.ViewUpdate) (news []objects.Object, gone []string, ok bool) {
+	ok = true
+	for _, s := range u.Objects {
+		if known, there := m[u.Of][s.Name]; !there || newer(s.Version, known.Version) {
+			news = append(news, objects.Object{Kind: s.Kind, Name: s.Name, Version: s.Version, Data: s.Data})
+		}
+	}
+	for i := range u.Patches {
+		p := &u.Patches[i]
+		known, there := m[u.Of][p.Name]
+		if there && !newer(p.Version, known.Version) {
+			continue
+		}
+		data, fits := patched(known.Data, p)
+		if !there || known.Version != p.From || !fits {
+			ok = false
+			continue
+		}
+		news = append(news, objects.Object{Kind: u.Of, Name: p.Name, Version: p.Version, Data: data})
+	}
+	gone = u.Removed
+	if u.Whole {
+		names := make(map[string]bool, len(u.Names))
+		for _, name := range u.Names {
+			names[name] = true
+		}
+		gone = append(gone, m.missing(u.Of, names)...)
+	}
+	return news, gone, ok
+}
+
+// size estimates the bytes of an update.
+func size(u *wire.ViewUpdate) int {
+	n := 0
+	for i := range u.Objects {
+		n += len(u.Objects[i].Data) + len(u.Objects[i].Name)
+	}
+	for i := range u.Patches {
+		n += len(u.Patches[i].Middle) + len(u.Patches[i].Name)
+	}
+	for _, name := range u.Names {
+		n += len(name)
+	}
+	return n
+}
+
+func stored(o objects.Object) wire.StoredObject {
+	return wire.StoredObject{Kind: o.Kind, Name: o.Name, Version: o.Version, Data: o.Data}
+}
+
+// revisionOf reads a version, which is a revision of the store; 0 if it is none.
+func revisionOf(version string) uint64 {
+	n, err := strconv.ParseUint(version, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// newer compares versions of objects.
+func newer(a, b string) bool {
+	x, y := revisionOf(a), revisionOf(b)
+	return x == 0 || y == 0 || x > y
+}
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -33,16 +33,13 @@
 }
 
 // watchdog calls a function after a time without a sign of life.
-type watchdog struct {
-	t *time.Timer
-	d time.Duration
-}
+type watchdog struct{ t *time.Timer }
 
 func newWatchdog(d time.Duration, expired func()) *watchdog {
 	if d <= 0 {
 		return &watchdog{}
 	}
-	return &watchdog{t: time.AfterFunc(d, expired), d: d}
+	return &watchdog{t: time.AfterFunc(d, expired)}
 }
 
 // alive restarts the time, with a new length.
@@ -72,11 +69,7 @@
 			first = false
 			b.started(time.Since(start))
 		}
-		if x.q.Route.Resumable {
-			w.alive(streamSilence)
-		} else {
-			w.alive(x.pausePatience())
-		}
+		w.alive(x.pauseSilence())
 		return x.event(resp, event)
 	})
 	var gone *callerError
@@ -101,12 +94,6 @@
 	return result{outcome: attempt.Answered, finished: true}
 }
 
-// pausePatience is how long a caller waits between two events.
-func (x *exchange) pausePatience() time.Duration {
-	rt := x.q.Route
-	return max(time.Duration(4)*rt.Target, time.Duration(8)*rt.MaxPause, 2*time.Second)
-}
-
 // callerError is a failed write to the caller.
 type callerError struct{ err error }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -238,22 +238,24 @@
 		}
 		return
 	}
-	if ask.Repeat && !b.repeat(now) {
-		s.refuse(r, "the budget of repeats is used up", 0)
-		return
-	}
-	if e := s.choose(r); e != nil {
-		s.grant(r, e)
-		return
+	e := s.choose(r)
+	wait := time.Duration(0)
+	if e == nil {
+		wait = s.predictWait(r)
 	}
-	wait := s.predictWait(r)
-	if now+wait+s.ownFirst(r) > r.startBy {
+	switch {
+	case e == nil && now+wait+s.ownFirst(r) > r.startBy:
 		s.refuse(r, "can't start in time", wait)
 		return
-	}
-	if s.waiting >= maxWaiting {
+	case e == nil && s.waiting >= maxWaiting:
 		s.refuse(r, "queue is full", wait)
 		return
+	case ask.Repeat && !b.repeat(now):
+		s.refuse(r, "the budget of repeats is used up", 0)
+		return
+	case e != nil:
+		s.grant(r, e)
+		return
 	}
 	s.requests[k] = r
 	r.model.waiting = append(r.model.waiting, r)
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echoServer returns the address of a server that sends back what it gets.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { io.Copy(c, c); c.Close() }()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func dialProxy(t *testing.T) (*Proxy, net.Conn) {
+	t.Helper()
+	p, err := NewProxy(echoServer(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	c, err := net.Dial("tcp4", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return p, c
+}
+
+// echoes tells whether a byte comes back within a time.
+func echoes(c net.Conn, within time.Duration) bool {
+	if _, err := c.Write([]byte("x")); err != nil {
+		return false
+	}
+	c.SetReadDeadline(time.Now().Add(within))
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err == nil
+}
+
+// TestProxy guards against faults that a proxy does not make: a soak would prove nothing.
+func TestProxy(t *testing.T) {
+	const short, long = 100 * time.Millisecond, 3 * time.Second
+	p, c := dialProxy(t)
+	if !echoes(c, long) {
+		t.Fatal("bytes are not passed on")
+	}
+	for _, m := range []Mode{Silent, OneWay} {
+		p.Set(m, 0)
+		if echoes(c, short) {
+			t.Errorf("mode %d passes answers on", m)
+		}
+		p.Set(Pass, 0)
+		c.SetReadDeadline(time.Now().Add(long))
+		if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+			t.Errorf("mode %d loses held bytes: %v", m, err)
+		}
+	}
+	p.Set(Delayed, short)
+	begun := time.Now()
+	if !echoes(c, long) || time.Since(begun) < short {
+		t.Errorf("delayed bytes after %v", time.Since(begun))
+	}
+	p.Set(Pass, 0)
+	p.Reset()
+	if echoes(c, long) {
+		t.Error("a reset connection goes on")
+	}
+}
+
+// TestProxyTarget guards against connections that reach a server whose address was given to another one.
+func TestProxyTarget(t *testing.T) {
+	p, _ := dialProxy(t)
+	p.SetTarget("127.0.0.1:1") // nobody listens there
+	c, err := net.Dial("tcp4", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if echoes(c, 3*time.Second) {
+		t.Error("the former target answers")
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,62 @@
+package soak
+
+import (
+	"reflect"
+	"testing"
+
+	"sycamoredeal/internal/testbed"
+)
+
+// regressions are seeds whose runs once broke a promise. They are run each time.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{
+	{1, "adapters competed for places: requests waited for six seconds while places were free"},
+	{5, "a dispatcher that knew the endpoints before the configuration failed on the first adapter"},
+}
+
+// TestSoak runs the seeds that once failed, with real processes.
+func TestSoak(t *testing.T) {
+	bed, err := testbed.New(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range regressions {
+		t.Run(x.cause, func(t *testing.T) {
+			t.Parallel()
+			r, err := Run(t.Context(), NewPlan(x.seed, 0), Options{Bed: bed, Log: func(s string) { t.Log(s) }})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range r.Violations {
+				t.Error(v)
+			}
+			t.Log(r)
+		})
+	}
+}
+
+// TestPlans guards against seeds that can't be run again, and against kinds that no seed draws.
+func TestPlans(t *testing.T) {
+	drawn := make(map[Kind]bool)
+	for seed := range uint64(200) {
+		p := NewPlan(seed, 0)
+		if !reflect.DeepEqual(p, NewPlan(seed, 0)) {
+			t.Fatalf("seed %d has two plans", seed)
+		}
+		for _, e := range append(append([]Event(nil), p.Faults...), p.Planned...) {
+			drawn[e.Kind] = true
+		}
+		for _, e := range p.Planned {
+			if e.Kind.Unplanned() {
+				t.Errorf("seed %d: %s among planned work", seed, e)
+			}
+		}
+	}
+	for _, k := range faultKinds {
+		if !drawn[k] {
+			t.Errorf("%s was not drawn", k)
+		}
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -312,13 +312,24 @@
 
 // FleetState is sent by the dispatcher to all hosts several times a second.
 type FleetState struct {
-	Endpoints []EndpointLoad `msg:"a"`
+	Endpoints []EndpointLoad `msg:"a"` // in some of the messages only
 	Models    []ModelLoad    `msg:"b"`
 	Holder    string         `msg:"c"` // host that holds the placement lease, empty if none was heard of lately
 	Epoch     uint64         `msg:"d"`
 	Hosts     uint16         `msg:"e"` // connected hosts
 	Vacant    bool           `msg:"g"` // the holder has given the lease up and nobody has taken it
 	Current   bool           `msg:"f"` // the dispatcher follows the platform's store and passes changes on
+	Views     []ViewSummary  `msg:"h"` // what the dispatcher has, if it is current
+	// StoreLoads are the latest loads from the weight store that holders of the placement lease have told, for the holder
+	// only. LoadsTold is false if no holder has told any.
+	StoreLoads []StoreLoads `msg:"i"`
+	LoadsTold  bool         `msg:"j"`
+}
+
+// StoreLoads lists the loads from the weight store that endpoints of a service have lately been ordered to make.
+type StoreLoads struct {
+	Service string
+	AgesMs  []uint32
 }
 
 // HolderBeat is sent by the holder of the placement lease to the dispatcher.
@@ -332,6 +343,8 @@
 	Leaving  bool     `msg:"f"` // the lease has been given up
 	// Evicted are adapters that were unloaded lately. One that was loaded again since may be named.
 	Evicted []AdapterCopy `msg:"g"`
+	// StoreLoads lets the next holder know what counts against the rate of the weight store.
+	StoreLoads []StoreLoads `msg:"h"`
 }
 
 // AdapterCopy is an adapter at an endpoint.
@@ -496,5 +509,31 @@
 	Of      string         `msg:"a"` // kind of the objects
 	Objects []StoredObject `msg:"b"`
 	Removed []string       `msg:"c"` // names
-	Whole   bool           `msg:"d"` // Objects are all of the kind
+	Whole   bool           `msg:"d"` // Names are all of the kind, Objects those that the host lacks
+	Names   []string       `msg:"e"`
+	Patches []ObjectPatch  `msg:"f"`
+	Fetch   bool           `msg:"g"` // the change is long: the host reads the kind from the store
+}
+
+// ObjectPatch is the change of an object's data: the bytes between a prefix and a suffix that stay.
+type ObjectPatch struct {
+	Name    string
+	From    string // version that it applies to
+	Version string // version that it makes
+	Prefix  uint32 // bytes
+	Suffix  uint32
+	Middle  []byte
+}
+
+// ViewSummary tells which objects of a kind a host has.
+type ViewSummary struct {
+	Of     string
+	Newest uint64 // highest version
+	Digest uint64 // of names and versions
+}
+
+// ViewAsk asks the dispatcher for what a host lacks of a kind.
+type ViewAsk struct {
+	Of     string `msg:"a"`
+	Newest uint64 `msg:"b"` // highest version that the host has
 }
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -2394,9 +2394,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 10
 	// string "a"
-	o = append(o, 0x87, 0xa1, 0x61)
+	o = append(o, 0x8a, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 3
@@ -2430,6 +2430,39 @@
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendBool(o, z.Current)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Views)))
+	for za0003 := range z.Views {
+		// map header, size 3
+		// string "Of"
+		o = append(o, 0x83, 0xa2, 0x4f, 0x66)
+		o = msgp.AppendString(o, z.Views[za0003].Of)
+		// string "Newest"
+		o = append(o, 0xa6, 0x4e, 0x65, 0x77, 0x65, 0x73, 0x74)
+		o = msgp.AppendUint64(o, z.Views[za0003].Newest)
+		// string "Digest"
+		o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
+		o = msgp.AppendUint64(o, z.Views[za0003].Digest)
+	}
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.StoreLoads)))
+	for za0004 := range z.StoreLoads {
+		// map header, size 2
+		// string "Service"
+		o = append(o, 0x82, 0xa7, 0x53, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.StoreLoads[za0004].Service)
+		// string "AgesMs"
+		o = append(o, 0xa6, 0x41, 0x67, 0x65, 0x73, 0x4d, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.StoreLoads[za0004].AgesMs)))
+		for za0005 := range z.StoreLoads[za0004].AgesMs {
+			o = msgp.AppendUint32(o, z.StoreLoads[za0004].AgesMs[za0005])
+		}
+	}
+	// string "j"
+	o = append(o, 0xa1, 0x6a)
+	o = msgp.AppendBool(o, z.LoadsTold)
 	return
 }
 
@@ -2539,6 +2572,127 @@
 				err = msgp.WrapError(err, "Current")
 				return
 			}
+		case "h":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Views")
+				return
+			}
+			if cap(z.Views) >= int(zb0005) {
+				z.Views = (z.Views)[:zb0005]
+			} else {
+				z.Views = make([]ViewSummary, zb0005)
+			}
+			for za0003 := range z.Views {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Views", za0003)
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Views", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Of":
+						z.Views[za0003].Of, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Views", za0003, "Of")
+							return
+						}
+					case "Newest":
+						z.Views[za0003].Newest, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Views", za0003, "Newest")
+							return
+						}
+					case "Digest":
+						z.Views[za0003].Digest, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Views", za0003, "Digest")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Views", za0003)
+							return
+						}
+					}
+				}
+			}
+		case "i":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StoreLoads")
+				return
+			}
+			if cap(z.StoreLoads) >= int(zb0007) {
+				z.StoreLoads = (z.StoreLoads)[:zb0007]
+			} else {
+				z.StoreLoads = make([]StoreLoads, zb0007)
+			}
+			for za0004 := range z.StoreLoads {
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "StoreLoads", za0004)
+					return
+				}
+				for zb0008 > 0 {
+					zb0008--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "StoreLoads", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Service":
+						z.StoreLoads[za0004].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "StoreLoads", za0004, "Service")
+							return
+						}
+					case "AgesMs":
+						var zb0009 uint32
+						zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "StoreLoads", za0004, "AgesMs")
+							return
+						}
+						if cap(z.StoreLoads[za0004].AgesMs) >= int(zb0009) {
+							z.StoreLoads[za0004].AgesMs = (z.StoreLoads[za0004].AgesMs)[:zb0009]
+						} else {
+							z.StoreLoads[za0004].AgesMs = make([]uint32, zb0009)
+						}
+						for za0005 := range z.StoreLoads[za0004].AgesMs {
+							z.StoreLoads[za0004].AgesMs[za0005], bts, err = msgp.ReadUint32Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "StoreLoads", za0004, "AgesMs", za0005)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "StoreLoads", za0004)
+							return
+						}
+					}
+				}
+			}
+		case "j":
+			z.LoadsTold, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LoadsTold")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2561,7 +2715,15 @@
 	for za0002 := range z.Models {
 		s += z.Models[za0002].Msgsize()
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint16Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s += 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint16Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Views {
+		s += 1 + 3 + msgp.StringPrefixSize + len(z.Views[za0003].Of) + 7 + msgp.Uint64Size + 7 + msgp.Uint64Size
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.StoreLoads {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.StoreLoads[za0004].Service) + 7 + msgp.ArrayHeaderSize + (len(z.StoreLoads[za0004].AgesMs) * (msgp.Uint32Size))
+	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
@@ -3219,9 +3381,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HolderBeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "a"
-	o = append(o, 0x87, 0xa1, 0x61)
+	o = append(o, 0x88, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Host)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -3263,6 +3425,21 @@
 		o = msgp.AppendString(o, z.Evicted[za0004].Model)
 		o = msgp.AppendString(o, z.Evicted[za0004].Adapter)
 	}
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.StoreLoads)))
+	for za0005 := range z.StoreLoads {
+		// map header, size 2
+		// string "Service"
+		o = append(o, 0x82, 0xa7, 0x53, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.StoreLoads[za0005].Service)
+		// string "AgesMs"
+		o = append(o, 0xa6, 0x41, 0x67, 0x65, 0x73, 0x4d, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.StoreLoads[za0005].AgesMs)))
+		for za0006 := range z.StoreLoads[za0005].AgesMs {
+			o = msgp.AppendUint32(o, z.StoreLoads[za0005].AgesMs[za0006])
+		}
+	}
 	return
 }
 
@@ -3428,6 +3605,67 @@
 					return
 				}
 			}
+		case "h":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StoreLoads")
+				return
+			}
+			if cap(z.StoreLoads) >= int(zb0009) {
+				z.StoreLoads = (z.StoreLoads)[:zb0009]
+			} else {
+				z.StoreLoads = make([]StoreLoads, zb0009)
+			}
+			for za0005 := range z.StoreLoads {
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "StoreLoads", za0005)
+					return
+				}
+				for zb0010 > 0 {
+					zb0010--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "StoreLoads", za0005)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Service":
+						z.StoreLoads[za0005].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "StoreLoads", za0005, "Service")
+							return
+						}
+					case "AgesMs":
+						var zb0011 uint32
+						zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "StoreLoads", za0005, "AgesMs")
+							return
+						}
+						if cap(z.StoreLoads[za0005].AgesMs) >= int(zb0011) {
+							z.StoreLoads[za0005].AgesMs = (z.StoreLoads[za0005].AgesMs)[:zb0011]
+						} else {
+							z.StoreLoads[za0005].AgesMs = make([]uint32, zb0011)
+						}
+						for za0006 := range z.StoreLoads[za0005].AgesMs {
+							z.StoreLoads[za0005].AgesMs[za0006], bts, err = msgp.ReadUint32Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "StoreLoads", za0005, "AgesMs", za0006)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "StoreLoads", za0005)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3458,6 +3696,10 @@
 	for za0004 := range z.Evicted {
 		s += 1 + msgp.StringPrefixSize + len(z.Evicted[za0004].Endpoint) + msgp.StringPrefixSize + len(z.Evicted[za0004].Model) + msgp.StringPrefixSize + len(z.Evicted[za0004].Adapter)
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0005 := range z.StoreLoads {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.StoreLoads[za0005].Service) + 7 + msgp.ArrayHeaderSize + (len(z.StoreLoads[za0005].AgesMs) * (msgp.Uint32Size))
+	}
 	return
 }
 
@@ -4306,6 +4548,103 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ObjectPatch) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "Name"
+	o = append(o, 0x86, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "From"
+	o = append(o, 0xa4, 0x46, 0x72, 0x6f, 0x6d)
+	o = msgp.AppendString(o, z.From)
+	// string "Version"
+	o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Version)
+	// string "Prefix"
+	o = append(o, 0xa6, 0x50, 0x72, 0x65, 0x66, 0x69, 0x78)
+	o = msgp.AppendUint32(o, z.Prefix)
+	// string "Suffix"
+	o = append(o, 0xa6, 0x53, 0x75, 0x66, 0x66, 0x69, 0x78)
+	o = msgp.AppendUint32(o, z.Suffix)
+	// string "Middle"
+	o = append(o, 0xa6, 0x4d, 0x69, 0x64, 0x64, 0x6c, 0x65)
+	o = msgp.AppendBytes(o, z.Middle)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ObjectPatch) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "From":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "Version":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "Prefix":
+			z.Prefix, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Prefix")
+				return
+			}
+		case "Suffix":
+			z.Suffix, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Suffix")
+				return
+			}
+		case "Middle":
+			z.Middle, bts, err = msgp.ReadBytesBytes(bts, z.Middle)
+			if err != nil {
+				err = msgp.WrapError(err, "Middle")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ObjectPatch) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.StringPrefixSize + len(z.From) + 8 + msgp.StringPrefixSize + len(z.Version) + 7 + msgp.Uint32Size + 7 + msgp.Uint32Size + 7 + msgp.BytesPrefixSize + len(z.Middle)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Placement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -5300,6 +5639,83 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *StoreLoads) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "Service"
+	o = append(o, 0x82, 0xa7, 0x53, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "AgesMs"
+	o = append(o, 0xa6, 0x41, 0x67, 0x65, 0x73, 0x4d, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.AgesMs)))
+	for za0001 := range z.AgesMs {
+		o = msgp.AppendUint32(o, z.AgesMs[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StoreLoads) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "AgesMs":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgesMs")
+				return
+			}
+			if cap(z.AgesMs) >= int(zb0002) {
+				z.AgesMs = (z.AgesMs)[:zb0002]
+			} else {
+				z.AgesMs = make([]uint32, zb0002)
+			}
+			for za0001 := range z.AgesMs {
+				z.AgesMs[za0001], bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "AgesMs", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StoreLoads) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.ArrayHeaderSize + (len(z.AgesMs) * (msgp.Uint32Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *StoredObject) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -5415,6 +5831,67 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ViewAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Of)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.Newest)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ViewAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Of, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Of")
+				return
+			}
+		case "b":
+			z.Newest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Newest")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ViewAsk) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Of) + 2 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ViewReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -5535,12 +6012,82 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ViewSummary) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "Of"
+	o = append(o, 0x83, 0xa2, 0x4f, 0x66)
+	o = msgp.AppendString(o, z.Of)
+	// string "Newest"
+	o = append(o, 0xa6, 0x4e, 0x65, 0x77, 0x65, 0x73, 0x74)
+	o = msgp.AppendUint64(o, z.Newest)
+	// string "Digest"
+	o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendUint64(o, z.Digest)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ViewSummary) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Of":
+			z.Of, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Of")
+				return
+			}
+		case "Newest":
+			z.Newest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Newest")
+				return
+			}
+		case "Digest":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ViewSummary) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.Of) + 7 + msgp.Uint64Size + 7 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ViewUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 7
 	// string "a"
-	o = append(o, 0x84, 0xa1, 0x61)
+	o = append(o, 0x87, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Of)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -5561,6 +6108,25 @@
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBool(o, z.Whole)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Names)))
+	for za0003 := range z.Names {
+		o = msgp.AppendString(o, z.Names[za0003])
+	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Patches)))
+	for za0004 := range z.Patches {
+		o, err = z.Patches[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Patches", za0004)
+			return
+		}
+	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendBool(o, z.Fetch)
 	return
 }
 
@@ -5632,6 +6198,50 @@
 				err = msgp.WrapError(err, "Whole")
 				return
 			}
+		case "e":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Names")
+				return
+			}
+			if cap(z.Names) >= int(zb0004) {
+				z.Names = (z.Names)[:zb0004]
+			} else {
+				z.Names = make([]string, zb0004)
+			}
+			for za0003 := range z.Names {
+				z.Names[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Names", za0003)
+					return
+				}
+			}
+		case "f":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Patches")
+				return
+			}
+			if cap(z.Patches) >= int(zb0005) {
+				z.Patches = (z.Patches)[:zb0005]
+			} else {
+				z.Patches = make([]ObjectPatch, zb0005)
+			}
+			for za0004 := range z.Patches {
+				bts, err = z.Patches[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Patches", za0004)
+					return
+				}
+			}
+		case "g":
+			z.Fetch, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fetch")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5654,6 +6264,14 @@
 	for za0002 := range z.Removed {
 		s += msgp.StringPrefixSize + len(z.Removed[za0002])
 	}
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Names {
+		s += msgp.StringPrefixSize + len(z.Names[za0003])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Patches {
+		s += z.Patches[za0004].Msgsize()
+	}
 	s += 2 + msgp.BoolSize
 	return
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -52,6 +52,7 @@
 	KindViewRequest
 	KindViewReply
 	KindViewUpdate
+	KindViewAsk
 )
 
 // Message is implemented by every struct of this package that travels in a frame of its own.
@@ -107,6 +108,7 @@
 	KindViewRequest:     func() Message { return new(ViewRequest) },
 	KindViewReply:       func() Message { return new(ViewReply) },
 	KindViewUpdate:      func() Message { return new(ViewUpdate) },
+	KindViewAsk:         func() Message { return new(ViewAsk) },
 }
 
 func (*Hello) Kind() Kind           { return KindHello }
@@ -145,3 +147,4 @@
 func (*ViewRequest) Kind() Kind     { return KindViewRequest }
 func (*ViewReply) Kind() Kind       { return KindViewReply }
 func (*ViewUpdate) Kind() Kind      { return KindViewUpdate }
+func (*ViewAsk) Kind() Kind         { return KindViewAsk }
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -402,6 +402,19 @@
 	})
 }
 
+// TestPlatformSilentEngine guards against a stream that is cut because its engine is silent for a while, although no other
+// engine can go on with it: the engine's answer would still have come.
+func TestPlatformSilentEngine(t *testing.T) {
+	f := startPlatformFleet(t, 2)
+	c := chatCall("m0") // held by one engine only
+	c.Path = platformtest.ResumablePath + "x"
+	done := make(chan platformtest.Outcome)
+	go func() { done <- platformtest.Do(f.ctx, f.hosts["h0"].front, c) }()
+	time.Sleep(60 * time.Millisecond) // some events have arrived
+	f.engines[0].Stall(1800 * time.Millisecond)
+	checkStream(t, <-done)
+}
+
 // TestPlatformDrain guards against work for a server that is leaving.
 func TestPlatformDrain(t *testing.T) {
 	f := startPlatformFleet(t, 2)
