Let the few requests of a rare model share a loaded endpoint

Cause: after its second copy was loaded, a rare model still kept the endpoint with room, because its requests would have moved to a loaded endpoint (TestRareModelsMakeRoom).

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -21,6 +21,7 @@
 	gainFactor   = 1.4             // by how much the load of endpoints must differ for a copy to be exchanged
 	leastShare   = 0.25            // of an endpoint's slots: endpoints below it need no relief
 	leastRelief  = 0.05            // of an endpoint's slots: requests that a further copy takes off loaded endpoints
+	fewRequests  = 0.03            // of an endpoint's slots: so many may move to a loaded endpoint, which gains more than they lose
 	spreadRounds = 4               // of spreading the needs over the endpoints; further ones change little
 	dwell        = 1500 * time.Millisecond
 	leastChanges = 5   // endpoints that may change at a time, in a small fleet
@@ -417,7 +418,7 @@
 			continue
 		}
 		v, after := r.victim(i, m, r.free[i])
-		if v == "" || limit > 0 && after > limit {
+		if v == "" || limit > 0 && after > limit && r.share[i][v] > fewRequests*float64(r.in.Engine.Slots) {
 			continue
 		}
 		c += unloadCost(e.Running[v], r.in.Demand[v].HoldSec)
