Let other hosts follow the store for a dispatcher that has lost it

Change: the dispatcher names three hosts as relays. They follow the store, tell the dispatcher whether they reach it, and send it the changes; it passes them on.

TestPlatformDispatcherWithoutStore fails without it: the dispatcher's host served a dropped route two seconds after the change.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -310,8 +310,33 @@
 func (b *binder) relays() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.served() && b.state.Current && !slices.Contains(b.state.Relays, b.h.deployment().Host)
+}
+
+// served tells whether another host serves as dispatcher. The caller holds the lock.
+func (b *binder) served() bool {
 	l := b.link
-	return l != nil && l.conn != nil && l.host.Name != b.h.deployment().Host && b.state.Current && time.Since(b.stateAt) < silentFor
+	return l != nil && l.conn != nil && l.host.Name != b.h.deployment().Host && time.Since(b.stateAt) < silentFor
+}
+
+// isRelay tells whether this host follows the store for the dispatcher.
+func (b *binder) isRelay() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.served() && slices.Contains(b.state.Relays, b.h.deployment().Host)
+}
+
+// relayGrace is how long to wait for another host's news of the store before this host reads it.
+func (b *binder) relayGrace() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case !b.served() || len(b.state.Relays) == 0:
+		return relayGrace
+	case slices.Contains(b.state.Relays, b.h.deployment().Host):
+		return 0
+	}
+	return soughtGrace
 }
 
 // isDispatcher tells whether this host serves itself as dispatcher.
@@ -341,6 +366,8 @@
 		if !b.h.directory.updates.TryPush(m) {
 			l.conn.Close() // the next connection begins with the whole view
 		}
+	case *wire.ViewAsk:
+		go func() { b.tell(b.h.directory.since(m)) }() // takes the directory's lock
 	case *wire.Queued:
 		if c := b.calls[m.ID]; c != nil && c.state == asking {
 			c.to(queued)
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -31,6 +31,9 @@
 	batchPause = 50 * time.Millisecond  // after changes: those that follow at once come with the next call
 	relayPoll  = 100 * time.Millisecond // while the dispatcher passes changes on
 	relayGrace = 500 * time.Millisecond // after the loss of a dispatcher, in which the next one takes over
+	// soughtGrace is relayGrace while the dispatcher looks for a host that reaches the store. Two seconds are allowed until
+	// a change is in force.
+	soughtGrace = 1400 * time.Millisecond
 	// ownPause is batchPause of a host that follows the store beside the dispatcher, for example because it does not reach
 	// it. Each call is priced, and two seconds are allowed until a change is in force.
 	ownPause = 500 * time.Millisecond
@@ -130,7 +133,7 @@
 		select {
 		case <-t.C:
 			d.dropLapsed(time.Now())
-			d.compare(time.Now())
+			d.followDispatcher(time.Now())
 		case <-ctx.Done():
 		}
 	}
@@ -152,8 +155,8 @@
 			version, relayed = "", time.Now()
 			clock.Sleep(ctx, relayPoll)
 			continue
-		case version == "" && !own && !d.isStale(f.kind) && time.Since(relayed) < relayGrace:
-			// The next dispatcher will pass the kind on in a moment.
+		case version == "" && !own && !d.isStale(f.kind) && time.Since(relayed) < d.h.binder.relayGrace():
+			// The next dispatcher, or a relay, will pass the kind on in a moment.
 			clock.Sleep(ctx, relayPoll)
 			continue
 		case version == "":
@@ -305,6 +308,11 @@
 	d.now.Store(v)
 	d.limitConnections(v)
 	if len(d.passed) > 0 {
+		if d.h.binder.isRelay() {
+			for _, u := range d.passed {
+				d.h.binder.tell(u)
+			}
+		}
 		d.h.dispatcher.passOn(d.passed)
 		d.passed = nil
 	}
@@ -671,18 +679,32 @@
 	d.publish()
 }
 
-// compare asks the dispatcher for what this host lacks, when the dispatcher has had other objects for a time. A kind that
-// still differs after that is read from the store.
-func (d *directory) compare(now time.Time) {
+// followDispatcher asks the dispatcher for what this host lacks, or tells it what this host has read from the store for it.
+func (d *directory) followDispatcher(now time.Time) {
 	state, _ := d.h.binder.fleetState()
-	relays := d.h.binder.relays()
+	if d.h.binder.isRelay() {
+		d.h.binder.tell(&wire.RelayBeat{Current: d.current(), Views: d.summaries()})
+		return
+	}
+	if !d.h.binder.relays() {
+		return
+	}
+	for _, ask := range d.compare(now, state.Views) {
+		d.h.binder.tell(ask)
+	}
+}
+
+// compare returns what to ask for when another host has had other objects for a time. A kind that still differs after that
+// is read from the store.
+func (d *directory) compare(now time.Time, views []wire.ViewSummary) []*wire.ViewAsk {
 	d.mu.Lock()
-	var asks []wire.Message
-	for _, theirs := range state.Views {
+	defer d.mu.Unlock()
+	var asks []*wire.ViewAsk
+	for _, theirs := range views {
 		own := d.mirror.summary(theirs.Of)
 		x := d.differs[theirs.Of]
 		switch {
-		case !relays || own.Digest == theirs.Digest:
+		case own.Digest == theirs.Digest:
 			x = difference{}
 		case x.since.IsZero():
 			x.since = now
@@ -700,10 +722,7 @@
 		}
 		d.differs[theirs.Of] = x
 	}
-	d.mu.Unlock()
-	for _, a := range asks {
-		d.h.binder.tell(a)
-	}
+	return asks
 }
 
 // since returns what another host lacks.
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -50,6 +50,7 @@
 	early   []dispatcherEvent // that came before the view was known
 	loads   []wire.StoreLoads // as a holder of the placement lease told them
 	loadsAt time.Time
+	relays  relays
 	round   uint64 // of the broadcasts
 }
 
@@ -152,7 +153,9 @@
 
 func (d *dispatcher) broadcast() {
 	f := d.state.Load()
-	f.Current = d.h.directory.current() && d.h.binder.isDispatcher()
+	own := d.h.directory.current()
+	f.Relays = d.relays.choose(time.Now(), own, d.h.binder.isDispatcher(), d.candidates())
+	f.Current = (own || d.relays.works(time.Now())) && d.h.binder.isDispatcher()
 	if f.Current {
 		f.Views = d.h.directory.summaries()
 	}
@@ -264,7 +267,33 @@
 		d.holderBeat(m)
 	case *wire.ViewAsk:
 		d.send(e.peer, d.within(d.h.directory.since(m)))
+	case *wire.RelayBeat:
+		if d.relays.heard(time.Now(), e.host, m.Current) {
+			d.follow(e.peer, m.Views)
+		}
+	case *wire.ViewUpdate:
+		if !d.h.directory.updates.TryPush(m) {
+			d.log.Warn().Str("host", e.host).Str("kind", m.Of).Msg("Change from a relay not taken, too many are waiting.")
+		}
+	}
+}
+
+// follow asks a relay for what this host lacks.
+func (d *dispatcher) follow(p peer, views []wire.ViewSummary) {
+	for _, ask := range d.h.directory.compare(time.Now(), views) {
+		d.send(p, ask)
+	}
+}
+
+// candidates returns the other hosts that are connected, in the order of the view.
+func (d *dispatcher) candidates() []string {
+	var out []string
+	for _, h := range d.h.directory.view().Hosts {
+		if h.Name != d.h.deployment().Host && d.peers[h.Name] != nil {
+			out = append(out, h.Name)
+		}
 	}
+	return out
 }
 
 // holderBeat takes the word of the holder with the highest epoch.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -324,6 +324,7 @@
 	// only. LoadsTold is false if no holder has told any.
 	StoreLoads []StoreLoads `msg:"i"`
 	LoadsTold  bool         `msg:"j"`
+	Relays     []string     `msg:"k"` // hosts that follow the store for a dispatcher which has lost it
 }
 
 // StoreLoads lists the loads from the weight store that endpoints of a service have lately been ordered to make.
@@ -532,7 +533,13 @@
 	Digest uint64 // of names and versions
 }
 
-// ViewAsk asks the dispatcher for what a host lacks of a kind.
+// RelayBeat is sent by a host that follows the store for a dispatcher which has lost it, several times a second.
+type RelayBeat struct {
+	Current bool          `msg:"a"` // it reaches the store
+	Views   []ViewSummary `msg:"b"` // what it has
+}
+
+// ViewAsk asks the dispatcher, or the dispatcher a host that follows the store for it, for what the sender lacks of a kind.
 type ViewAsk struct {
 	Of     string `msg:"a"`
 	Newest uint64 `msg:"b"` // highest version that the host has
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -2394,9 +2394,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "a"
-	o = append(o, 0x8a, 0xa1, 0x61)
+	o = append(o, 0x8b, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 3
@@ -2463,6 +2463,12 @@
 	// string "j"
 	o = append(o, 0xa1, 0x6a)
 	o = msgp.AppendBool(o, z.LoadsTold)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Relays)))
+	for za0006 := range z.Relays {
+		o = msgp.AppendString(o, z.Relays[za0006])
+	}
 	return
 }
 
@@ -2693,6 +2699,25 @@
 				err = msgp.WrapError(err, "LoadsTold")
 				return
 			}
+		case "k":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Relays")
+				return
+			}
+			if cap(z.Relays) >= int(zb0010) {
+				z.Relays = (z.Relays)[:zb0010]
+			} else {
+				z.Relays = make([]string, zb0010)
+			}
+			for za0006 := range z.Relays {
+				z.Relays[za0006], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Relays", za0006)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2723,7 +2748,10 @@
 	for za0004 := range z.StoreLoads {
 		s += 1 + 8 + msgp.StringPrefixSize + len(z.StoreLoads[za0004].Service) + 7 + msgp.ArrayHeaderSize + (len(z.StoreLoads[za0004].AgesMs) * (msgp.Uint32Size))
 	}
-	s += 2 + msgp.BoolSize
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0006 := range z.Relays {
+		s += msgp.StringPrefixSize + len(z.Relays[za0006])
+	}
 	return
 }
 
@@ -5294,6 +5322,130 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *RelayBeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Current)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Views)))
+	for za0001 := range z.Views {
+		// map header, size 3
+		// string "Of"
+		o = append(o, 0x83, 0xa2, 0x4f, 0x66)
+		o = msgp.AppendString(o, z.Views[za0001].Of)
+		// string "Newest"
+		o = append(o, 0xa6, 0x4e, 0x65, 0x77, 0x65, 0x73, 0x74)
+		o = msgp.AppendUint64(o, z.Views[za0001].Newest)
+		// string "Digest"
+		o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
+		o = msgp.AppendUint64(o, z.Views[za0001].Digest)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RelayBeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Current, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Current")
+				return
+			}
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Views")
+				return
+			}
+			if cap(z.Views) >= int(zb0002) {
+				z.Views = (z.Views)[:zb0002]
+			} else {
+				z.Views = make([]ViewSummary, zb0002)
+			}
+			for za0001 := range z.Views {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Views", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Views", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Of":
+						z.Views[za0001].Of, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Views", za0001, "Of")
+							return
+						}
+					case "Newest":
+						z.Views[za0001].Newest, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Views", za0001, "Newest")
+							return
+						}
+					case "Digest":
+						z.Views[za0001].Digest, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Views", za0001, "Digest")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Views", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RelayBeat) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Views {
+		s += 1 + 3 + msgp.StringPrefixSize + len(z.Views[za0001].Of) + 7 + msgp.Uint64Size + 7 + msgp.Uint64Size
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Resident) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -53,6 +53,7 @@
 	KindViewReply
 	KindViewUpdate
 	KindViewAsk
+	KindRelayBeat
 )
 
 // Message is implemented by every struct of this package that travels in a frame of its own.
@@ -109,6 +110,7 @@
 	KindViewReply:       func() Message { return new(ViewReply) },
 	KindViewUpdate:      func() Message { return new(ViewUpdate) },
 	KindViewAsk:         func() Message { return new(ViewAsk) },
+	KindRelayBeat:       func() Message { return new(RelayBeat) },
 }
 
 func (*Hello) Kind() Kind           { return KindHello }
@@ -148,3 +150,4 @@
 func (*ViewReply) Kind() Kind       { return KindViewReply }
 func (*ViewUpdate) Kind() Kind      { return KindViewUpdate }
 func (*ViewAsk) Kind() Kind         { return KindViewAsk }
+func (*RelayBeat) Kind() Kind       { return KindRelayBeat }
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"sycamoredeal/internal/soak"
 	"sycamoredeal/internal/testbed"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
@@ -38,6 +39,7 @@
 type platformHost struct {
 	*testbed.Process
 	front, ready, control, settings string
+	toStore                         *soak.Proxy
 }
 
 func startPlatformFleet(t *testing.T, hosts int) *platformFleet {
@@ -87,11 +89,16 @@
 func (f *platformFleet) startHost(name string) *platformHost {
 	f.t.Helper()
 	h := &platformHost{front: testbed.FreeAddr(), ready: testbed.FreeAddr(), control: testbed.FreeAddr(), settings: filepath.Join(f.t.TempDir(), name+".toml")}
+	var err error
+	if h.toStore, err = soak.NewProxy(f.store.Address()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(h.toStore.Close)
 	var seeds []string
 	for _, o := range f.hosts {
 		seeds = append(seeds, o.control)
 	}
-	f.write(h, platformtest.Settings(name, h.front, h.ready, h.control, f.store.Address(), seeds...))
+	f.write(h, platformtest.Settings(name, h.front, h.ready, h.control, h.toStore.Address(), seeds...))
 	p, err := f.bed.Start(name, "sycamore-host", "--settings-file", h.settings, "--admin-port", "0")
 	if err != nil {
 		f.t.Fatal(err)
@@ -315,7 +322,7 @@
 		t.Fatal(err)
 	}
 	f.waitFor("finding", func() bool { return strings.Contains(h.Output(), "the former ones stay") })
-	f.write(h, platformtest.Settings("h0", h.front, h.ready, h.control, f.store.Address()))
+	f.write(h, platformtest.Settings("h0", h.front, h.ready, h.control, h.toStore.Address()))
 	if err := h.Signal(syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
@@ -387,6 +394,23 @@
 	}
 }
 
+// TestPlatformDispatcherWithoutStore guards against hosts that miss changes, or all follow the store themselves, when the
+// dispatcher alone has lost it: other hosts follow the store for the dispatcher, which passes changes on.
+func TestPlatformDispatcherWithoutStore(t *testing.T) {
+	f := startPlatformFleet(t, 5)
+	f.hosts[f.dispatcher()].toStore.Set(soak.Silent, 0)
+	time.Sleep(2500 * time.Millisecond) // until its calls have timed out and a relay is found
+	next := platformtest.Config(2, platformModels, platformAdapters)
+	next["routes"] = next["routes"].([]any)[:2] // the routes to the plain service are dropped
+	f.store.Put("config", "main", next)
+	time.Sleep(2 * time.Second)
+	for name, h := range f.hosts { // the dispatcher is one of them
+		if o := platformtest.Do(f.ctx, h.front, lookupCall()); o.Status != http.StatusNotFound {
+			t.Errorf("host %s, two seconds after the change: %d", name, o.Status)
+		}
+	}
+}
+
 // TestPlatformStartDuringOutage guards against a host that answers "not found" before it knows the configuration, and
 // against one that can't serve while the store is away although other hosts know everything.
 func TestPlatformStartDuringOutage(t *testing.T) {
