Count repeats that hosts make without asking, and those of an earlier dispatcher

Change: a Prepare names the adapters that must stay (those the dispatcher counts on, not only those in use); two further sends at most, after 12 and 24 ms, told with Done; repeats of places taken alone and of requests in flight at a Resync count; a new dispatcher begins with 0.4 of the allowance beyond the ratio used.

TestRepeatBudget expects four repeats less for that reason: it is stricter.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -24,8 +24,8 @@
 	leastSilence   = 400 * time.Millisecond
 	streamSilence  = 1500 * time.Millisecond // between events of a stream that can go on elsewhere
 	firstSilence   = 2500 * time.Millisecond // before the first event of such a stream
-	adapterRetry   = 8 * time.Millisecond    // until an adapter that is on its way can be used
-	adapterRetries = 3
+	adapterRetry   = 12 * time.Millisecond   // until an adapter that is on its way can be used; doubles
+	adapterRetries = 2
 	mostLacking    = 3                      // attempts at one endpoint that lacks the model or adapter
 	lackingPause   = 20 * time.Millisecond  // doubles while adapters can't be loaded
 	mostPause      = 200 * time.Millisecond // of that
@@ -178,14 +178,16 @@
 	}
 	start := time.Now()
 	var r result
-	for n := 0; ; n++ {
+	resent := 0
+	for {
 		r = x.send(ctx, b, e, start)
-		if !r.again || n == adapterRetries {
+		if !r.again || resent == adapterRetries {
 			break
 		}
-		clock.Sleep(ctx, adapterRetry)
+		clock.Sleep(ctx, adapterRetry<<resent)
+		resent++
 	}
-	d := wire.Done{Outcome: uint8(r.outcome), Fault: uint8(r.fault), Missing: r.missing, Failed: r.fault != sched.NoFault}
+	d := wire.Done{Resent: uint8(resent), Outcome: uint8(r.outcome), Fault: uint8(r.fault), Missing: r.missing, Failed: r.fault != sched.NoFault}
 	if r.outcome == attempt.Answered && r.fault == sched.NoFault {
 		d.TotalMs = uint32(max(time.Since(start).Milliseconds(), 1))
 	}
@@ -203,7 +205,7 @@
 func (x *exchange) prepare(ctx context.Context, b *binding, missing bool) (result, bool) {
 	g := &b.c.grant
 	wait, err := b.prepareAdapter(ctx, &wire.Prepare{
-		Endpoint: b.endpoint, Model: x.q.Model, Adapter: x.q.Adapter, Missing: missing, Evict: g.Evict, InUse: g.InUse,
+		Endpoint: b.endpoint, Model: x.q.Model, Adapter: x.q.Adapter, Missing: missing, Evict: g.Evict, Keep: g.Keep,
 	})
 	if err != nil && !b.alone {
 		b.done(wire.Done{Outcome: uint8(attempt.NotSent), Missing: true})
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -501,12 +501,12 @@
 		return chosen, true, nil
 	}
 	busy := make(map[copies.Adapter]bool)
-	for _, a := range m.InUse {
+	for _, a := range m.Keep {
 		busy[copies.Adapter{Model: a.Model, Name: a.Adapter}] = true
 	}
 	victim, ok := copies.Evict(g.adapters, busy)
 	if !ok {
-		return victim, false, errors.New("all adapters of the engine are in use")
+		return victim, false, errors.New("no adapter of the engine may make room")
 	}
 	return victim, true, nil
 }
--- a/internal/sched/budget.go
+++ b/internal/sched/budget.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	bucketWidth = 500 * time.Millisecond
-	budgetUse   = 0.8 // of the repeats that the platform allows: hosts that decide alone use the rest
+	bucketWidth  = 500 * time.Millisecond
+	unknownSpent = 0.4 // of the repeats beyond the ratio count as made when a dispatcher begins
+	budgetUse    = 0.8 // of the repeats that the platform allows: hosts that decide alone use the rest
 )
 
 // budget counts the first sends and repeats of a service over a sliding window.
@@ -19,7 +20,9 @@
 func (s *State) budget(service string) *budget {
 	b := s.budgets[service]
 	if b == nil {
+		// What an earlier dispatcher allowed in this window is not known.
 		b = &budget{cfg: &s.cfg, buckets: make([]bucket, max(int(s.cfg.RetryWindow/bucketWidth), 1)+1)}
+		b.spent(s.now, int(unknownSpent*s.cfg.RetryExtra))
 		s.budgets[service] = b
 	}
 	return b
@@ -38,6 +41,9 @@
 
 func (b *budget) first(now time.Duration) { b.current(now).first++ }
 
+// spent counts repeats that were made without asking.
+func (b *budget) spent(now time.Duration, n int) { b.current(now).repeat += float64(n) }
+
 // repeat takes one repeat from the budget, or returns false.
 func (b *budget) repeat(now time.Duration) bool {
 	cur := b.current(now)
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -96,10 +96,10 @@
 	return ok
 }
 
-// inUse returns the adapters that granted requests use.
-func (e *endpoint) inUse() []wire.ModelAdapter {
+// known returns the adapters that are believed to be loaded.
+func (e *endpoint) known() []wire.ModelAdapter {
 	var out []wire.ModelAdapter
-	for k := range e.running {
+	for k := range e.loaded {
 		out = append(out, wire.ModelAdapter{Model: k.Model, Adapter: k.Name})
 	}
 	sort.Slice(out, func(i, j int) bool {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -233,6 +233,9 @@
 		r.model.arrivals++
 	}
 	if ask.Bound != "" {
+		if ask.Repeat {
+			b.spent(now, 1)
+		}
 		if e := s.endpoints[ask.Bound]; e != nil {
 			s.occupy(r, e)
 		}
@@ -287,7 +290,8 @@
 		QueueMs: uint32(wait.Milliseconds()), FirstMs: uint32(r.predict),
 	}
 	if prepare {
-		g.Holder, g.InUse, g.Evict = s.holder, e.inUse(), e.evict()
+		g.Holder, g.Evict = s.holder, e.evict()
+		g.Keep = e.known()
 	}
 	s.occupy(r, e)
 	s.emit(r, g, "", wait)
@@ -361,6 +365,7 @@
 	}
 	e := r.endpoint
 	s.vacate(r)
+	s.budget(r.ask.Service).spent(now, int(d.Resent))
 	if d.Missing {
 		e.forget(r.ask.Model, r.ask.Adapter)
 	}
@@ -462,8 +467,13 @@
 		}
 	}
 	for _, x := range m.Running {
-		x.Ask.Bound, x.Ask.Repeat = x.Endpoint, true // counted when it was first asked for
-		s.Ask(now, host, x.Ask)
+		k := key{host, x.Ask.ID}
+		if e := s.endpoints[x.Endpoint]; e != nil && s.requests[k] == nil {
+			s.occupy(&request{key: k, ask: x.Ask, model: s.modelOf(&x.Ask), asked: now}, e)
+		}
+		if x.Ask.Repeat {
+			s.budget(x.Ask.Service).spent(now, 1) // another dispatcher may have allowed it
+		}
 	}
 	for _, a := range m.Waiting {
 		s.Ask(now, host, a)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -326,7 +326,8 @@
 			allowed++
 		}
 	}
-	if want := int(budgetUse * (0.2*100 + 10)); allowed != want {
+	// What an earlier dispatcher may have allowed counts as made.
+	if want := int(budgetUse*(0.2*100+10) - unknownSpent*10); allowed != want {
 		t.Errorf("%d repeats, want %d", allowed, want)
 	}
 	late := wire.Ask{ID: 500, Service: plainService, DeadlineMs: 1000, Repeat: true}
@@ -460,7 +461,7 @@
 	}
 	s.Done(10*time.Millisecond, "h", wire.Done{ID: 1, TotalMs: 9})
 	g, ok := answers(s)[3].(*wire.Grant)
-	if !ok || !g.Prepare || g.Evict != (wire.ModelAdapter{Model: "m", Adapter: "a1"}) || len(g.InUse) != 1 || g.InUse[0].Adapter != "a2" {
+	if !ok || !g.Prepare || g.Evict != (wire.ModelAdapter{Model: "m", Adapter: "a1"}) || len(g.Keep) != 1 || g.Keep[0].Adapter != "a2" {
 		t.Fatalf("after the first place became free: %+v", g)
 	}
 	ask(4, "a1") // no longer loaded, and both places are in use
@@ -497,3 +498,37 @@
 		t.Errorf("with the configuration: %v", got)
 	}
 }
+
+// TestRepeatsWithoutAsking replays a loss of adapters under load (caprired scale-2: 462 repeats in ten seconds, 383 were
+// allowed): sends that hosts make without asking, and those that an earlier dispatcher has allowed, count as well.
+func TestRepeatsWithoutAsking(t *testing.T) {
+	s := New(0, testConfig(), testView(64, [][]string{{"m"}}, 0))
+	free := func() int { // repeats that are still allowed
+		n := 0
+		for id := uint64(1000); ; id++ {
+			a := chat(id, "m")
+			a.Repeat, a.PromptTokens = true, 1
+			s.Ask(0, "h", a)
+			switch answers(s)[id].(type) {
+			case *wire.Grant:
+				n++
+				s.Done(0, "h", wire.Done{ID: id, TotalMs: 1})
+			default:
+				return n
+			}
+		}
+	}
+	s.Ask(0, "h", chat(1, "m"))
+	s.Done(0, "h", wire.Done{ID: 1, Resent: 10, TotalMs: 20})
+	bound := chat(2, "m")
+	bound.Bound, bound.Repeat = "e0", true
+	s.Ask(0, "h", bound)
+	running := chat(3, "m")
+	running.Repeat = true
+	s.Resync(0, "h2", wire.Resync{Running: []wire.Running{{Ask: running, Endpoint: "e0"}}})
+	cfg := testConfig()
+	most := int(budgetUse*(cfg.RetryRatio+cfg.RetryExtra) - unknownSpent*cfg.RetryExtra)
+	if n := free(); n > most-12 || n < most-14 {
+		t.Errorf("%d repeats are allowed after 12 without asking, %d without them", n, most)
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -250,8 +250,8 @@
 	FirstMs  uint32 `msg:"g"` // predicted time to the first piece
 	// Evict is the adapter that makes room, with Prepare; empty if the dispatcher knows of a free place.
 	Evict ModelAdapter `msg:"i"`
-	// InUse are the adapters that requests use at the endpoint, with Prepare.
-	InUse []ModelAdapter `msg:"j"`
+	// Keep are the adapters that the dispatcher counts on at the endpoint, with Prepare: they don't make room.
+	Keep []ModelAdapter `msg:"j"`
 }
 
 // ModelAdapter names an adapter of a model.
@@ -278,6 +278,7 @@
 	Failed   bool   `msg:"g"` // the endpoint failed: it counts towards its ejection
 	Fault    uint8  `msg:"h"` // what failed, a sched.Fault; 0 for nothing
 	Missing  bool   `msg:"i"` // the endpoint does not hold the request's model or adapter
+	Resent   uint8  `msg:"j"` // times that the request was sent to the endpoint again while its adapter was on the way
 }
 
 // Started tells that the first piece of a granted request's answer has arrived.
@@ -367,9 +368,9 @@
 	Model    string `msg:"b"`
 	Adapter  string `msg:"c"`
 	Missing  bool   `msg:"d"` // the endpoint said that it does not hold the adapter
-	// Evict and InUse are those of the request's Grant.
+	// Evict and Keep are those of the request's Grant.
 	Evict ModelAdapter   `msg:"e"`
-	InUse []ModelAdapter `msg:"f"`
+	Keep  []ModelAdapter `msg:"f"`
 }
 
 // PrepareReply answers a Prepare.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -1491,9 +1491,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Done) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "a"
-	o = append(o, 0x89, 0xa1, 0x61)
+	o = append(o, 0x8a, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -1519,6 +1519,9 @@
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendBool(o, z.Missing)
+	// string "j"
+	o = append(o, 0xa1, 0x6a)
+	o = msgp.AppendUint8(o, z.Resent)
 	return
 }
 
@@ -1594,6 +1597,12 @@
 				err = msgp.WrapError(err, "Missing")
 				return
 			}
+		case "j":
+			z.Resent, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Resent")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1608,7 +1617,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Done) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size
 	return
 }
 
@@ -2794,15 +2803,15 @@
 	o = msgp.AppendString(o, z.Evict.Adapter)
 	// string "j"
 	o = append(o, 0xa1, 0x6a)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.InUse)))
-	for za0001 := range z.InUse {
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Keep)))
+	for za0001 := range z.Keep {
 		// map header, size 2
 		// string "Model"
 		o = append(o, 0x82, 0xa5, 0x4d, 0x6f, 0x64, 0x65, 0x6c)
-		o = msgp.AppendString(o, z.InUse[za0001].Model)
+		o = msgp.AppendString(o, z.Keep[za0001].Model)
 		// string "Adapter"
 		o = append(o, 0xa7, 0x41, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
-		o = msgp.AppendString(o, z.InUse[za0001].Adapter)
+		o = msgp.AppendString(o, z.Keep[za0001].Adapter)
 	}
 	return
 }
@@ -2912,45 +2921,45 @@
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "InUse")
+				err = msgp.WrapError(err, "Keep")
 				return
 			}
-			if cap(z.InUse) >= int(zb0003) {
-				z.InUse = (z.InUse)[:zb0003]
+			if cap(z.Keep) >= int(zb0003) {
+				z.Keep = (z.Keep)[:zb0003]
 			} else {
-				z.InUse = make([]ModelAdapter, zb0003)
+				z.Keep = make([]ModelAdapter, zb0003)
 			}
-			for za0001 := range z.InUse {
+			for za0001 := range z.Keep {
 				var zb0004 uint32
 				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "InUse", za0001)
+					err = msgp.WrapError(err, "Keep", za0001)
 					return
 				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "InUse", za0001)
+						err = msgp.WrapError(err, "Keep", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "Model":
-						z.InUse[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
+						z.Keep[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "InUse", za0001, "Model")
+							err = msgp.WrapError(err, "Keep", za0001, "Model")
 							return
 						}
 					case "Adapter":
-						z.InUse[za0001].Adapter, bts, err = msgp.ReadStringBytes(bts)
+						z.Keep[za0001].Adapter, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "InUse", za0001, "Adapter")
+							err = msgp.WrapError(err, "Keep", za0001, "Adapter")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "InUse", za0001)
+							err = msgp.WrapError(err, "Keep", za0001)
 							return
 						}
 					}
@@ -2971,8 +2980,8 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Grant) Msgsize() (s int) {
 	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint16Size + 2 + msgp.Uint16Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + 1 + 6 + msgp.StringPrefixSize + len(z.Evict.Model) + 8 + msgp.StringPrefixSize + len(z.Evict.Adapter) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.InUse {
-		s += 1 + 6 + msgp.StringPrefixSize + len(z.InUse[za0001].Model) + 8 + msgp.StringPrefixSize + len(z.InUse[za0001].Adapter)
+	for za0001 := range z.Keep {
+		s += 1 + 6 + msgp.StringPrefixSize + len(z.Keep[za0001].Model) + 8 + msgp.StringPrefixSize + len(z.Keep[za0001].Adapter)
 	}
 	return
 }
@@ -4929,15 +4938,15 @@
 	o = msgp.AppendString(o, z.Evict.Adapter)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.InUse)))
-	for za0001 := range z.InUse {
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Keep)))
+	for za0001 := range z.Keep {
 		// map header, size 2
 		// string "Model"
 		o = append(o, 0x82, 0xa5, 0x4d, 0x6f, 0x64, 0x65, 0x6c)
-		o = msgp.AppendString(o, z.InUse[za0001].Model)
+		o = msgp.AppendString(o, z.Keep[za0001].Model)
 		// string "Adapter"
 		o = append(o, 0xa7, 0x41, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
-		o = msgp.AppendString(o, z.InUse[za0001].Adapter)
+		o = msgp.AppendString(o, z.Keep[za0001].Adapter)
 	}
 	return
 }
@@ -5023,45 +5032,45 @@
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "InUse")
+				err = msgp.WrapError(err, "Keep")
 				return
 			}
-			if cap(z.InUse) >= int(zb0003) {
-				z.InUse = (z.InUse)[:zb0003]
+			if cap(z.Keep) >= int(zb0003) {
+				z.Keep = (z.Keep)[:zb0003]
 			} else {
-				z.InUse = make([]ModelAdapter, zb0003)
+				z.Keep = make([]ModelAdapter, zb0003)
 			}
-			for za0001 := range z.InUse {
+			for za0001 := range z.Keep {
 				var zb0004 uint32
 				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "InUse", za0001)
+					err = msgp.WrapError(err, "Keep", za0001)
 					return
 				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "InUse", za0001)
+						err = msgp.WrapError(err, "Keep", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "Model":
-						z.InUse[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
+						z.Keep[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "InUse", za0001, "Model")
+							err = msgp.WrapError(err, "Keep", za0001, "Model")
 							return
 						}
 					case "Adapter":
-						z.InUse[za0001].Adapter, bts, err = msgp.ReadStringBytes(bts)
+						z.Keep[za0001].Adapter, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "InUse", za0001, "Adapter")
+							err = msgp.WrapError(err, "Keep", za0001, "Adapter")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "InUse", za0001)
+							err = msgp.WrapError(err, "Keep", za0001)
 							return
 						}
 					}
@@ -5082,8 +5091,8 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Prepare) Msgsize() (s int) {
 	s = 1 + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.StringPrefixSize + len(z.Adapter) + 2 + msgp.BoolSize + 2 + 1 + 6 + msgp.StringPrefixSize + len(z.Evict.Model) + 8 + msgp.StringPrefixSize + len(z.Evict.Adapter) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.InUse {
-		s += 1 + 6 + msgp.StringPrefixSize + len(z.InUse[za0001].Model) + 8 + msgp.StringPrefixSize + len(z.InUse[za0001].Adapter)
+	for za0001 := range z.Keep {
+		s += 1 + 6 + msgp.StringPrefixSize + len(z.Keep[za0001].Model) + 8 + msgp.StringPrefixSize + len(z.Keep[za0001].Adapter)
 	}
 	return
 }
