--- a/internal/operator/cli.go
+++ b/internal/operator/cli.go
@@ -38,7 +38,7 @@
 	Out, Err io.Writer
 
 	dir, only, subject string
-	resolved           []string
+	resolved, logs     []string
 	commands           map[string]func(context.Context) error
 }
 
@@ -70,8 +70,9 @@
 	pull.Flag("resolved", "File whose conflict was merged by hand; may be repeated.").StringsVar(&c.resolved)
 	add("history", "List revisions with their author and files.", c.history)
 	add("status", "Show the state of a cell as a control process sees it.", c.status)
-	add("explain", "Show the decisions about a request id, model or endpoint.", c.explain).
-		Arg("subject", "Request id, model or endpoint.").Required().StringVar(&c.subject)
+	explain := add("explain", "Show the decisions about a request id, model or endpoint.", c.explain)
+	explain.Arg("subject", "Request id, model or endpoint; with --logs, a request id.").Required().StringVar(&c.subject)
+	explain.Flag("logs", "Collected log of a host, or a folder of them, to search instead of asking a control process; may be repeated.").StringsVar(&c.logs)
 	add("maintenance", "List maintenance windows and what is still on their hosts.", c.maintenance)
 	add("hash-key", "Print the SHA-256 of an API key read from standard input.", c.hashKey)
 }
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/logread"
 )
 
 const (
@@ -223,7 +224,35 @@
 	return strings.Join(out, " ")
 }
 
+// explainLogs tells what collected logs say of a request.
+func (c *CLI) explainLogs() error {
+	files, err := logread.Files(c.logs)
+	if err != nil {
+		return errors.Annotate(err, "--logs")
+	}
+	s, err := logread.Read(files, c.subject)
+	if err != nil {
+		return err
+	}
+	return c.show(s, func() {
+		fmt.Fprintf(c.Out, "request %s: %s\n\n", s.Request, s.Cause())
+		rows := func(lines []logread.Line) {
+			c.table("TIME\tHOST\tPART\tMESSAGE\tFIELDS", func(add func(...any)) {
+				for _, l := range lines {
+					add(l.Time.UTC().Format(decisionLayout), l.Source, l.Part, l.Message, fields(l.Fields))
+				}
+			})
+		}
+		rows(s.Own)
+		fmt.Fprintf(c.Out, "\nits endpoints, its model and the duties, in the %v before:\n\n", logread.Window)
+		rows(s.Around)
+	})
+}
+
 func (c *CLI) explain(ctx context.Context) error {
+	if len(c.logs) > 0 {
+		return c.explainLogs()
+	}
 	admin, err := c.admin()
 	if err != nil {
 		return err
