Keep a connection whose idle time ends when a request arrives

The timer of the idle time closed connections whatever had happened since; a host that stands still for its processor quota finds the timer and the request at once.

Change: the timer closes a connection only if it is still in that spell of idleness and no bytes have arrived.

--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -45,7 +46,7 @@
 	maxBodies int64
 
 	mu       sync.Mutex
-	idle     map[net.Conn]*time.Timer
+	idle     map[net.Conn]*idleConn
 	bySeries map[string]*telemetry.Series
 }
 
@@ -55,7 +56,7 @@
 		mb = defaultMemoryMB
 	}
 	return &front{
-		h: h, log: h.log.Part("front"), idle: make(map[net.Conn]*time.Timer),
+		h: h, log: h.log.Part("front"), idle: make(map[net.Conn]*idleConn),
 		maxFlight: int64(mb) * requestsPerMB, maxBodies: int64(bodyMemoryShare * float64(mb) * (1 << 20)),
 	}
 }
@@ -115,15 +116,51 @@
 func (f *front) connState(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch s {
-	case http.StateIdle:
-		f.idle[c] = time.AfterFunc(f.limits().IdleTimeout, func() { c.Close() })
-	default:
-		if t := f.idle[c]; t != nil {
-			t.Stop()
-			delete(f.idle, c)
-		}
+	if x := f.idle[c]; x != nil {
+		x.timer.Stop()
+		delete(f.idle, c)
+	}
+	if s == http.StateIdle {
+		x := &idleConn{}
+		x.timer = time.AfterFunc(f.limits().IdleTimeout, func() { f.closeIdle(c, x) })
+		f.idle[c] = x
+	}
+}
+
+// idleConn is one spell of a connection without a request.
+type idleConn struct{ timer *time.Timer }
+
+// closeIdle closes a connection whose idle time is over, unless a request has come meanwhile: a process that stood still
+// finds the end of the time and the request at once, and the caller would get no answer.
+func (f *front) closeIdle(c net.Conn, x *idleConn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.idle[c] != x {
+		return
 	}
+	delete(f.idle, c)
+	if !pending(c) {
+		c.Close()
+	}
+}
+
+// pending tells whether bytes have arrived that nobody has read. It does not wait for the reader of the connection.
+func pending(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false // closed
+	}
+	arrived := false
+	err = rc.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		arrived = rerr == nil && n > 0
+	})
+	return err == nil && arrived
 }
 
 // serve handles one request of a caller.
