Let one piece of code serve where the host program had written it again

- The look at a socket's unread bytes stood in the front and in the pool of connections: upstream.Peek.
- Hosts hashed all names and versions of the view ten times a second: the hash is kept with the object.
- Fields that were decoded and never read are gone (region, max_fds, health path, running, waiting and born of a report, drain bound).

Behaviour is meant to stay as it is; no assertion was changed.

--- a/internal/control/leaseduty.go
+++ b/internal/control/leaseduty.go
@@ -6,12 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/config"
 	"sycamoredeal/internal/engine"
 	"sycamoredeal/internal/lease"
+	"sycamoredeal/internal/leasestore"
 	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/planner"
 	"sycamoredeal/internal/ring"
@@ -124,24 +123,12 @@
 
 // step carries out the action that is due.
 func (l *leaseDuty) step(ctx context.Context, m *lease.Machine) {
-	a := m.Next(l.c.now())
-	if a.Kind == lease.None {
-		return
+	o := &l.c.opts
+	stored := leasestore.Lease{
+		Store: o.Store, Kind: objects.KindLease, Name: o.Cell, Timeout: max(o.Renew, 100*time.Millisecond), Now: l.c.now,
 	}
-	call, cancel := context.WithTimeout(ctx, max(l.c.opts.Renew, 100*time.Millisecond))
-	defer cancel()
 	before := m.Latest()
-	rec, version, err := l.call(call, a)
-	now := l.c.now()
-	switch {
-	case err == nil && a.Kind == lease.Write:
-		m.OnWritten(now, rec, version)
-	case err == nil:
-		m.OnRead(now, rec, version)
-	case errors.Is(err, objects.ErrNotFound) && a.Kind == lease.Read:
-		m.OnAbsent(now)
-	default:
-		m.OnUnsure(now, a.Kind == lease.Write)
+	if err := stored.Step(ctx, m); err != nil {
 		l.log.Debug().Err(err).Msg("Lease call failed.")
 	}
 	if r := m.Latest(); r.Holder != before.Holder || r.Epoch != before.Epoch {
@@ -149,25 +136,6 @@
 	}
 }
 
-func (l *leaseDuty) call(ctx context.Context, a lease.Action) (lease.Record, string, error) {
-	var o objects.Object
-	var err error
-	if a.Kind == lease.Read {
-		o, err = l.c.opts.Store.Get(ctx, objects.KindLease, l.c.opts.Cell)
-	} else if o, err = objects.Encode(objects.KindLease, l.c.opts.Cell, a.Version, a.Record); err == nil {
-		if a.Version == "" {
-			o, err = l.c.opts.Store.Create(ctx, o)
-		} else {
-			o, err = l.c.opts.Store.Update(ctx, o)
-		}
-	}
-	if err != nil {
-		return lease.Record{}, "", err
-	}
-	rec, err := objects.Decode[lease.Record](o)
-	return rec, o.Version, err
-}
-
 // follow starts, extends or stops the planner so that it runs only while the lease is held.
 func (l *leaseDuty) follow(ctx context.Context, m *lease.Machine) {
 	now := l.c.now()
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -399,15 +399,14 @@
 		if !r.open(e) || e.holds(m.Name) || limit > 0 && (!r.settled(e) || r.load[i] > limit) {
 			continue
 		}
-		from := e.source(m.Name)
 		share := 1.0
 		if r.copies[m.Name] > 0 {
 			share = r.p.tuning.SpareBudget
 		}
-		if !r.p.mayLoad(r.in, from, share) {
+		if !r.p.mayLoad(r.in, e.source(m.Name), share) {
 			continue
 		}
-		c := loadCost(m, from) + loadedCost*r.load[i]/float64(max(r.in.Engine.Slots, 1))
+		c := r.cost(i, m)
 		if r.free[i] >= m.MB {
 			if c < cost {
 				best, victim, cost = i, "", c
@@ -429,6 +428,11 @@
 	return best, victim
 }
 
+// cost is what a load of a model at an endpoint costs, in seconds, with the endpoint's load counted in.
+func (r *round) cost(at int, m *fleet.Model) float64 {
+	return loadCost(m, r.in.Endpoints[at].source(m.Name)) + loadedCost*r.load[at]/float64(max(r.in.Engine.Slots, 1))
+}
+
 // unloadCost is the time until the last of the requests in progress has ended, in seconds, when their durations are
 // exponentially distributed: the memory is free then.
 func unloadCost(running int, holdSec float64) float64 {
@@ -566,8 +570,7 @@
 		if v == "" || after > max(limit, r.load[i]) {
 			continue // its requests would wait longer than they do here
 		}
-		c := loadCost(rare, e.source(rare.Name)) + loadedCost*r.load[i]/float64(max(r.in.Engine.Slots, 1)) + unloadCost(e.Running[v], r.in.Demand[v].HoldSec)
-		if c < cost {
+		if c := r.cost(i, rare) + unloadCost(e.Running[v], r.in.Demand[v].HoldSec); c < cost {
 			best, victim, cost = i, v, c
 		}
 	}
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -136,11 +136,11 @@
 func (e *engine) load(o copies.Order) {
 	takes := o.Takes
 	if o.From == copies.FromStore {
-		e.w.loads[0]++
-		if n := e.w.loads[0]; n > e.w.s.AtOnce {
+		e.w.loads++
+		if n := e.w.loads; n > e.w.s.AtOnce {
 			takes = time.Duration(float64(takes) * float64(n) / float64(e.w.s.AtOnce))
 		}
-		e.w.after(takes, func() { e.w.loads[0]-- })
+		e.w.after(takes, func() { e.w.loads-- })
 	}
 	e.then(takes+reportLag/2, func() {
 		e.models[o.Load] = true
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -71,7 +71,7 @@
 	calls   map[uint64]*request
 	next    uint64
 	due     []float64 // fractions of requests that have not come yet, by class
-	loads   []int     // in progress from the weight store; one counter behind a pointer
+	loads   int       // in progress from the weight store
 	result  Result
 }
 
@@ -80,9 +80,7 @@
 	w := &world{
 		s: &s, rng: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*engine), calls: make(map[uint64]*request),
 		due: make([]float64, len(s.Classes)), busy: make([][]int, len(s.Classes)), shares: make([][]float64, len(s.Classes)),
-		loads: make([]int, 1),
 	}
-	w.now = 0
 	w.result = newResult(&s, seed)
 	for i := range s.Engines {
 		w.addEngine(i)
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -107,10 +107,9 @@
 
 // Service is a group of endpoints that serve the same requests.
 type Service struct {
-	Name       string
-	HealthPath string
-	MaxConns   int     // connections that an endpoint accepts from all callers
-	Engine     *Engine // nil for a plain service
+	Name     string
+	MaxConns int     // connections that an endpoint accepts from all callers
+	Engine   *Engine // nil for a plain service
 }
 
 // Limits bound what callers may send.
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -6,7 +6,6 @@
 type Deployment struct {
 	Host     string // name of this host
 	Zone     string // availability zone
-	Region   string
 	Callers  string // address for callers
 	Ready    string // address of the readiness check
 	Peers    string // address for other hosts
@@ -14,11 +13,9 @@
 	Store    string // address of the platform's store
 	Strength int    // thousandths of a core
 	MemoryMB int
-	MaxFDs   int
 
 	FencesChecked bool          // endpoints refuse orders with an old epoch
 	LeaseTerm     time.Duration // least time between orders of two holders
-	DrainWithin   time.Duration // a leaving endpoint gets nothing later than it
 	StopWithin    time.Duration // from the signal to stop until the process is killed
 	RetryRatio    float64       // repeats per request to a service
 	RetryExtra    float64       // repeats beyond the ratio in a window
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -41,15 +41,12 @@
 
 // Report is what an engine says of itself when asked.
 type Report struct {
-	Busy      bool  // carries out an order
-	Sequence  int64 // orders that it has accepted
-	Models    []Resident
-	Coming    []string // adapters on their way, as MODEL/NAME@VERSION
-	InMemory  []string
-	OnDisk    []string
-	Running   int
-	Waiting   int
-	Incarnate int64 // start of the process in Unix milliseconds, 0 if unknown
+	Busy     bool  // carries out an order
+	Sequence int64 // orders that it has accepted
+	Models   []Resident
+	Coming   []string // adapters on their way, as MODEL/NAME@VERSION
+	InMemory []string
+	OnDisk   []string
 }
 
 // Order tells an engine to load or unload a model or adapter.
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -642,7 +642,7 @@
 	defer d.mu.Unlock()
 	for _, byName := range d.mirror {
 		for _, o := range byName {
-			out.Objects = append(out.Objects, stored(o))
+			out.Objects = append(out.Objects, stored(o.Object))
 		}
 	}
 	return out
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,6 +16,7 @@
 	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/telemetry"
+	"sycamoredeal/internal/upstream"
 )
 
 const (
@@ -139,30 +139,11 @@
 		return
 	}
 	delete(f.idle, c)
-	if !pending(c) {
+	if _, pending := upstream.Peek(c); !pending {
 		c.Close()
 	}
 }
 
-// pending tells whether bytes have arrived that nobody has read. It does not wait for the reader of the connection.
-func pending(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false // closed
-	}
-	arrived := false
-	err = rc.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		arrived = rerr == nil && n > 0
-	})
-	return err == nil && arrived
-}
-
 // serve handles one request of a caller.
 func (f *front) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
--- a/internal/host/front_test.go
+++ b/internal/host/front_test.go
@@ -9,6 +9,7 @@
 
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/telemetry"
+	"sycamoredeal/internal/upstream"
 )
 
 // connected returns both ends of a connection.
@@ -53,8 +54,10 @@
 	if _, err := caller.Write([]byte("GET / HTTP/1.1\r\n")); err != nil {
 		t.Fatal(err)
 	}
-	for deadline := time.Now().Add(3 * time.Second); !pending(c) && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
+	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if _, pending := upstream.Peek(c); pending {
+			break
+		}
 	}
 	f.closeIdle(c, f.idle[c])
 	if !isOpen(c) {
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -11,7 +11,7 @@
 	"sycamoredeal/internal/copies"
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/lease"
-	"sycamoredeal/internal/objects"
+	"sycamoredeal/internal/leasestore"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
@@ -97,6 +97,7 @@
 		Host: o.h.deployment().Host, Incarnation: o.h.incarnation, Term: time.Duration(termShare * term),
 		Renew: time.Duration(renewShare * term), Margin: time.Duration(marginShare * term), Quiet: holderQuiet, Seed: o.h.incarnation,
 	})
+	stored := leasestore.Lease{Store: o.h.opts.Store, Kind: kindLeases, Name: leaseName, Timeout: leaseCall, Now: clock.Boot}
 	t := time.NewTicker(leaseTick)
 	defer t.Stop()
 	release := o.release
@@ -134,7 +135,9 @@
 			m.Hurry()
 		}
 		if m.Held(now) > 0 || release == nil || o.mayChallenge(now-heard) {
-			o.step(ctx, m)
+			if err := stored.Step(ctx, m); err != nil {
+				o.log.Debug().Err(err).Msg("Lease call failed.")
+			}
 		}
 		stopDuty = o.follow(ctx, m, stopDuty)
 	}
@@ -158,48 +161,6 @@
 	return silence > wait
 }
 
-// step carries out the lease action that is due.
-func (o *holder) step(ctx context.Context, m *lease.Machine) {
-	a := m.Next(clock.Boot())
-	if a.Kind == lease.None {
-		return
-	}
-	call, cancel := context.WithTimeout(ctx, leaseCall)
-	defer cancel()
-	rec, version, err := o.call(call, a)
-	now := clock.Boot()
-	switch {
-	case err == nil && a.Kind == lease.Write:
-		m.OnWritten(now, rec, version)
-	case err == nil:
-		m.OnRead(now, rec, version)
-	case errors.Is(err, objects.ErrNotFound) && a.Kind == lease.Read:
-		m.OnAbsent(now)
-	default:
-		m.OnUnsure(now, a.Kind == lease.Write)
-		o.log.Debug().Err(err).Msg("Lease call failed.")
-	}
-}
-
-func (o *holder) call(ctx context.Context, a lease.Action) (lease.Record, string, error) {
-	var obj objects.Object
-	var err error
-	if a.Kind == lease.Read {
-		obj, err = o.h.opts.Store.Get(ctx, kindLeases, leaseName)
-	} else if obj, err = objects.Encode(kindLeases, leaseName, a.Version, a.Record); err == nil {
-		if a.Version == "" {
-			obj, err = o.h.opts.Store.Create(ctx, obj)
-		} else {
-			obj, err = o.h.opts.Store.Update(ctx, obj)
-		}
-	}
-	if err != nil {
-		return lease.Record{}, "", err
-	}
-	rec, err := objects.Decode[lease.Record](obj)
-	return rec, obj.Version, err
-}
-
 // follow starts and stops the duty with the lease.
 func (o *holder) follow(ctx context.Context, m *lease.Machine, stop context.CancelFunc) context.CancelFunc {
 	epoch := m.Held(clock.Boot())
--- a/internal/host/mirror.go
+++ b/internal/host/mirror.go
@@ -16,7 +16,14 @@
 // Hosts compare a digest of each kind with the dispatcher's. Equal digests mean equal objects, so a host that turns to
 // another dispatcher gets only what it lacks: the whole view for each of a hundred hosts would fill the dispatcher's link
 // for seconds.
-type mirror map[string]map[string]objects.Object
+type mirror map[string]map[string]mirrored
+
+// mirrored is an object with what summaries need of it.
+type mirrored struct {
+	objects.Object
+	revision uint64
+	hash     uint64 // of name and version
+}
 
 // patchShare is the share of an object's size up to which a change travels as a patch.
 const patchShare = 0.5
@@ -24,13 +31,13 @@
 // put stores an object and returns the update that tells other hosts of it, or nil if its version is the known one.
 func (m mirror) put(o objects.Object) *wire.ViewUpdate {
 	if m[o.Kind] == nil {
-		m[o.Kind] = make(map[string]objects.Object)
+		m[o.Kind] = make(map[string]mirrored)
 	}
 	old, known := m[o.Kind][o.Name]
 	if known && old.Version == o.Version {
 		return nil
 	}
-	m[o.Kind][o.Name] = o
+	m[o.Kind][o.Name] = mirrored{o, revisionOf(o.Version), xxhash.Sum64String(o.Name + " " + o.Version)}
 	if known {
 		if p := diff(old.Data, o.Data); float64(len(p.Middle)) < patchShare*float64(len(o.Data)) {
 			p.Name, p.From, p.Version = o.Name, old.Version, o.Version
@@ -86,10 +93,9 @@
 // summary returns the digest of a kind, and its newest version.
 func (m mirror) summary(kind string) wire.ViewSummary {
 	s := wire.ViewSummary{Of: kind}
-	for name, o := range m[kind] {
-		// The sum does not depend on the order of the map.
-		s.Digest += xxhash.Sum64String(name + " " + o.Version)
-		s.Newest = max(s.Newest, revisionOf(o.Version))
+	for _, o := range m[kind] {
+		s.Digest += o.hash // the sum does not depend on the order of the map
+		s.Newest = max(s.Newest, o.revision)
 	}
 	return s
 }
@@ -109,8 +115,8 @@
 	u := &wire.ViewUpdate{Of: kind, Whole: true}
 	for name, o := range m[kind] {
 		u.Names = append(u.Names, name)
-		if revisionOf(o.Version) > newest {
-			u.Objects = append(u.Objects, stored(o))
+		if o.revision > newest {
+			u.Objects = append(u.Objects, stored(o.Object))
 		}
 	}
 	sort.Strings(u.Names)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -68,10 +68,16 @@
 	return modelCall(stream, platformtest.StreamPath, model)
 }
 
-// call makes a request and has its answer checked.
-func (f *fleet) call(ctx context.Context, client *platformtest.Client, c call) platformtest.Outcome {
+// asked takes an id for a request and tells the audit of it.
+func (f *fleet) asked(c call) string {
 	id := platformtest.NextID()
 	f.audit.Asked(id, c.kind, c.call)
+	return id
+}
+
+// call makes a request and has its answer checked.
+func (f *fleet) call(ctx context.Context, client *platformtest.Client, c call) platformtest.Outcome {
+	id := f.asked(c)
 	o := client.DoAs(ctx, id, c.call)
 	f.audit.Answered(o)
 	return o
@@ -101,8 +107,7 @@
 
 // leave makes a request and closes the connection after a time.
 func (f *fleet) leave(client *platformtest.Client, c call, after time.Duration) {
-	id := platformtest.NextID()
-	f.audit.Asked(id, c.kind, c.call)
+	id := f.asked(c)
 	ctx, cancel := context.WithCancel(f.ctx)
 	defer cancel()
 	t := time.AfterFunc(after, func() {
@@ -133,9 +138,8 @@
 		h := f.inRotation(rng)
 		version := max(f.audit.Newest()-rng.IntN(probeBack+1), 1)
 		_, process := h.process()
-		id := platformtest.NextID()
 		c := plainCall(plain, versionPath(version), http.MethodGet, "")
-		f.audit.Asked(id, c.kind, c.call)
+		id := f.asked(c)
 		client := platformtest.NewClient(h.front)
 		o := client.DoAs(f.ctx, id, c.call)
 		client.Close()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -50,9 +50,7 @@
 	case BadSettings:
 		f.badSettings(h, e.For)
 	case StoreDown:
-		f.store.SetDown(true)
-		time.Sleep(e.For)
-		f.store.SetDown(false)
+		during(e.For, f.store.SetDown)
 	case StoreSlow:
 		f.harm(Delayed, e.Delay, e.For, f.storeProxies()...)
 	case StoreLost:
@@ -105,13 +103,9 @@
 	case ServerSlow:
 		f.harm(Delayed, e.Delay, e.For, s.proxy)
 	case ServerFailing:
-		s.SetFailing(true)
-		time.Sleep(e.For)
-		s.SetFailing(false)
+		during(e.For, s.SetFailing)
 	case ServerGarbles:
-		s.SetGarbling(true)
-		time.Sleep(e.For)
-		s.SetGarbling(false)
+		during(e.For, s.SetGarbling)
 	case OrdersLate:
 		if s := f.pick(e.Target, platformtest.EngineService); s != nil {
 			s.LoseOrders(e.Count, e.Delay*4)
@@ -123,6 +117,13 @@
 	}
 }
 
+// during switches something on for a time.
+func during(length time.Duration, set func(on bool)) {
+	set(true)
+	time.Sleep(length)
+	set(false)
+}
+
 func (f *fleet) storeProxies() []*Proxy {
 	var out []*Proxy
 	for _, h := range f.hosts {
@@ -196,26 +197,27 @@
 		if s.opts.Service == other {
 			other = platformtest.EngineService
 		}
-		if _, err := f.addServer(other, nil, s.proxy); err != nil {
-			f.audit.Violate("SOAK", "server: %v", err)
-		}
+		f.replace(other, s.proxy)
 	}
 	time.Sleep(goneAfter)
 	f.store.Delete(serversKind, s.ID())
 	time.Sleep(e.For)
-	if _, err := f.addServer(s.opts.Service, nil, nil); err != nil {
+	f.replace(s.opts.Service, nil)
+}
+
+// replace adds an empty server in place of one that goes. It returns false if that fails.
+func (f *fleet) replace(service string, p *Proxy) bool {
+	if _, err := f.addServer(service, nil, p); err != nil {
 		f.audit.Violate("SOAK", "server: %v", err)
+		return false
 	}
+	return true
 }
 
 // drain replaces a server: the new one comes first, then the old one is listed as leaving, and goes after a time.
 func (f *fleet) drain(target int) {
 	s := f.take(target)
-	if s == nil {
-		return
-	}
-	if _, err := f.addServer(s.opts.Service, nil, nil); err != nil {
-		f.audit.Violate("SOAK", "server: %v", err)
+	if s == nil || !f.replace(s.opts.Service, nil) {
 		return
 	}
 	s.Register(f.store, "draining")
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -80,22 +80,31 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	open, pending := Peek(c.Conn)
+	return open && !pending
+}
+
+// Peek tells whether a connection is open and whether bytes have arrived on it that nobody has read. It neither reads them
+// nor waits for a reader of the connection. Of a connection that is no socket, nothing is known: it counts as open.
+func Peek(c net.Conn) (open, pending bool) {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	open := false
-	err = rc.Read(func(fd uintptr) bool {
+	err = rc.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = rerr == syscall.EAGAIN || rerr == syscall.EINTR
-		return true
+		n, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		pending = rerr == nil && n > 0
+		open = pending || rerr == syscall.EAGAIN || rerr == syscall.EINTR
 	})
-	return err == nil && open
+	if err != nil {
+		return false, false
+	}
+	return open, pending
 }
 
 // keepFor returns how long the connection may stay idle after a response, 0 if it must be closed.
