Keep repeats without the dispatcher within a budget

Change: a host alone repeats within the ratio to its own first sends and its share of what the dispatcher leaves of the rest; the budget is sched's, exported. An endpoint that lacks the model or adapter is left at the first answer when the host decides alone.

TestRepeatsAlone fails without the budget (500 repeats, 15 are allowed).

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -11,7 +11,9 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/attempt"
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/fleet"
+	"sycamoredeal/internal/sched"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
@@ -95,9 +97,10 @@
 	suspects map[string]suspicion
 	state    wire.FleetState
 	stateAt  time.Time
-	loadsAt  time.Time            // of the loads of endpoints in state
-	alone    map[string]int       // places taken without the dispatcher, by endpoint
-	avoid    map[string]time.Time // endpoints that failed, for decisions alone
+	loadsAt  time.Time                // of the loads of endpoints in state
+	alone    map[string]int           // places taken without the dispatcher, by endpoint
+	budgets  map[string]*sched.Budget // of sends without the dispatcher, by service
+	avoid    map[string]time.Time     // endpoints that failed, for decisions alone
 	ticked   time.Time
 	better   fleet.Host // that comes before the one in use
 	betterAt time.Time  // since when
@@ -106,7 +109,7 @@
 func newBinder(h *Host) *binder {
 	return &binder{
 		h: h, log: h.log.Part("binder"), wake: make(chan struct{}, 1), calls: make(map[uint64]*call),
-		suspects: make(map[string]suspicion), alone: make(map[string]int), avoid: make(map[string]time.Time),
+		suspects: make(map[string]suspicion), alone: make(map[string]int), budgets: make(map[string]*sched.Budget), avoid: make(map[string]time.Time),
 	}
 }
 
@@ -511,11 +514,18 @@
 // lock.
 func (b *binder) bindAlone(c *call) (*binding, error) {
 	delete(b.calls, c.ask.ID)
+	reason := ""
 	e := b.chooseAlone(&c.ask)
-	if e == nil {
+	switch {
+	case e == nil:
+		reason = "no endpoint has a place"
+	case !b.aloneAllowed(&c.ask):
+		reason = "the budget of repeats is used up"
+	}
+	if reason != "" {
 		c.state = given
-		b.log.Info().Str("request", c.ask.Request).Str("model", c.ask.Model).Msg("Refused without the dispatcher: no place.")
-		return nil, &refusal{"no endpoint has a place", aloneRetry + time.Duration(rand.Int64N(int64(aloneRetry)))}
+		b.log.Info().Str("request", c.ask.Request).Str("model", c.ask.Model).Str("reason", reason).Msg("Refused without the dispatcher.")
+		return nil, &refusal{reason, aloneRetry + time.Duration(rand.Int64N(int64(aloneRetry)))}
 	}
 	b.next++
 	c.ask.ID = b.next // the dispatcher may still know the call by its former id
@@ -535,6 +545,28 @@
 	return x, nil
 }
 
+// aloneBudget counts the sends of a service that the dispatcher does not count. The caller holds the lock.
+func (b *binder) aloneBudget(service string) *sched.Budget {
+	x := b.budgets[service]
+	if x == nil {
+		x = sched.NewBudget(b.h.deployment().RetryWindow)
+		b.budgets[service] = x
+	}
+	return x
+}
+
+// aloneAllowed tells whether a request may be sent without the dispatcher: a first send always, a repeat within the ratio
+// to this host's own first sends and its share of what the dispatcher leaves. The caller holds the lock.
+func (b *binder) aloneAllowed(ask *wire.Ask) bool {
+	d, x, now := b.h.deployment(), b.aloneBudget(ask.Service), clock.Boot()
+	if !ask.Repeat {
+		x.First(now)
+		return true
+	}
+	hosts := float64(max(len(b.h.directory.view().Hosts), 1))
+	return x.Repeat(now, d.RetryRatio, sched.AloneExtra*d.RetryExtra/hosts)
+}
+
 func (b *binder) leaveAlone(endpoint string) {
 	if b.alone[endpoint]--; b.alone[endpoint] <= 0 {
 		delete(b.alone, endpoint)
@@ -600,6 +632,9 @@
 	if x.c.alone {
 		b.leaveAlone(x.endpoint)
 	}
+	if x.alone {
+		b.aloneBudget(x.c.ask.Service).Spent(clock.Boot(), int(d.Resent))
+	}
 	if d.Fault != 0 {
 		b.avoid[x.endpoint] = time.Now().Add(aloneAvoid)
 	}
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -91,7 +91,7 @@
 		}
 		x.outcome = attempt.Combine(x.outcome, r.outcome)
 		x.lastErr = r.err
-		x.leaveOut(ctx, b.endpoint, &r)
+		x.leaveOut(ctx, b, &r)
 		if r.answer != nil {
 			x.fallback = r.answer
 		}
@@ -110,22 +110,23 @@
 // leaveOut keeps further attempts away from an endpoint. One that lacks the model or adapter may be asked again: the
 // dispatcher knows of it now, and it may be the only one that can serve the request. One where the adapter could not be
 // loaded yet stays in any case, because the others have the same trouble when adapters compete for places.
-func (x *exchange) leaveOut(ctx context.Context, endpoint string, r *result) {
+// Without the dispatcher, nobody learns of it, and an endpoint that lacks something is left at once.
+func (x *exchange) leaveOut(ctx context.Context, b *binding, r *result) {
 	switch {
 	case r.missing && r.outcome == attempt.NotSent:
 		clock.Sleep(ctx, min(lackingPause<<min(x.unready, 8), mostPause))
 		x.unready++
 		return
-	case r.missing:
+	case r.missing && !b.alone:
 		if x.lacking == nil {
 			x.lacking = make(map[string]int)
 		}
-		if x.lacking[endpoint]++; x.lacking[endpoint] < mostLacking {
+		if x.lacking[b.endpoint]++; x.lacking[b.endpoint] < mostLacking {
 			return
 		}
 		clock.Sleep(ctx, lackingPause)
 	}
-	x.exclude = append(x.exclude, endpoint)
+	x.exclude = append(x.exclude, b.endpoint)
 }
 
 func (x *exchange) target() time.Time { return x.q.Arrived.Add(x.q.Route.Target) }
--- a/internal/sched/budget.go
+++ b/internal/sched/budget.go
@@ -8,27 +8,34 @@
 	budgetUse    = 0.8 // of the repeats that the platform allows: hosts that decide alone use the rest
 )
 
-// budget counts the first sends and repeats of a service over a sliding window.
-type budget struct {
-	cfg     *Config
+// AloneExtra is the share of the repeats beyond the ratio that all hosts together may make without the dispatcher.
+const AloneExtra = 1 - budgetUse
+
+// Budget counts the first sends and repeats of a service over a sliding window. It is not safe for concurrent use.
+type Budget struct {
 	buckets []bucket
 	at      int64 // number of the newest bucket
 }
 
 type bucket struct{ first, repeat float64 }
 
-func (s *State) budget(service string) *budget {
+// NewBudget returns a budget for a window.
+func NewBudget(window time.Duration) *Budget {
+	return &Budget{buckets: make([]bucket, max(int(window/bucketWidth), 1)+1)}
+}
+
+func (s *State) budget(service string) *Budget {
 	b := s.budgets[service]
 	if b == nil {
 		// What an earlier dispatcher allowed in this window is not known.
-		b = &budget{cfg: &s.cfg, buckets: make([]bucket, max(int(s.cfg.RetryWindow/bucketWidth), 1)+1)}
-		b.spent(s.now, int(unknownSpent*s.cfg.RetryExtra))
+		b = NewBudget(s.cfg.RetryWindow)
+		b.Spent(s.now, int(unknownSpent*s.cfg.RetryExtra))
 		s.budgets[service] = b
 	}
 	return b
 }
 
-func (b *budget) current(now time.Duration) *bucket {
+func (b *Budget) current(now time.Duration) *bucket {
 	n := int64(now / bucketWidth)
 	for ; b.at < n; b.at++ {
 		b.buckets[(b.at+1)%int64(len(b.buckets))] = bucket{}
@@ -39,20 +46,22 @@
 	return &b.buckets[n%int64(len(b.buckets))]
 }
 
-func (b *budget) first(now time.Duration) { b.current(now).first++ }
+// First counts the first send of a request.
+func (b *Budget) First(now time.Duration) { b.current(now).first++ }
 
-// spent counts repeats that were made without asking.
-func (b *budget) spent(now time.Duration, n int) { b.current(now).repeat += float64(n) }
+// Spent counts repeats that were made without asking.
+func (b *Budget) Spent(now time.Duration, n int) { b.current(now).repeat += float64(n) }
 
-// repeat takes one repeat from the budget, or returns false.
-func (b *budget) repeat(now time.Duration) bool {
+// Repeat takes one repeat from the budget, or returns false: ratio for each first send of the window, and extra beyond
+// that, are allowed.
+func (b *Budget) Repeat(now time.Duration, ratio, extra float64) bool {
 	cur := b.current(now)
 	var sum bucket
 	for _, x := range b.buckets {
 		sum.first += x.first
 		sum.repeat += x.repeat
 	}
-	if sum.repeat+1 > budgetUse*(b.cfg.RetryRatio*sum.first+b.cfg.RetryExtra) {
+	if sum.repeat+1 > ratio*sum.first+extra {
 		return false
 	}
 	cur.repeat++
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -98,7 +98,7 @@
 	models    map[modelKey]*model
 	requests  map[key]*request
 	hosts     map[string]*hostState
-	budgets   map[string]*budget
+	budgets   map[string]*Budget
 	closing   map[wire.ModelCopy]bool
 	loaded    []wire.ModelCopy
 	changing  map[string]bool // endpoints that take no order for an adapter
@@ -113,7 +113,7 @@
 	s := &State{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 5)), now: now, started: now, measured: now,
 		endpoints: make(map[string]*endpoint), models: make(map[modelKey]*model), requests: make(map[key]*request),
-		hosts: make(map[string]*hostState), budgets: make(map[string]*budget), closing: make(map[wire.ModelCopy]bool),
+		hosts: make(map[string]*hostState), budgets: make(map[string]*Budget), closing: make(map[wire.ModelCopy]bool),
 		changing: make(map[string]bool),
 	}
 	s.SetView(now, view)
@@ -229,12 +229,12 @@
 	r.startBy = now + ms(ask.DeadlineMs)
 	b := s.budget(ask.Service)
 	if !ask.Repeat {
-		b.first(now)
+		b.First(now)
 		r.model.arrivals++
 	}
 	if ask.Bound != "" {
 		if ask.Repeat {
-			b.spent(now, 1)
+			b.Spent(now, 1)
 		}
 		if e := s.endpoints[ask.Bound]; e != nil {
 			s.occupy(r, e)
@@ -253,7 +253,7 @@
 	case e == nil && s.waiting >= maxWaiting:
 		s.refuse(r, "queue is full", wait)
 		return
-	case ask.Repeat && !b.repeat(now):
+	case ask.Repeat && !b.Repeat(now, budgetUse*s.cfg.RetryRatio, budgetUse*s.cfg.RetryExtra):
 		s.refuse(r, "the budget of repeats is used up", 0)
 		return
 	case e != nil:
@@ -365,7 +365,7 @@
 	}
 	e := r.endpoint
 	s.vacate(r)
-	s.budget(r.ask.Service).spent(now, int(d.Resent))
+	s.budget(r.ask.Service).Spent(now, int(d.Resent))
 	if d.Missing {
 		e.forget(r.ask.Model, r.ask.Adapter)
 	}
@@ -472,7 +472,7 @@
 			s.occupy(&request{key: k, ask: x.Ask, model: s.modelOf(&x.Ask), asked: now}, e)
 		}
 		if x.Ask.Repeat {
-			s.budget(x.Ask.Service).spent(now, 1) // another dispatcher may have allowed it
+			s.budget(x.Ask.Service).Spent(now, 1) // another dispatcher may have allowed it
 		}
 	}
 	for _, a := range m.Waiting {
