Answer requests that still wait for a place when a stop ends

Cause: a host that got SIGTERM let streams wait for a place at an endpoint for as long as their callers are patient.

Change: the steps of a stop are planned from the grace time and the measured mean duration of streams (stopPlan, without I/O). What has no place when an answer could no longer end in time is refused, truthfully as not run, also without the dispatcher or the store. At the end the listener is closed before connections are, and requests that have just come are answered. Two related bounds: a request without deadline and timeout no longer asks for a place within 1 ms, and a stream in progress that looks for another endpoint has the patience of its caller since the latest event, not since the request.

--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -44,11 +44,16 @@
 // StartBy returns when the answer has to begin at the latest: at the deadline, the route's timeout, or, for a stream,
 // before the caller gives up on a silent connection.
 func (q *Request) StartBy() time.Time {
-	by := q.EndBy()
 	if q.Route.Kind != Stream {
-		return by
+		return q.EndBy()
 	}
-	if t := q.Arrived.Add(time.Duration(patienceFraction * float64(q.Route.Patience()))); by.IsZero() || t.Before(by) {
+	return q.ContinueBy(q.Arrived)
+}
+
+// ContinueBy returns by when a stream has to go on whose latest event the caller got at a time.
+func (q *Request) ContinueBy(last time.Time) time.Time {
+	by := q.EndBy()
+	if t := last.Add(time.Duration(patienceFraction * float64(q.Route.Patience()))); by.IsZero() || t.Before(by) {
 		return t
 	}
 	return by
--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -34,6 +34,8 @@
 	aloneRetry   = 300 * time.Millisecond
 	stateFresh   = 2 * time.Second // loads that are older say nothing
 	aloneAvoid   = time.Second     // after a failure
+	// unboundedWait is how long a request waits for a place if neither its caller nor its route sets a bound.
+	unboundedWait = 30 * time.Second
 )
 
 // refusal is the final answer to a request that is not sent to an endpoint.
@@ -406,7 +408,11 @@
 func (c *call) message() *wire.Ask {
 	m := c.ask
 	now := time.Now()
-	m.DeadlineMs = uint32(max(c.until.Sub(now).Milliseconds(), 1))
+	left := unboundedWait
+	if !c.until.IsZero() {
+		left = c.until.Sub(now)
+	}
+	m.DeadlineMs = uint32(max(left.Milliseconds(), 1))
 	m.TargetMs = uint32(max(c.target.Sub(now).Milliseconds(), 0))
 	return &m
 }
@@ -435,9 +441,20 @@
 	b.mu.Unlock()
 	t := time.NewTimer(askTimeout)
 	defer t.Stop()
+	stopBegun := b.h.stopBegun
+	var turnedAway <-chan time.Time
 	for {
 		select {
 		case <-c.changed:
+		case <-stopBegun:
+			stopBegun = nil
+			turnedAway = time.After(time.Until(b.h.stopping.Load().begins(c.ask.Model != "")))
+			continue
+		case <-turnedAway:
+			if x, err, ok := b.withdrawWaiting(c, "the host is stopping"); ok {
+				return x, err
+			}
+			continue
 		case <-t.C:
 			if x, err, ok := b.overdue(c); ok {
 				return x, err
@@ -479,7 +496,7 @@
 		return nil, nil, false // its signal is on the way
 	case queued:
 		if b.link != nil && !b.link.down {
-			if time.Now().After(c.until.Add(askTimeout)) {
+			if !c.until.IsZero() && time.Now().After(c.until.Add(askTimeout)) {
 				b.withdraw(c)
 				return nil, &refusal{"the dispatcher did not decide in time", aloneRetry}, true
 			}
@@ -495,6 +512,17 @@
 	return x, err, true
 }
 
+// withdrawWaiting ends a call that has no final answer yet.
+func (b *binder) withdrawWaiting(c *call, reason string) (*binding, error, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.state == bound || c.state == refused {
+		return nil, nil, false // its signal is on the way
+	}
+	b.withdraw(c)
+	return nil, &refusal{reason, retryWhileLeaving}, true
+}
+
 // withdraw forgets a call that holds no place. The caller holds the lock.
 func (b *binder) withdraw(c *call) {
 	if b.calls[c.ask.ID] == c {
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -492,7 +492,7 @@
 		case <-ctx.Done():
 			return
 		}
-		for ctx.Err() == nil && !d.h.leaving.Load() {
+		for ctx.Err() == nil && !d.h.leaving() {
 			err := d.writeOwn(ctx)
 			if err == nil {
 				backoff.Reset()
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -79,7 +79,7 @@
 		b := x.next
 		if x.next = nil; b == nil {
 			var err error
-			if b, err = x.f.h.binder.bind(ctx, x.ask(), x.q.StartBy(), x.target()); err != nil {
+			if b, err = x.f.h.binder.bind(ctx, x.ask(), x.startBy(), x.target()); err != nil {
 				x.notBound(ctx, err)
 				return
 			}
@@ -129,6 +129,20 @@
 	x.exclude = append(x.exclude, b.endpoint)
 }
 
+// startBy returns by when the answer has to begin. A stop of this host may come before the caller's patience ends.
+func (x *exchange) startBy() time.Time {
+	by := x.q.StartBy()
+	if x.stream != nil && x.stream.begun {
+		by = x.q.ContinueBy(x.stream.lastAt)
+	}
+	if s := x.f.h.stopping.Load(); s != nil {
+		if t := s.begins(x.q.Route.Kind == fleet.Stream); by.IsZero() || t.Before(by) {
+			return t
+		}
+	}
+	return by
+}
+
 func (x *exchange) target() time.Time { return x.q.Arrived.Add(x.q.Route.Target) }
 
 func (x *exchange) ask() wire.Ask {
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -45,7 +45,10 @@
 	maxFlight int64
 	maxBodies int64
 
+	http atomic.Pointer[http.Server]
+
 	mu       sync.Mutex
+	streams  mean // seconds that streams take once they have a place
 	idle     map[net.Conn]*idleConn
 	bySeries map[string]*telemetry.Series
 }
@@ -74,8 +77,9 @@
 			clock.Sleep(ctx, configPoll)
 		}
 		s := f.server()
+		f.http.Store(s)
 		context.AfterFunc(ctx, func() { s.Close() })
-		if err := s.Serve(ln); ctx.Err() == nil {
+		if err := s.Serve(ln); ctx.Err() == nil && !f.h.leaving() {
 			return errors.Annotate(err, "callers")
 		}
 		return nil
@@ -83,6 +87,49 @@
 	return nil
 }
 
+// shutdown accepts no further connections, closes those without a request, and waits for requests that have just come.
+func (f *front) shutdown(within time.Duration) {
+	s := f.http.Load()
+	if s == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		f.log.Info().Err(err).Int64("inFlight", f.inFlight.Load()).Msg("Connections are still open at the end of the stop.")
+	}
+}
+
+// mean is an exponentially weighted mean.
+type mean struct {
+	value float64
+	known bool
+}
+
+const meanWeight = 0.05 // of the latest value
+
+func (m *mean) add(v float64) {
+	if !m.known {
+		m.value, m.known = v, true
+		return
+	}
+	m.value += meanWeight * (v - m.value)
+}
+
+// meanStream returns the mean time that streams take once they have a place, 0 if there were none.
+func (f *front) meanStream() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.streams.value * float64(time.Second))
+}
+
+// streamEnded notes how long a stream took once it had a place.
+func (f *front) streamEnded(took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams.add(took.Seconds())
+}
+
 func (f *front) limits() fleet.Limits {
 	l := fleet.Limits{}
 	if c := f.h.directory.view().Config; c != nil {
@@ -149,7 +196,7 @@
 	arrived := time.Now()
 	n := f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	if f.h.leaving.Load() {
+	if f.h.leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &fleet.Request{Arrived: arrived, Method: r.Method, Target: r.RequestURI, Host: r.Host}
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -129,7 +129,7 @@
 		case f.Holder != "":
 			m.Heard(now)
 			heard = now
-		case f.Vacant && f.Epoch > vacant && !o.h.leaving.Load() && !o.h.binder.isDispatcher():
+		case f.Vacant && f.Epoch > vacant && !o.h.leaving() && !o.h.binder.isDispatcher():
 			vacant = f.Epoch
 			heard -= holderQuiet
 			m.Hurry()
@@ -146,7 +146,7 @@
 // mayChallenge tells whether this host reads the lease after a silence of the holder. Hosts do so in their order, so
 // that few of them call the store, and the dispatcher last: the two duties are kept apart.
 func (o *holder) mayChallenge(silence time.Duration) bool {
-	if o.h.leaving.Load() || !o.h.directory.complete() {
+	if o.h.leaving() || !o.h.directory.complete() {
 		return false
 	}
 	wait := holderQuiet
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -73,13 +73,14 @@
 	holder      *holder
 	pool        *upstream.Pool
 	front       *front
-	leaving     atomic.Bool // stop was asked for: the readiness check fails
+	stopping    atomic.Pointer[stopping] // set when a stop was asked for: the readiness check fails
+	stopBegun   chan struct{}            // closed then
 	place       atomic.Pointer[fleet.Deployment]
 }
 
 // New returns a host that does nothing yet.
 func New(o Options) *Host {
-	h := &Host{opts: o, log: o.Log, incarnation: uint64(time.Now().UnixNano()), pool: upstream.NewPool(0)}
+	h := &Host{opts: o, log: o.Log, incarnation: uint64(time.Now().UnixNano()), pool: upstream.NewPool(0), stopBegun: make(chan struct{})}
 	h.place.Store(&o.Deployment)
 	h.directory = newDirectory(h)
 	h.dispatcher = newDispatcher(h)
@@ -113,11 +114,9 @@
 }
 
 const (
-	sweepEvery     = 500 * time.Millisecond  // for idle connections to endpoints
-	stopMargin     = 700 * time.Millisecond  // of the time that a stop may take, left for the exit
-	streamLinger   = 2600 * time.Millisecond // callers still come after the signal: two failing checks lead them away
-	plainLinger    = 5 * time.Second         // requests to plain services are short
+	sweepEvery     = 500 * time.Millisecond // for idle connections to endpoints
 	exitPoll       = 20 * time.Millisecond
+	exitIdle       = 100 * time.Millisecond // in which connections without a request are closed at the end of a stop
 	readyTimeout   = time.Second
 	adminHeaderMax = 16 << 10
 )
@@ -159,25 +158,31 @@
 // stop leads callers away, hands the duties over, and waits for requests in progress.
 func (h *Host) stop() {
 	grace := h.deployment().StopWithin
-	start := time.Now()
-	h.leaving.Store(true)
-	h.log.Info().Int64("inFlight", h.front.inFlight.Load()).Msg("Stopping.")
-	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
+	s := &stopping{plan: planStop(grace, h.front.meanStream()), since: time.Now()}
+	h.stopping.Store(s)
+	close(h.stopBegun)
+	h.log.Info().Int64("inFlight", h.front.inFlight.Load()).Dur("streamsBeginWithin", s.plan.streamsBegin).
+		Dur("endsWithin", s.plan.end).Msg("Stopping.")
+	ctx, cancel := context.WithTimeout(context.Background(), s.plan.end)
 	defer cancel()
 	go h.holder.handOver(ctx)
 	go h.directory.deregister(ctx)
-	clock.Sleep(ctx, min(streamLinger, grace/3))
+	clock.Sleep(ctx, s.at(s.plan.streamsEnd))
 	h.front.noStreams.Store(true)
-	clock.Sleep(ctx, min(plainLinger, grace*5/8)-min(streamLinger, grace/3))
+	clock.Sleep(ctx, s.at(s.plan.plainEnd))
 	h.front.closing.Store(true)
-	for h.front.inFlight.Load() > 0 && time.Since(start) < grace-stopMargin {
+	for h.front.inFlight.Load() > 0 && s.at(s.plan.end) > 0 {
 		clock.Sleep(ctx, exitPoll)
 	}
+	h.front.shutdown(max(min(exitIdle, s.at(s.plan.end)), exitPoll))
 	if n := h.front.inFlight.Load(); n > 0 {
 		h.log.Error().Int64("inFlight", n).Msg("The time to stop ends with requests in progress.")
 	}
 }
 
+// leaving tells whether a stop was asked for.
+func (h *Host) leaving() bool { return h.stopping.Load() != nil }
+
 func (h *Host) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
@@ -194,7 +199,7 @@
 // ready tells whether the platform may send callers here.
 func (h *Host) ready() bool {
 	v := h.directory.view()
-	return !h.leaving.Load() && v.Config != nil && v.Listed
+	return !h.leaving() && v.Config != nil && v.Listed
 }
 
 func (h *Host) serveReady(ctx context.Context, g *errgroup.Group) error {
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -29,7 +29,8 @@
 	events  int
 	first   time.Duration // from the arrival of the request to the first event
 	resumes int
-	begun   bool // the caller has got the header
+	begun   bool      // the caller has got the header
+	lastAt  time.Time // when the latest event was passed on
 }
 
 // watchdog calls a function after a time without a sign of life.
@@ -90,6 +91,7 @@
 	if !x.stream.begun {
 		x.begin(resp) // a stream without events
 	}
+	x.f.streamEnded(time.Since(start))
 	x.logEnd("answered", resp.StatusCode, nil)
 	return result{outcome: attempt.Answered, finished: true}
 }
@@ -101,7 +103,7 @@
 func (e *callerError) Error() string { return "caller: " + e.err.Error() }
 
 func (x *exchange) begin(resp *upstream.Response) {
-	x.stream.begun = true
+	x.stream.begun, x.stream.lastAt = true, time.Now()
 	x.f.h.opts.Codec.PassOn(resp.Header)
 	x.copyHeader(resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
@@ -125,6 +127,7 @@
 		return &callerError{err}
 	}
 	s.events++
+	s.lastAt = time.Now()
 	if id := eventID(event); id != "" {
 		s.lastID = id
 	}
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -363,6 +363,67 @@
 	f.checkPromises(got, false)
 }
 
+// TestPlatformStopWaiting guards against requests that are cut by a planned stop while they wait for a place
+// (further/jyltyr-almaty, trouble-2: LOST): they are answered before the stop ends, and so are those that come while it
+// begins. It is the same without the dispatcher and without the store.
+func TestPlatformStopWaiting(t *testing.T) {
+	for _, without := range []string{"", "dispatcher", "store"} {
+		t.Run("without "+without, func(t *testing.T) {
+			f := startPlatformFleet(t, 2)
+			stopped, first := "h0", f.dispatcher()
+			if first == stopped {
+				stopped = "h1"
+			}
+			switch without {
+			case "dispatcher":
+				f.hosts[first].Kill()
+				f.waitFor("another dispatcher", func() bool {
+					return platformtest.Do(f.ctx, f.hosts[stopped].front, lookupCall()).Status == http.StatusOK
+				})
+			case "store":
+				f.store.SetDown(true)
+			}
+			f.engines[0].Stall(10 * time.Second) // longer than the stop may take
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			var got []platformtest.Outcome
+			call := func(n int) {
+				for range n {
+					wg.Go(func() {
+						c := chatCall("m0")
+						c.Path, c.Deadline = platformtest.ResumablePath+"x", 15*time.Second
+						o := platformtest.Do(f.ctx, f.hosts[stopped].front, c)
+						mu.Lock()
+						defer mu.Unlock()
+						got = append(got, o)
+					})
+				}
+			}
+			call(24) // the engine has 16 places
+			time.Sleep(300 * time.Millisecond)
+			if err := f.hosts[stopped].Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			call(4)
+			wg.Wait()
+			ran := f.engines[0].Runs()
+			waited := 0
+			for _, o := range got {
+				if ran[o.ID] > 0 {
+					continue // the engine does not end it in time
+				}
+				if waited++; o.Status != http.StatusServiceUnavailable || !o.Whole {
+					t.Errorf("request %s: status %d, whole %v after %v", o.ID, o.Status, o.Whole, o.Duration)
+				}
+			}
+			if waited < 8 {
+				t.Errorf("%d requests waited only", waited)
+			}
+			f.checkPromises(got, false)
+		})
+	}
+}
+
 // TestPlatformStoreOutage guards against service that stops with the store, against a configuration that comes into
 // force late after an outage (a watch hung for its whole time), and against one that goes back.
 func TestPlatformStoreOutage(t *testing.T) {
