Heed servers that say that they leave or want nothing for a time

Cause: nothing in the program knew the header Server-Leaving or the Retry-After of a server's 503. A server that leaves without an entry that says so got requests until its entry vanished, and one that turned a request away was asked again at once.

Change: a host that reads Server-Leaving in any answer of a server counts it as leaving from then on, and tells the dispatcher, which tells all hosts with its broadcasts. After a 503 with Retry-After, the host sends the server nothing for so long: neither requests, with or without the dispatcher, nor reports that nobody waits for. The dispatcher learns of it with the outcome, grants other endpoints, and refuses at once what no endpoint takes from that host before its time is over.

TestPlatformServerSaysItLeaves and TestPlatformServerWantsNothing fail on the code before.

--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -72,8 +72,10 @@
 
 // Answer is what an endpoint's response header says, apart from the status.
 type Answer struct {
-	RequestID string // echo of the request's id, empty if there is none
-	Sealed    bool   // the endpoint vouches for the response
-	NotRun    bool   // the endpoint states that the request did not run
-	Instance  string // id of the server, if it states it
+	RequestID string        // echo of the request's id, empty if there is none
+	Sealed    bool          // the endpoint vouches for the response
+	NotRun    bool          // the endpoint states that the request did not run
+	Instance  string        // id of the server, if it states it
+	Leaving   bool          // the endpoint leaves and must get no further requests
+	Quiet     time.Duration // for which the endpoint wants nothing from this host, 0 if it does not say so
 }
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -68,6 +68,7 @@
 	config    *fleet.Config
 	endpoints map[string]fleet.Endpoint
 	lapsed    map[string]time.Time // endpoints that vanished around an outage, until when they are kept
+	leaving   map[string]int64     // listed endpoints that have said that they leave, with the start of their process
 	listed    bool
 	hosts     map[string]fleet.Host
 	own       string // version of the own host object, empty if there is none
@@ -80,7 +81,7 @@
 	d := &directory{
 		h: h, log: h.log.Part("directory"), wake: make(chan struct{}, 1), mirror: make(mirror),
 		stale: make(map[string]bool), differs: make(map[string]difference),
-		endpoints: make(map[string]fleet.Endpoint), lapsed: make(map[string]time.Time), hosts: make(map[string]fleet.Host),
+		endpoints: make(map[string]fleet.Endpoint), lapsed: make(map[string]time.Time), leaving: make(map[string]int64), hosts: make(map[string]fleet.Host),
 		outages: make(map[string]time.Time), updates: ring.New[*wire.ViewUpdate](passedUpdates),
 	}
 	d.now.Store(&fleet.View{})
@@ -298,6 +299,9 @@
 func (d *directory) publish() {
 	v := &fleet.View{Config: d.config, Listed: d.listed}
 	for _, e := range d.endpoints {
+		if born, said := d.leaving[e.ID]; said && born == e.Born {
+			e.Draining = true
+		}
 		v.Endpoints = append(v.Endpoints, e)
 	}
 	sort.Slice(v.Endpoints, func(i, j int) bool { return v.Endpoints[i].ID < v.Endpoints[j].ID })
@@ -414,10 +418,38 @@
 	if _, ok := d.endpoints[id]; ok {
 		delete(d.endpoints, id)
 		delete(d.lapsed, id)
+		delete(d.leaving, id)
 		d.log.Info().Str("endpoint", id).Str("reason", reason).Msg("Endpoint gone.")
 	}
 }
 
+// leaves notes that a process of an endpoint has said that it leaves, whatever the list shows. It returns whether that is
+// news.
+func (d *directory) leaves(id string, born int64, how string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, listed := d.endpoints[id]
+	if said, known := d.leaving[id]; !listed || e.Born != born || known && said == born {
+		return false
+	}
+	d.leaving[id] = born
+	d.log.Info().Str("endpoint", id).Int64("born", born).Str("how", how).Msg("Endpoint leaves.")
+	d.publish()
+	return true
+}
+
+// saidLeaving returns the listed endpoints that have said that they leave.
+func (d *directory) saidLeaving() []wire.EndpointLeaves {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []wire.EndpointLeaves
+	for id, born := range d.leaving {
+		out = append(out, wire.EndpointLeaves{Endpoint: id, Born: born})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Endpoint < out[j].Endpoint })
+	return out
+}
+
 func (d *directory) keepEndpoints(names map[string]bool) {
 	d.listed = true
 	_, kind := d.h.opts.Codec.Kinds()
@@ -682,6 +714,9 @@
 // followDispatcher asks the dispatcher for what this host lacks, or tells it what this host has read from the store for it.
 func (d *directory) followDispatcher(now time.Time) {
 	state, _ := d.h.binder.fleetState()
+	for _, e := range state.Leaving {
+		d.leaves(e.Endpoint, e.Born, "by the dispatcher")
+	}
 	if d.h.binder.isRelay() {
 		d.h.binder.tell(&wire.RelayBeat{Current: d.current(), Views: d.summaries()})
 		return
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -167,6 +167,7 @@
 	// The demand for models is for the host that plans copies, and the loads of endpoints matter to a host that has to
 	// decide alone only: sent to all each time, they would fill the dispatcher's link in a large fleet.
 	f.StoreLoads, f.LoadsTold = d.storeLoads()
+	f.Leaving = d.h.directory.saidLeaving()
 	loads := f
 	loads.Models, loads.StoreLoads, loads.LoadsTold = nil, nil, false
 	brief := loads
@@ -267,6 +268,10 @@
 		d.holderBeat(m)
 	case *wire.ViewAsk:
 		d.send(e.peer, d.within(d.h.directory.since(m)))
+	case *wire.EndpointLeaves:
+		if d.h.directory.leaves(m.Endpoint, m.Born, "by host "+e.host) {
+			d.state.SetView(now, d.h.directory.view())
+		}
 	case *wire.RelayBeat:
 		if d.relays.heard(time.Now(), e.host, m.Current) {
 			d.follow(e.peer, m.Views)
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -65,8 +65,9 @@
 type result struct {
 	outcome  attempt.Outcome
 	fault    sched.Fault
-	missing  bool // the endpoint lacks the model or adapter
-	again    bool // the same endpoint may take it in a moment: the adapter is on its way
+	missing  bool          // the endpoint lacks the model or adapter
+	again    bool          // the same endpoint may take it in a moment: the adapter is on its way
+	quiet    time.Duration // for which the endpoint wants nothing from this host
 	answer   *whole
 	finished bool // the answer was passed on
 	err      error
@@ -181,15 +182,19 @@
 
 // try sends the request to the granted endpoint, and frees the place.
 func (x *exchange) try(ctx context.Context, b *binding) result {
+	if b.prepare {
+		if r, ok := x.prepare(ctx, b, false); !ok {
+			return r
+		}
+	}
 	e := x.f.h.directory.view().Endpoint(b.endpoint)
 	if e == nil || e.Draining {
 		b.done(wire.Done{Outcome: uint8(attempt.NotSent)})
 		return result{outcome: attempt.NotSent, err: errors.Errorf("endpoint %s is leaving", b.endpoint)}
 	}
-	if b.prepare {
-		if r, ok := x.prepare(ctx, b, false); !ok {
-			return r
-		}
+	if left := x.f.h.quietLeft(e.ID); left > 0 {
+		b.done(wire.Done{Outcome: uint8(attempt.NotSent), QuietMs: milliseconds(left)})
+		return result{outcome: attempt.NotSent, err: errors.Errorf("endpoint %s wants nothing for %v", b.endpoint, left)}
 	}
 	start := time.Now()
 	var r result
@@ -202,7 +207,7 @@
 		clock.Sleep(ctx, adapterRetry<<resent)
 		resent++
 	}
-	d := wire.Done{Resent: uint8(resent), Outcome: uint8(r.outcome), Fault: uint8(r.fault), Missing: r.missing, Failed: r.fault != sched.NoFault}
+	d := wire.Done{QuietMs: milliseconds(r.quiet), Resent: uint8(resent), Outcome: uint8(r.outcome), Fault: uint8(r.fault), Missing: r.missing, Failed: r.fault != sched.NoFault}
 	if r.outcome == attempt.Answered && r.fault == sched.NoFault {
 		d.TotalMs = uint32(max(time.Since(start).Milliseconds(), 1))
 	}
@@ -358,6 +363,11 @@
 	return r
 }
 
+// milliseconds returns a duration for a message, rounded up.
+func milliseconds(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
+
 func (x *exchange) resumeAfter() string {
 	if x.stream != nil && x.stream.lastID != "" {
 		return x.stream.lastID
@@ -391,6 +401,7 @@
 // receive judges a response and passes it on if it is the request's.
 func (x *exchange) receive(ctx context.Context, b *binding, e *fleet.Endpoint, resp *upstream.Response, start time.Time, w *watchdog) result {
 	a := x.f.h.opts.Codec.Answer(resp.StatusCode, resp.Header)
+	x.f.h.heed(e, &a)
 	switch {
 	case a.RequestID != "" && a.RequestID != x.q.ID:
 		resp.Close(false)
@@ -413,13 +424,13 @@
 func (x *exchange) turnedDown(e *fleet.Endpoint, resp *upstream.Response, a *fleet.Answer) result {
 	_, more, err := resp.ReadAll(maxReport)
 	resp.Close(err == nil && !more)
-	r := result{outcome: attempt.Refused, err: errors.Errorf("endpoint refused with status %d", resp.StatusCode)}
+	r := result{outcome: attempt.Refused, quiet: a.Quiet, err: errors.Errorf("endpoint refused with status %d", resp.StatusCode)}
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest && a.Instance != "" && a.Instance != e.ID:
 		r.fault = sched.Elsewhere
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		r.missing = true
-	case x.q.Adapter != "" && x.last.prepare:
+	case x.q.Adapter != "" && x.last.prepare && a.Quiet == 0:
 		r.again = true
 	}
 	return r
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -391,6 +391,8 @@
 	resp, err := o.h.pool.RoundTrip(ctx, q)
 	if err == nil {
 		result = o.h.opts.Codec.OrderResult(resp.StatusCode)
+		a := o.h.opts.Codec.Answer(resp.StatusCode, resp.Header)
+		o.h.heed(e, &a)
 		_, more, rerr := resp.ReadAll(maxReport)
 		resp.Close(rerr == nil && !more)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -73,6 +73,7 @@
 	holder      *holder
 	pool        *upstream.Pool
 	front       *front
+	quiet       quietTimes
 	stopping    atomic.Pointer[stopping] // set when a stop was asked for: the readiness check fails
 	stopBegun   chan struct{}            // closed then
 	place       atomic.Pointer[fleet.Deployment]
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -117,7 +117,7 @@
 		g.endpoint = *e
 		g.inMemory, g.onDisk = e.InMemory, e.OnDisk
 		// A report that was made before an order took effect shows less than the engine holds.
-		if now := clock.Boot(); !g.known && !g.reading && now-g.readAt > refreshRetry && now-g.ordered > reportLag {
+		if now := clock.Boot(); !g.known && !g.reading && l.o.h.quietLeft(e.ID) == 0 && now-g.readAt > refreshRetry && now-g.ordered > reportLag {
 			g.reading = true
 			go l.read(ctx, g)
 		}
@@ -161,6 +161,8 @@
 	if err != nil {
 		return fleet.Report{}, errors.Annotate(err, "report")
 	}
+	a := l.o.h.opts.Codec.Answer(resp.StatusCode, resp.Header)
+	l.o.h.heed(e, &a)
 	if resp.StatusCode != 200 {
 		return fleet.Report{}, errors.Errorf("report: status %d", resp.StatusCode)
 	}
@@ -240,7 +242,7 @@
 			continue
 		}
 		p := copies.Endpoint{
-			ID: e.ID, Usable: !e.Draining, Busy: g.busy || !g.known, Changing: g.busy, InMemory: g.inMemory, OnDisk: g.onDisk,
+			ID: e.ID, Usable: !e.Draining, Busy: g.busy || !g.known || l.o.h.quietLeft(e.ID) > 0, Changing: g.busy, InMemory: g.inMemory, OnDisk: g.onDisk,
 			Running: running[e.ID],
 		}
 		if g.models == nil { // not read yet: what the list shows counts
@@ -380,6 +382,9 @@
 		if clock.Sleep(ctx, wait); ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if l.o.h.quietLeft(g.endpoint.ID) > 0 {
+			continue
+		}
 		r, err := l.report(ctx, &g.endpoint)
 		if err != nil {
 			var ue *upstream.Error
@@ -417,6 +422,9 @@
 	case g.busy:
 		reply(&wire.PrepareReply{Reason: "the engine carries out another order"})
 		return
+	case l.o.h.quietLeft(m.Endpoint) > 0:
+		reply(&wire.PrepareReply{Reason: "the engine wants nothing from the holder"})
+		return
 	case !g.models[m.Model]:
 		reply(&wire.PrepareReply{Reason: "the engine does not hold the model"})
 		return
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -201,14 +201,38 @@
 
 func (s *State) late(r *request) bool { return r.target < s.now+s.ownFirst(r) }
 
+// opensAt returns when the first of the endpoints that can serve a request takes something from its host again, 0 if one
+// does already or if there is no such endpoint.
+func (s *State) opensAt(r *request) time.Duration {
+	if s.now >= s.quietEnd {
+		return 0
+	}
+	first := time.Duration(0)
+	for _, e := range s.order {
+		if !s.serves(e, r) {
+			continue
+		}
+		until := e.health.quiet[r.host]
+		if until <= s.now {
+			return 0
+		}
+		if first == 0 || until < first {
+			first = until
+		}
+	}
+	return first
+}
+
+// serves tells whether an endpoint holds what a request asks for, whatever its load.
+func (s *State) serves(e *endpoint, r *request) bool {
+	return e.present && !e.draining && e.service == r.ask.Service && (e.engine == nil || e.models[r.ask.Model])
+}
+
 // capacity returns the requests that the endpoints of a request's model can start a second, and the prompt tokens that
 // they read in a ms.
 func (s *State) capacity(r *request) (perSec, tokensPerMs float64) {
 	for _, e := range s.order {
-		if !e.present || e.draining || e.service != r.ask.Service || e.health.down(s.now) {
-			continue
-		}
-		if e.engine != nil && !e.models[r.ask.Model] {
+		if !s.serves(e, r) || e.health.down(s.now) {
 			continue
 		}
 		share := s.shareOf(e, r.model)
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -44,15 +44,24 @@
 	everOK   bool
 	accusers map[string]time.Duration // hosts that met a fault since the last success
 	avoid    map[string]time.Duration // hosts that leave the endpoint alone until a time
+	quiet    map[string]time.Duration // hosts from which the endpoint wants nothing until a time
 	rate     float64
 	samples  int
 }
 
+// hush notes that an endpoint wants nothing from a host until a time. Neither a success nor a fault changes that.
+func (h *health) hush(host string, until time.Duration) {
+	if h.quiet == nil {
+		h.quiet = make(map[string]time.Duration)
+	}
+	h.quiet[host] = max(h.quiet[host], until)
+}
+
 // trialGap is the time between two requests to an endpoint on trial.
 const trialGap = 300 * time.Millisecond
 
 func (h *health) usable(now time.Duration, host string) bool {
-	if now < h.until || now < h.avoid[host] {
+	if now < h.until || now < h.avoid[host] || now < h.quiet[host] {
 		return false
 	}
 	return !h.trial || now >= h.inTrial
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -105,6 +105,7 @@
 	holder    string          // host that can load adapters, empty if there is none
 	waiting   int
 	measured  time.Duration
+	quietEnd  time.Duration // latest time until which an endpoint wants nothing from a host
 	out       []Output
 }
 
@@ -247,6 +248,9 @@
 		wait = s.predictWait(r)
 	}
 	switch {
+	case e == nil && s.opensAt(r) > r.startBy:
+		s.refuse(r, "its endpoints want nothing from the host for longer", s.opensAt(r)-now)
+		return
 	case e == nil && now+wait+s.ownFirst(r) > r.startBy:
 		s.refuse(r, "can't start in time", wait)
 		return
@@ -366,6 +370,11 @@
 	e := r.endpoint
 	s.vacate(r)
 	s.budget(r.ask.Service).Spent(now, int(d.Resent))
+	if d.QuietMs > 0 {
+		until := now + ms(d.QuietMs)
+		e.health.hush(host, until)
+		s.quietEnd = max(s.quietEnd, until)
+	}
 	if d.Missing {
 		e.forget(r.ask.Model, r.ask.Adapter)
 	}
@@ -408,6 +417,8 @@
 		r := m.waiting[i]
 		reason := ""
 		switch {
+		case s.opensAt(r) > r.startBy:
+			reason = "its endpoints want nothing from the host for longer"
 		case s.now+s.ownFirst(r) >= r.startBy:
 			reason = "waited until it could not start in time"
 		case s.late(r) && s.now+s.predictWait(r) > r.startBy:
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -279,6 +279,13 @@
 	Fault    uint8  `msg:"h"` // what failed, a sched.Fault; 0 for nothing
 	Missing  bool   `msg:"i"` // the endpoint does not hold the request's model or adapter
 	Resent   uint8  `msg:"j"` // times that the request was sent to the endpoint again while its adapter was on the way
+	QuietMs  uint32 `msg:"k"` // for which the endpoint wants nothing from the sending host
+}
+
+// EndpointLeaves tells that an endpoint has said in an answer that it leaves. The list may show that later, or never.
+type EndpointLeaves struct {
+	Endpoint string `msg:"a"`
+	Born     int64  `msg:"b"` // start of the endpoint's process
 }
 
 // Started tells that the first piece of a granted request's answer has arrived.
@@ -326,6 +333,8 @@
 	StoreLoads []StoreLoads `msg:"i"`
 	LoadsTold  bool         `msg:"j"`
 	Relays     []string     `msg:"k"` // hosts that follow the store for a dispatcher which has lost it
+	// Leaving are the listed endpoints that have said that they leave.
+	Leaving []EndpointLeaves `msg:"l"`
 }
 
 // StoreLoads lists the loads from the weight store that endpoints of a service have lately been ordered to make.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -1491,9 +1491,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Done) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "a"
-	o = append(o, 0x8a, 0xa1, 0x61)
+	o = append(o, 0x8b, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -1522,6 +1522,9 @@
 	// string "j"
 	o = append(o, 0xa1, 0x6a)
 	o = msgp.AppendUint8(o, z.Resent)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendUint32(o, z.QuietMs)
 	return
 }
 
@@ -1603,6 +1606,12 @@
 				err = msgp.WrapError(err, "Resent")
 				return
 			}
+		case "k":
+			z.QuietMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "QuietMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1617,7 +1626,68 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Done) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z EndpointLeaves) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Endpoint)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendInt64(o, z.Born)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointLeaves) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoint")
+				return
+			}
+		case "b":
+			z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Born")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z EndpointLeaves) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Int64Size
 	return
 }
 
@@ -2403,9 +2473,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 12
 	// string "a"
-	o = append(o, 0x8b, 0xa1, 0x61)
+	o = append(o, 0x8c, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 3
@@ -2478,6 +2548,18 @@
 	for za0006 := range z.Relays {
 		o = msgp.AppendString(o, z.Relays[za0006])
 	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Leaving)))
+	for za0007 := range z.Leaving {
+		// map header, size 2
+		// string "a"
+		o = append(o, 0x82, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Leaving[za0007].Endpoint)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendInt64(o, z.Leaving[za0007].Born)
+	}
 	return
 }
 
@@ -2727,6 +2809,54 @@
 					return
 				}
 			}
+		case "l":
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+			if cap(z.Leaving) >= int(zb0011) {
+				z.Leaving = (z.Leaving)[:zb0011]
+			} else {
+				z.Leaving = make([]EndpointLeaves, zb0011)
+			}
+			for za0007 := range z.Leaving {
+				var zb0012 uint32
+				zb0012, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0007)
+					return
+				}
+				for zb0012 > 0 {
+					zb0012--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Leaving", za0007)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Leaving[za0007].Endpoint, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Leaving", za0007, "Endpoint")
+							return
+						}
+					case "b":
+						z.Leaving[za0007].Born, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Leaving", za0007, "Born")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Leaving", za0007)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2761,6 +2891,10 @@
 	for za0006 := range z.Relays {
 		s += msgp.StringPrefixSize + len(z.Relays[za0006])
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0007 := range z.Leaving {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Leaving[za0007].Endpoint) + 2 + msgp.Int64Size
+	}
 	return
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -54,6 +54,7 @@
 	KindViewUpdate
 	KindViewAsk
 	KindRelayBeat
+	KindEndpointLeaves
 )
 
 // Message is implemented by every struct of this package that travels in a frame of its own.
@@ -111,6 +112,7 @@
 	KindViewUpdate:      func() Message { return new(ViewUpdate) },
 	KindViewAsk:         func() Message { return new(ViewAsk) },
 	KindRelayBeat:       func() Message { return new(RelayBeat) },
+	KindEndpointLeaves:  func() Message { return new(EndpointLeaves) },
 }
 
 func (*Hello) Kind() Kind           { return KindHello }
@@ -151,3 +153,4 @@
 func (*ViewUpdate) Kind() Kind      { return KindViewUpdate }
 func (*ViewAsk) Kind() Kind         { return KindViewAsk }
 func (*RelayBeat) Kind() Kind       { return KindRelayBeat }
+func (*EndpointLeaves) Kind() Kind  { return KindEndpointLeaves }
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -514,6 +514,56 @@
 	}
 }
 
+// TestPlatformServerSaysItLeaves guards against work for a server that says in its answers that it leaves, while the list
+// shows it as ready: every host has to stop within two seconds of the first such answer that it passes on.
+func TestPlatformServerSaysItLeaves(t *testing.T) {
+	f := startPlatformFleet(t, 2)
+	f.plain[0].SetLeaving(true)
+	stop := f.load(func(int) platformtest.Call { return lookupCall() }, "h0", "h1")
+	time.Sleep(time.Second)
+	before := len(f.plain[0].Runs())
+	if before == 0 {
+		t.Error("the server that leaves got no request at all")
+	}
+	time.Sleep(time.Second)
+	for _, o := range stop() {
+		if o.Status != http.StatusOK {
+			t.Errorf("request %s: status %d", o.ID, o.Status)
+		}
+	}
+	if n := len(f.plain[0].Runs()) - before; n > 0 {
+		t.Errorf("%d requests sent to a server that has said that it leaves", n)
+	}
+}
+
+// TestPlatformServerWantsNothing guards against requests for a server that has turned one away and stated a time in which
+// it wants nothing: at most two may reach it from a host after half a second, until that time ends.
+func TestPlatformServerWantsNothing(t *testing.T) {
+	f := startPlatformFleet(t, 1)
+	const quiet, slack, allowed = 3 * time.Second, 500 * time.Millisecond, 2
+	f.plain[0].SetQuiet(quiet)
+	stop := f.load(func(int) platformtest.Call { return lookupCall() }, "h0")
+	f.waitFor("refusal", func() bool { return len(f.plain[0].Refused()) > 0 })
+	time.Sleep(slack)
+	before := len(f.plain[0].Refused())
+	time.Sleep(quiet - 2*slack)
+	if n := len(f.plain[0].Refused()) - before; n > allowed {
+		t.Errorf("%d requests within the time in which the server wants nothing", n)
+	}
+	for _, o := range stop() {
+		if o.Status != http.StatusOK {
+			t.Errorf("request %s beside a sound server: %d", o.ID, o.Status)
+		}
+	}
+	// With all servers silent, requests that can't be served in time are refused at once, with the time to come back.
+	f.plain[1].SetQuiet(10 * quiet)
+	f.plain[0].SetQuiet(10 * quiet)
+	f.waitFor("refusal by the host", func() bool {
+		o := platformtest.Do(f.ctx, f.hosts["h0"].front, lookupCall())
+		return o.Status == http.StatusServiceUnavailable && o.Duration < time.Second && o.RetryMs > 0
+	})
+}
+
 // TestPlatformServerFails guards against requests that keep failing at one server while another one serves: repeatable
 // requests go on there, the others are answered with the server's own error and never run twice.
 func TestPlatformServerFails(t *testing.T) {
