Learn what an engine can take from outcomes

Cause: the dispatcher counted 25 prompt tokens a ms and 12 ms for every engine.

Change: the latency and the reading speed of a service's engines are fitted to outcomes by least squares (pace); an endpoint's slowness is relative to it. Prompts that were sent count as read by the predicted time, unless the endpoint is behind the prediction. They are sent ahead for a fifth of the shortest objective of the service's routes. A request is late if it would be where it would go. A model's load counts the scarcest of places, reading and memory for tokens (ModelWeight), so that copies follow it.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sycamoredeal/internal/fleet"
+	"sycamoredeal/internal/wire"
 )
 
 const (
@@ -96,6 +97,29 @@
 	HoldSec float64 // mean time that a request holds its place
 	Running int
 	Waiting int
+	Weight  float64 // places that a request counts for, by what an endpoint has least of; 0 for 1
+}
+
+// Demands returns what the dispatcher tells of the models of a service.
+func Demands(service string, f *wire.FleetState) map[string]Demand {
+	out := make(map[string]Demand)
+	for _, m := range f.Models {
+		if m.Service == service {
+			out[m.Model] = Demand{PerSec: float64(m.PerSec), HoldSec: float64(m.HoldSec), Running: int(m.Running), Waiting: int(m.Waiting)}
+		}
+	}
+	for _, w := range f.Weights {
+		if d, ok := out[w.Model]; ok && w.Service == service {
+			d.Weight = float64(w.Places)
+			out[w.Model] = d
+		}
+	}
+	return out
+}
+
+// need returns the places that the work for the model takes.
+func (d Demand) need() float64 {
+	return (max(d.PerSec*d.HoldSec, float64(d.Running)) + waitingScale*float64(d.Waiting)) * max(d.Weight, 1)
 }
 
 // Input is what one round is computed from.
@@ -203,8 +227,7 @@
 	keep := math.Exp(-dt / p.tuning.FallTime.Seconds())
 	for i := range in.Engine.Models {
 		name := in.Engine.Models[i].Name
-		d := in.Demand[name]
-		now := max(d.PerSec*d.HoldSec, float64(d.Running)) + waitingScale*float64(d.Waiting)
+		now := in.Demand[name].need()
 		p.need[name] = max(now, now+(p.need[name]-now)*keep)
 	}
 	p.loads = slices.DeleteFunc(p.loads, func(t time.Duration) bool { return in.Now-t > p.limits.Window })
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -217,13 +217,12 @@
 		return
 	}
 	load := w.state.Load()
-	in := copies.Input{Now: w.now, Engine: &w.s.Spec, Demand: make(map[string]copies.Demand)}
+	in := copies.Input{Now: w.now, Engine: &w.s.Spec, Demand: copies.Demands(engines, &load)}
 	running := make(map[string]map[string]int)
 	for _, m := range load.Models {
 		if m.Service != engines {
 			continue
 		}
-		in.Demand[m.Model] = copies.Demand{PerSec: float64(m.PerSec), HoldSec: float64(m.HoldSec), Running: int(m.Running), Waiting: int(m.Waiting)}
 		for _, c := range m.Copies {
 			if running[c.Endpoint] == nil {
 				running[c.Endpoint] = make(map[string]int)
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -169,7 +169,7 @@
 	f.StoreLoads, f.LoadsTold = d.storeLoads()
 	f.Leaving = d.h.directory.saidLeaving()
 	loads := f
-	loads.Models, loads.StoreLoads, loads.LoadsTold = nil, nil, false
+	loads.Models, loads.Weights, loads.StoreLoads, loads.LoadsTold = nil, nil, nil, false
 	brief := loads
 	brief.Endpoints = nil
 	d.round++
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -258,7 +258,7 @@
 			recall(p, now, name, &state, age)
 			planners[name] = p
 		}
-		in := copies.Input{Now: now, Engine: svc.Engine, Endpoints: o.fleet.planned(name, v, &state), Demand: demandOf(name, &state)}
+		in := copies.Input{Now: now, Engine: svc.Engine, Endpoints: o.fleet.planned(name, v, &state), Demand: copies.Demands(name, &state)}
 		for _, c := range p.Round(in) {
 			o.log.Info().Str("endpoint", c.Endpoint).Str("load", c.Load).Str("unload", c.Unload).Str("from", c.From.String()).
 				Float64("need", c.Need).Int("copies", c.Copies).Int64("demandAgeMs", age.Milliseconds()).Str("reason", c.Reason).Msg("Copy ordered.")
@@ -267,16 +267,6 @@
 	}
 }
 
-func demandOf(service string, f *wire.FleetState) map[string]copies.Demand {
-	out := make(map[string]copies.Demand)
-	for _, m := range f.Models {
-		if m.Service == service {
-			out[m.Model] = copies.Demand{PerSec: float64(m.PerSec), HoldSec: float64(m.HoldSec), Running: int(m.Running), Waiting: int(m.Waiting)}
-		}
-	}
-	return out
-}
-
 // prepare loads an adapter for another host, or this one, and replies once. It does not block.
 func (o *holder) prepare(m *wire.Prepare, reply func(*wire.PrepareReply)) {
 	if o.held() == 0 {
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -6,20 +6,23 @@
 	"time"
 
 	"sycamoredeal/internal/copies"
+	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/wire"
 )
 
 const (
-	// backlogMs bounds the prompt tokens that are sent ahead to one engine: what waits here instead can still go to
-	// another endpoint, and behind more urgent work that arrives meanwhile.
-	backlogMs   = 110.0
-	loadMs      = 40.0 // added at a full endpoint: its steps are longer for all that run there
-	adapterMs   = 15.0 // for an adapter that has to be loaded first
-	spreadMs    = 4.0  // random, so that equal endpoints are used alike
-	coldMs      = 8.0  // for a connection that has to be opened: round trips, and the endpoint's time for it
-	plainCold   = 0.12 // the same for plain services
-	plainLoad   = 1.0  // per share of the slots in use
-	plainSpread = 0.05
+	// aheadShare bounds the prompts that are sent ahead to one engine, as a share of the shortest objective of a service's
+	// routes: what waits here instead can still go to another endpoint, and behind more urgent work that arrives
+	// meanwhile.
+	aheadShare   = 0.2
+	defaultAhead = 110.0 // ms, without an objective
+	loadMs       = 40.0  // added at a full endpoint: its steps are longer for all that run there
+	adapterMs    = 15.0  // for an adapter that has to be loaded first
+	spreadMs     = 4.0   // random, so that equal endpoints are used alike
+	coldMs       = 8.0   // for a connection that has to be opened: round trips, and the endpoint's time for it
+	plainCold    = 0.12  // the same for plain services
+	plainLoad    = 1.0   // per share of the slots in use
+	plainSpread  = 0.05
 )
 
 // fits tells whether a request may start at an endpoint now.
@@ -41,7 +44,7 @@
 	if e.engine.KVTokens > 0 && e.used > 0 && e.kv+float64(a.PromptTokens)+output(a) > kvShare*float64(e.engine.KVTokens) {
 		return false
 	}
-	if e.backlog > 0 && e.backlog/initialTokensPerMs*e.slowness > backlogMs {
+	if e.aheadMs(s.now) > s.aheadLimit(e.service) {
 		return false
 	}
 	return a.Adapter == "" || s.adapterFits(e, a)
@@ -93,7 +96,7 @@
 		}
 		return v
 	}
-	v := e.firstMs(r) + loadMs*load + spreadMs*s.rng.Float64()
+	v := e.firstMs(r, s.now) + loadMs*load + spreadMs*s.rng.Float64()
 	if !warm {
 		v += coldMs
 	}
@@ -105,8 +108,9 @@
 
 // before tells whether a waiting request goes before another one: those that can still be on time come first, by rank
 // and then by target. Late ones follow by rank and by the time at which they have to start.
-func (s *State) before(a, b *request) bool {
-	la, lb := s.late(a), s.late(b)
+func (s *State) before(a, b *request) bool { return goesBefore(a, b, s.late(a), s.late(b)) }
+
+func goesBefore(a, b *request, la, lb bool) bool {
 	switch {
 	case la != lb:
 		return lb
@@ -123,20 +127,62 @@
 	if r.ask.Model == "" {
 		return 0
 	}
-	return time.Duration((baseFirstMs + float64(r.ask.PromptTokens)/initialTokensPerMs) * float64(time.Millisecond))
+	first, perToken := s.paceOf(r.ask.Service).fit()
+	return seconds((first + float64(r.ask.PromptTokens)*perToken) / 1000)
+}
+
+// paceOf returns the estimate of the time to a first piece for a service.
+func (s *State) paceOf(service string) *pace {
+	p := s.paces[service]
+	if p == nil {
+		p = newPace()
+		s.paces[service] = p
+	}
+	return p
+}
+
+// aheadLimit returns the time in ms for which an endpoint of a service may be busy with prompts that were sent to it.
+func (s *State) aheadLimit(service string) float64 {
+	if limit := s.ahead[service]; limit > 0 {
+		return limit
+	}
+	return defaultAhead
+}
+
+// aheadLimits derives the limits from the objectives of the routes.
+func aheadLimits(c *fleet.Config) map[string]float64 {
+	out := make(map[string]float64)
+	if c == nil {
+		return out
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Kind != fleet.Stream || r.Target <= 0 {
+			continue
+		}
+		limit := aheadShare * r.Target.Seconds() * 1000
+		for _, w := range r.Services {
+			if out[w.Service] == 0 || limit < out[w.Service] {
+				out[w.Service] = limit
+			}
+		}
+	}
+	return out
 }
 
 // fill grants the free places of an endpoint to waiting requests.
 func (s *State) fill(e *endpoint) {
 	for s.waiting > 0 && e.present && e.used < s.cap(e) {
 		var best *request
+		bestLate := false
 		for _, m := range s.models {
 			if len(m.waiting) == 0 || m.key.service != e.service || e.engine != nil && !e.models[m.key.model] {
 				continue
 			}
 			for _, r := range m.waiting {
-				if (best == nil || s.before(r, best)) && s.fits(e, r) {
-					best = r
+				late := r.target < s.now+e.first(r, s.now)
+				if (best == nil || goesBefore(r, best, late, bestLate)) && s.fits(e, r) {
+					best, bestLate = r, late
 				}
 			}
 		}
@@ -238,7 +284,7 @@
 		share := s.shareOf(e, r.model)
 		perSec += float64(e.slots) * share / max(r.model.hold, 0.001)
 		if e.engine != nil {
-			tokensPerMs += initialTokensPerMs / e.slowness * share
+			tokensPerMs += share / max(e.readingMs(1), minReading)
 		}
 	}
 	return perSec, tokensPerMs
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -12,21 +13,22 @@
 const (
 	initialHold      = 2.0 // seconds, until requests of the model were measured
 	initialPlainHold = 0.08
+	leastHold        = 0.001
 	holdSmoothing    = 0.05
 	rateSmoothing    = 0.6 // of arrivals: demand moves within a second or two
 	measureEvery     = 500 * time.Millisecond
 
-	initialTokensPerMs = 25.0 // prompt tokens that an engine reads beside the generation of others
-	baseFirstMs        = 12.0 // connection, admission and one step of a batch
-	stepFirstMs        = 12.0 // more at a full endpoint, whose steps are longer
-	firstSmoothing     = 0.08 // of measured over predicted time to the first piece
-	minSlowness        = 0.3
-	maxSlowness        = 20.0
-	relaxAfter         = time.Second // without a measurement, a slow endpoint is believed to recover
-	relaxShare         = 0.15        // of the slowness above normal, per measureEvery
-	kvShare            = 0.95        // of an endpoint's memory for tokens that grants may fill
-	keptParts          = 4096        // prompt parts remembered for each endpoint
-	defaultOutput      = 300.0       // tokens, without an estimate of the caller
+	firstSmoothing = 0.08 // of measured over predicted time to the first piece
+	minSlowness    = 0.3
+	maxSlowness    = 20.0
+	relaxAfter     = time.Second // without a measurement, a slow endpoint is believed to recover
+	relaxShare     = 0.15        // of the slowness above normal, per measureEvery
+	kvShare        = 0.95        // of an endpoint's memory for tokens that grants may fill
+	keptParts      = 4096        // prompt parts remembered for each endpoint
+	defaultOutput  = 300.0       // tokens, without an estimate of the caller
+	overdueRatio   = 2.0         // of the predicted time to a first piece: the endpoint is behind the prediction
+	overdueSlack   = 50 * time.Millisecond
+	minReading     = 1e-6 // ms for a token
 )
 
 type partKey struct {
@@ -49,7 +51,10 @@
 
 	used     int
 	byModel  map[string]int // granted requests
-	backlog  float64        // prompt tokens of granted requests without a first piece
+	pace     *pace          // of the service's engines
+	unread   []*request     // granted requests without a first piece, in the order of their grants
+	backlog  float64        // their prompt tokens
+	readBy   time.Duration  // when those are predicted to have been read
 	kv       float64        // tokens in memory when the granted requests are done
 	slowness float64        // measured over predicted time to the first piece
 	learned  time.Duration
@@ -145,8 +150,8 @@
 	return defaultOutput
 }
 
-// unread returns the prompt tokens that the endpoint has to read: what follows the leading parts that it keeps.
-func (e *endpoint) unread(a *wire.Ask) float64 {
+// fresh returns the prompt tokens that the endpoint has to read: what follows the leading parts that it keeps.
+func (e *endpoint) fresh(a *wire.Ask) float64 {
 	kept := uint32(0)
 	for _, p := range a.Parts {
 		if !e.parts.has(partKey{a.Model, a.Adapter, p.ID}) {
@@ -157,10 +162,38 @@
 	return float64(a.PromptTokens - min(kept, a.PromptTokens))
 }
 
+// readingMs returns the time that the endpoint takes to read so many prompt tokens.
+func (e *endpoint) readingMs(tokens float64) float64 {
+	_, perToken := e.pace.fit()
+	return tokens * perToken * e.slowness
+}
+
+// aheadMs predicts how long the endpoint still reads prompts that were sent to it. One that is behind the prediction has
+// read nothing of what it has not answered.
+func (e *endpoint) aheadMs(now time.Duration) float64 {
+	if len(e.unread) == 0 {
+		return 0
+	}
+	all := e.readingMs(e.backlog)
+	oldest := e.unread[0]
+	if late := overdueSlack + seconds(overdueRatio*oldest.predict/1000); now-oldest.granted > late {
+		return all
+	}
+	return min(max((e.readBy-now).Seconds()*1000, 0), all)
+}
+
 // firstMs predicts the time to the first piece of a request that is sent now.
-func (e *endpoint) firstMs(r *request) float64 {
-	t := baseFirstMs + stepFirstMs*float64(e.used)/float64(e.slots) + (e.backlog+e.unread(&r.ask))/initialTokensPerMs
-	return t * e.slowness
+func (e *endpoint) firstMs(r *request, now time.Duration) float64 {
+	first, _ := e.pace.fit()
+	return e.aheadMs(now) + first*e.slowness + e.readingMs(e.fresh(&r.ask))
+}
+
+// first predicts the time to the first piece of a request that is sent now, also for a plain service.
+func (e *endpoint) first(r *request, now time.Duration) time.Duration {
+	if e.engine == nil {
+		return 0
+	}
+	return seconds(e.firstMs(r, now) / 1000)
 }
 
 // take counts a request granted at now.
@@ -171,8 +204,12 @@
 	}
 	a := &r.ask
 	e.byModel[a.Model]++
-	r.fresh = e.unread(a)
+	r.fresh = e.fresh(a)
 	r.tokens = float64(a.PromptTokens) + output(a)
+	ahead := e.aheadMs(now)
+	r.reads = ahead/max(e.readingMs(1), minReading) + r.fresh
+	e.readBy = now + seconds((ahead+e.readingMs(r.fresh))/1000)
+	e.unread = append(e.unread, r)
 	e.backlog += r.fresh
 	e.kv += r.tokens
 	for _, p := range a.Parts {
@@ -189,7 +226,10 @@
 func (e *endpoint) read(r *request) {
 	if !r.started {
 		r.started = true
-		e.backlog = max(e.backlog-r.fresh, 0)
+		e.unread = slices.DeleteFunc(e.unread, func(x *request) bool { return x == r })
+		if e.backlog = max(e.backlog-r.fresh, 0); len(e.unread) == 0 {
+			e.backlog = 0
+		}
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -64,6 +64,7 @@
 	endpoint *endpoint // nil while it waits
 	granted  time.Duration
 	fresh    float64 // prompt tokens that the endpoint has to read for it
+	reads    float64 // the same with those that it has to read before
 	predict  float64 // predicted ms to the first piece
 	started  bool    // first piece seen
 	tokens   float64 // memory at the endpoint
@@ -79,6 +80,8 @@
 	arrivals float64 // since the last measurement
 	perSec   float64
 	hold     float64 // mean seconds that a request holds its place
+	fresh    float64 // mean prompt tokens that an endpoint has to read for a request
+	tokens   float64 // mean tokens that a request takes in an endpoint's memory
 }
 
 type hostState struct {
@@ -105,7 +108,9 @@
 	holder    string          // host that can load adapters, empty if there is none
 	waiting   int
 	measured  time.Duration
-	quietEnd  time.Duration // latest time until which an endpoint wants nothing from a host
+	paces     map[string]*pace   // by service
+	ahead     map[string]float64 // ms for which an endpoint may be busy with prompts sent ahead, by service
+	quietEnd  time.Duration      // latest time until which an endpoint wants nothing from a host
 	out       []Output
 }
 
@@ -115,7 +120,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 5)), now: now, started: now, measured: now,
 		endpoints: make(map[string]*endpoint), models: make(map[modelKey]*model), requests: make(map[key]*request),
 		hosts: make(map[string]*hostState), budgets: make(map[string]*Budget), closing: make(map[wire.ModelCopy]bool),
-		changing: make(map[string]bool),
+		changing: make(map[string]bool), paces: make(map[string]*pace),
 	}
 	s.SetView(now, view)
 	return s
@@ -131,6 +136,7 @@
 // SetView applies a new list of endpoints and configuration. Requests keep their places.
 func (s *State) SetView(now time.Duration, v *fleet.View) {
 	s.now, s.view = now, v
+	s.ahead = aheadLimits(v.Config)
 	for _, e := range s.endpoints {
 		e.present = false
 	}
@@ -159,6 +165,7 @@
 		s.endpoints[p.ID] = e
 	}
 	e.apply(p, s.service(p.Service))
+	e.pace = s.paceOf(p.Service)
 	s.order = append(s.order, e)
 }
 
@@ -287,7 +294,7 @@
 
 func (s *State) grant(r *request, e *endpoint) {
 	prepare := r.ask.Adapter != "" && !e.hasAdapter(r.ask.Model, r.ask.Adapter)
-	r.predict = e.firstMs(r)
+	r.predict = e.firstMs(r, s.now)
 	used, wait := e.used, s.now-r.asked
 	g := &wire.Grant{
 		ID: r.id, Endpoint: e.id, Prepare: prepare, Used: uint16(used), Waiting: uint16(len(r.model.waiting)),
@@ -306,9 +313,30 @@
 	r.endpoint, r.granted = e, s.now
 	r.model.running++
 	e.take(r, s.now)
+	if e.engine != nil {
+		r.model.fresh += holdSmoothing * (r.fresh - r.model.fresh)
+		r.model.tokens += holdSmoothing * (r.tokens - r.model.tokens)
+	}
 	e.health.granted(s.now)
 }
 
+// weight returns how many places of an endpoint a request for the model counts for, by what the endpoint has least of:
+// places, time to read prompts, or memory for tokens. The load pattern that it answers: long prompts with short answers
+// keep an engine busy while most of its places are free.
+func (s *State) weight(m *model) float64 {
+	svc := s.service(m.key.service)
+	if svc == nil || svc.Engine == nil || m.key.model == "" {
+		return 1
+	}
+	_, perToken := s.paceOf(m.key.service).fit()
+	slots := float64(svc.Engine.Slots)
+	w := slots * m.fresh * perToken / 1000 / max(m.hold, leastHold)
+	if svc.Engine.KVTokens > 0 {
+		w = max(w, slots*m.tokens/float64(svc.Engine.KVTokens))
+	}
+	return min(max(w, 1), max(slots, 1))
+}
+
 // vacate frees the place of a granted request and forgets it.
 func (s *State) vacate(r *request) {
 	delete(s.requests, r.key)
@@ -355,6 +383,9 @@
 	e.read(r)
 	if r.predict > 0 && !r.ask.Resumed {
 		e.learnFirst(now, float64(m.FirstMs)/r.predict)
+		if e.engine != nil {
+			e.pace.learn(r.reads, float64(m.FirstMs))
+		}
 	}
 	e.health.success(now, host)
 	s.fill(e)
@@ -518,6 +549,12 @@
 	for _, m := range s.models {
 		f.Models = append(f.Models, s.demand(m))
 	}
+	for i := range f.Models {
+		m := &f.Models[i]
+		if w := s.weight(s.models[modelKey{m.Service, m.Model}]); w > 1 {
+			f.Weights = append(f.Weights, wire.ModelWeight{Service: m.Service, Model: m.Model, Places: float32(w)})
+		}
+	}
 	sort.Slice(f.Models, func(i, j int) bool {
 		a, b := &f.Models[i], &f.Models[j]
 		return a.Service < b.Service || a.Service == b.Service && a.Model < b.Model
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -3,7 +3,7 @@
 // Heartbeat and the elements of long lists are encoded as arrays, because their size counts against the budget of
 // control traffic. Their fields never change; an extension needs a new message.
 //
-//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField PromptPart EndpointLoad ModelLoad AdapterUse CopyUse AdapterCopy ModelCopy StoredObject
+//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField PromptPart EndpointLoad ModelLoad AdapterUse CopyUse AdapterCopy ModelCopy ModelWeight StoredObject
 
 // Role names the process that opened a connection.
 type Role uint8
@@ -312,6 +312,13 @@
 	Copies  []CopyUse
 }
 
+// ModelWeight tells how many places of an endpoint a request for a model counts for, by what the endpoint has least of.
+type ModelWeight struct {
+	Service string
+	Model   string
+	Places  float32
+}
+
 // CopyUse counts the granted requests for a model at an endpoint.
 type CopyUse struct {
 	Endpoint string
@@ -335,6 +342,8 @@
 	Relays     []string     `msg:"k"` // hosts that follow the store for a dispatcher which has lost it
 	// Leaving are the listed endpoints that have said that they leave.
 	Leaving []EndpointLeaves `msg:"l"`
+	// Weights belong to Models; a model that is not listed has the weight 1.
+	Weights []ModelWeight `msg:"m"`
 }
 
 // StoreLoads lists the loads from the weight store that endpoints of a service have lately been ordered to make.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -2473,9 +2473,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "a"
-	o = append(o, 0x8c, 0xa1, 0x61)
+	o = append(o, 0x8d, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 3
@@ -2560,6 +2560,16 @@
 		o = append(o, 0xa1, 0x62)
 		o = msgp.AppendInt64(o, z.Leaving[za0007].Born)
 	}
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Weights)))
+	for za0008 := range z.Weights {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Weights[za0008].Service)
+		o = msgp.AppendString(o, z.Weights[za0008].Model)
+		o = msgp.AppendFloat32(o, z.Weights[za0008].Places)
+	}
 	return
 }
 
@@ -2857,6 +2867,45 @@
 					}
 				}
 			}
+		case "m":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Weights")
+				return
+			}
+			if cap(z.Weights) >= int(zb0013) {
+				z.Weights = (z.Weights)[:zb0013]
+			} else {
+				z.Weights = make([]ModelWeight, zb0013)
+			}
+			for za0008 := range z.Weights {
+				var zb0014 uint32
+				zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Weights", za0008)
+					return
+				}
+				if zb0014 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0014}
+					return
+				}
+				z.Weights[za0008].Service, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Weights", za0008, "Service")
+					return
+				}
+				z.Weights[za0008].Model, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Weights", za0008, "Model")
+					return
+				}
+				z.Weights[za0008].Places, bts, err = msgp.ReadFloat32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Weights", za0008, "Places")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2895,6 +2944,10 @@
 	for za0007 := range z.Leaving {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Leaving[za0007].Endpoint) + 2 + msgp.Int64Size
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0008 := range z.Weights {
+		s += 1 + msgp.StringPrefixSize + len(z.Weights[za0008].Service) + msgp.StringPrefixSize + len(z.Weights[za0008].Model) + msgp.Float32Size
+	}
 	return
 }
 
@@ -4719,6 +4772,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ModelWeight) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Model)
+	o = msgp.AppendFloat32(o, z.Places)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ModelWeight) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Places, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Places")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ModelWeight) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Model) + msgp.Float32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ObjectPatch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
