Let idle hosts wait for changes, and start from the dispatcher's view

At the start all hosts listed all kinds from the store (1,841 calls), each was its own dispatcher for some time (102 of them), and a host that had newer objects than the dispatcher's last summary believed that it missed some: 628 asked, and 93 then read the store.

Change: hosts wait for what the dispatcher says instead of looking for it, with one timer for its silence. Summaries are compared in the order in which they come among the changes, and one that is older than what the host has says nothing. A host that starts waits for the list of hosts before it serves itself, is told at once by the dispatcher what there is, and asks it for that; answers are bounded by the link that the settings state (link_mbps), beyond it hosts read the store as before. Lists of many endpoints are logged in one line.

--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -13,6 +13,7 @@
 	Store    string // address of the platform's store
 	Strength int    // thousandths of a core
 	MemoryMB int
+	LinkMbps float64 // bandwidth of this host's link, 0 if unknown
 
 	FencesChecked bool          // endpoints refuse orders with an old epoch
 	LeaseTerm     time.Duration // least time between orders of two holders
--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -25,8 +25,9 @@
 	askTimeout   = 90 * time.Millisecond
 	connectWait  = 300 * time.Millisecond // until a dispatcher that can't be reached is passed over
 	silentFor    = 600 * time.Millisecond // without a broadcast, four are missing
-	frozenGap    = 300 * time.Millisecond // between two ticks: this process stood still, not the dispatcher
-	followEvery  = 50 * time.Millisecond
+	frozenGap    = 250 * time.Millisecond // by which a look is late: this process stood still, not the dispatcher
+	listGrace    = 400 * time.Millisecond // after the start, for the list of hosts: one that knows no other serves itself
+	followEvery  = 50 * time.Millisecond  // between two looks at a dispatcher that is not settled
 	settleTime   = 400 * time.Millisecond // before a dispatcher that works is left for one that comes before it
 	firstSuspect = 2 * time.Second        // time for which a silent dispatcher is passed over; doubles
 	mostSuspect  = 16 * time.Second
@@ -103,14 +104,15 @@
 	alone    map[string]int           // places taken without the dispatcher, by endpoint
 	budgets  map[string]*sched.Budget // of sends without the dispatcher, by service
 	avoid    map[string]time.Time     // endpoints that failed, for decisions alone
-	ticked   time.Time
+	began    time.Time
+	nextTick time.Time  // when the dispatcher is looked at again
 	better   fleet.Host // that comes before the one in use
 	betterAt time.Time  // since when
 }
 
 func newBinder(h *Host) *binder {
 	return &binder{
-		h: h, log: h.log.Part("binder"), wake: make(chan struct{}, 1), calls: make(map[uint64]*call),
+		h: h, log: h.log.Part("binder"), began: time.Now(), wake: make(chan struct{}, 1), calls: make(map[uint64]*call),
 		suspects: make(map[string]suspicion), alone: make(map[string]int), budgets: make(map[string]*sched.Budget), avoid: make(map[string]time.Time),
 	}
 }
@@ -124,7 +126,7 @@
 
 // run keeps the connection to the dispatcher until ctx ends.
 func (b *binder) run(ctx context.Context) {
-	t := time.NewTicker(followEvery)
+	t := time.NewTimer(followEvery)
 	defer t.Stop()
 	for {
 		select {
@@ -137,7 +139,7 @@
 		case <-t.C:
 		case <-b.wake:
 		}
-		b.follow(ctx, time.Now())
+		t.Reset(b.follow(ctx, time.Now()))
 	}
 }
 
@@ -152,13 +154,20 @@
 	return fleet.Host{Name: self, Incarnation: b.h.incarnation}
 }
 
-func (b *binder) follow(ctx context.Context, now time.Time) {
+// follow looks at the dispatcher in use, and returns when to look again.
+func (b *binder) follow(ctx context.Context, now time.Time) (next time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.Sub(b.ticked) > frozenGap && b.link != nil {
+	before := b.link
+	defer func() {
+		if b.link != before {
+			b.h.directory.turned.notify()
+		}
+		b.nextTick = now.Add(next)
+	}()
+	if !b.nextTick.IsZero() && now.Sub(b.nextTick) > frozenGap && b.link != nil {
 		b.link.heard = now
 	}
-	b.ticked = now
 	if l := b.link; l != nil && (l.down || now.Sub(l.heard) > silentFor) {
 		b.suspect(l, now)
 		b.closeLink(l)
@@ -169,15 +178,18 @@
 		b.closeLink(c)
 		b.coming = nil
 	}
+	if b.link == nil && now.Sub(b.began) < listGrace && !b.h.directory.hostsKnown() {
+		return followEvery
+	}
 	want := b.wanted(now)
 	if b.link != nil && sameHost(b.link.host, want) {
 		b.closeLink(b.coming)
 		b.coming = nil
 		b.better = fleet.Host{}
-		return
+		return max(b.link.heard.Add(silentFor).Sub(now), followEvery)
 	}
 	if b.link != nil && !b.settled(want, now) {
-		return
+		return followEvery
 	}
 	if b.coming == nil || !sameHost(b.coming.host, want) {
 		b.closeLink(b.coming)
@@ -186,6 +198,7 @@
 	if b.coming.conn != nil {
 		b.swap(now)
 	}
+	return followEvery
 }
 
 // settled tells whether a host has come before the dispatcher in use for long enough. While many hosts register, the order
@@ -360,17 +373,25 @@
 	}
 	switch m := m.(type) {
 	case *wire.FleetState:
+		before := &b.state
+		if m.Current != before.Current || !slices.Equal(m.Relays, before.Relays) {
+			defer b.h.directory.turned.notify()
+		}
+		if l.host.Name != b.h.deployment().Host {
+			b.relay(l, passedOn{views: m.Views, leaving: m.Leaving})
+		}
 		loads := b.state.Endpoints
 		if m.Endpoints != nil {
 			loads, b.loadsAt = m.Endpoints, time.Now()
 		}
 		b.state, b.stateAt = *m, time.Now()
+		if m.Vacant {
+			b.h.holder.leaseIsFree()
+		}
 		b.state.Endpoints = loads
 		delete(b.suspects, l.host.Name)
 	case *wire.ViewUpdate:
-		if !b.h.directory.updates.TryPush(m) {
-			l.conn.Close() // the next connection begins with the whole view
-		}
+		b.relay(l, passedOn{update: m})
 	case *wire.ViewAsk:
 		go func() { b.tell(b.h.directory.since(m)) }() // takes the directory's lock
 	case *wire.Queued:
@@ -396,6 +417,13 @@
 	}
 }
 
+// relay queues what the dispatcher passes on. The caller holds the lock.
+func (b *binder) relay(l *link, m passedOn) {
+	if !b.h.directory.updates.TryPush(m) {
+		l.conn.Close() // the summaries on the next connection show what is missing
+	}
+}
+
 func (c *call) to(s callState) {
 	c.state = s
 	select {
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -29,7 +29,8 @@
 	hostWait   = 10 * time.Second       // hosts that vanish are noticed by their connections
 	probeWait  = 0                      // of the calls that find out whether the store is back
 	batchPause = 50 * time.Millisecond  // after changes: those that follow at once come with the next call
-	relayPoll  = 100 * time.Millisecond // while the dispatcher passes changes on
+	relayPoll  = 100 * time.Millisecond // while another host may begin to pass changes on
+	relayIdle  = 2 * time.Second        // while the dispatcher passes changes on; its end is notified
 	relayGrace = 500 * time.Millisecond // after the loss of a dispatcher, in which the next one takes over
 	// soughtGrace is relayGrace while the dispatcher looks for a host that reaches the store. Two seconds are allowed until
 	// a change is in force.
@@ -44,7 +45,7 @@
 	mostViewAsks = 2                      // before a kind is read from the store
 	// returnGrace is the time after an outage of the store in which entries that lapsed meanwhile come back.
 	returnGrace   = 2 * time.Second
-	sweepLapsed   = 100 * time.Millisecond
+	sweepLapsed   = 250 * time.Millisecond
 	askSeedsAfter = 400 * time.Millisecond // without an answer of the store since the start
 	seedTimeout   = 300 * time.Millisecond
 	retryLeast    = 60 * time.Millisecond
@@ -58,8 +59,9 @@
 	h       *Host
 	log     telemetry.Logger
 	now     atomic.Pointer[fleet.View]
-	wake    chan struct{}                // a host object has to be written
-	updates *ring.Ring[*wire.ViewUpdate] // from the dispatcher
+	wake    chan struct{}        // a host object has to be written
+	updates *ring.Ring[passedOn] // from the dispatcher
+	turned  notifier             // another host may have begun or ceased to pass changes on
 
 	mu        sync.Mutex
 	mirror    mirror
@@ -72,8 +74,10 @@
 	listed    bool
 	hosts     map[string]fleet.Host
 	own       string // version of the own host object, empty if there is none
+	known     bool   // the hosts have been listed
 	outages   map[string]time.Time
 	passed    []*wire.ViewUpdate // changes that were not yet handed to the dispatcher
+	news      []endpointNews     // not yet logged
 	returned  time.Time          // end of the latest outage of the list of endpoints
 }
 
@@ -82,12 +86,20 @@
 		h: h, log: h.log.Part("directory"), wake: make(chan struct{}, 1), mirror: make(mirror),
 		stale: make(map[string]bool), differs: make(map[string]difference),
 		endpoints: make(map[string]fleet.Endpoint), lapsed: make(map[string]time.Time), leaving: make(map[string]int64), hosts: make(map[string]fleet.Host),
-		outages: make(map[string]time.Time), updates: ring.New[*wire.ViewUpdate](passedUpdates),
+		outages: make(map[string]time.Time), updates: ring.New[passedOn](passedUpdates),
 	}
 	d.now.Store(&fleet.View{})
 	return d
 }
 
+// passedOn is what another host passes on: a change, or a summary of all that it has. They are handled in the order in
+// which they come, so that a summary is compared with what the changes before it have made.
+type passedOn struct {
+	update  *wire.ViewUpdate
+	views   []wire.ViewSummary
+	leaving []wire.EndpointLeaves
+}
+
 // difference of a kind's objects from those of the dispatcher.
 type difference struct {
 	since time.Time
@@ -125,7 +137,7 @@
 			if err != nil {
 				return
 			}
-			d.update(m)
+			d.take(m)
 		}
 	})
 	t := time.NewTicker(sweepLapsed)
@@ -134,7 +146,9 @@
 		select {
 		case <-t.C:
 			d.dropLapsed(time.Now())
-			d.followDispatcher(time.Now())
+			if d.h.binder.isRelay() {
+				d.h.binder.tell(&wire.RelayBeat{Current: d.current(), Views: d.summaries()})
+			}
 		case <-ctx.Done():
 		}
 	}
@@ -145,16 +159,27 @@
 func (d *directory) follow(ctx context.Context, f feed) {
 	backoff := objects.Backoff{Least: retryLeast, Most: retryMost}
 	version := ""
-	var relayed time.Time // when the dispatcher passed the kind on
+	// When the dispatcher passed the kind on. A host that starts waits for one: all hosts that list the store at the start
+	// of a large fleet are most of its calls.
+	var relayed time.Time
+	if f.kind != kindHosts {
+		relayed = time.Now()
+	}
 	for ctx.Err() == nil {
 		var err error
+		turned := d.turned.changed()
 		own := d.h.binder.isDispatcher()
 		switch {
 		case d.relayed(f.kind):
 			// The dispatcher follows the store for all hosts: calls to the store don't grow with the fleet.
 			d.settle(f.kind, nil)
-			version, relayed = "", time.Now()
-			clock.Sleep(ctx, relayPoll)
+			version = ""
+			select {
+			case <-turned:
+			case <-time.After(relayIdle):
+			case <-ctx.Done():
+			}
+			relayed = time.Now()
 			continue
 		case version == "" && !own && !d.isStale(f.kind) && time.Since(relayed) < d.h.binder.relayGrace():
 			// The next dispatcher, or a relay, will pass the kind on in a moment.
@@ -187,14 +212,14 @@
 	}
 }
 
-// relayed tells whether the dispatcher passes a kind on that was read before.
+// relayed tells whether the dispatcher passes a kind on.
 func (d *directory) relayed(kind string) bool {
 	if !d.h.binder.relays() {
 		return false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.mirror[kind]) > 0 && !d.stale[kind]
+	return !d.stale[kind]
 }
 
 func (d *directory) isStale(kind string) bool {
@@ -203,6 +228,13 @@
 	return d.stale[kind]
 }
 
+// hostsKnown tells whether the hosts have been listed.
+func (d *directory) hostsKnown() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known
+}
+
 // current tells whether this process follows the store and has no outage.
 func (d *directory) current() bool {
 	d.mu.Lock()
@@ -310,6 +342,7 @@
 	}
 	sortHosts(v.Hosts)
 	d.now.Store(v)
+	d.logNews()
 	d.limitConnections(v)
 	if len(d.passed) > 0 {
 		if d.h.binder.isRelay() {
@@ -394,11 +427,32 @@
 	delete(d.lapsed, e.ID)
 	d.endpoints[e.ID] = e
 	if !known || old.Draining != e.Draining || old.Born != e.Born {
-		d.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Address).Bool("draining", e.Draining).
-			Int64("born", e.Born).Str("version", o.Version).Msg("Endpoint listed.")
+		d.news = append(d.news, endpointNews{e, o.Version})
 	}
 }
 
+// endpointNews is an entry that tells of another endpoint or state than the one before.
+type endpointNews struct {
+	fleet.Endpoint
+	version string
+}
+
+// mostListed is the number of entries that are logged one by one: at the start of a host there are hundreds.
+const mostListed = 8
+
+// logNews logs what entries have told since the last call. The caller holds the lock.
+func (d *directory) logNews() {
+	if len(d.news) > mostListed {
+		d.log.Info().Int("endpoints", len(d.news)).Str("version", d.news[len(d.news)-1].version).Msg("Endpoints listed.")
+	} else {
+		for _, e := range d.news {
+			d.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Address).Bool("draining", e.Draining).
+				Int64("born", e.Born).Str("version", e.version).Msg("Endpoint listed.")
+		}
+	}
+	d.news = nil
+}
+
 // removeEndpoint drops an endpoint. Around an outage of the store, entries lapse although their servers live: such an
 // entry is kept until it had time to return.
 func (d *directory) removeEndpoint(id string) {
@@ -502,6 +556,7 @@
 }
 
 func (d *directory) keepHosts(names map[string]bool) {
+	d.known = true
 	for _, name := range d.mirror.missing(kindHosts, names) {
 		d.removeHost(name)
 	}
@@ -696,6 +751,7 @@
 	news, gone, ok := d.mirror.resolve(m)
 	if !ok || m.Fetch {
 		d.stale[m.Of] = true
+		d.turned.notify()
 		d.log.Info().Str("kind", m.Of).Bool("long", m.Fetch).Msg("Change is read from the store.")
 	}
 	for _, o := range news {
@@ -711,21 +767,18 @@
 	d.publish()
 }
 
-// followDispatcher asks the dispatcher for what this host lacks, or tells it what this host has read from the store for it.
-func (d *directory) followDispatcher(now time.Time) {
-	state, _ := d.h.binder.fleetState()
-	for _, e := range state.Leaving {
+// take handles what another host passes on.
+func (d *directory) take(m passedOn) {
+	for _, e := range m.leaving {
 		d.leaves(e.Endpoint, e.Born, "by the dispatcher")
 	}
-	if d.h.binder.isRelay() {
-		d.h.binder.tell(&wire.RelayBeat{Current: d.current(), Views: d.summaries()})
-		return
-	}
-	if !d.h.binder.relays() {
-		return
-	}
-	for _, ask := range d.compare(now, state.Views) {
-		d.h.binder.tell(ask)
+	switch {
+	case m.update != nil:
+		d.update(m.update)
+	case d.h.binder.relays():
+		for _, ask := range d.compare(time.Now(), m.views) {
+			d.h.binder.tell(ask)
+		}
 	}
 }
 
@@ -741,6 +794,11 @@
 		switch {
 		case own.Digest == theirs.Digest:
 			x = difference{}
+		case own.Newest > theirs.Newest:
+			x = difference{} // this host has read the store since; the summary says nothing of what it lacks
+		case x.since.IsZero() && own.Digest == 0: // a host that has just started
+			x.since, x.asks = now, x.asks+1
+			asks = append(asks, &wire.ViewAsk{Of: theirs.Of})
 		case x.since.IsZero():
 			x.since = now
 		case now.Sub(x.since) < differFor:
@@ -752,6 +810,7 @@
 		default:
 			x = difference{}
 			d.stale[theirs.Of] = true
+			d.turned.notify()
 			d.log.Warn().Str("kind", theirs.Of).Uint64("newest", own.Newest).Uint64("theirs", theirs.Newest).
 				Msg("Objects still differ from the dispatcher's, read from the store.")
 		}
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -22,9 +22,12 @@
 	rebuildTime      = 120 * time.Millisecond // in which hosts send what they have in flight
 	holderSilence    = 700 * time.Millisecond // without a beat, no holder is announced
 	loadsEvery       = 5                      // broadcasts with the loads of endpoints to one host
-	// passedBytes bounds a change of the view to all hosts together: 0.2 s of a link of 10 Mbit/s. The store has more
+	// passedShare bounds a change of the view to all hosts together, in seconds of this host's link. The store has more
 	// bandwidth than a host.
-	passedBytes = 256 << 10
+	passedShare = 0.2
+	// answeredShare bounds the answers to hosts that ask for what they lack, as a share of this host's link.
+	answeredShare = 0.4
+	unknownMbps   = 10.0 // of a link, where the deployment does not state it
 )
 
 type dispatcherEvent struct {
@@ -52,6 +55,7 @@
 	loadsAt time.Time
 	relays  relays
 	round   uint64 // of the broadcasts
+	answers allowance
 }
 
 func newDispatcher(h *Host) *dispatcher {
@@ -90,8 +94,15 @@
 
 func (d *dispatcher) run(ctx context.Context) {
 	t := time.NewTimer(idleTick)
+	t.Stop()
 	defer t.Stop()
+	ticking := false
 	for {
+		if on := d.state != nil; on != ticking {
+			if ticking = on; on {
+				t.Reset(d.pause())
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -106,7 +117,9 @@
 			d.takeEarly()
 		case <-t.C:
 			d.tick()
-			t.Reset(d.pause())
+			if ticking = d.state != nil; ticking {
+				t.Reset(d.pause())
+			}
 		}
 		d.flush()
 	}
@@ -124,12 +137,48 @@
 
 // within returns an update, or its announcement if all hosts together would get too many bytes.
 func (d *dispatcher) within(u *wire.ViewUpdate) *wire.ViewUpdate {
-	if size(u)*len(d.peers) > passedBytes {
+	if float64(size(u)*len(d.peers)) > passedShare*d.linkBytes() {
+		return &wire.ViewUpdate{Of: u.Of, Fetch: true}
+	}
+	return u
+}
+
+// linkBytes returns the bytes that this host's link carries in a second.
+func (d *dispatcher) linkBytes() float64 {
+	mbps := d.h.deployment().LinkMbps
+	if mbps <= 0 {
+		mbps = unknownMbps
+	}
+	return mbps * 1e6 / 8
+}
+
+// answer returns what a host lacks. While many hosts ask, for example at the start of a fleet, those beyond the link's
+// allowance read the store.
+func (d *dispatcher) answer(m *wire.ViewAsk) *wire.ViewUpdate {
+	u := d.h.directory.since(m)
+	rate := answeredShare * d.linkBytes()
+	if !d.answers.take(d.now(), float64(size(u)), rate) {
 		return &wire.ViewUpdate{Of: u.Of, Fetch: true}
 	}
 	return u
 }
 
+// allowance is a token bucket that holds one second's worth.
+type allowance struct {
+	used float64
+	at   time.Duration
+}
+
+func (a *allowance) take(now time.Duration, n, rate float64) bool {
+	a.used = max(a.used-rate*(now-a.at).Seconds(), 0)
+	a.at = now
+	if a.used > 0 && a.used+n > rate {
+		return false
+	}
+	a.used += n
+	return true
+}
+
 func (d *dispatcher) pause() time.Duration {
 	if d.state != nil && d.state.Waiting() > 0 {
 		return busyTick
@@ -152,7 +201,36 @@
 }
 
 func (d *dispatcher) broadcast() {
-	f := d.state.Load()
+	full, loads, brief := d.states()
+	d.round++
+	for host, p := range d.peers {
+		switch {
+		case host == d.beat.Host:
+			d.send(p, full)
+		case xxhash.Sum64String(host)%loadsEvery == d.round%loadsEvery:
+			d.send(p, loads)
+		default:
+			d.send(p, brief)
+		}
+	}
+}
+
+// states returns what the dispatcher tells the holder of the placement lease, what it tells other hosts at times, and what
+// it tells them each time. The demand for models is for the host that plans copies, and the loads of endpoints matter to a
+// host that has to decide alone only: sent to all each time, they would fill the dispatcher's link in a large fleet.
+func (d *dispatcher) states() (full, loads, brief *wire.FleetState) {
+	brief = d.brief()
+	l, f := *brief, d.state.Load()
+	l.Endpoints, l.Hosts = f.Endpoints, f.Hosts
+	all := l
+	all.Models, all.Weights = f.Models, f.Weights
+	all.StoreLoads, all.LoadsTold = d.storeLoads()
+	return &all, &l, brief
+}
+
+// brief returns what every host needs at any time.
+func (d *dispatcher) brief() *wire.FleetState {
+	f := &wire.FleetState{Leaving: d.h.directory.saidLeaving()}
 	own := d.h.directory.current()
 	f.Relays = d.relays.choose(time.Now(), own, d.h.binder.isDispatcher(), d.candidates())
 	f.Current = (own || d.relays.works(time.Now())) && d.h.binder.isDispatcher()
@@ -164,25 +242,7 @@
 	} else if d.beat.Leaving {
 		f.Vacant, f.Epoch = true, d.beat.Epoch
 	}
-	// The demand for models is for the host that plans copies, and the loads of endpoints matter to a host that has to
-	// decide alone only: sent to all each time, they would fill the dispatcher's link in a large fleet.
-	f.StoreLoads, f.LoadsTold = d.storeLoads()
-	f.Leaving = d.h.directory.saidLeaving()
-	loads := f
-	loads.Models, loads.Weights, loads.StoreLoads, loads.LoadsTold = nil, nil, nil, false
-	brief := loads
-	brief.Endpoints = nil
-	d.round++
-	for host, p := range d.peers {
-		switch {
-		case host == d.beat.Host:
-			d.send(p, &f)
-		case xxhash.Sum64String(host)%loadsEvery == d.round%loadsEvery:
-			d.send(p, &loads)
-		default:
-			d.send(p, &brief)
-		}
-	}
+	return f
 }
 
 // storeLoads returns the loads that holders have told, with their ages now.
@@ -267,7 +327,7 @@
 	case *wire.HolderBeat:
 		d.holderBeat(m)
 	case *wire.ViewAsk:
-		d.send(e.peer, d.within(d.h.directory.since(m)))
+		d.send(e.peer, d.answer(m))
 	case *wire.EndpointLeaves:
 		if d.h.directory.leaves(m.Endpoint, m.Born, "by host "+e.host) {
 			d.state.SetView(now, d.h.directory.view())
@@ -277,7 +337,7 @@
 			d.follow(e.peer, m.Views)
 		}
 	case *wire.ViewUpdate:
-		if !d.h.directory.updates.TryPush(m) {
+		if !d.h.directory.updates.TryPush(passedOn{update: m}) {
 			d.log.Warn().Str("host", e.host).Str("kind", m.Of).Msg("Change from a relay not taken, too many are waiting.")
 		}
 	}
@@ -329,6 +389,7 @@
 	}
 	d.peers[e.host] = e.peer
 	d.state.HostUp(d.now(), e.host)
+	d.send(e.peer, d.brief()) // a host that has just started learns what to ask for
 }
 
 func (d *dispatcher) down(e dispatcherEvent) {
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -21,19 +21,20 @@
 	kindLeases = "sycamore-leases"
 	leaseName  = "placement"
 
-	termShare    = 0.55 // of the deployment's lease time
-	renewShare   = 0.15
-	marginShare  = 0.08
-	leaseTick    = 50 * time.Millisecond
-	leaseCall    = 700 * time.Millisecond
-	holderQuiet  = 500 * time.Millisecond // without a sign of the holder before its lease is read
-	rankDelay    = 250 * time.Millisecond // hosts later in the order challenge later
-	dutyDelay    = 2 * time.Second        // the dispatcher challenges last
-	orderMargin  = 60 * time.Millisecond  // of the term, in which no order is sent any more
-	beatEvery    = 150 * time.Millisecond
-	planEvery    = 150 * time.Millisecond
-	demandFresh  = time.Second
-	ceilingExtra = 3.0 // loads beyond the rate that the platform's rule allows in a window
+	termShare     = 0.55 // of the deployment's lease time
+	renewShare    = 0.15
+	marginShare   = 0.08
+	leaseTick     = 50 * time.Millisecond  // while the lease is held, or its holder is silent
+	idleLeaseTick = 250 * time.Millisecond // while another host holds it
+	leaseCall     = 700 * time.Millisecond
+	holderQuiet   = 500 * time.Millisecond // without a sign of the holder before its lease is read
+	rankDelay     = 250 * time.Millisecond // hosts later in the order challenge later
+	dutyDelay     = 2 * time.Second        // the dispatcher challenges last
+	orderMargin   = 60 * time.Millisecond  // of the term, in which no order is sent any more
+	beatEvery     = 150 * time.Millisecond
+	planEvery     = 150 * time.Millisecond
+	demandFresh   = time.Second
+	ceilingExtra  = 3.0 // loads beyond the rate that the platform's rule allows in a window
 )
 
 // holder keeps the placement lease, and gives orders to engines while it is held.
@@ -41,6 +42,7 @@
 	h       *Host
 	log     telemetry.Logger
 	release chan struct{}
+	vacant  chan struct{} // the dispatcher tells that the lease is free
 	once    sync.Once
 	ended   chan struct{}
 
@@ -57,11 +59,19 @@
 }
 
 func newHolder(h *Host) *holder {
-	o := &holder{h: h, log: h.log.Part("placement"), release: make(chan struct{}), ended: make(chan struct{})}
+	o := &holder{h: h, log: h.log.Part("placement"), release: make(chan struct{}), vacant: make(chan struct{}, 1), ended: make(chan struct{})}
 	o.fleet = newLedgers(o)
 	return o
 }
 
+// leaseIsFree wakes the duty.
+func (o *holder) leaseIsFree() {
+	select {
+	case o.vacant <- struct{}{}:
+	default:
+	}
+}
+
 // held returns the epoch under which orders may be sent now, or 0.
 func (o *holder) held() uint64 {
 	o.mu.Lock()
@@ -98,11 +108,11 @@
 		Renew: time.Duration(renewShare * term), Margin: time.Duration(marginShare * term), Quiet: holderQuiet, Seed: o.h.incarnation,
 	})
 	stored := leasestore.Lease{Store: o.h.opts.Store, Kind: kindLeases, Name: leaseName, Timeout: leaseCall, Now: clock.Boot}
-	t := time.NewTicker(leaseTick)
+	t := time.NewTimer(leaseTick)
 	defer t.Stop()
 	release := o.release
 	heard := clock.Boot()
-	var vacant uint64 // epoch whose end was acted on
+	var vacated uint64 // epoch whose end was acted on
 	var stopDuty context.CancelFunc
 	defer func() {
 		if stopDuty != nil {
@@ -121,6 +131,7 @@
 			}
 			m.Release()
 		case <-t.C:
+		case <-o.vacant:
 		}
 		now := clock.Boot()
 		f, age := o.h.binder.fleetState()
@@ -129,8 +140,8 @@
 		case f.Holder != "":
 			m.Heard(now)
 			heard = now
-		case f.Vacant && f.Epoch > vacant && !o.h.leaving() && !o.h.binder.isDispatcher():
-			vacant = f.Epoch
+		case f.Vacant && f.Epoch > vacated && !o.h.leaving() && !o.h.binder.isDispatcher():
+			vacated = f.Epoch
 			heard -= holderQuiet
 			m.Hurry()
 		}
@@ -140,6 +151,11 @@
 			}
 		}
 		stopDuty = o.follow(ctx, m, stopDuty)
+		if m.Held(now) > 0 || release == nil || now-heard > holderQuiet/2 {
+			t.Reset(leaseTick)
+		} else {
+			t.Reset(idleLeaseTick)
+		}
 	}
 }
 
