End stalled streams, bound endless answers, and contain unexpected errors

Against servers whose bytes a test writes, three things failed: a stream that sends comments, or single bytes without an event, kept its caller for the whole deadline (20 s in the test, for ever without one), at resumable routes also because the search for another endpoint began anew each time. Not shown by a test, but possible by the code: a second answer to a request that arrives on a connection in use for an order or a report is taken for theirs; a panic in a duty ends the process.

Change: only events with content count as a sign of life, and a stream ends after its caller's patience without one. The first look for another endpoint comes within three quarters of that patience (before, after 2.5 s, when many callers had left). Orders and reports have connections of their own. Answers without a stated length may have 1 GB, plain requests without any bound end after 5 minutes. Each message and each round of a duty is guarded; the dispatcher gives its queue up, and hosts send theirs again.

--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -137,7 +137,9 @@
 			if err != nil {
 				return
 			}
-			d.take(m)
+			if guarded(d.log, "change of the view", func() { d.take(m) }) != nil {
+				d.readAgain()
+			}
 		}
 	})
 	t := time.NewTicker(sweepLapsed)
@@ -767,6 +769,16 @@
 	d.publish()
 }
 
+// readAgain has all kinds read from the store.
+func (d *directory) readAgain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for kind := range d.mirror {
+		d.stale[kind] = true
+	}
+	d.turned.notify()
+}
+
 // take handles what another host passes on.
 func (d *directory) take(m passedOn) {
 	for _, e := range m.leaving {
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -107,21 +107,36 @@
 		case <-ctx.Done():
 			return
 		case e := <-d.events.C():
-			d.handle(e)
+			d.guard(func() { d.handle(e) })
 		case u := <-d.passed.C():
-			d.pass(u)
+			d.guard(func() { d.pass(u) })
 		case <-d.viewed:
-			if d.state != nil {
-				d.state.SetView(d.now(), d.h.directory.view())
-			}
-			d.takeEarly()
+			d.guard(func() {
+				if d.state != nil {
+					d.state.SetView(d.now(), d.h.directory.view())
+				}
+				d.takeEarly()
+			})
 		case <-t.C:
-			d.tick()
+			d.guard(d.tick)
 			if ticking = d.state != nil; ticking {
 				t.Reset(d.pause())
 			}
 		}
-		d.flush()
+		d.guard(d.flush)
+	}
+}
+
+// guard runs a step of the duty. After an unexpected error the queue may be inconsistent: it is given up, and hosts send
+// what they have in flight and waiting again.
+func (d *dispatcher) guard(step func()) {
+	if guarded(d.log, "dispatcher", step) == nil {
+		return
+	}
+	peers := d.peers
+	d.state, d.peers, d.early = nil, make(map[string]peer), nil
+	for _, p := range peers {
+		p.Close()
 	}
 }
 
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -18,12 +18,15 @@
 )
 
 const (
-	maxSends       = 5       // of one request: refusals before execution don't count as attempts at an endpoint
-	maxWhole       = 1 << 20 // bytes of an answer that is read whole before it is passed on
-	plainSilence   = 2.0     // times the target: then a repeatable request goes to another endpoint
+	maxSends       = 5               // of one request: refusals before execution don't count as attempts at an endpoint
+	maxWhole       = 1 << 20         // bytes of an answer that is read whole before it is passed on
+	maxAnswer      = 1 << 30         // bytes of one without a stated length, which an endpoint in trouble may send without end
+	mostTime       = 5 * time.Minute // for a request to a plain service, if neither its caller nor its route sets a bound
+	plainSilence   = 2.0             // times the target: then a repeatable request goes to another endpoint
 	leastSilence   = 400 * time.Millisecond
 	streamSilence  = 1500 * time.Millisecond // between events of a stream that can go on elsewhere
-	firstSilence   = 2500 * time.Millisecond // before the first event of such a stream
+	firstSilence   = 2500 * time.Millisecond // before the first event of such a stream, at most
+	firstShare     = 0.75                    // of the caller's patience, the same
 	adapterRetry   = 12 * time.Millisecond   // until an adapter that is on its way can be used; doubles
 	adapterRetries = 2
 	mostLacking    = 3                      // attempts at one endpoint that lacks the model or adapter
@@ -259,7 +262,7 @@
 	rt := x.q.Route
 	switch {
 	case rt.Kind == fleet.Stream && x.movable():
-		return firstSilence
+		return min(firstSilence, time.Duration(firstShare*float64(rt.Patience())))
 	case rt.Kind == fleet.Stream:
 		return max(time.Until(x.q.StartBy()), leastSilence)
 	case x.movable():
@@ -271,7 +274,7 @@
 // pauseSilence is silence between two events of a stream.
 func (x *exchange) pauseSilence() time.Duration {
 	if x.movable() {
-		return streamSilence
+		return min(streamSilence, time.Duration(firstShare*float64(x.q.Route.Patience())))
 	}
 	return x.q.Route.Patience()
 }
@@ -312,9 +315,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
+	case err != nil && !m.ended && m.x.q.Route.Kind == fleet.Stream && m.watchdog.silent() >= m.x.q.Route.Patience():
+		m.cancel(errSilent) // its caller has left, or would leave now
 	case err != nil && !m.ended:
 		m.x.f.log.Info().Str("request", m.x.q.ID).Int64("againMs", m.again.Milliseconds()).Err(err).Msg("Endpoint is silent, no other has a place.")
-		m.watchdog.alive(m.again)
+		m.watchdog.again(m.again)
 	case err != nil:
 	case m.ended:
 		b.release()
@@ -466,7 +471,7 @@
 	x.copyHeader(resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
 	_, werr := x.w.Write(begun)
-	n, err := copyBody(x.w, resp)
+	n, err := copyBody(x.w, resp, maxAnswer)
 	resp.Close(err == nil && werr == nil)
 	x.logEnd("answered", resp.StatusCode, err)
 	if err != nil || werr != nil {
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -230,7 +230,11 @@
 	}
 	defer f.bodyBytes.Add(-int64(len(q.Body)))
 	ctx := r.Context()
-	if end := q.EndBy(); !end.IsZero() {
+	end := q.EndBy()
+	if end.IsZero() && q.Route.Kind != fleet.Stream {
+		end = arrived.Add(mostTime)
+	}
+	if !end.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadlineCause(ctx, end, errTimeout)
 		defer cancel()
--- /dev/null
+++ b/internal/host/guard.go
@@ -0,0 +1,22 @@
+package host
+
+import (
+	"runtime/debug"
+
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/telemetry"
+)
+
+// guarded calls a function and turns a panic into an error, so that one malformed message or unexpected state costs one
+// connection or one round of a duty, and not the process with all its requests.
+func guarded(log telemetry.Logger, what string, do func()) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = errors.Errorf("%s: panic: %v", what, r)
+			log.Error().Str("what", what).Str("panic", errors.Details(err)).Str("stack", string(debug.Stack())).Msg("Unexpected error.")
+		}
+	}()
+	do()
+	return nil
+}
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -216,11 +216,15 @@
 		if o.held() != epoch {
 			continue
 		}
-		o.fleet.refresh(ctx, o.h.directory.view())
-		o.plan(ctx, planners, epoch)
-		b := o.fleet.beat(o.h.deployment().Host, epoch, o.h.directory.view())
-		b.StoreLoads = told(planners)
-		o.h.binder.tell(b)
+		if guarded(o.log, "placement", func() {
+			o.fleet.refresh(ctx, o.h.directory.view())
+			o.plan(ctx, planners, epoch)
+			b := o.fleet.beat(o.h.deployment().Host, epoch, o.h.directory.view())
+			b.StoreLoads = told(planners)
+			o.h.binder.tell(b)
+		}) != nil {
+			clear(planners) // as after a change of the holder: half of the loads that are allowed count as made
+		}
 	}
 }
 
@@ -394,7 +398,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	result := fleet.OrderUnknown
-	resp, err := o.h.pool.RoundTrip(ctx, q)
+	resp, err := o.h.orders.RoundTrip(ctx, q)
 	if err == nil {
 		result = o.h.opts.Codec.OrderResult(resp.StatusCode)
 		a := o.h.opts.Codec.Answer(resp.StatusCode, resp.Header)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -71,7 +71,8 @@
 	binder      *binder
 	dispatcher  *dispatcher
 	holder      *holder
-	pool        *upstream.Pool
+	pool        *upstream.Pool // connections for callers' requests
+	orders      *upstream.Pool // connections for orders and reports: a late answer to a request must not be taken for theirs
 	front       *front
 	quiet       quietTimes
 	stopping    atomic.Pointer[stopping] // set when a stop was asked for: the readiness check fails
@@ -81,7 +82,7 @@
 
 // New returns a host that does nothing yet.
 func New(o Options) *Host {
-	h := &Host{opts: o, log: o.Log, incarnation: uint64(time.Now().UnixNano()), pool: upstream.NewPool(0), stopBegun: make(chan struct{})}
+	h := &Host{opts: o, log: o.Log, incarnation: uint64(time.Now().UnixNano()), pool: upstream.NewPool(0), orders: upstream.NewPool(0), stopBegun: make(chan struct{})}
 	h.place.Store(&o.Deployment)
 	h.directory = newDirectory(h)
 	h.dispatcher = newDispatcher(h)
@@ -115,7 +116,7 @@
 }
 
 const (
-	sweepEvery     = 500 * time.Millisecond // for idle connections to endpoints
+	sweepEvery     = time.Second // for idle connections to endpoints
 	exitPoll       = 20 * time.Millisecond
 	exitIdle       = 100 * time.Millisecond // in which connections without a request are closed at the end of a stop
 	readyTimeout   = time.Second
@@ -193,6 +194,7 @@
 			return
 		case <-t.C:
 			h.pool.Sweep(time.Now())
+			h.orders.Sweep(time.Now())
 		}
 	}
 }
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -152,7 +152,7 @@
 func (l *ledgers) report(ctx context.Context, e *fleet.Endpoint) (fleet.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	resp, err := l.o.h.pool.RoundTrip(ctx, l.o.h.opts.Codec.ReportCall(e))
+	resp, err := l.o.h.orders.RoundTrip(ctx, l.o.h.opts.Codec.ReportCall(e))
 	if err != nil {
 		return fleet.Report{}, err
 	}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -19,13 +19,8 @@
 	return transport.Options{
 		Hello: h.hello(),
 		Handler: func(c *transport.Conn, corr uint64, m wire.Message) {
-			switch m := m.(type) {
-			case *wire.Prepare:
-				h.holder.prepare(m, func(r *wire.PrepareReply) { c.Reply(corr, r) })
-			case *wire.ViewRequest:
-				c.Reply(corr, h.directory.reply())
-			default:
-				h.dispatcher.push(c.Remote().Host, c, m)
+			if guarded(log, "message of a host", func() { h.onPeer(c, corr, m) }) != nil {
+				c.Close()
 			}
 		},
 		OnDown:   func(c *transport.Conn) { h.dispatcher.push(c.Remote().Host, c, nil) },
@@ -33,7 +28,24 @@
 	}
 }
 
+// onPeer handles a message on a connection that another host has opened.
+func (h *Host) onPeer(c *transport.Conn, corr uint64, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Prepare:
+		h.holder.prepare(m, func(r *wire.PrepareReply) { c.Reply(corr, r) })
+	case *wire.ViewRequest:
+		c.Reply(corr, h.directory.reply())
+	default:
+		h.dispatcher.push(c.Remote().Host, c, m)
+	}
+}
+
 // dialPeer opens a connection to another host.
 func (h *Host) dialPeer(ctx context.Context, addr string, handler transport.Handler, up, down func(*transport.Conn)) *transport.Client {
-	return transport.Dial(ctx, addr, transport.Options{Hello: h.hello(), Handler: handler, OnUp: up, OnDown: down})
+	safe := func(c *transport.Conn, corr uint64, m wire.Message) {
+		if guarded(h.log, "answer of a host", func() { handler(c, corr, m) }) != nil {
+			c.Close()
+		}
+	}
+	return transport.Dial(ctx, addr, transport.Options{Hello: h.hello(), Handler: safe, OnUp: up, OnDown: down})
 }
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -34,22 +35,36 @@
 }
 
 // watchdog calls a function after a time without a sign of life.
-type watchdog struct{ t *time.Timer }
+type watchdog struct {
+	t     *time.Timer
+	begun time.Time
+	last  atomic.Int64 // the latest sign of life, since begun
+}
 
 func newWatchdog(d time.Duration, expired func()) *watchdog {
-	if d <= 0 {
-		return &watchdog{}
+	w := &watchdog{begun: time.Now()}
+	if d > 0 {
+		w.t = time.AfterFunc(d, expired)
 	}
-	return &watchdog{t: time.AfterFunc(d, expired)}
+	return w
 }
 
-// alive restarts the time, with a new length.
+// alive notes a sign of life, and restarts the time with a new length.
 func (w *watchdog) alive(d time.Duration) {
+	w.last.Store(int64(time.Since(w.begun)))
+	w.again(d)
+}
+
+// again restarts the time without a sign of life.
+func (w *watchdog) again(d time.Duration) {
 	if w.t != nil {
 		w.t.Reset(d)
 	}
 }
 
+// silent returns the time since the latest sign of life.
+func (w *watchdog) silent() time.Duration { return time.Since(w.begun) - time.Duration(w.last.Load()) }
+
 func (w *watchdog) stop() {
 	if w.t != nil {
 		w.t.Stop()
@@ -70,7 +85,9 @@
 			first = false
 			b.started(time.Since(start))
 		}
-		w.alive(x.pauseSilence())
+		if hasContent(event) {
+			w.alive(x.pauseSilence())
+		}
 		return x.event(resp, event)
 	})
 	var gone *callerError
@@ -180,6 +197,17 @@
 	return end
 }
 
+// hasContent tells whether events hold anything but comments and empty lines: an endpoint that sends nothing else has
+// stalled, whatever its connection carries.
+func hasContent(b []byte) bool {
+	for line := range bytes.Lines(b) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the last id line of whole events, empty if there is none.
 func eventID(b []byte) string {
 	id := ""
@@ -191,8 +219,16 @@
 	return id
 }
 
-func copyBody(w io.Writer, resp *upstream.Response) (int64, error) {
-	return io.Copy(w, resp.Body)
+// copyBody passes the rest of a body on. One without a stated length may have most bytes.
+func copyBody(w io.Writer, resp *upstream.Response, most int64) (int64, error) {
+	if resp.ContentLength >= 0 {
+		return io.Copy(w, resp.Body)
+	}
+	n, err := io.Copy(w, io.LimitReader(resp.Body, most))
+	if err == nil && n == most {
+		return n, errors.Errorf("a body without a length is longer than %d bytes", most)
+	}
+	return n, err
 }
 
 // series returns the metrics of a route's requests.
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -17,7 +17,11 @@
 
 // String returns the name of the fault.
 func (f Fault) String() string {
-	return [...]string{"none", "no connection", "silent", "broken answer", "error status", "another server"}[f]
+	names := [...]string{"none", "no connection", "silent", "broken answer", "error status", "another server"}
+	if int(f) >= len(names) {
+		return "unknown"
+	}
+	return names[f]
 }
 
 const (
