Look only at the endpoints of a model, and at the queue once a tick

Cause: for each waiting request, every 15 ms, the dispatcher scanned all endpoints and the whole queue of the model to predict its wait, and each free place made it scan all models. With a thousand requests waiting before 140 endpoints that is quadratic work on a share of a core.

Change: endpoints are indexed by model, a model's capacity is computed once a tick, and the queue is judged in one pass in its order, so that late requests are refused from behind. A free place looks only at the models of its endpoint, and a full or reading endpoint at none.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"sycamoredeal/internal/copies"
@@ -25,10 +26,18 @@
 	plainSpread  = 0.05
 )
 
-// fits tells whether a request may start at an endpoint now.
+// open tells whether any request may start at an endpoint now.
+func (s *State) open(e *endpoint) bool {
+	if !e.present || e.draining || e.used >= s.cap(e) {
+		return false
+	}
+	return e.engine == nil || e.aheadMs(s.now) <= s.aheadLimit(e.service)
+}
+
+// fits tells whether a request may start at an open endpoint now.
 func (s *State) fits(e *endpoint, r *request) bool {
 	a := &r.ask
-	if !e.present || e.draining || e.service != a.Service || e.used >= s.cap(e) || !e.health.usable(s.now, r.host) {
+	if e.service != a.Service || !e.health.usable(s.now, r.host) {
 		return false
 	}
 	if slices.Contains(a.Exclude, e.id) {
@@ -44,9 +53,6 @@
 	if e.engine.KVTokens > 0 && e.used > 0 && e.kv+float64(a.PromptTokens)+output(a) > kvShare*float64(e.engine.KVTokens) {
 		return false
 	}
-	if e.aheadMs(s.now) > s.aheadLimit(e.service) {
-		return false
-	}
 	return a.Adapter == "" || s.adapterFits(e, a)
 }
 
@@ -74,8 +80,8 @@
 func (s *State) choose(r *request) *endpoint {
 	var best *endpoint
 	score := math.Inf(1)
-	for _, e := range s.order {
-		if !s.fits(e, r) {
+	for _, e := range s.index(r.model) {
+		if !s.open(e) || !s.fits(e, r) {
 			continue
 		}
 		if v := s.score(e, r); v < score {
@@ -172,13 +178,10 @@
 
 // fill grants the free places of an endpoint to waiting requests.
 func (s *State) fill(e *endpoint) {
-	for s.waiting > 0 && e.present && e.used < s.cap(e) {
+	for s.waiting > 0 && s.open(e) {
 		var best *request
 		bestLate := false
-		for _, m := range s.models {
-			if len(m.waiting) == 0 || m.key.service != e.service || e.engine != nil && !e.models[m.key.model] {
-				continue
-			}
+		for _, m := range s.waitingFor(e) {
 			for _, r := range m.waiting {
 				late := r.target < s.now+e.first(r, s.now)
 				if (best == nil || goesBefore(r, best, late, bestLate)) && s.fits(e, r) {
@@ -194,6 +197,24 @@
 	}
 }
 
+// waitingFor returns the models with waiting requests that an endpoint serves. The slice is valid until the next call.
+func (s *State) waitingFor(e *endpoint) []*model {
+	s.scratch = s.scratch[:0]
+	add := func(name string) {
+		if m := s.models[modelKey{e.service, name}]; m != nil && len(m.waiting) > 0 {
+			s.scratch = append(s.scratch, m)
+		}
+	}
+	if e.engine == nil {
+		add("")
+	}
+	for name := range e.models {
+		add(name)
+	}
+	slices.SortFunc(s.scratch, func(a, b *model) int { return strings.Compare(a.key.model, b.key.model) })
+	return s.scratch
+}
+
 func (s *State) fillAll() {
 	for _, e := range s.order {
 		if s.waiting == 0 {
@@ -208,33 +229,48 @@
 // only the capacity that they leave counts for it. Without an endpoint that holds the model, a copy has to be loaded first
 // and nothing is predicted.
 func (s *State) predictWait(r *request) time.Duration {
-	perSec, tokensPerMs := s.capacity(r)
-	if perSec == 0 {
-		return 0
-	}
-	var ahead, tokens, lateAhead float64
+	var before ahead
 	for _, w := range r.model.waiting {
-		switch {
-		case w == r:
-		case s.late(w):
-			lateAhead++
-		case s.before(w, r):
-			ahead++
-			tokens += float64(w.ask.PromptTokens)
+		if late := s.late(w); w != r && (late || s.before(w, r)) {
+			before.add(w, late)
 		}
 	}
-	wait := ahead / perSec
-	if tokensPerMs > 0 {
-		wait = max(wait, tokens/tokensPerMs/1000)
+	return s.waitBehind(r, before)
+}
+
+// ahead is the work that goes before a waiting request.
+type ahead struct {
+	requests, tokens float64 // that can still be on time
+	late             float64 // requests that can't
+}
+
+func (a *ahead) add(r *request, late bool) {
+	if late {
+		a.late++
+		return
+	}
+	a.requests++
+	a.tokens += float64(r.ask.PromptTokens)
+}
+
+// waitBehind is predictWait for a request with a known queue before it.
+func (s *State) waitBehind(r *request, a ahead) time.Duration {
+	c := s.capacity(r.model)
+	if c.perSec == 0 {
+		return 0
+	}
+	wait := a.requests / c.perSec
+	if c.tokensPerMs > 0 {
+		wait = max(wait, a.tokens/c.tokensPerMs/1000)
 	}
 	if s.now+seconds(wait)+s.ownFirst(r) <= r.target {
 		return seconds(wait)
 	}
-	left := perSec - r.model.perSec
-	if left <= leastLeft*perSec {
+	left := c.perSec - r.model.perSec
+	if left <= leastLeft*c.perSec {
 		return maxWait
 	}
-	return min(seconds((ahead+lateAhead)/left), maxWait)
+	return min(seconds((a.requests+a.late)/left), maxWait)
 }
 
 const (
@@ -254,8 +290,8 @@
 		return 0
 	}
 	first := time.Duration(0)
-	for _, e := range s.order {
-		if !s.serves(e, r) {
+	for _, e := range s.index(r.model) {
+		if e.draining {
 			continue
 		}
 		until := e.health.quiet[r.host]
@@ -269,25 +305,36 @@
 	return first
 }
 
-// serves tells whether an endpoint holds what a request asks for, whatever its load.
-func (s *State) serves(e *endpoint, r *request) bool {
-	return e.present && !e.draining && e.service == r.ask.Service && (e.engine == nil || e.models[r.ask.Model])
+// capacity is what the endpoints of a model can take.
+type capacity struct {
+	perSec      float64 // requests that they can start a second
+	tokensPerMs float64 // prompt tokens that they read in a ms
+	known       bool
+	at          time.Duration
 }
 
-// capacity returns the requests that the endpoints of a request's model can start a second, and the prompt tokens that
-// they read in a ms.
-func (s *State) capacity(r *request) (perSec, tokensPerMs float64) {
-	for _, e := range s.order {
-		if !s.serves(e, r) || e.health.down(s.now) {
+// capacityFor is how long an estimate of the capacity is used: each waiting request asks for it at each tick.
+const capacityFor = 15 * time.Millisecond
+
+// capacity estimates what the endpoints of a model can take.
+func (s *State) capacity(m *model) capacity {
+	at := s.index(m)
+	if m.rate.known && s.now-m.rate.at < capacityFor {
+		return m.rate
+	}
+	c := capacity{known: true, at: s.now}
+	for _, e := range at {
+		if e.draining || e.health.down(s.now) {
 			continue
 		}
-		share := s.shareOf(e, r.model)
-		perSec += float64(e.slots) * share / max(r.model.hold, 0.001)
+		share := s.shareOf(e, m)
+		c.perSec += float64(e.slots) * share / max(m.hold, leastHold)
 		if e.engine != nil {
-			tokensPerMs += share / max(e.readingMs(1), minReading)
+			c.tokensPerMs += share / max(e.readingMs(1), minReading)
 		}
 	}
-	return perSec, tokensPerMs
+	m.rate = c
+	return c
 }
 
 // shareOf estimates which share of an endpoint's work is that of a model, by the requests that run there and wait.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -72,9 +72,15 @@
 
 type modelKey struct{ service, model string }
 
+// notIndexed is the version of an index that was never made.
+const notIndexed = ^uint64(0)
+
 // model is the demand for a model, or for a plain service.
 type model struct {
 	key      modelKey
+	at       []*endpoint // that serve it, sorted by id; see State.index
+	indexed  uint64      // version of the index that at is of
+	rate     capacity
 	waiting  []*request
 	running  int
 	arrivals float64 // since the last measurement
@@ -98,6 +104,7 @@
 	view      *fleet.View
 	endpoints map[string]*endpoint
 	order     []*endpoint // usable by id, sorted
+	indexes   uint64      // version of what endpoints hold
 	models    map[modelKey]*model
 	requests  map[key]*request
 	hosts     map[string]*hostState
@@ -107,6 +114,7 @@
 	changing  map[string]bool // endpoints that take no order for an adapter
 	holder    string          // host that can load adapters, empty if there is none
 	waiting   int
+	scratch   []*model // of waitingFor
 	measured  time.Duration
 	paces     map[string]*pace   // by service
 	ahead     map[string]float64 // ms for which an endpoint may be busy with prompts sent ahead, by service
@@ -146,6 +154,7 @@
 	}
 	s.showLoaded()
 	sort.Slice(s.order, func(i, j int) bool { return s.order[i].id < s.order[j].id })
+	s.indexes++
 	for id, e := range s.endpoints {
 		if !e.present && e.used == 0 {
 			delete(s.endpoints, id)
@@ -205,17 +214,33 @@
 
 func (s *State) showLoaded() {
 	for _, c := range s.loaded {
-		if e := s.endpoints[c.Endpoint]; e != nil && e.models != nil {
+		if e := s.endpoints[c.Endpoint]; e != nil && e.models != nil && !e.models[c.Model] {
 			e.models[c.Model] = true
+			s.indexes++
+		}
+	}
+}
+
+// index returns the endpoints that serve a model. In a large fleet they are few of all, and each request looks at them.
+func (s *State) index(m *model) []*endpoint {
+	if m.indexed == s.indexes {
+		return m.at
+	}
+	m.at = m.at[:0]
+	for _, e := range s.order {
+		if e.present && e.service == m.key.service && (e.engine == nil || e.models[m.key.model]) {
+			m.at = append(m.at, e)
 		}
 	}
+	m.indexed, m.rate.known = s.indexes, false
+	return m.at
 }
 
 func (s *State) modelOf(a *wire.Ask) *model {
 	k := modelKey{a.Service, a.Model}
 	m := s.models[k]
 	if m == nil {
-		m = &model{key: k, hold: initialHold}
+		m = &model{key: k, hold: initialHold, indexed: notIndexed}
 		if a.Model == "" {
 			m.hold = initialPlainHold
 		}
@@ -232,7 +257,8 @@
 	if s.requests[k] != nil {
 		return // a repeated message: the request has its answer or waits
 	}
-	r := &request{key: k, ask: ask, model: s.modelOf(&ask), asked: now}
+	m := s.modelOf(&ask)
+	r := &request{key: k, ask: ask, model: m, asked: now}
 	r.target = now + ms(ask.TargetMs)
 	r.startBy = now + ms(ask.DeadlineMs)
 	b := s.budget(ask.Service)
@@ -408,6 +434,7 @@
 	}
 	if d.Missing {
 		e.forget(r.ask.Model, r.ask.Adapter)
+		s.indexes++
 	}
 	fault := Fault(d.Fault)
 	switch {
@@ -444,22 +471,37 @@
 
 // expire refuses waiting requests whose time to start has passed, and late ones that won't start before it has.
 func (s *State) expire(m *model) {
-	for i := 0; i < len(m.waiting); i++ {
-		r := m.waiting[i]
+	if len(m.waiting) == 0 {
+		return
+	}
+	queue := slices.Clone(m.waiting)
+	slices.SortStableFunc(queue, func(a, b *request) int {
+		switch {
+		case s.before(a, b):
+			return -1
+		case s.before(b, a):
+			return 1
+		}
+		return 0
+	})
+	var ahead ahead
+	for _, r := range queue {
+		late := s.late(r)
+		wait := s.waitBehind(r, ahead)
 		reason := ""
 		switch {
 		case s.opensAt(r) > r.startBy:
 			reason = "its endpoints want nothing from the host for longer"
 		case s.now+s.ownFirst(r) >= r.startBy:
 			reason = "waited until it could not start in time"
-		case s.late(r) && s.now+s.predictWait(r) > r.startBy:
+		case late && s.now+wait > r.startBy:
 			reason = "late, and arrivals leave no capacity"
 		default:
+			ahead.add(r, late)
 			continue
 		}
 		s.dequeue(r)
-		i--
-		s.refuse(r, reason, s.predictWait(r))
+		s.refuse(r, reason, wait)
 	}
 }
 
@@ -546,8 +588,12 @@
 	for _, e := range s.order {
 		f.Endpoints = append(f.Endpoints, wire.EndpointLoad{Endpoint: e.id, Used: uint16(e.used), Down: e.health.down(s.now)})
 	}
+	copies := s.copiesInUse()
 	for _, m := range s.models {
-		f.Models = append(f.Models, s.demand(m))
+		f.Models = append(f.Models, wire.ModelLoad{
+			Service: m.key.service, Model: m.key.model, Running: uint16(m.running), Waiting: uint16(len(m.waiting)),
+			PerSec: float32(m.perSec), HoldSec: float32(m.hold), Copies: copies[m.key],
+		})
 	}
 	for i := range f.Models {
 		m := &f.Models[i]
@@ -562,17 +608,16 @@
 	return f
 }
 
-func (s *State) demand(m *model) wire.ModelLoad {
-	l := wire.ModelLoad{
-		Service: m.key.service, Model: m.key.model, Running: uint16(m.running), Waiting: uint16(len(m.waiting)),
-		PerSec: float32(m.perSec), HoldSec: float32(m.hold),
-	}
+// copiesInUse returns the granted requests at each endpoint, by model.
+func (s *State) copiesInUse() map[modelKey][]wire.CopyUse {
+	out := make(map[modelKey][]wire.CopyUse)
 	for _, e := range s.order {
-		if n := e.byModel[m.key.model]; n > 0 {
-			l.Copies = append(l.Copies, wire.CopyUse{Endpoint: e.id, Running: uint16(n)})
+		for name, n := range e.byModel {
+			k := modelKey{e.service, name}
+			out[k] = append(out[k], wire.CopyUse{Endpoint: e.id, Running: uint16(n)})
 		}
 	}
-	return l
+	return out
 }
 
 // Waiting returns the number of requests in the queue.
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -532,3 +532,40 @@
 		t.Errorf("%d repeats are allowed after 12 without asking, %d without them", n, most)
 	}
 }
+
+// TestLateRefusedFromBehind replays a burst that leaves a queue of late requests. It guards against refusing those that
+// have waited longest: the ones behind them can't be served, they can.
+func TestLateRefusedFromBehind(t *testing.T) {
+	s := New(0, testConfig(), testView(1, [][]string{{"m"}}, 0))
+	const hold, queued = 100 * time.Millisecond, 30
+	for i := range uint64(queued + 1) {
+		a := chat(i+1, "m")
+		a.PromptTokens, a.TargetMs, a.DeadlineMs = 10, 4000, 4000
+		s.Ask(0, "h", a)
+	}
+	now := time.Duration(0)
+	running := uint64(1)
+	refused := make(map[uint64]bool)
+	last := uint64(0)
+	for ; now < 6*time.Second && running > 0; now += hold {
+		s.Done(now, "h", wire.Done{ID: running, TotalMs: uint32(hold.Milliseconds())})
+		s.Tick(now)
+		running = 0
+		for id, m := range answers(s) {
+			switch m.(type) {
+			case *wire.Grant:
+				if refused[id] {
+					t.Fatalf("request %d has two answers", id)
+				}
+				running, last = id, max(last, id)
+			case *wire.Refuse:
+				refused[id] = true
+			}
+		}
+	}
+	for id := range refused {
+		if id < last {
+			t.Errorf("request %d was refused, and request %d, which came after it, was served", id, last)
+		}
+	}
+}
