Don't unload models in demand for models that nobody asks for

Cause: the planner covered each declared model without a copy at the cost of any model with two.

A model that requests wait for may, if there is no other way, take the place of the last copy of one that nobody asks for: so each declared model is served when it is asked for.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -2,7 +2,8 @@
 // engines hold, what they have at hand, and the demand for each model, and returns orders.
 //
 // Invariants:
-//   - the last usable copy of a model is never unloaded;
+//   - the last usable copy of a model is unloaded only if nobody asks for it, for a model that requests wait for and that
+//     has no copy;
 //   - an endpoint is never ordered to hold more than its memory, with all its adapter places filled;
 //   - loads from the weight store stay within its rate.
 package copies
@@ -386,7 +387,9 @@
 	return out
 }
 
-// cover loads models without a usable copy, the most needed first.
+// cover loads models without a usable copy, the most needed first. One that nobody asks for takes only memory that is free,
+// or that of a copy whose requests find room elsewhere. The load pattern that it answers: more models are declared than
+// fit, and a few of them have most of the requests.
 func (r *round) cover() {
 	for _, m := range r.byNeed() {
 		if r.copies[m.Name] > 0 {
@@ -398,28 +401,68 @@
 			since = r.in.Now
 			r.p.absent[m.Name] = since
 		}
-		patience := absentFor
-		if r.in.Demand[m.Name].Waiting > 0 {
+		patience, requested := absentFor, r.in.Demand[m.Name].Waiting > 0
+		if requested {
 			patience = absentRequested
 		}
 		if r.in.Now-since < patience {
 			continue
 		}
-		if at, victim := r.placeFor(m, 0); at >= 0 {
+		limit := 0.0
+		if !requested && r.p.need[m.Name] < unaskedNeed {
+			limit = r.p.tuning.LeastShare * float64(r.in.Engine.Slots)
+		}
+		at, victim := r.placeFor(m, place{limit: limit, anyFree: true})
+		if at < 0 && requested {
+			at, victim = r.unasked(m)
+		}
+		if at >= 0 {
 			r.order(at, Order{Load: m.Name, Unload: victim, Reason: "no usable copy"})
 		}
 	}
 }
 
+// unaskedNeed is the need, in places, below which nobody asks for a model.
+const unaskedNeed = 0.05
+
+// unasked returns the endpoint where a model that nobody asks for makes room, although that is its last copy, and that
+// model: the one that was asked for least of late, where the other one loads soonest. -1 stands for none.
+func (r *round) unasked(m *fleet.Model) (best int, victim string) {
+	best = -1
+	cost := math.Inf(1)
+	for i := range r.in.Endpoints {
+		e := &r.in.Endpoints[i]
+		if !r.open(e) || e.holds(m.Name) || !r.p.mayLoad(r.in, e.source(m.Name), 1) {
+			continue
+		}
+		for _, name := range e.Models {
+			v, d := r.models[name], r.in.Demand[name]
+			if v == nil || r.free[i]+v.MB < m.MB || r.p.need[name] >= unaskedNeed || d.PerSec*d.HoldSec >= unaskedNeed || d.Waiting > 0 || d.Running > 0 {
+				continue
+			}
+			if c := r.cost(i, m) + r.p.need[name]; c < cost {
+				best, victim, cost = i, name, c
+			}
+		}
+	}
+	return best, victim
+}
+
+// place tells where a copy may go.
+type place struct {
+	limit   float64 // neither the endpoint nor what takes the victim's requests over may be loaded beyond it, 0 for no limit
+	anyFree bool    // memory that is free may be used at any load
+}
+
 // placeFor returns the index of the endpoint where a further copy of a model helps soonest, -1 if there is none, and the
-// model that makes room, empty if there is room. With a limit above 0, neither the endpoint nor what takes the victim's requests over may be loaded
-// beyond it.
-func (r *round) placeFor(m *fleet.Model, limit float64) (best int, victim string) {
+// model that makes room, empty if there is room.
+func (r *round) placeFor(m *fleet.Model, where place) (best int, victim string) {
 	best = -1
 	cost := math.Inf(1)
 	for i := range r.in.Endpoints {
 		e := &r.in.Endpoints[i]
-		if !r.open(e) || e.holds(m.Name) || limit > 0 && (!r.settled(e) || r.load[i] > limit) {
+		fits := r.free[i] >= m.MB
+		if !r.open(e) || e.holds(m.Name) || where.limit > 0 && !(fits && where.anyFree) && (!r.settled(e) || r.load[i] > where.limit) {
 			continue
 		}
 		share := 1.0
@@ -430,7 +473,7 @@
 			continue
 		}
 		c := r.cost(i, m)
-		if r.free[i] >= m.MB {
+		if fits {
 			if c < cost {
 				best, victim, cost = i, "", c
 			}
@@ -440,7 +483,7 @@
 			continue
 		}
 		v, after := r.victim(i, m, r.free[i])
-		if v == "" || limit > 0 && after > limit && r.share[i][v] > fewRequests*float64(r.in.Engine.Slots) {
+		if v == "" || where.limit > 0 && after > where.limit && r.share[i][v] > fewRequests*float64(r.in.Engine.Slots) {
 			continue
 		}
 		c += unloadCost(e.Running[v], r.in.Demand[v].HoldSec)
@@ -553,7 +596,7 @@
 		}
 		r.tried[best.Name] = true
 		limit := r.level(best.Name) / r.p.tuning.GainFactor
-		if at, victim := r.placeFor(best, limit); at >= 0 {
+		if at, victim := r.placeFor(best, place{limit: limit}); at >= 0 {
 			r.order(at, Order{Load: best.Name, Unload: victim, Reason: "its endpoints are loaded"})
 		} else {
 			r.makeRoom(limit)
