Predict waits by what binds an engine, not by its places

Cause: the rate at which a model's endpoints start requests was their places over the time that a request holds one: 48 a second for an engine of 96 places that reads eight prompts a second.

Change: the rate is the least of places, memory for tokens, and reading. TestReadingBoundQueue: 203 late refusals and none early before, none late now.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -328,7 +328,7 @@
 			continue
 		}
 		share := s.shareOf(e, m)
-		c.perSec += float64(e.slots) * share / max(m.hold, leastHold)
+		c.perSec += share * e.startsPerSec(m)
 		if e.engine != nil {
 			c.tokensPerMs += share / max(e.readingMs(1), minReading)
 		}
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -168,6 +168,23 @@
 	return tokens * perToken * e.slowness
 }
 
+// startsPerSec returns the requests for a model that the endpoint can start a second if it serves nothing else, by what it
+// has least of: places, memory for tokens, or time to read prompts.
+func (e *endpoint) startsPerSec(m *model) float64 {
+	hold := max(m.hold, leastHold)
+	n := float64(e.slots) / hold
+	if e.engine == nil {
+		return n
+	}
+	if e.engine.KVTokens > 0 && m.tokens > 0 {
+		n = min(n, kvShare*float64(e.engine.KVTokens)/m.tokens/hold)
+	}
+	if ms := e.readingMs(m.fresh); ms > 0 {
+		n = min(n, 1000/ms)
+	}
+	return n
+}
+
 // aheadMs predicts how long the endpoint still reads prompts that were sent to it. One that is behind the prediction has
 // read nothing of what it has not answered.
 func (e *endpoint) aheadMs(now time.Duration) float64 {
--- a/internal/sched/pace_test.go
+++ b/internal/sched/pace_test.go
@@ -199,3 +199,54 @@
 		t.Errorf("an engine that reads nine tenths of the time shows a load of %.2f", load)
 	}
 }
+
+// TestReadingBoundQueue replays a flood on an engine with 96 places that can read six prompts a second. It guards against
+// requests that are kept until they can no longer start, because the free places are taken for capacity
+// (further/jyltyr-almaty, scale-2: 115 requests refused after 3.2 s, the median).
+func TestReadingBoundQueue(t *testing.T) {
+	const reading, rate, length, objective, patience = 160 * time.Millisecond, 20.0, 20 * time.Second, time.Second, 3600 * time.Millisecond
+	v := testView(96, [][]string{{"m"}}, 0)
+	v.Config.Services[engineService].Engine.KVTokens = 130000
+	v.Config.Routes = []fleet.Route{{Name: "r", Kind: fleet.Stream, Target: objective, Services: []fleet.Weighted{{Service: engineService, Weight: 1}}}}
+	s := New(0, testConfig(), v)
+	asked := make(map[uint64]time.Duration)
+	var events []engineEvent
+	id, next, free := uint64(0), time.Duration(0), time.Duration(0)
+	late, soon := 0, 0
+	for now := time.Duration(0); now < length; now += 5 * time.Millisecond {
+		for ; now >= next; next += seconds(1 / rate) {
+			id++
+			asked[id] = now
+			a := chat(id, "m")
+			a.PromptTokens, a.MaxTokens, a.TargetMs, a.DeadlineMs = uint32(1600+id%5*200), 20, uint32(objective.Milliseconds()), uint32(patience.Milliseconds())
+			s.Ask(now, "h", a)
+		}
+		for len(events) > 0 && events[0].at <= now {
+			x := events[0]
+			events = events[1:]
+			took := uint32((now - x.granted).Milliseconds())
+			s.Started(now, "h", wire.Started{ID: x.id, FirstMs: took})
+			s.Done(now, "h", wire.Done{ID: x.id, TotalMs: took})
+		}
+		s.Tick(now)
+		for _, o := range s.Take() {
+			switch m := o.Message.(type) {
+			case *wire.Grant:
+				free = max(free, now) + reading
+				events = append(events, engineEvent{at: free, id: m.ID, granted: now})
+			case *wire.Refuse:
+				if now < length/4 {
+					continue // the capacity is learned from outcomes
+				}
+				if now-asked[m.ID] > patience/2 {
+					late++
+				} else {
+					soon++
+				}
+			}
+		}
+	}
+	if late > soon/4 {
+		t.Errorf("%d requests refused after half of the time that they had, %d before", late, soon)
+	}
+}
