Wait for a requested model without a copy before endpoints are given away

Change: no copies are exchanged in that time. TestAbsentModelBeforeOthers: 1 copy before, 3 or more now.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -252,6 +252,9 @@
 	out     []Order
 
 	tried  map[string]bool // models for which no exchange was found
+	// expected tells that a model which requests wait for has no copy yet and may get one in a moment: until then, no
+	// endpoint is given away.
+	expected bool
 	models map[string]*fleet.Model
 	free   []float64 // memory that is left, by endpoint; see freeMB
 
@@ -406,6 +409,7 @@
 			patience = absentRequested
 		}
 		if r.in.Now-since < patience {
+			r.expected = r.expected || requested
 			continue
 		}
 		limit := 0.0
@@ -580,7 +584,7 @@
 // are few, and a load from the weight store keeps one for seconds.
 func (r *round) exchange() {
 	slots := float64(r.in.Engine.Slots)
-	for r.changes < r.most {
+	for r.changes < r.most && !r.expected {
 		var best *fleet.Model
 		most := r.p.tuning.LeastRelief * slots
 		for i := range r.in.Engine.Models {
--- a/internal/copies/copies_test.go
+++ b/internal/copies/copies_test.go
@@ -388,3 +388,30 @@
 		t.Errorf("%d copies of the model in demand ordered in three rounds", hot)
 	}
 }
+
+// TestAbsentModelBeforeOthers replays the first rounds of a new holder that finds requests for a model without a copy,
+// beside a model with more demand than its copies take. It guards against all endpoints being given to the second one in
+// the moment in which the first may still appear (further/jyltyr-almaty, trouble-3, second 27).
+func TestAbsentModelBeforeOthers(t *testing.T) {
+	engine := testEngine(15)
+	engine.Slots = 96
+	p := New(0, limits(), DefaultTuning(), engine.LoadsPerSecond)
+	p.Recall(0, nil)
+	in := Input{Engine: engine}
+	for i := range 12 {
+		in.Endpoints = append(in.Endpoints, Endpoint{ID: fmt.Sprint("e", i), Usable: true, Models: []string{"m0", fmt.Sprint("m", i+1)}})
+	}
+	in.Demand = map[string]Demand{"m0": {PerSec: 20, HoldSec: 2}, "m1": {PerSec: 240, HoldSec: 2}, "m13": {PerSec: 200, HoldSec: 2, Waiting: 250}}
+	absent := 0
+	for now := 10 * time.Second; now < 10*time.Second+600*time.Millisecond; now += 150 * time.Millisecond {
+		in.Now = now
+		for _, o := range p.Round(in) {
+			if o.Load == "m13" {
+				absent++
+			}
+		}
+	}
+	if absent < 3 {
+		t.Errorf("%d copies of the model without one, which most requests wait for", absent)
+	}
+}
