Let the holder give orders during an outage of the store

Change: where endpoints refuse orders of an earlier epoch, a holder whose calls get no answer goes on for up to 20 s after its term, as long as the dispatcher announces it as the holder of the latest epoch. It ends with the first answer that shows another holder, a refusal by an endpoint, or a stop. Where fences aren't checked, orders end with the term as before.

TestPlatformOrdersDuringOutage fails on the code before (an adapter that was not loaded: 503), and checks that no order follows the term without fences.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -251,12 +251,12 @@
 	most    int // changes at a time
 	out     []Order
 
-	tried  map[string]bool // models for which no exchange was found
+	tried map[string]bool // models for which no exchange was found
 	// expected tells that a model which requests wait for has no copy yet and may get one in a moment: until then, no
 	// endpoint is given away.
 	expected bool
-	models map[string]*fleet.Model
-	free   []float64 // memory that is left, by endpoint; see freeMB
+	models   map[string]*fleet.Model
+	free     []float64 // memory that is left, by endpoint; see freeMB
 
 	at    map[string][]int     // endpoints that hold each model
 	load  []float64            // expected places in use, by endpoint
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -12,6 +12,7 @@
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/lease"
 	"sycamoredeal/internal/leasestore"
+	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
@@ -34,6 +35,8 @@
 	beatEvery     = 150 * time.Millisecond
 	planEvery     = 150 * time.Millisecond
 	demandFresh   = time.Second
+	// mostExtension is how long after the end of its term a holder goes on that can't reach the store.
+	mostExtension = 20 * time.Second
 	ceilingExtra  = 3.0 // loads beyond the rate that the platform's rule allows in a window
 )
 
@@ -50,6 +53,7 @@
 	epoch uint64
 	until time.Duration // end of the term on the boot clock
 	spent uint64        // epoch that endpoints have refused
+	cut   bool          // the store did not answer the latest call for the lease
 
 	clientMu sync.Mutex
 	to       string // host that client leads to
@@ -76,12 +80,50 @@
 func (o *holder) held() uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.epoch == 0 || o.epoch == o.spent || clock.Boot() > o.until-orderMargin {
+	now := clock.Boot()
+	if o.epoch == 0 || o.epoch == o.spent || now > o.until-orderMargin && !o.extended(now) {
 		return 0
 	}
 	return o.epoch
 }
 
+// extended tells whether the holder may go on after the end of its term, because the store does not answer it: where
+// endpoints refuse orders of an earlier epoch, and as long as the dispatcher knows of no later holder. Nobody else can
+// take the lease while the store is away from all. The load pattern that it answers: demand moves during an outage of
+// the store, and copies have to follow. The caller holds the lock.
+func (o *holder) extended(now time.Duration) bool {
+	if !o.cut || !o.h.deployment().FencesChecked || o.h.leaving() || now > o.until+mostExtension {
+		return false
+	}
+	state, age := o.h.binder.fleetState()
+	return age < demandFresh && state.Holder == o.h.deployment().Host && state.Epoch == o.epoch
+}
+
+// leaseCalls makes the calls for the lease, and notes whether the store answers them.
+type leaseCalls struct{ o *holder }
+
+func (c leaseCalls) answered(o objects.Object, err error) (objects.Object, error) {
+	c.o.mu.Lock()
+	defer c.o.mu.Unlock()
+	c.o.cut = err != nil && !errors.Is(err, objects.ErrConflict) && !errors.Is(err, objects.ErrNotFound)
+	return o, err
+}
+
+// Get implements leasestore.Store.
+func (c leaseCalls) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	return c.answered(c.o.h.opts.Store.Get(ctx, kind, name))
+}
+
+// Create implements leasestore.Store.
+func (c leaseCalls) Create(ctx context.Context, o objects.Object) (objects.Object, error) {
+	return c.answered(c.o.h.opts.Store.Create(ctx, o))
+}
+
+// Update implements leasestore.Store.
+func (c leaseCalls) Update(ctx context.Context, o objects.Object) (objects.Object, error) {
+	return c.answered(c.o.h.opts.Store.Update(ctx, o))
+}
+
 // fenced notes that a later epoch has given orders: this one gives none any more.
 func (o *holder) fenced(epoch uint64) {
 	o.mu.Lock()
@@ -107,7 +149,7 @@
 		Host: o.h.deployment().Host, Incarnation: o.h.incarnation, Term: time.Duration(termShare * term),
 		Renew: time.Duration(renewShare * term), Margin: time.Duration(marginShare * term), Quiet: holderQuiet, Seed: o.h.incarnation,
 	})
-	stored := leasestore.Lease{Store: o.h.opts.Store, Kind: kindLeases, Name: leaseName, Timeout: leaseCall, Now: clock.Boot}
+	stored := leasestore.Lease{Store: leaseCalls{o}, Kind: kindLeases, Name: leaseName, Timeout: leaseCall, Now: clock.Boot}
 	t := time.NewTimer(leaseTick)
 	defer t.Stop()
 	release := o.release
@@ -180,6 +222,9 @@
 // follow starts and stops the duty with the lease.
 func (o *holder) follow(ctx context.Context, m *lease.Machine, stop context.CancelFunc) context.CancelFunc {
 	epoch := m.Held(clock.Boot())
+	if epoch == 0 && o.held() > 0 {
+		return stop
+	}
 	o.mu.Lock()
 	before := o.epoch
 	o.epoch, o.until = epoch, m.Until()
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -455,6 +455,42 @@
 	}
 }
 
+// TestPlatformOrdersDuringOutage guards against adapters and copies that can't be loaded while the store is away, because
+// the holder's term ends (further/jyltyr-almaty, trouble-3: no orders for seven seconds while demand moved). Where servers
+// don't check fences, orders have to end with the term.
+func TestPlatformOrdersDuringOutage(t *testing.T) {
+	const term = 3 * time.Second
+	for _, checked := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fences checked %v", checked), func(t *testing.T) {
+			f := startPlatformFleet(t, 3)
+			for name, h := range f.hosts {
+				settings := platformtest.Settings(name, h.front, h.ready, h.control, h.toStore.Address())
+				f.write(h, strings.Replace(settings, "enforce_fencing = true", fmt.Sprint("enforce_fencing = ", checked), 1))
+				if err := h.Signal(syscall.SIGHUP); err != nil {
+					t.Fatal(err)
+				}
+				f.waitFor("reload", func() bool { return strings.Contains(h.Output(), "Settings reloaded") })
+			}
+			f.store.SetDown(true)
+			time.Sleep(term + 500*time.Millisecond)
+			before := f.engines[0].Orders()
+			o := platformtest.Do(f.ctx, f.hosts["h0"].front, chatCall("m0/a3"))
+			if served := o.Status == http.StatusOK && len(o.Events()) == 20; served != checked {
+				t.Errorf("an adapter that was not loaded: status %d, %d events", o.Status, len(o.Events()))
+			}
+			if n := f.engines[0].Orders() - before; n > 0 && !checked {
+				t.Errorf("%d orders after the end of the term", n)
+			}
+			f.store.SetDown(false)
+			f.waitFor("orders after the outage", func() bool {
+				o := platformtest.Do(f.ctx, f.hosts["h1"].front, chatCall("m0/a4"))
+				return o.Status == http.StatusOK && len(o.Events()) == 20
+			})
+			f.checkPromises(nil, false)
+		})
+	}
+}
+
 // TestPlatformDispatcherWithoutStore guards against hosts that miss changes, or all follow the store themselves, when the
 // dispatcher alone has lost it: other hosts follow the store for the dispatcher, which passes changes on.
 func TestPlatformDispatcherWithoutStore(t *testing.T) {
