Pass changes on together, and copy only what changed of a view

Each change went to each of 295 hosts as a message of its own, and each host then rebuilt and sorted its whole view (168 endpoints, 295 hosts).

Change: the dispatcher collects changes for 60 ms and joins those of one kind; a host copies its list of endpoints once for each message, and its list of hosts only when that changes.

--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,19 +75,23 @@
 	leaving   map[string]int64     // listed endpoints that have said that they leave, with the start of their process
 	listed    bool
 	hosts     map[string]fleet.Host
-	own       string // version of the own host object, empty if there is none
-	known     bool   // the hosts have been listed
-	outages   map[string]time.Time
-	passed    []*wire.ViewUpdate // changes that were not yet handed to the dispatcher
-	news      []endpointNews     // not yet logged
-	returned  time.Time          // end of the latest outage of the list of endpoints
+	// What has changed since the last view.
+	changedEndpoints map[string]bool
+	hostsChanged     bool
+
+	own      string // version of the own host object, empty if there is none
+	known    bool   // the hosts have been listed
+	outages  map[string]time.Time
+	passed   []*wire.ViewUpdate // changes that were not yet handed to the dispatcher
+	news     []endpointNews     // not yet logged
+	returned time.Time          // end of the latest outage of the list of endpoints
 }
 
 func newDirectory(h *Host) *directory {
 	d := &directory{
 		h: h, log: h.log.Part("directory"), wake: make(chan struct{}, 1), mirror: make(mirror),
 		stale: make(map[string]bool), differs: make(map[string]difference),
-		endpoints: make(map[string]fleet.Endpoint), lapsed: make(map[string]time.Time), leaving: make(map[string]int64), hosts: make(map[string]fleet.Host),
+		endpoints: make(map[string]fleet.Endpoint), lapsed: make(map[string]time.Time), leaving: make(map[string]int64), changedEndpoints: make(map[string]bool), hosts: make(map[string]fleet.Host),
 		outages: make(map[string]time.Time), updates: ring.New[passedOn](passedUpdates),
 	}
 	d.now.Store(&fleet.View{})
@@ -331,18 +337,16 @@
 
 // publish makes a new view. The caller holds the lock.
 func (d *directory) publish() {
-	v := &fleet.View{Config: d.config, Listed: d.listed}
-	for _, e := range d.endpoints {
-		if born, said := d.leaving[e.ID]; said && born == e.Born {
-			e.Draining = true
+	before := d.now.Load()
+	v := &fleet.View{Config: d.config, Listed: d.listed, Endpoints: d.shownEndpoints(before.Endpoints), Hosts: before.Hosts}
+	if d.hostsChanged {
+		d.hostsChanged = false
+		v.Hosts = nil
+		for _, h := range d.hosts {
+			v.Hosts = append(v.Hosts, h)
 		}
-		v.Endpoints = append(v.Endpoints, e)
-	}
-	sort.Slice(v.Endpoints, func(i, j int) bool { return v.Endpoints[i].ID < v.Endpoints[j].ID })
-	for _, h := range d.hosts {
-		v.Hosts = append(v.Hosts, h)
+		sortHosts(v.Hosts)
 	}
-	sortHosts(v.Hosts)
 	d.now.Store(v)
 	d.logNews()
 	d.limitConnections(v)
@@ -359,6 +363,33 @@
 	d.h.binder.viewChanged()
 }
 
+// shownEndpoints returns the endpoints of the next view, sorted. In a large fleet entries change many times a second, and
+// the list is only copied then. The caller holds the lock.
+func (d *directory) shownEndpoints(before []fleet.Endpoint) []fleet.Endpoint {
+	changed := d.changedEndpoints
+	if len(changed) == 0 {
+		return before
+	}
+	d.changedEndpoints = make(map[string]bool)
+	out := slices.Clone(before)
+	for id := range changed {
+		e, there := d.endpoints[id]
+		if born, said := d.leaving[id]; said && born == e.Born {
+			e.Draining = true
+		}
+		at, found := slices.BinarySearchFunc(out, id, func(e fleet.Endpoint, id string) int { return strings.Compare(e.ID, id) })
+		switch {
+		case found && there:
+			out[at] = e
+		case found:
+			out = slices.Delete(out, at, at+1)
+		case there:
+			out = slices.Insert(out, at, e)
+		}
+	}
+	return out
+}
+
 // leastConns is the number of connections to an endpoint that a host may open in any case.
 const leastConns = 8
 
@@ -423,11 +454,13 @@
 	if err != nil {
 		d.log.Warn().Str("endpoint", o.Name).Err(err).Msg("Entry names no server.")
 		delete(d.endpoints, o.Name)
+		d.changedEndpoints[o.Name] = true
 		return
 	}
 	old, known := d.endpoints[e.ID]
 	delete(d.lapsed, e.ID)
 	d.endpoints[e.ID] = e
+	d.changedEndpoints[e.ID] = true
 	if !known || old.Draining != e.Draining || old.Born != e.Born {
 		d.news = append(d.news, endpointNews{e, o.Version})
 	}
@@ -475,6 +508,7 @@
 		delete(d.endpoints, id)
 		delete(d.lapsed, id)
 		delete(d.leaving, id)
+		d.changedEndpoints[id] = true
 		d.log.Info().Str("endpoint", id).Str("reason", reason).Msg("Endpoint gone.")
 	}
 }
@@ -489,6 +523,7 @@
 		return false
 	}
 	d.leaving[id] = born
+	d.changedEndpoints[id] = true
 	d.log.Info().Str("endpoint", id).Int64("born", born).Str("how", how).Msg("Endpoint leaves.")
 	d.publish()
 	return true
@@ -540,6 +575,7 @@
 		h.Revision = rev
 	}
 	d.hosts[o.Name] = h
+	d.hostsChanged = true
 	if o.Name == d.h.deployment().Host {
 		d.own = o.Version
 		if h.Incarnation != d.h.incarnation {
@@ -550,6 +586,7 @@
 
 func (d *directory) removeHost(name string) {
 	delete(d.hosts, name)
+	d.hostsChanged = true
 	d.drop(kindHosts, name)
 	if name == d.h.deployment().Host {
 		d.own = ""
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -28,6 +28,9 @@
 	// answeredShare bounds the answers to hosts that ask for what they lack, as a share of this host's link.
 	answeredShare = 0.4
 	unknownMbps   = 10.0 // of a link, where the deployment does not state it
+	// batchFor is how long changes are collected before they are passed on: in a large fleet they come dozens of times a
+	// second, and each message costs every host.
+	batchFor = 60 * time.Millisecond
 )
 
 type dispatcherEvent struct {
@@ -56,6 +59,7 @@
 	relays  relays
 	round   uint64 // of the broadcasts
 	answers allowance
+	batch   []*wire.ViewUpdate // changes that are passed on together
 }
 
 func newDispatcher(h *Host) *dispatcher {
@@ -97,6 +101,7 @@
 	t.Stop()
 	defer t.Stop()
 	ticking := false
+	var batched <-chan time.Time
 	for {
 		if on := d.state != nil; on != ticking {
 			if ticking = on; on {
@@ -109,7 +114,17 @@
 		case e := <-d.events.C():
 			d.guard(func() { d.handle(e) })
 		case u := <-d.passed.C():
-			d.guard(func() { d.pass(u) })
+			if d.batch = append(d.batch, u); len(d.batch) == 1 {
+				batched = time.After(batchFor)
+			}
+		case <-batched:
+			batch := d.batch
+			d.batch = nil
+			d.guard(func() {
+				for _, u := range merged(batch) {
+					d.pass(u)
+				}
+			})
 		case <-d.viewed:
 			d.guard(func() {
 				if d.state != nil {
--- a/internal/host/mirror.go
+++ b/internal/host/mirror.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 
@@ -156,6 +157,46 @@
 	return news, gone, ok
 }
 
+// merged joins updates of the same kind, in their order, as long as no object is in one of them twice. Whole lists stay by
+// themselves.
+func merged(updates []*wire.ViewUpdate) []*wire.ViewUpdate {
+	var out []*wire.ViewUpdate
+	open := make(map[string]*wire.ViewUpdate) // by kind
+	names := make(map[string]map[string]bool)
+	for _, u := range updates {
+		into, own := open[u.Of], namesOf(u)
+		if into == nil || u.Whole || u.Fetch || into.Whole || into.Fetch || overlap(names[u.Of], own) {
+			c := *u
+			out = append(out, &c)
+			open[u.Of], names[u.Of] = &c, make(map[string]bool)
+		} else {
+			into.Objects = append(slices.Clip(into.Objects), u.Objects...)
+			into.Patches = append(slices.Clip(into.Patches), u.Patches...)
+			into.Removed = append(slices.Clip(into.Removed), u.Removed...)
+		}
+		for _, n := range own {
+			names[u.Of][n] = true
+		}
+	}
+	return out
+}
+
+// namesOf returns the names of the objects that an update tells of.
+func namesOf(u *wire.ViewUpdate) []string {
+	var out []string
+	for i := range u.Objects {
+		out = append(out, u.Objects[i].Name)
+	}
+	for i := range u.Patches {
+		out = append(out, u.Patches[i].Name)
+	}
+	return append(out, u.Removed...)
+}
+
+func overlap(names map[string]bool, of []string) bool {
+	return slices.ContainsFunc(of, func(n string) bool { return names[n] })
+}
+
 // size estimates the bytes of an update.
 func size(u *wire.ViewUpdate) int {
 	n := 0
--- a/internal/host/mirror_test.go
+++ b/internal/host/mirror_test.go
@@ -90,3 +90,50 @@
 		t.Errorf("old patch: %v, %v", news, ok)
 	}
 }
+
+// TestMergedUpdates guards against changes that are lost or reordered when they are passed on together.
+func TestMergedUpdates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		theirs, own := make(mirror), make(mirror)
+		var batch []*wire.ViewUpdate
+		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			kind := fmt.Sprint("k", rapid.IntRange(0, 1).Draw(t, "kind"))
+			name := fmt.Sprint("n", rapid.IntRange(0, 4).Draw(t, "name"))
+			if rapid.IntRange(0, 3).Draw(t, "step") > 0 {
+				data := fmt.Sprintf("a long text that stays %d and ends alike", rapid.IntRange(0, 9).Draw(t, "data"))
+				batch = append(batch, theirs.put(objects.Object{Kind: kind, Name: name, Version: fmt.Sprint(i + 1), Data: []byte(data)}))
+			} else {
+				batch = append(batch, theirs.drop(kind, name))
+			}
+			if rapid.IntRange(0, 5).Draw(t, "send") > 0 {
+				continue
+			}
+			for _, u := range merged(batch) {
+				if !own.apply(u) {
+					t.Fatalf("does not fit: %+v", u)
+				}
+			}
+			batch = nil
+		}
+		for _, u := range merged(batch) {
+			own.apply(u)
+		}
+		for _, kind := range []string{"k0", "k1"} {
+			if len(theirs[kind])+len(own[kind]) > 0 && fmt.Sprint(theirs[kind]) != fmt.Sprint(own[kind]) {
+				t.Fatalf("%s:\n%v\n%v", kind, theirs[kind], own[kind])
+			}
+		}
+	})
+}
+
+// TestMergedIsFewer guards against merging that merges nothing.
+func TestMergedIsFewer(t *testing.T) {
+	m := make(mirror)
+	var batch []*wire.ViewUpdate
+	for i := range 20 {
+		batch = append(batch, m.put(objects.Object{Kind: "k", Name: fmt.Sprint("n", i), Version: fmt.Sprint(i + 1)}))
+	}
+	if n := len(merged(batch)); n != 1 {
+		t.Errorf("20 changes of different objects make %d messages", n)
+	}
+}
