Let a dispatcher without a configuration speak, and keep locks in one order

Change: a dispatcher is current once it has listed both kinds, tells hosts so at once and keeps their requests until the view is known. Batches stay within a share of the link, and are sent before the summaries that count them. The flag is read without a lock.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -178,7 +178,7 @@
 		b.closeLink(c)
 		b.coming = nil
 	}
-	if b.link == nil && now.Sub(b.began) < listGrace && !b.h.directory.hostsKnown() {
+	if b.link == nil && now.Sub(b.began) < listGrace && !b.h.directory.known.Load() {
 		return followEvery
 	}
 	want := b.wanted(now)
--- a/internal/host/binder_test.go
+++ b/internal/host/binder_test.go
@@ -50,3 +50,27 @@
 		t.Errorf("%d repeats after %d first sends, want %d", allowed, firsts, want)
 	}
 }
+
+// TestBinderLeavesDirectoryLock guards against a host that stands still because the binder waits for the lock of the
+// directory, which waits for the binder's when it publishes a view (soak, seeds 16 and 17: a host that never became ready
+// and did not end its stop).
+func TestBinderLeavesDirectoryLock(t *testing.T) {
+	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: plainCodec{}, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
+	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		l := &link{host: fleet.Host{Name: "h1"}, conn: &fakePeer{}}
+		h.binder.follow(t.Context(), time.Now())
+		h.binder.onMessage(l, &wire.FleetState{Current: true, Leaving: []wire.EndpointLeaves{{Endpoint: "e0"}}})
+		h.binder.onMessage(l, &wire.ViewUpdate{Of: "servers"})
+		h.binder.relays()
+		h.holder.held()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the binder waits for the directory's lock")
+	}
+}
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -10,14 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
-	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/ring"
 	"sycamoredeal/internal/telemetry"
-	"sycamoredeal/internal/transport"
 	"sycamoredeal/internal/wire"
 )
 
@@ -63,7 +59,8 @@
 	now     atomic.Pointer[fleet.View]
 	wake    chan struct{}        // a host object has to be written
 	updates *ring.Ring[passedOn] // from the dispatcher
-	turned  notifier             // another host may have begun or ceased to pass changes on
+	turned  notifier                     // another host may have begun or ceased to pass changes on
+	known   atomic.Bool                  // the hosts have been listed
 
 	mu        sync.Mutex
 	mirror    mirror
@@ -79,12 +76,13 @@
 	changedEndpoints map[string]bool
 	hostsChanged     bool
 
-	own      string // version of the own host object, empty if there is none
-	known    bool   // the hosts have been listed
-	outages  map[string]time.Time
-	passed   []*wire.ViewUpdate // changes that were not yet handed to the dispatcher
-	news     []endpointNews     // not yet logged
-	returned time.Time          // end of the latest outage of the list of endpoints
+	own   string // version of the own host object, empty if there is none
+	// There may be no configuration yet.
+	configsListed bool
+	outages       map[string]time.Time
+	passed        []*wire.ViewUpdate // changes that were not yet handed to the dispatcher
+	news          []endpointNews     // not yet logged
+	returned      time.Time          // end of the latest outage of the list of endpoints
 }
 
 func newDirectory(h *Host) *directory {
@@ -98,32 +96,9 @@
 	return d
 }
 
-// passedOn is what another host passes on: a change, or a summary of all that it has. They are handled in the order in
-// which they come, so that a summary is compared with what the changes before it have made.
-type passedOn struct {
-	update  *wire.ViewUpdate
-	views   []wire.ViewSummary
-	leaving []wire.EndpointLeaves
-}
-
-// difference of a kind's objects from those of the dispatcher.
-type difference struct {
-	since time.Time
-	asks  int
-}
-
 // view returns the current view. It must not be changed.
 func (d *directory) view() *fleet.View { return d.now.Load() }
 
-// feed is one kind of objects that is followed.
-type feed struct {
-	kind   string
-	wait   time.Duration
-	put    func(o objects.Object)
-	remove func(name string)
-	whole  func(names map[string]bool) // removes what a list does not show
-}
-
 func (d *directory) run(ctx context.Context) {
 	config, endpoints := d.h.opts.Codec.Kinds()
 	feeds := []feed{
@@ -163,141 +138,11 @@
 	wg.Wait()
 }
 
-// follow keeps one kind up to date: it lists it, asks for changes, and lists again when the history is gone.
-func (d *directory) follow(ctx context.Context, f feed) {
-	backoff := objects.Backoff{Least: retryLeast, Most: retryMost}
-	version := ""
-	// When the dispatcher passed the kind on. A host that starts waits for one: all hosts that list the store at the start
-	// of a large fleet are most of its calls.
-	var relayed time.Time
-	if f.kind != kindHosts {
-		relayed = time.Now()
-	}
-	for ctx.Err() == nil {
-		var err error
-		turned := d.turned.changed()
-		own := d.h.binder.isDispatcher()
-		switch {
-		case d.relayed(f.kind):
-			// The dispatcher follows the store for all hosts: calls to the store don't grow with the fleet.
-			d.settle(f.kind, nil)
-			version = ""
-			select {
-			case <-turned:
-			case <-time.After(relayIdle):
-			case <-ctx.Done():
-			}
-			relayed = time.Now()
-			continue
-		case version == "" && !own && !d.isStale(f.kind) && time.Since(relayed) < d.h.binder.relayGrace():
-			// The next dispatcher, or a relay, will pass the kind on in a moment.
-			clock.Sleep(ctx, relayPoll)
-			continue
-		case version == "":
-			version, err = d.list(ctx, f)
-		default:
-			before := version
-			if version, err = d.changes(ctx, f, version); err == nil && version != before {
-				if own {
-					clock.Sleep(ctx, batchPause)
-				} else {
-					clock.Sleep(ctx, ownPause)
-				}
-			}
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		d.settle(f.kind, err)
-		if err != nil && !errors.Is(err, objects.ErrExpired) {
-			if backoff.Most = retryMost; !own && d.complete() {
-				backoff.Most = retryOwn
-			}
-			backoff.Wait(ctx, err)
-		} else {
-			backoff.Reset()
-		}
-	}
-}
-
-// relayed tells whether the dispatcher passes a kind on.
-func (d *directory) relayed(kind string) bool {
-	if !d.h.binder.relays() {
-		return false
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.stale[kind]
-}
-
-func (d *directory) isStale(kind string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.stale[kind]
-}
-
-// hostsKnown tells whether the hosts have been listed.
-func (d *directory) hostsKnown() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.known
-}
-
 // current tells whether this process follows the store and has no outage.
 func (d *directory) current() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.listed && d.config != nil && len(d.outages) == 0
-}
-
-func (d *directory) list(ctx context.Context, f feed) (string, error) {
-	list, version, err := d.h.opts.Store.List(ctx, f.kind)
-	if err != nil {
-		return "", err
-	}
-	d.settle(f.kind, nil)
-	names := make(map[string]bool, len(list))
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, o := range list {
-		names[o.Name] = true
-		d.keep(o)
-		f.put(o)
-	}
-	f.whole(names)
-	delete(d.stale, f.kind)
-	d.publish()
-	return version, nil
-}
-
-func (d *directory) changes(ctx context.Context, f feed, version string) (string, error) {
-	wait := f.wait
-	if d.lost(f.kind) {
-		wait = probeWait
-	}
-	events, next, err := d.h.opts.Store.Changes(ctx, f.kind, version, wait)
-	if errors.Is(err, objects.ErrExpired) {
-		return "", err
-	}
-	if err != nil {
-		return version, err
-	}
-	d.settle(f.kind, nil)
-	if len(events) == 0 {
-		return next, nil
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, e := range events {
-		if e.Type == objects.EventDeleted {
-			f.remove(e.Object.Name)
-		} else {
-			d.keep(e.Object)
-			f.put(e.Object)
-		}
-	}
-	d.publish()
-	return next, nil
+	return d.listed && d.configsListed && len(d.outages) == 0
 }
 
 // keep remembers an object for other hosts. The caller holds the lock.
@@ -312,29 +157,6 @@
 	d.passed = append(d.passed, d.mirror.drop(kind, name))
 }
 
-func (d *directory) lost(kind string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_, lost := d.outages[kind]
-	return lost
-}
-
-// settle logs when the store is lost and regained.
-func (d *directory) settle(kind string, err error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	since, lost := d.outages[kind]
-	switch {
-	case err != nil && !errors.Is(err, objects.ErrExpired) && !lost:
-		d.outages[kind] = time.Now()
-		d.log.Warn().Str("kind", kind).Err(err).Msg("Store lost.")
-	case err == nil && lost:
-		delete(d.outages, kind)
-		d.returned = time.Now()
-		d.log.Info().Str("kind", kind).Int64("lostMs", time.Since(since).Milliseconds()).Msg("Store regained.")
-	}
-}
-
 // publish makes a new view. The caller holds the lock.
 func (d *directory) publish() {
 	before := d.now.Load()
@@ -443,6 +265,7 @@
 }
 
 func (d *directory) keepConfigs(names map[string]bool) {
+	d.configsListed = true
 	config, _ := d.h.opts.Codec.Kinds()
 	for _, name := range d.mirror.missing(config, names) {
 		d.removeConfig(name)
@@ -595,289 +418,14 @@
 }
 
 func (d *directory) keepHosts(names map[string]bool) {
-	d.known = true
+	d.known.Store(true)
 	for _, name := range d.mirror.missing(kindHosts, names) {
 		d.removeHost(name)
 	}
 	d.nudge()
 }
 
-func (d *directory) nudge() {
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
-}
-
-// register keeps the own host object in the store.
-func (d *directory) register(ctx context.Context) {
-	backoff := objects.Backoff{Least: retryLeast, Most: retryMost}
-	for ctx.Err() == nil {
-		select {
-		case <-d.wake:
-		case <-ctx.Done():
-			return
-		}
-		for ctx.Err() == nil && !d.h.leaving() {
-			err := d.writeOwn(ctx)
-			if err == nil {
-				backoff.Reset()
-				break
-			}
-			d.log.Warn().Err(err).Msg("Host is not registered.")
-			backoff.Wait(ctx, err)
-		}
-	}
-}
-
-func (d *directory) writeOwn(ctx context.Context) error {
-	dep := d.h.deployment()
-	d.mu.Lock()
-	version := d.own
-	_, there := d.hosts[dep.Host]
-	d.mu.Unlock()
-	if there {
-		return nil
-	}
-	o, err := objects.Encode(kindHosts, dep.Host, version, fleet.Host{
-		Name: dep.Host, Address: dep.Peers, Zone: dep.Zone, Incarnation: d.h.incarnation, Strength: dep.Strength,
-	})
-	if err != nil {
-		return err
-	}
-	if version == "" {
-		o, err = d.h.opts.Store.Create(ctx, o)
-	} else {
-		o, err = d.h.opts.Store.Update(ctx, o)
-	}
-	if errors.Is(err, objects.ErrConflict) || errors.Is(err, objects.ErrNotFound) {
-		// An earlier process's object, or an own write whose answer was lost.
-		o, err = d.h.opts.Store.Get(ctx, kindHosts, dep.Host)
-		if errors.Is(err, objects.ErrNotFound) {
-			d.mu.Lock()
-			d.own = ""
-			d.mu.Unlock()
-		}
-	}
-	if err != nil {
-		return err
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.putHost(o)
-	d.publish()
-	if _, ok := d.hosts[dep.Host]; !ok {
-		return errors.New("the stored entry is of an earlier process")
-	}
-	d.log.Info().Str("version", o.Version).Msg("Host registered.")
-	return nil
-}
-
-// deregister removes the own host object, so that other hosts turn to another dispatcher before this one ends.
-func (d *directory) deregister(ctx context.Context) {
-	d.mu.Lock()
-	version := d.own
-	d.mu.Unlock()
-	if version == "" {
-		return
-	}
-	err := d.h.opts.Store.Delete(ctx, objects.Object{Kind: kindHosts, Name: d.h.deployment().Host, Version: version})
-	if err != nil && !errors.Is(err, objects.ErrNotFound) {
-		d.log.Warn().Err(err).Msg("Host entry not removed.")
-	}
-}
-
-// askSeeds takes the view of another host while the store has not answered since the start.
-func (d *directory) askSeeds(ctx context.Context) {
-	clock.Sleep(ctx, askSeedsAfter)
-	for ctx.Err() == nil && !d.complete() {
-		for _, addr := range d.h.deployment().Seeds {
-			if addr != d.h.deployment().Peers && d.askSeed(ctx, addr) {
-				d.log.Info().Str("seed", addr).Msg("View taken from another host.")
-				return
-			}
-		}
-		clock.Sleep(ctx, retryMost)
-	}
-}
-
 func (d *directory) complete() bool {
 	v := d.view()
 	return v.Config != nil && v.Listed
 }
-
-func (d *directory) askSeed(ctx context.Context, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
-	defer cancel()
-	up := make(chan *transport.Conn, 1)
-	c := transport.Dial(ctx, addr, transport.Options{
-		Hello: d.h.hello(), Handler: func(*transport.Conn, uint64, wire.Message) {},
-		OnUp: func(conn *transport.Conn) {
-			select {
-			case up <- conn:
-			default:
-			}
-		},
-	})
-	defer c.Close()
-	select {
-	case conn := <-up:
-		m, err := conn.Call(ctx, &wire.ViewRequest{})
-		if err != nil {
-			d.log.Debug().Str("seed", addr).Err(err).Msg("Seed did not answer.")
-			return false
-		}
-		reply, ok := m.(*wire.ViewReply)
-		return ok && d.adopt(reply)
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// adopt takes over another host's objects where the store has given none.
-func (d *directory) adopt(m *wire.ViewReply) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(m.Objects) == 0 {
-		return false
-	}
-	config, endpoints := d.h.opts.Codec.Kinds()
-	fresh := !d.listed
-	for _, s := range m.Objects {
-		o := objects.Object{Kind: s.Kind, Name: s.Name, Version: s.Version, Data: s.Data}
-		switch {
-		case s.Kind == config:
-			d.putConfig(o)
-		case s.Kind == endpoints && fresh:
-			d.putEndpoint(o)
-			d.listed = true
-		case s.Kind == kindHosts && s.Name != d.h.deployment().Host:
-			if _, ok := d.hosts[s.Name]; !ok {
-				d.putHost(o)
-			}
-		}
-	}
-	d.publish()
-	return d.config != nil && d.listed
-}
-
-// reply returns the objects that make up the view.
-func (d *directory) reply() *wire.ViewReply {
-	out := &wire.ViewReply{}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, byName := range d.mirror {
-		for _, o := range byName {
-			out.Objects = append(out.Objects, stored(o.Object))
-		}
-	}
-	return out
-}
-
-// update takes over what the dispatcher passes on.
-func (d *directory) update(m *wire.ViewUpdate) {
-	config, endpoints := d.h.opts.Codec.Kinds()
-	puts := map[string]func(objects.Object){config: d.putConfig, endpoints: d.putEndpoint, kindHosts: d.putHost}
-	removes := map[string]func(string){
-		config: d.removeConfig, endpoints: func(id string) { d.forget(id, "removed at the dispatcher") }, kindHosts: d.removeHost,
-	}
-	put, remove := puts[m.Of], removes[m.Of]
-	if put == nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	news, gone, ok := d.mirror.resolve(m)
-	if !ok || m.Fetch {
-		d.stale[m.Of] = true
-		d.turned.notify()
-		d.log.Info().Str("kind", m.Of).Bool("long", m.Fetch).Msg("Change is read from the store.")
-	}
-	for _, o := range news {
-		d.keep(o)
-		put(o)
-	}
-	if m.Whole && m.Of == endpoints {
-		d.listed = true
-	}
-	for _, name := range gone {
-		remove(name)
-	}
-	d.publish()
-}
-
-// readAgain has all kinds read from the store.
-func (d *directory) readAgain() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for kind := range d.mirror {
-		d.stale[kind] = true
-	}
-	d.turned.notify()
-}
-
-// take handles what another host passes on.
-func (d *directory) take(m passedOn) {
-	for _, e := range m.leaving {
-		d.leaves(e.Endpoint, e.Born, "by the dispatcher")
-	}
-	switch {
-	case m.update != nil:
-		d.update(m.update)
-	case d.h.binder.relays():
-		for _, ask := range d.compare(time.Now(), m.views) {
-			d.h.binder.tell(ask)
-		}
-	}
-}
-
-// compare returns what to ask for when another host has had other objects for a time. A kind that still differs after that
-// is read from the store.
-func (d *directory) compare(now time.Time, views []wire.ViewSummary) []*wire.ViewAsk {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var asks []*wire.ViewAsk
-	for _, theirs := range views {
-		own := d.mirror.summary(theirs.Of)
-		x := d.differs[theirs.Of]
-		switch {
-		case own.Digest == theirs.Digest:
-			x = difference{}
-		case own.Newest > theirs.Newest:
-			x = difference{} // this host has read the store since; the summary says nothing of what it lacks
-		case x.since.IsZero() && own.Digest == 0: // a host that has just started
-			x.since, x.asks = now, x.asks+1
-			asks = append(asks, &wire.ViewAsk{Of: theirs.Of})
-		case x.since.IsZero():
-			x.since = now
-		case now.Sub(x.since) < differFor:
-		case x.asks < mostViewAsks:
-			x.since, x.asks = now, x.asks+1
-			d.log.Info().Str("kind", theirs.Of).Uint64("newest", own.Newest).Uint64("theirs", theirs.Newest).Int("asks", x.asks).
-				Msg("Objects differ from the dispatcher's, asked for.")
-			asks = append(asks, &wire.ViewAsk{Of: theirs.Of, Newest: own.Newest})
-		default:
-			x = difference{}
-			d.stale[theirs.Of] = true
-			d.turned.notify()
-			d.log.Warn().Str("kind", theirs.Of).Uint64("newest", own.Newest).Uint64("theirs", theirs.Newest).
-				Msg("Objects still differ from the dispatcher's, read from the store.")
-		}
-		d.differs[theirs.Of] = x
-	}
-	return asks
-}
-
-// since returns what another host lacks.
-func (d *directory) since(m *wire.ViewAsk) *wire.ViewUpdate {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.mirror.since(m.Of, m.Newest)
-}
-
-// summaries tells what this host has.
-func (d *directory) summaries() []wire.ViewSummary {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.mirror.summaries()
-}
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -118,13 +118,7 @@
 				batched = time.After(batchFor)
 			}
 		case <-batched:
-			batch := d.batch
-			d.batch = nil
-			d.guard(func() {
-				for _, u := range merged(batch) {
-					d.pass(u)
-				}
-			})
+			d.guard(d.passBatch)
 		case <-d.viewed:
 			d.guard(func() {
 				if d.state != nil {
@@ -165,14 +159,37 @@
 	}
 }
 
+// passBatch sends the changes that were collected.
+func (d *dispatcher) passBatch() {
+	batch := d.batch
+	for {
+		select {
+		case u := <-d.passed.C():
+			batch = append(batch, u)
+			continue
+		default:
+		}
+		break
+	}
+	d.batch = nil
+	for _, u := range merged(batch, d.mostPassed()) {
+		d.pass(u)
+	}
+}
+
 // within returns an update, or its announcement if all hosts together would get too many bytes.
 func (d *dispatcher) within(u *wire.ViewUpdate) *wire.ViewUpdate {
-	if float64(size(u)*len(d.peers)) > passedShare*d.linkBytes() {
+	if float64(size(u)) > d.mostPassed() {
 		return &wire.ViewUpdate{Of: u.Of, Fetch: true}
 	}
 	return u
 }
 
+// mostPassed returns the bytes that one change may have for each host.
+func (d *dispatcher) mostPassed() float64 {
+	return passedShare * d.linkBytes() / float64(max(len(d.peers), 1))
+}
+
 // linkBytes returns the bytes that this host's link carries in a second.
 func (d *dispatcher) linkBytes() float64 {
 	mbps := d.h.deployment().LinkMbps
@@ -231,6 +248,7 @@
 }
 
 func (d *dispatcher) broadcast() {
+	d.passBatch() // what the summaries tell of has been passed on before them
 	full, loads, brief := d.states()
 	d.round++
 	for host, p := range d.peers {
@@ -301,16 +319,28 @@
 
 func (d *dispatcher) handle(e dispatcherEvent) {
 	if !d.h.directory.complete() {
-		// This host has just started. Without the view, requests would be turned away that can be served.
-		if d.early = append(d.early, e); len(d.early) > mostEarly {
-			d.refuseEarly()
-		}
+		d.handleEarly(e)
 		return
 	}
 	d.takeEarly()
 	d.process(e)
 }
 
+// handleEarly keeps an event for the time when the view is known: without it, requests would be turned away that can be
+// served. The host that sent it is told that the dispatcher is there, so that it waits.
+func (d *dispatcher) handleEarly(e dispatcherEvent) {
+	if e.m == nil {
+		d.down(e)
+		return
+	}
+	if d.peers[e.host] != e.peer && e.m.Kind() == wire.KindResync {
+		d.up(e)
+	}
+	if d.early = append(d.early, e); len(d.early) > mostEarly {
+		d.refuseEarly()
+	}
+}
+
 // takeEarly handles the events that came before the view was known, once it is.
 func (d *dispatcher) takeEarly() {
 	if len(d.early) == 0 || !d.h.directory.complete() {
@@ -318,6 +348,9 @@
 	}
 	early := d.early
 	d.early = nil
+	if d.state != nil {
+		d.state.SetView(d.now(), d.h.directory.view()) // it was made without one
+	}
 	for _, e := range early {
 		d.process(e)
 	}
--- a/internal/host/dispatcher_test.go
+++ b/internal/host/dispatcher_test.go
@@ -29,7 +29,8 @@
 	d := h.dispatcher
 	d.handle(dispatcherEvent{"h1", other, &wire.Resync{}})
 	d.handle(dispatcherEvent{"h1", other, &wire.Ask{ID: 1, Service: "app", DeadlineMs: 1000, TargetMs: 300}})
-	if d.flush(); len(other.sent) > 0 || other.closed {
+	// The host is told that the dispatcher is there; its request has no answer yet.
+	if d.flush(); len(other.sent) != 1 || other.sent[0].Kind() != wire.KindFleetState || other.closed {
 		t.Errorf("without a view: %v, closed %v", other.sent, other.closed)
 	}
 	h.directory.now.Store(&fleet.View{
--- a/internal/host/mirror.go
+++ b/internal/host/mirror.go
@@ -157,15 +157,15 @@
 	return news, gone, ok
 }
 
-// merged joins updates of the same kind, in their order, as long as no object is in one of them twice. Whole lists stay by
-// themselves.
-func merged(updates []*wire.ViewUpdate) []*wire.ViewUpdate {
+// merged joins updates of the same kind, in their order, as long as no object is in one of them twice and it has no more
+// than a number of bytes. Whole lists stay by themselves.
+func merged(updates []*wire.ViewUpdate, most float64) []*wire.ViewUpdate {
 	var out []*wire.ViewUpdate
 	open := make(map[string]*wire.ViewUpdate) // by kind
 	names := make(map[string]map[string]bool)
 	for _, u := range updates {
 		into, own := open[u.Of], namesOf(u)
-		if into == nil || u.Whole || u.Fetch || into.Whole || into.Fetch || overlap(names[u.Of], own) {
+		if into == nil || float64(size(into)+size(u)) > most || u.Whole || u.Fetch || into.Whole || into.Fetch || overlap(names[u.Of], own) {
 			c := *u
 			out = append(out, &c)
 			open[u.Of], names[u.Of] = &c, make(map[string]bool)
--- a/internal/host/mirror_test.go
+++ b/internal/host/mirror_test.go
@@ -96,6 +96,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		theirs, own := make(mirror), make(mirror)
 		var batch []*wire.ViewUpdate
+		most := rapid.Float64Range(0, 300).Draw(t, "most bytes")
 		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			kind := fmt.Sprint("k", rapid.IntRange(0, 1).Draw(t, "kind"))
 			name := fmt.Sprint("n", rapid.IntRange(0, 4).Draw(t, "name"))
@@ -108,14 +109,14 @@
 			if rapid.IntRange(0, 5).Draw(t, "send") > 0 {
 				continue
 			}
-			for _, u := range merged(batch) {
+			for _, u := range merged(batch, most) {
 				if !own.apply(u) {
 					t.Fatalf("does not fit: %+v", u)
 				}
 			}
 			batch = nil
 		}
-		for _, u := range merged(batch) {
+		for _, u := range merged(batch, most) {
 			own.apply(u)
 		}
 		for _, kind := range []string{"k0", "k1"} {
@@ -133,7 +134,12 @@
 	for i := range 20 {
 		batch = append(batch, m.put(objects.Object{Kind: "k", Name: fmt.Sprint("n", i), Version: fmt.Sprint(i + 1)}))
 	}
-	if n := len(merged(batch)); n != 1 {
+	if n := len(merged(batch, 1000)); n != 1 {
 		t.Errorf("20 changes of different objects make %d messages", n)
 	}
+	for _, u := range merged(batch, 10) { // the whole start of a fleet in one message would not fit the link
+		if size(u) > 10 {
+			t.Errorf("a message of %d bytes, 10 are allowed", size(u))
+		}
+	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,6 +14,8 @@
 }{
 	{1, "adapters competed for places: requests waited for six seconds while places were free"},
 	{5, "a dispatcher that knew the endpoints before the configuration failed on the first adapter"},
+	{16, "the binder and the directory waited for each other's lock: a host that started again never became ready"},
+	{17, "the same, at the first start"},
 }
 
 // TestSoak runs the seeds that once failed, with real processes.
