--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -59,8 +59,8 @@
 	now     atomic.Pointer[fleet.View]
 	wake    chan struct{}        // a host object has to be written
 	updates *ring.Ring[passedOn] // from the dispatcher
-	turned  notifier                     // another host may have begun or ceased to pass changes on
-	known   atomic.Bool                  // the hosts have been listed
+	turned  notifier             // another host may have begun or ceased to pass changes on
+	known   atomic.Bool          // the hosts have been listed
 
 	mu        sync.Mutex
 	mirror    mirror
@@ -76,7 +76,7 @@
 	changedEndpoints map[string]bool
 	hostsChanged     bool
 
-	own   string // version of the own host object, empty if there is none
+	own string // version of the own host object, empty if there is none
 	// There may be no configuration yet.
 	configsListed bool
 	outages       map[string]time.Time
