Share the fleet of two tests of the planner

TestHotModelFirst and TestAbsentModelBeforeOthers built the same endpoints line by line. Their assertions are unchanged; go test ./internal/copies passes.

--- a/internal/copies/copies_test.go
+++ b/internal/copies/copies_test.go
@@ -361,6 +361,15 @@
 	}
 }
 
+// besideLastCopies returns endpoints with two models each: a formerly hot one everywhere, beside the last copy of another.
+func besideLastCopies(n int) []Endpoint {
+	var out []Endpoint
+	for i := range n {
+		out = append(out, Endpoint{ID: fmt.Sprint("e", i), Usable: true, Models: []string{"m0", fmt.Sprint("m", i+1)}})
+	}
+	return out
+}
+
 // TestHotModelFirst replays a shift to one model while other models share its loaded endpoints. It guards against endpoints
 // that are kept busy for seconds by loads that help few requests, while the model that most requests wait for gets one
 // copy a round (further/jyltyr-almaty, trouble-3, second 26: two copies in seven seconds).
@@ -368,10 +377,7 @@
 	engine := testEngine(15)
 	engine.Slots = 96
 	p := New(0, limits(), DefaultTuning(), engine.LoadsPerSecond)
-	in := Input{Engine: engine}
-	for i := range 12 { // two models each: the former hot model everywhere, beside last copies
-		in.Endpoints = append(in.Endpoints, Endpoint{ID: fmt.Sprint("e", i), Usable: true, Models: []string{"m0", fmt.Sprint("m", i+1)}})
-	}
+	in := Input{Engine: engine, Endpoints: besideLastCopies(12)}
 	in.Demand = map[string]Demand{
 		"m0": {PerSec: 20, HoldSec: 2}, "m1": {PerSec: 150, HoldSec: 2, Waiting: 100}, "m2": {PerSec: 15, HoldSec: 2}, "m3": {PerSec: 12, HoldSec: 2},
 	}
@@ -397,10 +403,7 @@
 	engine.Slots = 96
 	p := New(0, limits(), DefaultTuning(), engine.LoadsPerSecond)
 	p.Recall(0, nil)
-	in := Input{Engine: engine}
-	for i := range 12 {
-		in.Endpoints = append(in.Endpoints, Endpoint{ID: fmt.Sprint("e", i), Usable: true, Models: []string{"m0", fmt.Sprint("m", i+1)}})
-	}
+	in := Input{Engine: engine, Endpoints: besideLastCopies(12)}
 	in.Demand = map[string]Demand{"m0": {PerSec: 20, HoldSec: 2}, "m1": {PerSec: 240, HoldSec: 2}, "m13": {PerSec: 200, HoldSec: 2, Waiting: 250}}
 	absent := 0
 	for now := 10 * time.Second; now < 10*time.Second+600*time.Millisecond; now += 150 * time.Millisecond {
