--- /dev/null
+++ b/cmd/sycamore-pairs/main.go
@@ -0,0 +1,67 @@
+// Command sycamore-pairs plays the same days with the same seeds on two checkouts, with the users' bench, and prints the
+// mean differences with their confidence intervals.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+
+	"sycamoredeal/internal/pairs"
+)
+
+func main() {
+	app := kingpin.New("sycamore-pairs", "Compares two checkouts on the same days and seeds, played by the users' bench.")
+	bench := app.Flag("bench", "The bench's program.").Required().ExistingFile()
+	site := app.Flag("site", "Site file.").Required().ExistingFile()
+	days := app.Flag("day", "Name of a day; may be given several times.").Required().Strings()
+	seeds := app.Flag("seeds", "Seeds for each day, from 1 on.").Default("5").Uint64()
+	cpu := app.Flag("cpu", "Count processor time.").Bool()
+	parallel := app.Flag("parallel", "Plays at a time.").Default(fmt.Sprint(max(runtime.NumCPU()/2, 1))).Int()
+	why := app.Flag("why", "Why, for the bench's journal.").Required().String()
+	base := app.Arg("base", "Checkout to compare with.").Required().ExistingDir()
+	candidate := app.Arg("candidate", "Checkout to judge.").Required().ExistingDir()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	b := &pairs.Bench{Program: absolute(*bench), Site: absolute(*site), Why: *why, CPU: *cpu, Parallel: *parallel, Progress: os.Stderr}
+	if err := run(b, *days, *seeds, *base, *candidate); err != nil {
+		fmt.Fprintln(os.Stderr, "sycamore-pairs:", err)
+		os.Exit(1)
+	}
+}
+
+func absolute(path string) string {
+	p, err := filepath.Abs(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "sycamore-pairs:", err)
+		os.Exit(1)
+	}
+	return p
+}
+
+func run(b *pairs.Bench, days []string, seeds uint64, base, candidate string) error {
+	if seeds < 1 {
+		return errors.New("--seeds must be at least 1")
+	}
+	var plays []pairs.Play
+	for _, d := range days {
+		for s := uint64(1); s <= seeds; s++ {
+			plays = append(plays, pairs.Play{Day: d, Seed: s})
+		}
+	}
+	ctx := context.Background()
+	before, err := b.Run(ctx, base, plays)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	after, err := b.Run(ctx, candidate, plays)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	pairs.Table(os.Stdout, plays, before, after)
+	return nil
+}
--- /dev/null
+++ b/internal/pairs/bench.go
@@ -0,0 +1,131 @@
+package pairs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Bench plays days of a site with the users' bench.
+type Bench struct {
+	Program  string // absolute path
+	Site     string // absolute path of the site file
+	Why      string // for the bench's journal
+	CPU      bool   // processor time counts; a play then repeats less well
+	Parallel int
+	Progress io.Writer
+}
+
+// Run plays the days on the program in a checkout.
+func (b *Bench) Run(ctx context.Context, checkout string, plays []Play) ([]Result, error) {
+	if err := b.command(ctx, checkout, "build").Run(); err != nil {
+		return nil, errors.Annotatef(err, "build in %s", checkout)
+	}
+	reports, err := os.MkdirTemp("", "pairs")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer os.RemoveAll(reports)
+	out := make([]Result, len(plays))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(max(b.Parallel, 1))
+	for i, p := range plays {
+		g.Go(func() error {
+			out[i] = b.play(ctx, checkout, p, filepath.Join(reports, fmt.Sprint(i)))
+			fmt.Fprintf(b.Progress, "%s: %s --seed %d: worth %.3f\n", checkout, p.Day, p.Seed, out[i].Figures["worth"])
+			return nil // a play without a result is a finding, the others go on
+		})
+	}
+	return out, g.Wait()
+}
+
+func (b *Bench) command(ctx context.Context, checkout string, args ...string) *exec.Cmd {
+	c := exec.CommandContext(ctx, b.Program, args...)
+	c.Dir = checkout
+	return c
+}
+
+func (b *Bench) play(ctx context.Context, checkout string, p Play, report string) Result {
+	args := []string{"run", b.Site, p.Day, "--seed", fmt.Sprint(p.Seed), "--report", report, "--why", b.Why}
+	if !b.CPU {
+		args = append(args, "--no-cpu")
+	}
+	c := b.command(ctx, checkout, args...)
+	var said bytes.Buffer
+	c.Stdout, c.Stderr = &said, &said
+	runErr := c.Run()
+	data, err := os.ReadFile(report)
+	if err != nil {
+		return Result{Err: errors.Errorf("no report (%v): %s", runErr, lastLine(said.Bytes()))}
+	}
+	r, err := decode(data)
+	if err != nil {
+		return Result{Err: errors.Annotate(err, "report")}
+	}
+	return r
+}
+
+func lastLine(b []byte) string {
+	lines := bytes.Split(bytes.TrimSpace(b), []byte("\n"))
+	return string(lines[len(lines)-1])
+}
+
+// report holds the fields of the bench's report that are compared.
+type report struct {
+	Worth   *float64              `json:"G"`
+	Credit  float64               `json:"served"`
+	Refused float64               `json:"refused"`
+	Failed  float64               `json:"failed"`
+	Parts   [][3]any              `json:"parts"`  // name, weight, value
+	Prices  [][3]any              `json:"prices"` // name, amount, price
+	Breaks  map[string]any        `json:"breaks"`
+	Fault   any                   `json:"fault"`
+	All     struct{ N, Late int } `json:"all"`
+}
+
+func decode(data []byte) (Result, error) {
+	var in report
+	if err := json.Unmarshal(data, &in); err != nil {
+		return Result{}, errors.Trace(err)
+	}
+	if in.Worth == nil {
+		return Result{}, errors.New("has no worth")
+	}
+	f := map[string]float64{"worth": *in.Worth, "credit": in.Credit, "refused": in.Refused, "failed": in.Failed}
+	if in.All.N > 0 {
+		f["late"] = float64(in.All.Late) / float64(in.All.N)
+	}
+	for _, p := range in.Parts {
+		if v, ok := p[2].(float64); ok && p[0] != "whole day" {
+			f[fmt.Sprint(p[0])] = v
+		}
+	}
+	for _, p := range in.Prices {
+		v, ok := p[2].(float64)
+		if !ok {
+			return Result{}, errors.Errorf("price of %v is no number", p[0])
+		}
+		f["prices"] += v
+		if p[0] == "worth refused again" {
+			f["refused again"] = v
+		}
+	}
+	r := Result{Figures: f}
+	for rule, n := range in.Breaks {
+		r.Broken = append(r.Broken, fmt.Sprintf("%s %v", rule, n))
+	}
+	sort.Strings(r.Broken)
+	if in.Fault != nil {
+		r.Broken = append(r.Broken, fmt.Sprint("fault: ", in.Fault))
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/pairs/pairs_test.go
@@ -0,0 +1,66 @@
+package pairs
+
+import (
+	"errors"
+	"math"
+	"strings"
+	"testing"
+)
+
+func worths(v ...float64) []Result {
+	var out []Result
+	for _, x := range v {
+		out = append(out, Result{Figures: map[string]float64{"worth": x}})
+	}
+	return out
+}
+
+// TestCompare guards against judging revisions by means of days that differ far more than the revisions do.
+func TestCompare(t *testing.T) {
+	base := worths(0.2, 0.5, 0.8, 0.4)
+	d := Compare(base, worths(0.22, 0.53, 0.82, 0.43))[0]
+	if math.Abs(d.Mean-0.025) > 1e-9 || !d.Beyond() || d.Pairs != 4 {
+		t.Errorf("a steady gain of 0.02 to 0.03: %+v", d)
+	}
+	// The interval of four pairs by Student's distribution: 3.182 standard errors.
+	if want := 3.182 * 0.0057735 / 2; math.Abs(d.Interval-want) > 1e-4 {
+		t.Errorf("interval %f, want %f", d.Interval, want)
+	}
+	if d := Compare(base, worths(0.5, 0.2, 0.9, 0.4))[0]; d.Beyond() {
+		t.Errorf("a difference within chance counts: %+v", d)
+	}
+	if d := Compare(worths(0.5), worths(0.9))[0]; d.Beyond() {
+		t.Error("a single pair shows nothing")
+	}
+}
+
+// TestCompareLeavesOut guards against pairs of which one side has no result.
+func TestCompareLeavesOut(t *testing.T) {
+	base, candidate := worths(0.2, 0.5, 0.8), worths(0.3, 0, 0.9)
+	candidate[1] = Result{Err: errors.New("given up")}
+	if d := Compare(base, candidate)[0]; d.Pairs != 2 || math.Abs(d.Mean-0.1) > 1e-9 {
+		t.Errorf("%+v", d)
+	}
+	var b strings.Builder
+	Table(&b, []Play{{"a", 1}, {"a", 2}, {"b", 3}}, base, candidate)
+	if !strings.Contains(b.String(), "candidate: a --seed 2: given up") {
+		t.Error("a play without a result is not listed:\n" + b.String())
+	}
+}
+
+// TestDecode guards against a report of another shape that is read as zeros.
+func TestDecode(t *testing.T) {
+	r, err := decode([]byte(`{"G":0.6,"served":0.8,"parts":[["whole day",0.7,0.8],["worst windows",0.15,0.3]],
+		"prices":[["memory",8.0,0.02],["worth refused again",285.5,0.01]],"breaks":{"LOST":{"n":2}},"all":{"n":10,"late":2}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f := r.Figures; f["worth"] != 0.6 || f["worst windows"] != 0.3 || f["refused again"] != 0.01 || math.Abs(f["prices"]-0.03) > 1e-9 || f["late"] != 0.2 || len(r.Broken) != 1 {
+		t.Errorf("%+v", r)
+	}
+	for _, bad := range []string{`{}`, `[]`, `{"G":0.5,"prices":[["memory",1,"much"]]}`} {
+		if _, err := decode([]byte(bad)); err == nil {
+			t.Errorf("%s: no error", bad)
+		}
+	}
+}
