Plan copies by the cost of a layout

Cause: the planner judged models without a copy, further copies and free memory by different measures.

Change: each endpoint costs the square of its load, what is not served costs as much as at an endpoint with twice its places; a place goes to the change that lowers the cost most. Copies found at the start are the prior of demand, and nothing is unloaded for models that nobody asks for. Where all models fit, last copies stay as before.

--- a/cmd/sycamore-pairs/main.go
+++ b/cmd/sycamore-pairs/main.go
@@ -23,12 +23,13 @@
 	seeds := app.Flag("seeds", "Seeds for each day, from 1 on.").Default("5").Uint64()
 	cpu := app.Flag("cpu", "Count processor time.").Bool()
 	parallel := app.Flag("parallel", "Plays at a time.").Default(fmt.Sprint(max(runtime.NumCPU()/2, 1))).Int()
+	keep := app.Flag("keep", "File with the results of the base: read if it exists, else written. Its days and seeds must be the same.").String()
 	why := app.Flag("why", "Why, for the bench's journal.").Required().String()
 	base := app.Arg("base", "Checkout to compare with.").Required().ExistingDir()
 	candidate := app.Arg("candidate", "Checkout to judge.").Required().ExistingDir()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	b := &pairs.Bench{Program: absolute(*bench), Site: absolute(*site), Why: *why, CPU: *cpu, Parallel: *parallel, Progress: os.Stderr}
-	if err := run(b, *days, *seeds, *base, *candidate); err != nil {
+	if err := run(b, *days, *seeds, *base, *candidate, *keep); err != nil {
 		fmt.Fprintln(os.Stderr, "sycamore-pairs:", err)
 		os.Exit(1)
 	}
@@ -43,7 +44,7 @@
 	return p
 }
 
-func run(b *pairs.Bench, days []string, seeds uint64, base, candidate string) error {
+func run(b *pairs.Bench, days []string, seeds uint64, base, candidate, keep string) error {
 	if seeds < 1 {
 		return errors.New("--seeds must be at least 1")
 	}
@@ -54,7 +55,7 @@
 		}
 	}
 	ctx := context.Background()
-	before, err := b.Run(ctx, base, plays)
+	before, err := pairs.Kept(keep, plays, func() ([]pairs.Result, error) { return b.Run(ctx, base, plays) })
 	if err != nil {
 		return errors.Trace(err)
 	}
--- /dev/null
+++ b/internal/copies/cost.go
@@ -0,0 +1,146 @@
+package copies
+
+import (
+	"math"
+
+	"sycamoredeal/internal/fleet"
+)
+
+// The cost of a layout, in places: see costOf for an endpoint with a load. The need for a model without a copy costs
+// absentPrice for each place. The load patterns that it answers: a few models take most of the requests while the endpoints
+// of others stand idle, with places for all models or without.
+
+const (
+	absentPrice = 2.0 // of a place: what is not served costs more than what waits at a full endpoint
+	// residentValue is what a copy of a declared model is worth where all fit, whether anybody asks for it or not, as a
+	// share of an endpoint's places: it answers at once when it is asked for.
+	residentValue = 0.1
+	// horizon is how long a demand is expected to last, in seconds. A load that takes long serves it for a shorter time.
+	horizon = 15.0
+)
+
+// change is one endpoint that loads a model, with the model that makes room for it.
+type change struct {
+	at     int
+	victim string // empty if there is room
+	gain   float64
+}
+
+// costOf returns what a load costs at an endpoint: a further place costs its share of the places in use, and no more than
+// one that is not served at all.
+func (r *layout) costOf(load float64) float64 {
+	slots := float64(max(r.in.Engine.Slots, 1))
+	if most := absentPrice * slots; load > most {
+		return most*most/(2*slots) + absentPrice*(load-most)
+	}
+	return load * load / (2 * slots)
+}
+
+// gainOf returns by how much the cost falls when an endpoint loads a model in place of another one.
+func (r *layout) gainOf(at int, m *fleet.Model, victim string) float64 {
+	gain, before, after := 0.0, r.load[at], r.load[at]
+	if victim != "" {
+		gain -= r.lossOf(at, victim)
+		after -= r.share[at][victim]
+	}
+	return gain + r.costOf(before) + r.relief(m, after)
+}
+
+// relief returns what a copy of a model at an endpoint with a load takes off the cost elsewhere, less the cost of the
+// endpoint then.
+func (r *layout) relief(m *fleet.Model, load float64) float64 {
+	slots := float64(max(r.in.Engine.Slots, 1))
+	need := r.p.need[m.Name]
+	if r.copies[m.Name] == 0 {
+		takes := min(need, max(absentPrice*slots-load, 0))
+		relief := absentPrice*takes - r.costOf(load+takes)
+		if r.fits {
+			relief += residentValue * slots
+		}
+		return relief
+	}
+	level, used := r.level(m.Name, -1)
+	if math.IsInf(level, 1) {
+		return -r.costOf(load)
+	}
+	n := float64(used)
+	takes := max(min(n/(n+1)*(level-load), need), 0)
+	return n*(r.costOf(level)-r.costOf(level-takes/n)) - r.costOf(load+takes)
+}
+
+// lossOf returns what the loss of a copy costs elsewhere.
+func (r *layout) lossOf(at int, victim string) float64 {
+	if r.copies[victim] < 2 {
+		loss := absentPrice * r.p.need[victim]
+		if r.fits {
+			loss += residentValue * float64(r.in.Engine.Slots)
+		}
+		return loss
+	}
+	level, used := r.level(victim, at)
+	if math.IsInf(level, 1) {
+		return math.Inf(1) // its other copies are at endpoints that can't be used
+	}
+	n := float64(used)
+	return n * (r.costOf(level+r.share[at][victim]/n) - r.costOf(level))
+}
+
+// lasting reduces a gain by the time that the change takes. A loss counts whole.
+func lasting(gain, seconds float64) float64 {
+	if gain <= 0 {
+		return gain
+	}
+	return gain * max(1-seconds/horizon, 0)
+}
+
+// best returns the change with the largest gain that loads a model, among the victims that are allowed. at is -1 if there is
+// none. anySettled tells that endpoints may be changed although they were a moment ago.
+func (r *layout) best(m *fleet.Model, anySettled bool, allowed func(at int, victim string) bool) change {
+	best := change{at: -1, gain: math.Inf(-1)}
+	for i := range r.in.Endpoints {
+		e := &r.in.Endpoints[i]
+		if !r.mayTake(i, m) || !anySettled && !r.settled(e) {
+			continue
+		}
+		load := loadSeconds(m, e.source(m.Name))
+		if r.free[i] >= m.MB {
+			if g := lasting(r.gainOf(i, m, ""), load); g > best.gain {
+				best = change{i, "", g}
+			}
+			continue
+		}
+		for _, v := range e.Models {
+			d := r.models[v]
+			if d == nil || r.free[i]+d.MB < m.MB || !allowed(i, v) {
+				continue
+			}
+			if g := lasting(r.gainOf(i, m, v), load+unloadSeconds(e.Running[v], r.in.Demand[v].HoldSec)); g > best.gain {
+				best = change{i, v, g}
+			}
+		}
+	}
+	return best
+}
+
+// mostGain returns what a copy of a model gains at most, at an idle endpoint.
+func (r *layout) mostGain(m *fleet.Model) float64 { return r.relief(m, 0) }
+
+// unloadSeconds is the time until the last of the requests in progress has ended, when their durations are exponentially
+// distributed: the memory is free then.
+func unloadSeconds(running int, holdSec float64) float64 {
+	if running == 0 {
+		return 0
+	}
+	return holdSec * (math.Log(float64(running)) + 0.58)
+}
+
+// loadSeconds is the time of a load.
+func loadSeconds(m *fleet.Model, from Source) float64 {
+	switch from {
+	case FromMemory:
+		return m.WarmLoad.Seconds()
+	case FromDisk:
+		return m.DiskLoad.Seconds()
+	}
+	return m.Load.Seconds()
+}
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -326,7 +326,7 @@
 		in := copies.Input{Now: now, Engine: svc.Engine, Endpoints: o.fleet.planned(name, v, &state), Demand: copies.Demands(name, &state)}
 		for _, c := range p.Round(in) {
 			o.log.Info().Str("endpoint", c.Endpoint).Str("load", c.Load).Str("unload", c.Unload).Str("from", c.From.String()).
-				Float64("need", c.Need).Int("copies", c.Copies).Int64("demandAgeMs", age.Milliseconds()).Str("reason", c.Reason).Msg("Copy ordered.")
+				Float64("need", c.Need).Int("copies", c.Copies).Float64("gain", c.Gain).Int64("demandAgeMs", age.Milliseconds()).Str("reason", c.Reason).Msg("Copy ordered.")
 			o.fleet.change(ctx, c, svc.Engine)
 		}
 	}
--- a/internal/pairs/bench.go
+++ b/internal/pairs/bench.go
@@ -65,11 +65,11 @@
 	runErr := c.Run()
 	data, err := os.ReadFile(report)
 	if err != nil {
-		return Result{Err: errors.Errorf("no report (%v): %s", runErr, lastLine(said.Bytes()))}
+		return Result{Failure: fmt.Sprintf("no report (%v): %s", runErr, lastLine(said.Bytes()))}
 	}
 	r, err := decode(data)
 	if err != nil {
-		return Result{Err: errors.Annotate(err, "report")}
+		return Result{Failure: "report: " + err.Error()}
 	}
 	return r
 }
--- a/internal/pairs/pairs.go
+++ b/internal/pairs/pairs.go
@@ -22,7 +22,7 @@
 type Result struct {
 	Figures map[string]float64 // by name, see Names
 	Broken  []string           // rules that were broken
-	Err     error              // the play gave no result
+	Failure string             // why the play gave no result, empty if it did
 }
 
 // Names of the figures, in the order of the table. Worth is what counts; the others tell where a difference comes from.
@@ -49,7 +49,7 @@
 	for _, name := range Names {
 		var a, b, diff []float64
 		for i := range base {
-			if base[i].Err != nil || candidate[i].Err != nil {
+			if base[i].Failure != "" || candidate[i].Failure != "" {
 				continue
 			}
 			x, y := base[i].Figures[name], candidate[i].Figures[name]
@@ -110,8 +110,8 @@
 		for _, rule := range r.Broken {
 			fmt.Fprintf(w, "%s: %s --seed %d: broken: %s\n", revision, plays[i].Day, plays[i].Seed, rule)
 		}
-		if r.Err != nil {
-			fmt.Fprintf(w, "%s: %s --seed %d: %v\n", revision, plays[i].Day, plays[i].Seed, r.Err)
+		if r.Failure != "" {
+			fmt.Fprintf(w, "%s: %s --seed %d: %s\n", revision, plays[i].Day, plays[i].Seed, r.Failure)
 		}
 	}
 }
