--- a/internal/pairs/bench.go
+++ b/internal/pairs/bench.go
@@ -81,15 +81,19 @@
 
 // report holds the fields of the bench's report that are compared.
 type report struct {
-	Worth   *float64              `json:"G"`
-	Credit  float64               `json:"served"`
-	Refused float64               `json:"refused"`
-	Failed  float64               `json:"failed"`
-	Parts   [][3]any              `json:"parts"`  // name, weight, value
-	Prices  [][3]any              `json:"prices"` // name, amount, price
-	Breaks  map[string]any        `json:"breaks"`
-	Fault   any                   `json:"fault"`
-	All     struct{ N, Late int } `json:"all"`
+	Worth   *float64       `json:"G"`
+	Credit  float64        `json:"served"`
+	Refused float64        `json:"refused"`
+	Failed  float64        `json:"failed"`
+	Parts   [][3]any       `json:"parts"`  // name, weight, value
+	Prices  [][3]any       `json:"prices"` // name, amount, price
+	Breaks  map[string]any `json:"breaks"`
+	Fault   any            `json:"fault"`
+	Classes []struct {
+		Name  string   `json:"name"`
+		Worth *float64 `json:"worth"`
+	} `json:"classes"`
+	All struct{ N, Late int } `json:"all"`
 }
 
 func decode(data []byte) (Result, error) {
@@ -104,6 +108,11 @@
 	if in.All.N > 0 {
 		f["late"] = float64(in.All.Late) / float64(in.All.N)
 	}
+	for _, c := range in.Classes {
+		if c.Worth != nil {
+			f[classPrefix+c.Name] = *c.Worth
+		}
+	}
 	for _, p := range in.Parts {
 		if v, ok := p[2].(float64); ok && p[0] != "whole day" {
 			f[fmt.Sprint(p[0])] = v
--- a/internal/pairs/pairs.go
+++ b/internal/pairs/pairs.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
+	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"gonum.org/v1/gonum/stat"
@@ -46,7 +49,7 @@
 // Compare returns the differences of the plays that both revisions finished.
 func Compare(base, candidate []Result) []Difference {
 	var out []Difference
-	for _, name := range Names {
+	for _, name := range names(base) {
 		var a, b, diff []float64
 		for i := range base {
 			if base[i].Failure != "" || candidate[i].Failure != "" {
@@ -65,6 +68,22 @@
 	return out
 }
 
+// names returns the figures of the table: those of every deployment, then the kinds of requests of this one.
+func names(results []Result) []string {
+	out, classes := slices.Clone(Names), make(map[string]bool)
+	for i := range results {
+		for name := range results[i].Figures {
+			if strings.HasPrefix(name, classPrefix) {
+				classes[name] = true
+			}
+		}
+	}
+	return append(out, slices.Sorted(maps.Keys(classes))...)
+}
+
+// classPrefix begins the names of figures that are the credit of a kind of requests.
+const classPrefix = "of "
+
 // interval returns half of the width of the confidence interval of a mean, by Student's distribution.
 func interval(v []float64) float64 {
 	if len(v) < 2 {
