Count a gain for what is left of a demand after the load

Cause: a load from the weight store takes 5.4 s on further/, demand moves every 7 to 11 s. With a horizon of 15 s such loads counted two thirds, and kept endpoints and the store's rate from the next shift.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -28,7 +28,7 @@
 	changeShare  = 0.5   // of the endpoints of a large one
 	budgetUse    = 0.8   // of the loads from the weight store that the window allows
 	spareBudget  = 0.8   // of those, for copies of models that have one
-	leastGain    = 0.015 // of an endpoint's places: smaller gains are within the fluctuation of demand
+	leastGain    = 0.03 // of an endpoint's places: smaller gains are within the fluctuation of demand
 	waitingScale = 0.3   // weight of waiting requests beside those in progress
 	// absentFor is how long a model without a copy is given to appear: after a start, endpoints register within seconds.
 	absentFor       = 2500 * time.Millisecond
--- a/internal/copies/cost.go
+++ b/internal/copies/cost.go
@@ -11,12 +11,13 @@
 // of others stand idle, with places for all models or without.
 
 const (
-	absentPrice = 2.0 // of a place: what is not served costs more than what waits at a full endpoint
+	absentPrice = 3.0 // of a place: what is not served costs more than what waits at a full endpoint
+	steepness   = 1.0 // exponent of the load in what a further place costs
 	// residentValue is what a copy of a declared model is worth where all fit, whether anybody asks for it or not, as a
 	// share of an endpoint's places: it answers at once when it is asked for.
 	residentValue = 0.1
 	// horizon is how long a demand is expected to last, in seconds. A load that takes long serves it for a shorter time.
-	horizon = 15.0
+	horizon = 8.0
 )
 
 // change is one endpoint that loads a model, with the model that makes room for it.
@@ -30,10 +31,10 @@
 // one that is not served at all.
 func (r *layout) costOf(load float64) float64 {
 	slots := float64(max(r.in.Engine.Slots, 1))
-	if most := absentPrice * slots; load > most {
-		return most*most/(2*slots) + absentPrice*(load-most)
-	}
-	return load * load / (2 * slots)
+	full := math.Pow(absentPrice, 1/steepness) * slots // where a further place costs as much as one that is not served
+	beyond := max(load-full, 0)
+	load = min(load, full)
+	return math.Pow(load/slots, steepness)*load/(1+steepness) + absentPrice*beyond
 }
 
 // gainOf returns by how much the cost falls when an endpoint loads a model in place of another one.
@@ -52,7 +53,7 @@
 	slots := float64(max(r.in.Engine.Slots, 1))
 	need := r.p.need[m.Name]
 	if r.copies[m.Name] == 0 {
-		takes := min(need, max(absentPrice*slots-load, 0))
+		takes := min(need, max(math.Pow(absentPrice, 1/steepness)*slots-load, 0))
 		relief := absentPrice*takes - r.costOf(load+takes)
 		if r.fits {
 			relief += residentValue * slots
