Refuse answers that can't be complete in time, at once

The dispatcher judged the first piece only.

Change: hosts report the events of a stream, their time and the longest pause; the dispatcher learns the time for an event at each endpoint and the events for the output tokens that callers expect.

--- a/internal/copies/cost.go
+++ b/internal/copies/cost.go
@@ -91,9 +91,9 @@
 func (r *layout) horizon(model string) float64 {
 	since, ok := r.p.loaded[model]
 	if !ok {
-		return leastHorizon
+		return 0
 	}
-	return max(leastHorizon, (r.in.Now - since).Seconds())
+	return (r.in.Now - since).Seconds()
 }
 
 // noteLoaded notes since when each model would gain by a further copy.
@@ -111,10 +111,13 @@
 // lasting reduces the gain of a load by the time that it takes, of the time for which the demand lasts, in seconds. A loss
 // counts whole.
 func lasting(gain, takes, lasts float64) float64 {
-	if gain <= 0 {
+	switch {
+	case gain <= 0:
 		return gain
+	case lasts <= takes:
+		return 0
 	}
-	return gain * max(1-takes/lasts, 0)
+	return gain * (1 - takes/lasts)
 }
 
 // best returns the change with the largest gain that loads a model, among the victims that are allowed. at is -1 if there is
--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -66,8 +66,14 @@
 	alone   bool
 	refuse  wire.Refuse
 	asked   time.Time
-	until   time.Time // by when the answer has to begin
-	target  time.Time
+	times
+}
+
+// times bound an answer.
+type times struct {
+	until  time.Time // by when it has to begin
+	target time.Time // it is late if it begins after it
+	end    time.Time // by when it has to be complete, zero for no bound
 }
 
 // link is the way to one dispatcher. Its fields are guarded by the binder's lock.
@@ -442,6 +448,9 @@
 	}
 	m.DeadlineMs = uint32(max(left.Milliseconds(), 1))
 	m.TargetMs = uint32(max(c.target.Sub(now).Milliseconds(), 0))
+	if !c.end.IsZero() {
+		m.EndMs = uint32(max(c.end.Sub(now).Milliseconds(), 1))
+	}
 	return &m
 }
 
@@ -456,8 +465,8 @@
 }
 
 // bind gets a place for one attempt. The error is a *refusal, or that of ctx.
-func (b *binder) bind(ctx context.Context, ask wire.Ask, until, target time.Time) (*binding, error) {
-	c := &call{ask: ask, changed: make(chan struct{}, 1), asked: time.Now(), until: until, target: target}
+func (b *binder) bind(ctx context.Context, ask wire.Ask, by times) (*binding, error) {
+	c := &call{ask: ask, changed: make(chan struct{}, 1), asked: time.Now(), times: by}
 	b.mu.Lock()
 	b.next++
 	c.ask.ID = b.next
--- a/internal/host/binder_test.go
+++ b/internal/host/binder_test.go
@@ -28,7 +28,7 @@
 	h.directory.now.Store(v)
 	send := func(repeat bool) error {
 		now := time.Now()
-		b, err := h.binder.bind(context.Background(), wire.Ask{Service: "app", Repeat: repeat}, now.Add(time.Second), now)
+		b, err := h.binder.bind(context.Background(), wire.Ask{Service: "app", Repeat: repeat}, times{until: now.Add(time.Second), target: now})
 		if err == nil {
 			b.done(wire.Done{})
 		}
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -73,6 +73,7 @@
 	quiet    time.Duration // for which the endpoint wants nothing from this host
 	answer   *whole
 	finished bool // the answer was passed on
+	relayed  bool // events of a stream came
 	err      error
 }
 
@@ -83,7 +84,7 @@
 		b := x.next
 		if x.next = nil; b == nil {
 			var err error
-			if b, err = x.f.h.binder.bind(ctx, x.ask(), x.startBy(), x.target()); err != nil {
+			if b, err = x.f.h.binder.bind(ctx, x.ask(), x.times()); err != nil {
 				x.notBound(ctx, err)
 				return
 			}
@@ -147,6 +148,9 @@
 	return by
 }
 
+// times returns by when the answer has to begin and end.
+func (x *exchange) times() times { return times{x.startBy(), x.target(), x.q.EndBy()} }
+
 func (x *exchange) target() time.Time { return x.q.Arrived.Add(x.q.Route.Target) }
 
 func (x *exchange) ask() wire.Ask {
@@ -211,6 +215,9 @@
 		resent++
 	}
 	d := wire.Done{QuietMs: milliseconds(r.quiet), Resent: uint8(resent), Outcome: uint8(r.outcome), Fault: uint8(r.fault), Missing: r.missing, Failed: r.fault != sched.NoFault}
+	if r.relayed {
+		x.stream.tell(&d)
+	}
 	if r.outcome == attempt.Answered && r.fault == sched.NoFault {
 		d.TotalMs = uint32(max(time.Since(start).Milliseconds(), 1))
 	}
@@ -311,7 +318,7 @@
 
 // look asks for a place that is free at once.
 func (m *mover) look(ctx context.Context) {
-	b, err := m.x.f.h.binder.bind(ctx, m.ask, time.Now(), m.x.target())
+	b, err := m.x.f.h.binder.bind(ctx, m.ask, times{time.Now(), m.x.target(), m.x.q.EndBy()})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
@@ -420,7 +427,9 @@
 		resp.Close(false)
 		return result{outcome: attempt.Unknown, fault: sched.ErrorSaid, err: errors.Errorf("status %d to a stream that goes on", resp.StatusCode)}
 	case x.q.Route.Kind == fleet.Stream && resp.StatusCode < 300:
-		return x.relay(ctx, b, resp, start, w)
+		r := x.relay(ctx, b, resp, start, w)
+		r.relayed = x.stream != nil
+		return r
 	}
 	return x.whole(ctx, b, resp, start)
 }
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -30,8 +30,32 @@
 	events  int
 	first   time.Duration // from the arrival of the request to the first event
 	resumes int
-	begun   bool      // the caller has got the header
-	lastAt  time.Time // when the latest event was passed on
+	begun   bool // the caller has got the header
+
+	// Of the present attempt.
+	came    int           // events
+	firstAt time.Time     // when the first one came
+	cameAt  time.Time     // when the latest one came
+	pause   time.Duration // longest time between two
+	lastAt  time.Time     // when the latest event was passed on
+}
+
+// note counts an event that came from the endpoint.
+func (s *relay) note(now time.Time) {
+	if s.came++; s.came == 1 {
+		s.firstAt = now
+	} else {
+		s.pause = max(s.pause, now.Sub(s.cameAt))
+	}
+	s.cameAt = now
+}
+
+// tell adds what the endpoint's stream showed of its pace to an outcome.
+func (s *relay) tell(d *wire.Done) {
+	if s == nil || s.came == 0 {
+		return
+	}
+	d.Events, d.StreamMs, d.PauseMs = uint32(s.came), uint32(s.cameAt.Sub(s.firstAt).Milliseconds()), uint32(s.pause.Milliseconds())
 }
 
 // watchdog calls a function after a time without a sign of life.
@@ -80,12 +104,14 @@
 		x.stream.resumes++
 	}
 	first := true
+	x.stream.came, x.stream.pause = 0, 0
 	err := splitEvents(resp.Body, func(event []byte) error {
 		if first {
 			first = false
 			b.started(time.Since(start))
 		}
 		if hasContent(event) {
+			x.stream.note(time.Now())
 			w.alive(x.pauseSilence())
 		}
 		return x.event(resp, event)
@@ -95,7 +121,9 @@
 	case errors.As(err, &gone):
 		resp.Close(false)
 		x.logEnd("caller left", 0, err)
-		b.done(wire.Done{Outcome: uint8(attempt.Unknown)})
+		d := wire.Done{Outcome: uint8(attempt.Unknown)}
+		x.stream.tell(&d)
+		b.done(d)
 		panic(http.ErrAbortHandler)
 	case err != nil:
 		resp.Close(false)
--- a/internal/pairs/bench.go
+++ b/internal/pairs/bench.go
@@ -89,6 +89,7 @@
 	Prices  [][3]any       `json:"prices"` // name, amount, price
 	Breaks  map[string]any `json:"breaks"`
 	Fault   any            `json:"fault"`
+	Short   []string       `json:"short"` // of the gate's floors
 	Classes []struct {
 		Name  string   `json:"name"`
 		Worth *float64 `json:"worth"`
@@ -133,6 +134,9 @@
 		r.Broken = append(r.Broken, fmt.Sprintf("%s %v", rule, n))
 	}
 	sort.Strings(r.Broken)
+	for _, floor := range in.Short {
+		r.Broken = append(r.Broken, "gate: "+floor)
+	}
 	if in.Fault != nil {
 		r.Broken = append(r.Broken, fmt.Sprint("fault: ", in.Fault))
 	}
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -53,7 +53,7 @@
 	if e.engine.KVTokens > 0 && e.used > 0 && e.kv+float64(a.PromptTokens)+output(a) > kvShare*float64(e.engine.KVTokens) {
 		return false
 	}
-	return a.Adapter == "" || s.adapterFits(e, a)
+	return (a.Adapter == "" || s.adapterFits(e, a)) && s.endsInTime(e, r)
 }
 
 // adapterFits tells whether a request's adapter can be used at an endpoint: other requests use it there, or one of the
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -56,6 +56,8 @@
 	backlog  float64        // their prompt tokens
 	readBy   time.Duration  // when those are predicted to have been read
 	kv       float64        // tokens in memory when the granted requests are done
+	eventMs  float64        // mean time for an event of an answer, 0 if unknown
+	pacedAt  time.Duration  // when it was learned
 	slowness float64        // measured over predicted time to the first piece
 	learned  time.Duration
 	parts    partCache
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -60,6 +60,7 @@
 	asked   time.Duration
 	target  time.Duration // the first piece is late after it
 	startBy time.Duration // refused if it can't start before it
+	endBy   time.Duration // the whole answer has to be there before it, 0 for no bound
 
 	endpoint *endpoint // nil while it waits
 	granted  time.Duration
@@ -97,29 +98,30 @@
 
 // State is the queue. It is not safe for concurrent use.
 type State struct {
-	cfg       Config
-	rng       *rand.Rand
-	now       time.Duration
-	started   time.Duration
-	view      *fleet.View
-	endpoints map[string]*endpoint
-	order     []*endpoint // usable by id, sorted
-	indexes   uint64      // version of what endpoints hold
-	models    map[modelKey]*model
-	requests  map[key]*request
-	hosts     map[string]*hostState
-	budgets   map[string]*Budget
-	closing   map[wire.ModelCopy]bool
-	loaded    []wire.ModelCopy
-	changing  map[string]bool // endpoints that take no order for an adapter
-	holder    string          // host that can load adapters, empty if there is none
-	waiting   int
-	scratch   []*model // of waitingFor
-	measured  time.Duration
-	paces     map[string]*pace   // by service
-	ahead     map[string]float64 // ms for which an endpoint may be busy with prompts sent ahead, by service
-	quietEnd  time.Duration      // latest time until which an endpoint wants nothing from a host
-	out       []Output
+	cfg         Config
+	rng         *rand.Rand
+	now         time.Duration
+	started     time.Duration
+	view        *fleet.View
+	endpoints   map[string]*endpoint
+	order       []*endpoint // usable by id, sorted
+	indexes     uint64      // version of what endpoints hold
+	models      map[modelKey]*model
+	requests    map[key]*request
+	hosts       map[string]*hostState
+	budgets     map[string]*Budget
+	closing     map[wire.ModelCopy]bool
+	loaded      []wire.ModelCopy
+	changing    map[string]bool // endpoints that take no order for an adapter
+	holder      string          // host that can load adapters, empty if there is none
+	waiting     int
+	scratch     []*model // of waitingFor
+	measured    time.Duration
+	paces       map[string]*pace       // by service
+	generations map[string]*generation // by service
+	ahead       map[string]float64     // ms for which an endpoint may be busy with prompts sent ahead, by service
+	quietEnd    time.Duration          // latest time until which an endpoint wants nothing from a host
+	out         []Output
 }
 
 // New returns a dispatcher that knows nothing of the requests in flight.
@@ -128,7 +130,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 5)), now: now, started: now, measured: now,
 		endpoints: make(map[string]*endpoint), models: make(map[modelKey]*model), requests: make(map[key]*request),
 		hosts: make(map[string]*hostState), budgets: make(map[string]*Budget), closing: make(map[wire.ModelCopy]bool),
-		changing: make(map[string]bool), paces: make(map[string]*pace),
+		changing: make(map[string]bool), paces: make(map[string]*pace), generations: make(map[string]*generation),
 	}
 	s.SetView(now, view)
 	return s
@@ -261,6 +263,9 @@
 	r := &request{key: k, ask: ask, model: m, asked: now}
 	r.target = now + ms(ask.TargetMs)
 	r.startBy = now + ms(ask.DeadlineMs)
+	if ask.EndMs > 0 {
+		r.endBy = now + ms(ask.EndMs)
+	}
 	b := s.budget(ask.Service)
 	if !ask.Repeat {
 		b.First(now)
@@ -284,6 +289,9 @@
 	case e == nil && s.opensAt(r) > r.startBy:
 		s.refuse(r, "its endpoints want nothing from the host for longer", s.opensAt(r)-now)
 		return
+	case e == nil && s.endless(r):
+		s.refuse(r, "can't end in time", wait)
+		return
 	case e == nil && now+wait+s.ownFirst(r) > r.startBy:
 		s.refuse(r, "can't start in time", wait)
 		return
@@ -426,6 +434,7 @@
 	}
 	e := r.endpoint
 	s.vacate(r)
+	s.learnGeneration(r, &d)
 	s.budget(r.ask.Service).Spent(now, int(d.Resent))
 	if d.QuietMs > 0 {
 		until := now + ms(d.QuietMs)
@@ -450,6 +459,18 @@
 	s.fill(e)
 }
 
+// learnGeneration takes in what an outcome tells of the pace of an answer.
+func (s *State) learnGeneration(r *request, d *wire.Done) {
+	if d.Events < 2 || r.ask.Resumed {
+		return
+	}
+	g := s.generationOf(r.ask.Service)
+	if d.TotalMs > 0 && r.ask.ExpectTokens > 0 {
+		g.learn(output(&r.ask), float64(d.Events))
+	}
+	r.endpoint.learnPace(s.now, g, float64(d.Events), float64(d.StreamMs)/float64(d.Events-1))
+}
+
 // Tick refuses what can't start in time any more and serves what became possible. It is called every few tens of
 // milliseconds.
 func (s *State) Tick(now time.Duration) {
@@ -494,6 +515,8 @@
 			reason = "its endpoints want nothing from the host for longer"
 		case s.now+s.ownFirst(r) >= r.startBy:
 			reason = "waited until it could not start in time"
+		case s.endless(r):
+			reason = "can't end in time any more"
 		case late && s.now+wait > r.startBy:
 			reason = "late, and arrivals leave no capacity"
 		default:
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -225,6 +225,7 @@
 	ExpectTokens uint32       `msg:"s"` // output tokens that the caller expects, 0 if unknown
 	Repeat       bool         `msg:"t"` // an earlier attempt of the request reached an endpoint
 	Warm         []string     `msg:"u"` // endpoints to which the host keeps an idle connection
+	EndMs        uint32       `msg:"v"` // time left until the whole answer has to be there, 0 for no bound
 }
 
 // PromptPart is a part of a prompt that requests may share.
@@ -280,6 +281,9 @@
 	Missing  bool   `msg:"i"` // the endpoint does not hold the request's model or adapter
 	Resent   uint8  `msg:"j"` // times that the request was sent to the endpoint again while its adapter was on the way
 	QuietMs  uint32 `msg:"k"` // for which the endpoint wants nothing from the sending host
+	Events   uint32 `msg:"l"` // of a stream, that came in the attempt
+	StreamMs uint32 `msg:"m"` // from the first to the last of them
+	PauseMs  uint32 `msg:"n"` // longest time between two of them
 }
 
 // EndpointLeaves tells that an endpoint has said in an answer that it leaves. The list may show that later, or never.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -130,9 +130,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Ask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 21
+	// map header, size 22
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x15, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x16, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -206,6 +206,9 @@
 	for za0003 := range z.Warm {
 		o = msgp.AppendString(o, z.Warm[za0003])
 	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint32(o, z.EndMs)
 	return
 }
 
@@ -407,6 +410,12 @@
 					return
 				}
 			}
+		case "v":
+			z.EndMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EndMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -429,6 +438,7 @@
 	for za0003 := range z.Warm {
 		s += msgp.StringPrefixSize + len(z.Warm[za0003])
 	}
+	s += 2 + msgp.Uint32Size
 	return
 }
 
@@ -1491,9 +1501,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Done) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 14
 	// string "a"
-	o = append(o, 0x8b, 0xa1, 0x61)
+	o = append(o, 0x8e, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -1525,6 +1535,15 @@
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendUint32(o, z.QuietMs)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendUint32(o, z.Events)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendUint32(o, z.StreamMs)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint32(o, z.PauseMs)
 	return
 }
 
@@ -1612,6 +1631,24 @@
 				err = msgp.WrapError(err, "QuietMs")
 				return
 			}
+		case "l":
+			z.Events, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Events")
+				return
+			}
+		case "m":
+			z.StreamMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StreamMs")
+				return
+			}
+		case "n":
+			z.PauseMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PauseMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1626,7 +1663,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Done) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
 
