--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -150,8 +150,11 @@
 	fresh := time.Now().Add(-watchWait - pause - answerSlack)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.listed || !d.configsListed || len(d.outages) > 0 {
+		return false
+	}
 	config, endpoints := d.h.opts.Codec.Kinds()
-	return d.listed && d.configsListed && len(d.outages) == 0 && d.answered[config].After(fresh) && d.answered[endpoints].After(fresh)
+	return d.answered[config].After(fresh) && d.answered[endpoints].After(fresh)
 }
 
 // keep remembers an object for other hosts. The caller holds the lock.
