Keep the last loaded copy of a model, and tell the dispatcher of unloaded ones

Two models with one copy each were exchanged for each other in one round, and neither was served until the loads ended. A host asked for an adapter of one of them at the endpoint that had just unloaded it, until the deadline: the list still showed the model there.

Change: a copy that is being loaded doesn't count as another copy of a model that makes room; the holder tells the dispatcher of copies that the list shows and that are not there. Last copies are only moved where requests wait for places, and what a move gains counts without what it does for the moved model: in a small fleet models were moved back and forth every two seconds. TestInvariants failed on the planner before, TestUnloadedCopyIsTold on the holder.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -7,7 +7,7 @@
 //
 // Invariants:
 //   - where all declared models fit, the last usable copy of a model is unloaded only if nobody asks for it, for a model
-//     that requests wait for and that has no copy;
+//     that requests wait for and that has no copy; a copy that is being loaded is not usable yet;
 //   - an endpoint is never ordered to hold more than its memory, with all its adapter places filled;
 //   - loads from the weight store stay within its rate.
 package copies
@@ -69,6 +69,7 @@
 	Busy     bool     // takes no order: one is in progress, or its state is not known
 	Changing bool     // an order for a model is in progress
 	Models   []string // held or being loaded
+	Coming   string   // of these, the one that is being loaded, empty if there is none
 	InMemory []string // weights at hand
 	OnDisk   []string
 	Running  map[string]int // requests in progress by model
--- a/internal/copies/copies_test.go
+++ b/internal/copies/copies_test.go
@@ -39,7 +39,7 @@
 			for _, o := range p.Round(in) {
 				e := &in.Endpoints[slices.IndexFunc(in.Endpoints, func(e Endpoint) bool { return e.ID == o.Endpoint })]
 				e.OnDisk = append(e.OnDisk, o.Load)
-				e.Busy = false // loads end at once here; their duration is not what this test is about
+				e.Busy, e.Coming = false, "" // loads end at once here; their duration is not what this test is about
 			}
 		}
 	}
@@ -76,7 +76,9 @@
 		in.Now = now
 		for i := range in.Endpoints {
 			e := &in.Endpoints[i]
-			e.Changing = free[e.ID] > now
+			if e.Changing = free[e.ID] > now; !e.Changing {
+				e.Coming = ""
+			}
 			e.Busy = e.Changing || i%4 == 0
 		}
 		for _, o := range p.Round(in) {
@@ -140,7 +142,7 @@
 		for _, o := range p.Round(in) {
 			orders++
 			e := &in.Endpoints[slices.IndexFunc(in.Endpoints, func(e Endpoint) bool { return e.ID == o.Endpoint })]
-			e.Busy = false
+			e.Busy, e.Coming = false, ""
 		}
 	}
 	if orders > 3 {
@@ -172,11 +174,16 @@
 			for _, m := range engine.Models {
 				in.Demand[m.Name] = Demand{PerSec: float64(rapid.IntRange(0, 40).Draw(t, "rate")), HoldSec: 2, Waiting: rapid.IntRange(0, 5).Draw(t, "waiting")}
 			}
-			held := make(map[string]int)
+			held := make(map[string]int) // copies, without those that are being loaded
 			for i := range in.Endpoints {
 				in.Endpoints[i].Busy = free[in.Endpoints[i].ID] > now
+				if !in.Endpoints[i].Busy {
+					in.Endpoints[i].Coming = ""
+				}
 				for _, m := range in.Endpoints[i].Models {
-					held[m]++
+					if m != in.Endpoints[i].Coming {
+						held[m]++
+					}
 				}
 			}
 			for _, o := range p.Round(in) {
@@ -188,13 +195,12 @@
 					d, asked := in.Demand[o.Unload], in.Demand[o.Load].Waiting > 0 && held[o.Load] == 0
 					fit := 3*len(in.Endpoints) >= len(engine.Models)
 					if held[o.Unload]--; held[o.Unload] < 1 && fit && (!asked || d.PerSec > 0 || d.Waiting > 0) {
-						t.Fatalf("order %v unloads the last copy of a model, the demand is %v", o, d)
+						t.Fatalf("order %v unloads the last loaded copy of a model, the demand is %v", o, d)
 					}
 					if held[o.Unload] < 1 && !fit && d.need() >= p.need[o.Load] {
 						t.Fatalf("order %v unloads the last copy of a model for one that is needed less, %v and %f", o, d, p.need[o.Load])
 					}
 				}
-				held[o.Load]++
 				if o.From == FromStore {
 					loads = append(loads, now)
 				}
@@ -235,7 +241,7 @@
 			}
 		}
 		for i := range in.Endpoints {
-			in.Endpoints[i].Busy = false
+			in.Endpoints[i].Busy, in.Endpoints[i].Coming = false, ""
 		}
 	}
 }
@@ -267,7 +273,7 @@
 				}
 			}
 			for i := range in.Endpoints {
-				in.Endpoints[i].Busy = false
+				in.Endpoints[i].Busy, in.Endpoints[i].Coming = false, ""
 			}
 		}
 		now += 30 * time.Second // until nobody asks for it any more
@@ -317,7 +323,7 @@
 					loads++
 				}
 				e := &in.Endpoints[slices.IndexFunc(in.Endpoints, func(e Endpoint) bool { return e.ID == o.Endpoint })]
-				e.Busy = false
+				e.Busy, e.Coming = false, ""
 			}
 		}
 		return loads
@@ -352,7 +358,7 @@
 		in.Now = now
 		for _, o := range p.Round(in) {
 			e := &in.Endpoints[slices.IndexFunc(in.Endpoints, func(e Endpoint) bool { return e.ID == o.Endpoint })]
-			e.Busy = false
+			e.Busy, e.Coming = false, ""
 		}
 	}
 	if !in.Endpoints[2].holds("m0") {
@@ -432,7 +438,9 @@
 		in.Now = now
 		for i := range in.Endpoints {
 			e := &in.Endpoints[i]
-			e.Busy = free[e.ID] > now
+			if e.Busy = free[e.ID] > now; !e.Busy {
+				e.Coming = ""
+			}
 			e.Changing = e.Busy
 		}
 		for _, o := range p.Round(*in) {
--- a/internal/copies/exchange.go
+++ b/internal/copies/exchange.go
@@ -83,7 +83,7 @@
 			break
 		}
 		absent := r.copies[x.m.Name] == 0
-		c := r.best(x.m, absent, func(at int, victim string) bool { return r.mayGo(x.m, victim) })
+		c := r.best(x.m, absent, func(at int, victim string) bool { return r.mayGo(at, x.m, victim) })
 		if c.at < 0 {
 			continue
 		}
@@ -98,8 +98,8 @@
 
 // mayGo tells whether a copy may make room for a model. Where all models fit, the last copy of one stays, unless nobody
 // asks for it and requests wait for a model that has none. Where they don't, the cost alone decides.
-func (r *layout) mayGo(m *fleet.Model, victim string) bool {
-	if r.copies[victim] > 1 {
+func (r *layout) mayGo(at int, m *fleet.Model, victim string) bool {
+	if r.servedElsewhere(victim, at) {
 		return true
 	}
 	d := r.in.Demand[victim]
--- a/internal/copies/layout.go
+++ b/internal/copies/layout.go
@@ -147,6 +147,16 @@
 	return level, max(used, 1)
 }
 
+// servedElsewhere tells whether another endpoint than one holds a copy of a model that is loaded.
+func (r *layout) servedElsewhere(model string, at int) bool {
+	for _, i := range r.at[model] {
+		if i != at && r.in.Endpoints[i].Coming != model {
+			return true
+		}
+	}
+	return false
+}
+
 // order gives an order to the endpoint with an index.
 func (r *layout) order(at int, o Order) {
 	e := &r.in.Endpoints[at]
@@ -168,6 +178,7 @@
 		e.Models = slices.DeleteFunc(e.Models, func(m string) bool { return m == o.Unload })
 	}
 	e.Models = append(e.Models, o.Load)
+	e.Coming = o.Load
 	e.Busy = true
 	r.free[at] = r.freeMB(e)
 	r.changes++
--- a/internal/copies/room.go
+++ b/internal/copies/room.go
@@ -24,22 +24,22 @@
 		if r.changes >= r.most || len(r.p.moving) >= max(int(mostMoves*float64(r.most)), 1) {
 			return
 		}
-		if r.copies[x.m.Name] == 0 {
-			continue
+		if level, _ := r.level(x.m.Name, -1); r.copies[x.m.Name] == 0 || level < float64(r.in.Engine.Slots) {
+			continue // only where requests wait for places
 		}
 		rare, gain := r.inTheWay(x.m)
 		if rare == nil || gain < least {
 			continue
 		}
 		c := r.best(rare, false, func(at int, victim string) bool {
-			return r.copies[victim] > 1 && victim != x.m.Name && !r.isMoving(victim)
+			return r.servedElsewhere(victim, at) && victim != x.m.Name && !r.isMoving(victim)
 		})
-		if c.at < 0 || gain+c.gain < least {
+		if c.at < 0 || gain+min(c.gain, 0) < least {
 			continue
 		}
 		takes := loadSeconds(rare, r.in.Endpoints[c.at].source(rare.Name))
 		r.p.moving[rare.Name] = r.in.Now + time.Duration((takes+followUp)*float64(time.Second))
-		r.order(c.at, Order{Load: rare.Name, Unload: c.victim, Reason: "its only copy is in the way of a loaded model", Gain: gain + c.gain})
+		r.order(c.at, Order{Load: rare.Name, Unload: c.victim, Reason: "its only copy is in the way of a loaded model", Gain: gain + min(c.gain, 0)})
 	}
 }
 
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -88,6 +88,7 @@
 	}
 	if e.coming != "" && !e.models[e.coming] {
 		p.Models = append(p.Models, e.coming)
+		p.Coming = e.coming
 	}
 	sort.Strings(p.Models)
 	return p
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -257,6 +257,7 @@
 		}
 		if g.coming != "" && !g.models[g.coming] {
 			p.Models = append(p.Models, g.coming)
+			p.Coming = g.coming
 		}
 		out = append(out, p)
 	}
@@ -283,6 +284,13 @@
 			b.Closing = append(b.Closing, wire.ModelCopy{Endpoint: id, Model: g.closing})
 		}
 		e := v.Endpoint(id)
+		if e != nil && g.known && g.models != nil {
+			for i := range e.Models { // the list may show a copy for a while after it was unloaded
+				if m := e.Models[i].Model; !g.models[m] {
+					b.Closing = append(b.Closing, wire.ModelCopy{Endpoint: id, Model: m})
+				}
+			}
+		}
 		for m := range g.models {
 			if g.known && m != g.closing && e != nil && e.Holds(m) == nil {
 				b.Loaded = append(b.Loaded, wire.ModelCopy{Endpoint: id, Model: m})
