Pause an endpoint for its failures only if the others have places for the work, and log pauses

The logs didn't say why. Change: a pause for the failure rate needs places for the work that arrives at the other endpoints; the dispatcher logs each pause and its end with the fault, the rate, and the places left and needed.

--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -476,6 +476,14 @@
 	if d.state == nil {
 		return
 	}
+	for _, n := range d.state.Notes() {
+		l := d.log.Info().Str("endpoint", n.Endpoint).Float64("failureRate", n.Rate).Float64("placesLeft", n.Left).Float64("placesNeeded", n.Needed)
+		if n.Paused {
+			l.Str("fault", n.Fault.String()).Int64("pauseMs", n.For.Milliseconds()).Msg("Endpoint paused.")
+		} else {
+			l.Msg("Endpoint used again.")
+		}
+	}
 	for _, o := range d.state.Take() {
 		if m, ok := o.Message.(*wire.Refuse); ok {
 			d.log.Info().Str("request", o.Request).Str("host", o.To).Str("reason", o.Reason).Int64("waitMs", o.WaitMs).
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -80,7 +80,9 @@
 
 func (h *health) down(now time.Duration) bool { return now < h.until || h.trial }
 
-func (h *health) success(now time.Duration, host string) {
+// success records an answer, and returns whether it ends a trial.
+func (h *health) success(now time.Duration, host string) (included bool) {
+	included = h.trial
 	h.okAt, h.everOK, h.trial = now, true, false
 	h.rate -= failSmoothing * h.rate
 	h.samples++
@@ -89,18 +91,16 @@
 	if now-h.lastBad > forgetAfter {
 		h.pauses = 0
 	}
+	return included
 }
 
-// failure records a fault. mayEject limits pauses by failure rate to a share of the endpoints.
-func (h *health) failure(now time.Duration, host string, f Fault, mayEject bool) {
+// failure records a fault, and returns whether the endpoint is paused for it. mayEject limits pauses by failure rate.
+func (h *health) failure(now time.Duration, host string, f Fault, mayEject bool) (paused bool) {
 	h.lastBad = now
 	h.rate += failSmoothing * (1 - h.rate)
 	h.samples++
 	if f == ErrorSaid {
-		if h.samples >= failSamples && h.rate > failShare && mayEject {
-			h.pause(now)
-		}
-		return
+		return h.samples >= failSamples && h.rate > failShare && mayEject && h.pause(now)
 	}
 	if h.accusers == nil {
 		h.accusers, h.avoid = make(map[string]time.Duration), make(map[string]time.Duration)
@@ -110,25 +110,28 @@
 	proven := h.everOK && now-h.okAt < provenFor
 	switch {
 	case h.trial, f == Elsewhere, len(h.accusers) > 1, !proven && (f == Connect || again):
-		h.pause(now)
+		return h.pause(now)
 	case h.samples >= failSamples && h.rate > failShare && mayEject:
-		h.pause(now)
-	default:
-		h.avoid[host] = now + avoidFor
+		return h.pause(now)
 	}
+	h.avoid[host] = now + avoidFor
+	return false
 }
 
-func (h *health) pause(now time.Duration) {
+func (h *health) pause(now time.Duration) bool {
 	if now < h.until {
-		return
+		return false
 	}
 	h.until = now + min(firstPause<<min(h.pauses, 8), maxPause)
 	h.pauses++
 	h.trial, h.inTrial = true, h.until
 	clear(h.accusers)
+	return true
 }
 
-// mayEject tells whether a further endpoint of the service may be paused for its failure rate.
+// mayEject tells whether an endpoint may be paused for its failure rate: not more than a share of the service's endpoints,
+// and only if the others have places for the work that arrives. The load pattern that it answers: of two endpoints with
+// room, one fails a third of its requests, and without it all others are late.
 func (s *State) mayEject(e *endpoint) bool {
 	all, down := 0, 0
 	for _, o := range s.order {
@@ -139,5 +142,53 @@
 			}
 		}
 	}
-	return float64(down+1) <= maxRatePaused*float64(all)
+	left, needed := s.placesWithout(e)
+	return float64(down+1) <= maxRatePaused*float64(all) && needed <= pausedLoad*left
+}
+
+// pausedLoad is the share of the remaining places that the work of a service may take after an endpoint was paused for its
+// failure rate.
+const pausedLoad = 0.8
+
+// placesWithout returns the places of a service's endpoints but one, and those that its requests need.
+func (s *State) placesWithout(e *endpoint) (left, needed float64) {
+	for _, o := range s.order {
+		if o != e && o.service == e.service && o.present && !o.draining && !o.health.down(s.now) {
+			left += float64(o.slots)
+		}
+	}
+	for _, m := range s.models {
+		if m.key.service == e.service {
+			needed += max(m.perSec*m.hold, float64(m.running)) * s.weight(m)
+		}
+	}
+	return left, needed
+}
+
+// Note is a change of what the dispatcher believes of an endpoint, with its evidence, for the log.
+type Note struct {
+	Endpoint string
+	Paused   bool // else it is used again
+	Fault    Fault
+	Rate     float64 // of failures
+	For      time.Duration
+	Left     float64 // places of the service without it
+	Needed   float64 // places that the service's requests take
+}
+
+// note records that an endpoint is paused or used again.
+func (s *State) note(e *endpoint, paused bool, f Fault) {
+	n := Note{Endpoint: e.id, Paused: paused, Fault: f, Rate: e.health.rate}
+	n.Left, n.Needed = s.placesWithout(e)
+	if paused {
+		n.For = e.health.until - s.now
+	}
+	s.notes = append(s.notes, n)
+}
+
+// Notes returns the changes since the last call. They are valid until the next event.
+func (s *State) Notes() []Note {
+	out := s.notes
+	s.notes = s.notes[:0]
+	return out
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -122,6 +122,7 @@
 	ahead       map[string]float64     // ms for which an endpoint may be busy with prompts sent ahead, by service
 	quietEnd    time.Duration          // latest time until which an endpoint wants nothing from a host
 	out         []Output
+	notes       []Note
 }
 
 // New returns a dispatcher that knows nothing of the requests in flight.
@@ -421,10 +422,16 @@
 			e.pace.learn(r.reads, float64(m.FirstMs))
 		}
 	}
-	e.health.success(now, host)
+	s.succeeded(e, host)
 	s.fill(e)
 }
 
+func (s *State) succeeded(e *endpoint, host string) {
+	if e.health.success(s.now, host) {
+		s.note(e, false, NoFault)
+	}
+}
+
 // Done frees the place of a request and learns from its outcome.
 func (s *State) Done(now time.Duration, host string, d wire.Done) {
 	s.now = now
@@ -448,9 +455,11 @@
 	fault := Fault(d.Fault)
 	switch {
 	case fault != NoFault:
-		e.health.failure(now, host, fault, s.mayEject(e))
+		if e.health.failure(now, host, fault, s.mayEject(e)) {
+			s.note(e, true, fault)
+		}
 	case !d.Missing && d.TotalMs > 0:
-		e.health.success(now, host)
+		s.succeeded(e, host)
 		r.model.hold += holdSmoothing * (float64(d.TotalMs)/1000 - r.model.hold)
 		if e.engine == nil {
 			e.learnFirst(now, float64(d.TotalMs)/1000/r.model.hold)
