--- a/internal/sched/generation.go
+++ b/internal/sched/generation.go
@@ -16,9 +16,9 @@
 	eventSmoothing   = 0.15      // of an answer's mean time for an event, where it has eventSample events
 	eventSample      = 10.0
 	paceForgotten    = 2 * time.Second // without an answer, an endpoint's pace is taken to return to the mean
-	// endMargin is the share of its predicted length that an answer must have time for. Callers' estimates of the output
-	// are often off by a half, so that a smaller share leaves it hardly any chance.
-	endMargin = 0.6
+	// endMargin is the share of its predicted length that an answer must have time for. Callers' estimates of the output are
+	// often off by a half, and paces change within seconds: with less time than that there is hardly any chance.
+	endMargin = 0.4
 )
 
 // learn takes in the length of a finished answer.
