Name the sums of the pace of answers, and log the longest pause of a stream

Last reading: the longest pause went to the dispatcher, which has no use for it; it is in the line of the request's end now, where it tells late streams from others.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -581,7 +581,7 @@
 			Uint32("queueMs", b.c.grant.QueueMs).Uint32("predictedMs", b.c.grant.FirstMs)
 	}
 	if s := x.stream; s != nil {
-		l = l.Int64("firstMs", s.first.Milliseconds()).Int("events", s.events).Int("resumes", s.resumes)
+		l = l.Int64("firstMs", s.first.Milliseconds()).Int("events", s.events).Int64("pauseMs", s.pause.Milliseconds()).Int("resumes", s.resumes)
 	}
 	l.Err(err).Msg("Request ended.")
 	x.measure(how, status)
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -30,14 +30,14 @@
 	events  int
 	first   time.Duration // from the arrival of the request to the first event
 	resumes int
-	begun   bool // the caller has got the header
+	begun   bool          // the caller has got the header
+	lastAt  time.Time     // when the latest event was passed on
+	pause   time.Duration // longest time between two events of one attempt
 
 	// Of the present attempt.
-	came    int           // events
-	firstAt time.Time     // when the first one came
-	cameAt  time.Time     // when the latest one came
-	pause   time.Duration // longest time between two
-	lastAt  time.Time     // when the latest event was passed on
+	came    int       // events
+	firstAt time.Time // when the first one came
+	cameAt  time.Time // when the latest one came
 }
 
 // note counts an event that came from the endpoint.
@@ -55,7 +55,7 @@
 	if s == nil || s.came == 0 {
 		return
 	}
-	d.Events, d.StreamMs, d.PauseMs = uint32(s.came), uint32(s.cameAt.Sub(s.firstAt).Milliseconds()), uint32(s.pause.Milliseconds())
+	d.Events, d.StreamMs = uint32(s.came), uint32(s.cameAt.Sub(s.firstAt).Milliseconds())
 }
 
 // watchdog calls a function after a time without a sign of life.
@@ -104,7 +104,7 @@
 		x.stream.resumes++
 	}
 	first := true
-	x.stream.came, x.stream.pause = 0, 0
+	x.stream.came = 0
 	err := splitEvents(resp.Body, func(event []byte) error {
 		if first {
 			first = false
--- a/internal/sched/generation.go
+++ b/internal/sched/generation.go
@@ -12,10 +12,11 @@
 }
 
 const (
-	generationMemory = 1.0 / 200 // weight of the latest finished answer
-	eventSmoothing   = 0.15      // of an answer's mean time for an event, where it has eventSample events
-	eventSample      = 10.0
-	paceForgotten    = 2 * time.Second // without an answer, an endpoint's pace is taken to return to the mean
+	generationMemory = 1.0 / 200       // weight of the latest finished answer
+	eventSmoothing   = 0.15            // weight of an answer's mean time for an event, if it has as many events as below
+	endpointSample   = 10.0            // for the mean of its endpoint
+	serviceSample    = 40.0            // for the mean of the service
+	paceForgotten    = 2 * time.Second // without an answer, an endpoint's pace is taken to return to the service's
 	// endMargin is the share of its predicted length that an answer must have time for. Callers' estimates of the output are
 	// often off by a half, and paces change within seconds: with less time than that there is hardly any chance.
 	endMargin = 0.4
@@ -35,19 +36,19 @@
 	return tokens * g.events / g.tokens
 }
 
-// smoothed returns a mean that takes in a value which so many events stand for.
-func smoothed(mean, value, events float64) float64 {
+// smoothed returns a mean that takes in a value with a weight, and at once if it is the first.
+func smoothed(mean, value, weight float64) float64 {
 	if mean == 0 {
 		return value
 	}
-	return mean + min(eventSmoothing*events/eventSample, 1)*(value-mean)
+	return mean + min(weight, 1)*(value-mean)
 }
 
-// learnPace takes in how long an endpoint took for an event of an answer.
+// learnPace takes in how long an endpoint took for each of the events of an answer.
 func (e *endpoint) learnPace(now time.Duration, g *generation, events, ms float64) {
-	e.eventMs = smoothed(e.eventMs, ms, events)
+	e.eventMs = smoothed(e.eventMs, ms, eventSmoothing*events/endpointSample)
 	e.pacedAt = now
-	g.eventMs = smoothed(g.eventMs, ms, events/4)
+	g.eventMs = smoothed(g.eventMs, ms, eventSmoothing*events/serviceSample)
 }
 
 // generationMs predicts how long an endpoint takes from the first to the last event of a request's answer, 0 if nothing is
@@ -78,8 +79,8 @@
 	return s.now+seconds((e.firstMs(r, s.now)+endMargin*s.generationMs(e, r))/1000) <= r.endBy
 }
 
-// endless tells whether no endpoint of a request's model is expected to complete its answer in time.
-func (s *State) endless(r *request) bool {
+// endsNowhere tells whether no endpoint of a request's model is expected to complete its answer in time.
+func (s *State) endsNowhere(r *request) bool {
 	if r.endBy == 0 || r.ask.Model == "" {
 		return false
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -290,7 +290,7 @@
 	case e == nil && s.opensAt(r) > r.startBy:
 		s.refuse(r, "its endpoints want nothing from the host for longer", s.opensAt(r)-now)
 		return
-	case e == nil && s.endless(r):
+	case e == nil && s.endsNowhere(r):
 		s.refuse(r, "can't end in time", wait)
 		return
 	case e == nil && now+wait+s.ownFirst(r) > r.startBy:
@@ -524,7 +524,7 @@
 			reason = "its endpoints want nothing from the host for longer"
 		case s.now+s.ownFirst(r) >= r.startBy:
 			reason = "waited until it could not start in time"
-		case s.endless(r):
+		case s.endsNowhere(r):
 			reason = "can't end in time any more"
 		case late && s.now+wait > r.startBy:
 			reason = "late, and arrivals leave no capacity"
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -283,7 +283,6 @@
 	QuietMs  uint32 `msg:"k"` // for which the endpoint wants nothing from the sending host
 	Events   uint32 `msg:"l"` // of a stream, that came in the attempt
 	StreamMs uint32 `msg:"m"` // from the first to the last of them
-	PauseMs  uint32 `msg:"n"` // longest time between two of them
 }
 
 // EndpointLeaves tells that an endpoint has said in an answer that it leaves. The list may show that later, or never.
