--- a/internal/copies/copies_test.go
+++ b/internal/copies/copies_test.go
@@ -514,3 +514,25 @@
 		t.Errorf("%d of 8 rare models that requests wait for have a copy, while others that nobody asks for have places", rare)
 	}
 }
+
+// TestComingCopyIsNone replays a fleet with more models than places, in which the second copy of a busy model is still being
+// loaded while a request comes for a model without a copy. It guards against the busy model being served by nobody until
+// the load ends (found by TestInvariants, seed 16216084153974314017).
+func TestComingCopyIsNone(t *testing.T) {
+	engine := testEngine(8)
+	p := New(0, limits(), DefaultTuning(), engine.LoadsPerSecond)
+	p.Recall(0, nil)
+	in := Input{Engine: engine, Demand: map[string]Demand{"m2": {PerSec: 12, HoldSec: 2}, "m5": {PerSec: 1, HoldSec: 2, Waiting: 1}}}
+	in.Endpoints = []Endpoint{
+		{ID: "e0", Usable: true, Busy: true, Changing: true, Models: []string{"m0", "m2"}, Coming: "m2"},
+		{ID: "e1", Usable: true, Models: []string{"m6", "m1", "m2"}},
+	}
+	for now := 10 * time.Second; now < 11*time.Second; now += 150 * time.Millisecond {
+		in.Now = now
+		for _, o := range p.Round(in) {
+			if o.Unload == "m2" {
+				t.Fatalf("%v: %+v", now, o)
+			}
+		}
+	}
+}
--- a/internal/copies/cost.go
+++ b/internal/copies/cost.go
@@ -85,7 +85,7 @@
 
 // lossOf returns what the loss of a copy costs elsewhere.
 func (r *layout) lossOf(at int, victim string) float64 {
-	if r.copies[victim] < 2 {
+	if !r.servedElsewhere(victim, at) {
 		loss := absentPrice * r.p.need[victim]
 		if r.fits {
 			loss += residentValue * float64(r.in.Engine.Slots)
