--- a/internal/copies/copies_test.go
+++ b/internal/copies/copies_test.go
@@ -522,7 +522,9 @@
 	engine := testEngine(8)
 	p := New(0, limits(), DefaultTuning(), engine.LoadsPerSecond)
 	p.Recall(0, nil)
-	in := Input{Engine: engine, Demand: map[string]Demand{"m2": {PerSec: 12, HoldSec: 2}, "m5": {PerSec: 1, HoldSec: 2, Waiting: 1}}}
+	in := Input{Engine: engine, Demand: map[string]Demand{
+		"m1": {PerSec: 20, HoldSec: 2}, "m2": {PerSec: 12, HoldSec: 2}, "m6": {PerSec: 20, HoldSec: 2}, "m5": {PerSec: 1, HoldSec: 2, Waiting: 1},
+	}}
 	in.Endpoints = []Endpoint{
 		{ID: "e0", Usable: true, Busy: true, Changing: true, Models: []string{"m0", "m2"}, Coming: "m2"},
 		{ID: "e1", Usable: true, Models: []string{"m6", "m1", "m2"}},
