Derive the copies of a model, and compute what a round needs once

A layout kept the number of copies beside the endpoints that hold a model; it is the length of that list now. Places, the memory for models and the least gain were computed again for each endpoint or in two places. Two branches for models without a usable endpoint were dead since the loss of the last loaded copy counts whole. Whether an endpoint may be paused for its failure rate was worked out for each fault, and is only where the rate is high.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -196,10 +196,10 @@
 func (p *Planner) Round(in Input) []Order {
 	p.forgetLoads(in.Now)
 	r := newLayout(p, &in)
-	p.follow(in, r.copies)
+	p.follow(in, r)
 	r.spread()
 	r.noteAbsent()
-	r.noteLoaded(p.tuning.LeastGain * float64(in.Engine.Slots))
+	r.noteLoaded()
 	r.exchange()
 	r.grow()
 	return r.out
@@ -214,7 +214,7 @@
 const priorNeed = 0.3
 
 // follow updates the need for each model, in places: demand that rises counts at once.
-func (p *Planner) follow(in Input, copies map[string]int) {
+func (p *Planner) follow(in Input, r *layout) {
 	dt := (in.Now - p.last).Seconds()
 	p.last = in.Now
 	keep := math.Exp(-dt / p.tuning.FallTime.Seconds())
@@ -224,7 +224,7 @@
 	for i := range in.Engine.Models {
 		name := in.Engine.Models[i].Name
 		if !p.asked {
-			if p.found[name] = max(p.found[name], copies[name]-p.ordered[name]); p.found[name] > 1 {
+			if p.found[name] = max(p.found[name], r.copies(name)-p.ordered[name]); p.found[name] > 1 {
 				p.need[name] = priorNeed * float64(in.Engine.Slots*p.found[name])
 			}
 			continue
--- a/internal/copies/copies_test.go
+++ b/internal/copies/copies_test.go
@@ -381,6 +381,18 @@
 	return out
 }
 
+// ordered plays rounds for a time, and returns the copies of a model that were ordered.
+func ordered(p *Planner, in Input, model string, length time.Duration) (copies int) {
+	for in.Now = 10 * time.Second; in.Now < 10*time.Second+length; in.Now += 150 * time.Millisecond {
+		for _, o := range p.Round(in) {
+			if o.Load == model {
+				copies++
+			}
+		}
+	}
+	return copies
+}
+
 // TestHotModelFirst replays a shift to one model while other models share its loaded endpoints. It guards against endpoints
 // that are kept busy for seconds by loads that help few requests, while the model that most requests wait for gets one
 // copy a round (further/jyltyr-almaty, trouble-3, second 26: two copies in seven seconds).
@@ -392,16 +404,7 @@
 	in.Demand = map[string]Demand{
 		"m0": {PerSec: 20, HoldSec: 2}, "m1": {PerSec: 150, HoldSec: 2, Waiting: 100}, "m2": {PerSec: 15, HoldSec: 2}, "m3": {PerSec: 12, HoldSec: 2},
 	}
-	hot := 0
-	for now := 10 * time.Second; now < 10*time.Second+450*time.Millisecond; now += 150 * time.Millisecond {
-		in.Now = now
-		for _, o := range p.Round(in) {
-			if o.Load == "m1" {
-				hot++
-			}
-		}
-	}
-	if hot < 4 {
+	if hot := ordered(p, in, "m1", 450*time.Millisecond); hot < 4 {
 		t.Errorf("%d copies of the model in demand ordered in three rounds", hot)
 	}
 }
@@ -416,16 +419,7 @@
 	p.Recall(0, nil)
 	in := Input{Engine: engine, Endpoints: besideLastCopies(12)}
 	in.Demand = map[string]Demand{"m0": {PerSec: 20, HoldSec: 2}, "m1": {PerSec: 240, HoldSec: 2}, "m13": {PerSec: 200, HoldSec: 2, Waiting: 250}}
-	absent := 0
-	for now := 10 * time.Second; now < 10*time.Second+600*time.Millisecond; now += 150 * time.Millisecond {
-		in.Now = now
-		for _, o := range p.Round(in) {
-			if o.Load == "m13" {
-				absent++
-			}
-		}
-	}
-	if absent < 3 {
+	if absent := ordered(p, in, "m13", 600*time.Millisecond); absent < 3 {
 		t.Errorf("%d copies of the model without one, which most requests wait for", absent)
 	}
 }
--- a/internal/copies/cost.go
+++ b/internal/copies/cost.go
@@ -30,11 +30,10 @@
 // costOf returns what a load costs at an endpoint: a further place costs its share of the places in use, and no more than
 // one that is not served at all.
 func (r *layout) costOf(load float64) float64 {
-	slots := float64(max(r.in.Engine.Slots, 1))
-	most := absentPrice * slots
+	most := absentPrice * r.slots
 	beyond := max(load-most, 0)
 	load = min(load, most)
-	return load*load/(2*slots) + absentPrice*beyond
+	return load*load/(2*r.slots) + absentPrice*beyond
 }
 
 // effect is what an exchange does to the cost, in places: less the victim at once, and with the new copy once it is loaded.
@@ -64,20 +63,16 @@
 // relief returns what a copy of a model at an endpoint with a load takes off the cost elsewhere, less the cost of the
 // endpoint then.
 func (r *layout) relief(m *fleet.Model, load float64) float64 {
-	slots := float64(max(r.in.Engine.Slots, 1))
 	need := r.p.need[m.Name]
-	if r.copies[m.Name] == 0 {
-		takes := min(need, max(absentPrice*slots-load, 0))
+	if r.copies(m.Name) == 0 {
+		takes := min(need, max(absentPrice*r.slots-load, 0))
 		relief := absentPrice*takes - r.costOf(load+takes)
 		if r.fits {
-			relief += residentValue * slots
+			relief += residentValue * r.slots
 		}
 		return relief
 	}
 	level, used := r.level(m.Name, -1)
-	if math.IsInf(level, 1) {
-		return -r.costOf(load)
-	}
 	n := float64(used)
 	takes := max(min(n/(n+1)*(level-load), need), 0)
 	return n*(r.costOf(level)-r.costOf(level-takes/n)) - r.costOf(load+takes)
@@ -88,14 +83,11 @@
 	if !r.servedElsewhere(victim, at) {
 		loss := absentPrice * r.p.need[victim]
 		if r.fits {
-			loss += residentValue * float64(r.in.Engine.Slots)
+			loss += residentValue * r.slots
 		}
 		return loss
 	}
 	level, used := r.level(victim, at)
-	if math.IsInf(level, 1) {
-		return math.Inf(1) // its other copies are at endpoints that can't be used
-	}
 	n := float64(used)
 	return n * (r.costOf(level+r.share[at][victim]/n) - r.costOf(level))
 }
@@ -111,10 +103,10 @@
 }
 
 // noteLoaded notes since when each model would gain by a further copy.
-func (r *layout) noteLoaded(least float64) {
+func (r *layout) noteLoaded() {
 	for name, m := range r.models {
 		switch _, known := r.p.loaded[name]; {
-		case r.mostGain(m) < least:
+		case r.mostGain(m) < r.least:
 			delete(r.p.loaded, name)
 		case !known:
 			r.p.loaded[name] = r.in.Now
--- a/internal/copies/exchange.go
+++ b/internal/copies/exchange.go
@@ -13,7 +13,7 @@
 func (r *layout) noteAbsent() {
 	for i := range r.in.Engine.Models {
 		m := &r.in.Engine.Models[i]
-		if r.copies[m.Name] > 0 {
+		if r.copies(m.Name) > 0 {
 			delete(r.p.absent, m.Name)
 			continue
 		}
@@ -37,15 +37,14 @@
 // find only loaded endpoints. A model may get several copies at once: endpoints that change are few, and a load from the
 // weight store keeps one for seconds.
 func (r *layout) exchange() {
-	least := r.p.tuning.LeastGain * float64(r.in.Engine.Slots)
 	for r.changes < r.most {
-		m, c := r.bestOfAll(least)
+		m, c := r.bestOfAll()
 		if m == nil {
-			r.makeRoom(least)
+			r.makeRoom()
 			return
 		}
 		reason := "its endpoints are loaded"
-		if r.copies[m.Name] == 0 {
+		if r.copies(m.Name) == 0 {
 			reason = "no usable copy"
 		}
 		r.order(c.at, Order{Load: m.Name, Unload: c.victim, Reason: reason, Gain: c.gain})
@@ -62,7 +61,7 @@
 	var out []candidate
 	for i := range r.in.Engine.Models {
 		m := &r.in.Engine.Models[i]
-		absent := r.copies[m.Name] == 0
+		absent := r.copies(m.Name) == 0
 		if r.waits[m.Name] || !absent && (r.expected || !r.p.asked) {
 			continue
 		}
@@ -75,14 +74,14 @@
 }
 
 // bestOfAll returns the model whose next copy gains most, and where; nil if no gain is worth a load.
-func (r *layout) bestOfAll(least float64) (*fleet.Model, change) {
+func (r *layout) bestOfAll() (*fleet.Model, change) {
 	var model *fleet.Model
-	best := change{gain: least}
-	for _, x := range r.candidates(least) {
+	best := change{gain: r.least}
+	for _, x := range r.candidates(r.least) {
 		if model != nil && x.most <= best.gain {
 			break
 		}
-		absent := r.copies[x.m.Name] == 0
+		absent := r.copies(x.m.Name) == 0
 		c := r.best(x.m, absent, func(at int, victim string) bool { return r.mayGo(at, x.m, victim) })
 		if c.at < 0 {
 			continue
@@ -105,7 +104,7 @@
 	d := r.in.Demand[victim]
 	unasked := r.p.need[victim] < unaskedNeed && d.Waiting == 0 && d.Running == 0
 	if r.fits {
-		return unasked && r.copies[m.Name] == 0 && r.in.Demand[m.Name].Waiting > 0
+		return unasked && r.copies(m.Name) == 0 && r.in.Demand[m.Name].Waiting > 0
 	}
 	return r.p.asked
 }
--- a/internal/copies/layout.go
+++ b/internal/copies/layout.go
@@ -16,7 +16,9 @@
 type layout struct {
 	p       *Planner
 	in      *Input
-	copies  map[string]int
+	slots   float64 // of an endpoint
+	modelMB float64 // memory of an endpoint for models, beside a full set of adapters
+	least   float64 // gain, in places, that is worth a load
 	changes int
 	most    int  // changes at a time
 	fits    bool // all declared models have room at the same time
@@ -35,65 +37,56 @@
 }
 
 func newLayout(p *Planner, in *Input) *layout {
+	slots := float64(max(in.Engine.Slots, 1))
 	r := &layout{
-		p: p, in: in, copies: make(map[string]int), waits: make(map[string]bool), models: make(map[string]*fleet.Model, len(in.Engine.Models)),
-		free: make([]float64, len(in.Endpoints)),
+		p: p, in: in, slots: slots, least: p.tuning.LeastGain * slots, most: max(leastChanges, int(p.tuning.ChangeShare*float64(len(in.Endpoints)))),
+		waits: make(map[string]bool), models: make(map[string]*fleet.Model, len(in.Engine.Models)), free: make([]float64, len(in.Endpoints)),
 	}
+	largest, largestAdapter := 0.0, 0.0
 	for i := range in.Engine.Models {
-		r.models[in.Engine.Models[i].Name] = &in.Engine.Models[i]
+		m := &in.Engine.Models[i]
+		r.models[m.Name] = m
+		largest, largestAdapter = max(largest, m.MB), max(largestAdapter, m.AdapterMB)
 	}
-	for i := range in.Endpoints {
-		r.free[i] = r.freeMB(&in.Endpoints[i])
-	}
-	r.most = max(leastChanges, int(p.tuning.ChangeShare*float64(len(in.Endpoints))))
+	r.modelMB = in.Engine.MB - largestAdapter*float64(in.Engine.AdapterSlots)
+	places := 0 // of the largest model
 	for i := range in.Endpoints {
 		e := &in.Endpoints[i]
+		r.free[i] = r.freeMB(e)
 		if e.Changing {
 			r.changes++
 		}
-		if !e.Usable {
-			continue
-		}
-		for _, m := range e.Models {
-			r.copies[m]++
+		if e.Usable && largest > 0 {
+			places += int(r.modelMB / largest)
 		}
 	}
-	r.fits = r.places() >= len(in.Engine.Models)
+	r.fits = largest <= 0 || places >= len(in.Engine.Models)
+	r.locate()
 	return r
 }
 
-// places returns how many of the largest models the usable endpoints hold.
-func (r *layout) places() int {
-	largest := 0.0
-	for _, m := range r.models {
-		largest = max(largest, m.MB)
-	}
-	if largest <= 0 {
-		return math.MaxInt
-	}
-	n := 0
+// locate lists the usable endpoints by the models that they hold.
+func (r *layout) locate() {
+	r.at = make(map[string][]int, len(r.models))
 	for i := range r.in.Endpoints {
-		if r.in.Endpoints[i].Usable {
-			n += int(r.modelMB() / largest)
+		if e := &r.in.Endpoints[i]; e.Usable {
+			for _, m := range e.Models {
+				r.at[m] = append(r.at[m], i)
+			}
 		}
 	}
-	return n
 }
 
+// copies returns the number of copies of a model at usable endpoints, with those that are being loaded.
+func (r *layout) copies(model string) int { return len(r.at[model]) }
+
 // spread divides the need for each model among its endpoints, so that their loads differ as little as possible: the
 // dispatcher sends a request where there is most room.
 func (r *layout) spread() {
 	n := len(r.in.Endpoints)
 	r.load, r.share = make([]float64, n), make([]map[string]float64, n)
-	r.at = make(map[string][]int, len(r.models))
-	for i := range r.in.Endpoints {
+	for i := range r.share {
 		r.share[i] = make(map[string]float64)
-		if !r.in.Endpoints[i].Usable {
-			continue
-		}
-		for _, m := range r.in.Endpoints[i].Models {
-			r.at[m] = append(r.at[m], i)
-		}
 	}
 	names := make([]string, 0, len(r.at))
 	for m := range r.at {
@@ -164,17 +157,15 @@
 	if m := r.models[o.Load]; m != nil {
 		o.Takes = time.Duration(loadSeconds(m, o.From) * float64(time.Second))
 	}
-	o.Need, o.Copies = r.p.need[o.Load], r.copies[o.Load]
+	o.Need, o.Copies = r.p.need[o.Load], r.copies(o.Load)
 	if o.From == FromStore {
 		r.p.loads = append(r.p.loads, r.in.Now)
 	}
 	r.p.changed[e.ID] = r.in.Now
-	r.copies[o.Load]++
 	if !r.p.asked {
 		r.p.ordered[o.Load]++
 	}
 	if o.Unload != "" {
-		r.copies[o.Unload]--
 		e.Models = slices.DeleteFunc(e.Models, func(m string) bool { return m == o.Unload })
 	}
 	e.Models = append(e.Models, o.Load)
@@ -183,6 +174,7 @@
 	r.free[at] = r.freeMB(e)
 	r.changes++
 	r.out = append(r.out, o)
+	r.locate()
 	r.spread()
 }
 
@@ -200,24 +192,15 @@
 func (r *layout) mayTake(at int, m *fleet.Model) bool {
 	e := &r.in.Endpoints[at]
 	share := 1.0
-	if r.copies[m.Name] > 0 {
+	if r.copies(m.Name) > 0 {
 		share = r.p.tuning.SpareBudget
 	}
 	return r.open(e) && !e.holds(m.Name) && r.p.mayLoad(r.in, e.source(m.Name), share)
 }
 
-// modelMB returns the memory of an endpoint for models, beside a full set of adapters.
-func (r *layout) modelMB() float64 {
-	largest := 0.0
-	for i := range r.in.Engine.Models {
-		largest = max(largest, r.in.Engine.Models[i].AdapterMB)
-	}
-	return r.in.Engine.MB - largest*float64(r.in.Engine.AdapterSlots)
-}
-
 // freeMB returns the memory that is left beside the models and a full set of adapters.
 func (r *layout) freeMB(e *Endpoint) float64 {
-	left := r.modelMB()
+	left := r.modelMB
 	for _, name := range e.Models {
 		m := r.models[name]
 		if m == nil {
--- a/internal/copies/room.go
+++ b/internal/copies/room.go
@@ -14,17 +14,17 @@
 // makeRoom loads a second copy of a model that keeps an endpoint with room from taking a loaded model, because its only
 // copy is there. The load patterns that it answers: some models take most of the requests, and the endpoints with room hold
 // nothing but last copies, while second copies of rare models lie on endpoints that are full.
-func (r *layout) makeRoom(least float64) {
+func (r *layout) makeRoom() {
 	if !r.fits || !r.p.asked {
 		return // last copies may go, or nothing tells which models are loaded
 	}
-	least *= 2 // two loads
-	maps.DeleteFunc(r.p.moving, func(m string, until time.Duration) bool { return r.in.Now > until || r.copies[m] < 2 })
+	least := 2 * r.least // two loads
+	maps.DeleteFunc(r.p.moving, func(m string, until time.Duration) bool { return r.in.Now > until || r.copies(m) < 2 })
 	for _, x := range r.candidates(least) {
 		if r.changes >= r.most || len(r.p.moving) >= max(int(mostMoves*float64(r.most)), 1) {
 			return
 		}
-		if level, _ := r.level(x.m.Name, -1); r.copies[x.m.Name] == 0 || level < float64(r.in.Engine.Slots) {
+		if level, _ := r.level(x.m.Name, -1); r.copies(x.m.Name) == 0 || level < r.slots {
 			continue // only where requests wait for places
 		}
 		rare, gain := r.inTheWay(x.m)
@@ -61,7 +61,7 @@
 		}
 		for _, v := range e.Models {
 			d := r.models[v]
-			if d == nil || r.copies[v] != 1 || r.isMoving(v) || r.free[i]+d.MB < m.MB {
+			if d == nil || r.copies(v) != 1 || r.isMoving(v) || r.free[i]+d.MB < m.MB {
 				continue
 			}
 			// What its loss would cost is counted when it gets its second copy.
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -94,13 +94,14 @@
 	return included
 }
 
-// failure records a fault, and returns whether the endpoint is paused for it. mayEject limits pauses by failure rate.
-func (h *health) failure(now time.Duration, host string, f Fault, mayEject bool) (paused bool) {
+// failure records a fault, and returns whether the endpoint is paused for it. mayEject limits pauses by failure rate; it is
+// only asked when the rate is high.
+func (h *health) failure(now time.Duration, host string, f Fault, mayEject func() bool) (paused bool) {
 	h.lastBad = now
 	h.rate += failSmoothing * (1 - h.rate)
 	h.samples++
 	if f == ErrorSaid {
-		return h.samples >= failSamples && h.rate > failShare && mayEject && h.pause(now)
+		return h.samples >= failSamples && h.rate > failShare && mayEject() && h.pause(now)
 	}
 	if h.accusers == nil {
 		h.accusers, h.avoid = make(map[string]time.Duration), make(map[string]time.Duration)
@@ -111,7 +112,7 @@
 	switch {
 	case h.trial, f == Elsewhere, len(h.accusers) > 1, !proven && (f == Connect || again):
 		return h.pause(now)
-	case h.samples >= failSamples && h.rate > failShare && mayEject:
+	case h.samples >= failSamples && h.rate > failShare && mayEject():
 		return h.pause(now)
 	}
 	h.avoid[host] = now + avoidFor
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -455,7 +455,7 @@
 	fault := Fault(d.Fault)
 	switch {
 	case fault != NoFault:
-		if e.health.failure(now, host, fault, s.mayEject(e)) {
+		if e.health.failure(now, host, fault, func() bool { return s.mayEject(e) }) {
 			s.note(e, true, fault)
 		}
 	case !d.Missing && d.TotalMs > 0:
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -264,7 +264,9 @@
 // endpoints out for all.
 func TestHealth(t *testing.T) {
 	const host, other = "a", "b"
-	fails := func(h *health, now time.Duration, from string, f Fault) { h.failure(now, from, f, true) }
+	fails := func(h *health, now time.Duration, from string, f Fault) {
+		h.failure(now, from, f, func() bool { return true })
+	}
 	t.Run("dark", func(t *testing.T) {
 		h := &health{}
 		fails(h, time.Second, host, Connect)
