--- a/cmd/sycamore-pairs/main.go
+++ b/cmd/sycamore-pairs/main.go
@@ -13,11 +13,12 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/pairs"
+	"sycamoredeal/platform/bench"
 )
 
 func main() {
 	app := kingpin.New("sycamore-pairs", "Compares two checkouts on the same days and seeds, played by the users' bench.")
-	bench := app.Flag("bench", "The bench's program.").Required().ExistingFile()
+	program := app.Flag("bench", "The bench's program.").Required().ExistingFile()
 	site := app.Flag("site", "Site file.").Required().ExistingFile()
 	days := app.Flag("day", "Name of a day; may be given several times.").Required().Strings()
 	seeds := app.Flag("seeds", "Seeds for each day, from 1 on.").Default("5").Uint64()
@@ -28,7 +29,7 @@
 	base := app.Arg("base", "Checkout to compare with.").Required().ExistingDir()
 	candidate := app.Arg("candidate", "Checkout to judge.").Required().ExistingDir()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	b := &pairs.Bench{Program: absolute(*bench), Site: absolute(*site), Why: *why, CPU: *cpu, Parallel: *parallel, Progress: os.Stderr}
+	b := &bench.Bench{Program: absolute(*program), Site: absolute(*site), Why: *why, CPU: *cpu, Parallel: *parallel, Progress: os.Stderr}
 	if err := run(b, *days, *seeds, *base, *candidate, *keep); err != nil {
 		fmt.Fprintln(os.Stderr, "sycamore-pairs:", err)
 		os.Exit(1)
@@ -44,7 +45,7 @@
 	return p
 }
 
-func run(b *pairs.Bench, days []string, seeds uint64, base, candidate, keep string) error {
+func run(b *bench.Bench, days []string, seeds uint64, base, candidate, keep string) error {
 	if seeds < 1 {
 		return errors.New("--seeds must be at least 1")
 	}
--- a/internal/pairs/pairs.go
+++ b/internal/pairs/pairs.go
@@ -23,13 +23,27 @@
 
 // Result is what a play came to.
 type Result struct {
-	Figures map[string]float64 // by name, see Names
+	Figures map[string]float64 // by name
 	Broken  []string           // rules that were broken
 	Failure string             // why the play gave no result, empty if it did
 }
 
-// Names of the figures, in the order of the table. Worth is what counts; the others tell where a difference comes from.
-var Names = []string{"worth", "credit", "worst windows", "worst class", "prices", "refused again", "refused", "failed", "late"}
+// Names of figures. Worth is what counts; the others tell where a difference comes from.
+const (
+	Worth        = "worth"
+	Credit       = "credit"
+	WorstSeconds = "worst seconds"
+	WorstKind    = "worst kind"
+	Prices       = "prices"
+	RefusedAgain = "refused again" // the price of callers who came back in vain
+	Refused      = "refused"       // share of the requests, as the next two
+	Failed       = "failed"
+	Late         = "late"
+	KindPrefix   = "of " // begins the names of the credit of single kinds of requests
+)
+
+// order of the figures in the table.
+var order = []string{Worth, Credit, WorstSeconds, WorstKind, Prices, RefusedAgain, Refused, Failed, Late}
 
 // confidence of the interval of a mean difference.
 const confidence = 0.95
@@ -70,20 +84,17 @@
 
 // names returns the figures of the table: those of every deployment, then the kinds of requests of this one.
 func names(results []Result) []string {
-	out, classes := slices.Clone(Names), make(map[string]bool)
+	kinds := make(map[string]bool)
 	for i := range results {
 		for name := range results[i].Figures {
-			if strings.HasPrefix(name, classPrefix) {
-				classes[name] = true
+			if strings.HasPrefix(name, KindPrefix) {
+				kinds[name] = true
 			}
 		}
 	}
-	return append(out, slices.Sorted(maps.Keys(classes))...)
+	return append(slices.Clone(order), slices.Sorted(maps.Keys(kinds))...)
 }
 
-// classPrefix begins the names of figures that are the credit of a kind of requests.
-const classPrefix = "of "
-
 // interval returns half of the width of the confidence interval of a mean, by Student's distribution.
 func interval(v []float64) float64 {
 	if len(v) < 2 {
--- a/internal/pairs/pairs_test.go
+++ b/internal/pairs/pairs_test.go
@@ -49,23 +49,6 @@
 	}
 }
 
-// TestDecode guards against a report of another shape that is read as zeros.
-func TestDecode(t *testing.T) {
-	r, err := decode([]byte(`{"G":0.6,"served":0.8,"parts":[["whole day",0.7,0.8],["worst windows",0.15,0.3]],
-		"prices":[["memory",8.0,0.02],["worth refused again",285.5,0.01]],"breaks":{"LOST":{"n":2}},"all":{"n":10,"late":2}}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if f := r.Figures; f["worth"] != 0.6 || f["worst windows"] != 0.3 || f["refused again"] != 0.01 || math.Abs(f["prices"]-0.03) > 1e-9 || f["late"] != 0.2 || len(r.Broken) != 1 {
-		t.Errorf("%+v", r)
-	}
-	for _, bad := range []string{`{}`, `[]`, `{"G":0.5,"prices":[["memory",1,"much"]]}`} {
-		if _, err := decode([]byte(bad)); err == nil {
-			t.Errorf("%s: no error", bad)
-		}
-	}
-}
-
 // TestKept guards against results of other days that are taken for the base's.
 func TestKept(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "base")
