--- a/internal/entry/bed_test.go
+++ b/internal/entry/bed_test.go
@@ -169,34 +169,24 @@
 // rawEndpoint is a TCP endpoint that hands each request it has read completely to answer.
 func rawEndpoint(t *testing.T, answer func(conn net.Conn, r *http.Request, nth int)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
+	address, end, err := testbed.Serve(func(conn net.Conn) {
+		br := bufio.NewReader(conn)
+		for n := 1; ; n++ {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(r.Body)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				br := bufio.NewReader(conn)
-				for n := 1; ; n++ {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					body, err := io.ReadAll(r.Body)
-					if err != nil {
-						return
-					}
-					r.Body = io.NopCloser(strings.NewReader(string(body)))
-					answer(conn, r, n)
-				}
-			}()
+			r.Body = io.NopCloser(strings.NewReader(string(body)))
+			answer(conn, r, n)
 		}
-	}()
-	return ln.Addr().String()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(end)
+	return address
 }
--- a/internal/host/troubled_test.go
+++ b/internal/host/troubled_test.go
@@ -18,6 +18,7 @@
 
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/telemetry"
+	"sycamoredeal/internal/testbed"
 	"sycamoredeal/internal/upstream"
 )
 
@@ -55,33 +56,20 @@
 // answer returns false.
 func newTroubledServer(t *testing.T, answer func(n int64, id string, w io.Writer) bool) *troubledServer {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	s := &troubledServer{address: ln.Addr().String(), closed: make(chan struct{}, 16)}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
+	s := &troubledServer{closed: make(chan struct{}, 16)}
+	address, end, err := testbed.Serve(func(c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil || !answer(s.runs.Add(1), req.Header.Get("X-Id"), &countingWriter{c, s}) {
 				return
 			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if !answer(s.runs.Add(1), req.Header.Get("X-Id"), &countingWriter{c, s}) {
-						return
-					}
-				}
-			}()
 		}
-	}()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(end)
+	s.address = address
 	return s
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -11,30 +11,20 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"sycamoredeal/internal/testbed"
 )
 
 // server answers each connection with fn, which gets the number of the connection from 1.
 func server(t *testing.T, fn func(n int32, c net.Conn, r *bufio.Reader)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	var n atomic.Int32
+	address, end, err := testbed.Serve(func(c net.Conn) { fn(n.Add(1), c, bufio.NewReader(c)) })
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { ln.Close() })
-	var n atomic.Int32
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				fn(n.Add(1), c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return ln.Addr().String()
+	t.Cleanup(end)
+	return address
 }
 
 func readRequest(r *bufio.Reader) (*http.Request, string, error) {
