Forward the removal of an object only if the object was known

Cause: a host that removed an object from its mirror forwarded the removal even if it did not have the object. While the dispatcher has lost the store, its relays send it what they apply and it sends what it applies to all hosts, relays included. So each removal came back and was sent again, three relays at a time.

Change: mirror.remove returns no update for an unknown object. TestRemovalIsForwardedOnce fails before: three of three repeated removals are forwarded.

--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -172,7 +172,9 @@
 
 // removeObject removes an object from the mirror and collects the change for other hosts. The caller holds the lock.
 func (d *directory) removeObject(kind, name string) {
-	d.pendingUpdates = append(d.pendingUpdates, d.mirror.remove(kind, name))
+	if u := d.mirror.remove(kind, name); u != nil {
+		d.pendingUpdates = append(d.pendingUpdates, u)
+	}
 }
 
 // publishView makes a new view from what is known, hands the collected changes over for other hosts, and notifies the
--- a/internal/host/directory_test.go
+++ b/internal/host/directory_test.go
@@ -14,6 +14,7 @@
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/telemetry"
+	"sycamoredeal/internal/wire"
 )
 
 // entryCodec reads the start time of an endpoint's process from its entry. Endpoints whose start time is a multiple of
@@ -67,3 +68,33 @@
 		}
 	})
 }
+
+// TestRemovalIsForwardedOnce plays a dispatcher that gets the same removal of an endpoint from three relays, and once more
+// from a relay to which it forwarded the removal. It guards against removals that dispatcher and relays send each other
+// without end: within two seconds, 780,000 messages filled the link of a dispatcher that had lost the store.
+func TestRemovalIsForwardedOnce(t *testing.T) {
+	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: entryCodec{}, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
+	d := h.directory
+	_, endpoints := entryCodec{}.Kinds()
+	entry := wire.StoredObject{Kind: endpoints, Name: "e1", Version: "5", Data: []byte("1")}
+	forwarded := func(u *wire.ViewUpdate) int {
+		before := h.dispatcher.pendingUpdates.Len()
+		d.applyUpdate(u)
+		return h.dispatcher.pendingUpdates.Len() - before
+	}
+	if n := forwarded(&wire.ViewUpdate{ObjectKind: endpoints, Objects: []wire.StoredObject{entry}}); n != 1 {
+		t.Fatalf("a new entry was forwarded in %d updates", n)
+	}
+	removal := &wire.ViewUpdate{ObjectKind: endpoints, Removed: []string{"e1"}}
+	if n := forwarded(removal); n != 1 {
+		t.Errorf("the removal of a listed endpoint was forwarded in %d updates", n)
+	}
+	for range 3 {
+		if n := forwarded(removal); n != 0 {
+			t.Errorf("the removal of an endpoint that is gone was forwarded in %d updates", n)
+		}
+	}
+	if n := forwarded(&wire.ViewUpdate{ObjectKind: kindHosts, Removed: []string{"h9"}}); n != 0 {
+		t.Errorf("the removal of an unknown host was forwarded in %d updates", n)
+	}
+}
--- a/internal/host/mirror.go
+++ b/internal/host/mirror.go
@@ -48,8 +48,12 @@
 	return &wire.ViewUpdate{ObjectKind: o.Kind, Objects: []wire.StoredObject{toStoredObject(o)}}
 }
 
-// remove removes an object and returns the update for other hosts.
+// remove removes an object and returns the update for other hosts, or nil if the mirror does not have the object. A relay
+// and its dispatcher forward updates to each other, so a removal that is already known must not make another one.
 func (m mirror) remove(kind, name string) *wire.ViewUpdate {
+	if _, known := m[kind][name]; !known {
+		return nil
+	}
 	delete(m[kind], name)
 	return &wire.ViewUpdate{ObjectKind: kind, Removed: []string{name}}
 }
