--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -349,6 +350,7 @@
 // host that connects gets the state of the fleet at once, so that it waits for the dispatcher.
 func (d *dispatcher) deferEvent(e dispatcherEvent) {
 	if e.message == nil {
+		d.deferredEvents = slices.DeleteFunc(d.deferredEvents, func(x dispatcherEvent) bool { return x.peer == e.peer })
 		d.hostDisconnected(e)
 		return
 	}
--- a/internal/host/dispatcher_test.go
+++ b/internal/host/dispatcher_test.go
@@ -51,3 +51,20 @@
 		t.Error("connections stay open although too many events are deferred")
 	}
 }
+
+// TestClosedConnectionWithoutView guards against a host that counts as connected for good: it connects to a dispatcher without a
+// complete view and turns to another one before the view is there. The dispatcher went on serving a fleet without hosts, and
+// counted the slots that the host had reported as in use.
+func TestClosedConnectionWithoutView(t *testing.T) {
+	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Log: telemetry.NewLogger(os.Stderr, "error", "test")})
+	d := h.dispatcher
+	gone, stays := &fakePeer{}, &fakePeer{}
+	d.handle(dispatcherEvent{"h1", gone, &wire.Resync{}})
+	d.handle(dispatcherEvent{"h2", stays, &wire.Resync{}})
+	d.handle(dispatcherEvent{"h1", gone, nil})
+	h.directory.currentView.Store(&fleet.View{Config: &fleet.Config{Version: 1}, EndpointsListed: true})
+	d.processDeferred()
+	if d.peers["h1"] != nil || d.peers["h2"] == nil {
+		t.Errorf("hosts connected: %v", d.peers)
+	}
+}
