Let a new dispatcher read the store before it chooses relays

A host that becomes the dispatcher has no answers of the store yet, so that it counted as one that has lost the store and had three other hosts read all kinds for it at each start and each change of dispatchers. It now has 100 ms for its first calls, unless one of them fails.

--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -23,6 +23,7 @@
 	rebuildDuration    = 120 * time.Millisecond // in which hosts report their requests in flight to a new dispatcher
 	holderTimeout      = 700 * time.Millisecond // without a beat, after which no holder is announced
 	broadcastsPerLoads = 5                      // number of broadcasts to a host of which one has the loads of endpoints
+	firstReadTime      = 100 * time.Millisecond // in which a host that becomes the dispatcher reads the store, before it chooses relays
 	// maxUpdateLinkShare limits the size of one view update, summed over all hosts, in seconds of this host's link.
 	// Hosts read longer changes from the store, which has more bandwidth than a host.
 	maxUpdateLinkShare = 0.2
@@ -62,6 +63,7 @@
 	deferredEvents []dispatcherEvent // events that wait for a complete view
 	storeLoads     []wire.StoreLoads // last reported by a holder of the placement lease
 	storeLoadsAt   time.Time
+	usedSince      time.Time // since when this host uses its own dispatcher, zero if it does not
 	relays         relaySelector
 	round          uint64             // number of broadcasts so far
 	answerBucket   tokenBucket        // limits the answers to ViewAsk
@@ -298,11 +300,18 @@
 	f := &wire.FleetState{Leaving: d.h.directory.leavingEndpoints()}
 	followsStore := d.h.directory.isCurrent()
 	lastChosenAt := d.relays.chosenAt
-	f.Relays = d.relays.choose(time.Now(), followsStore, d.h.binder.isDispatcher(), d.relayCandidates())
+	isDispatcher := d.h.binder.isDispatcher()
+	if !isDispatcher {
+		d.usedSince = time.Time{}
+	} else if d.usedSince.IsZero() {
+		d.usedSince = time.Now()
+	}
+	reading := time.Since(d.usedSince) < firstReadTime && !d.h.directory.hasOutage()
+	f.Relays = d.relays.choose(time.Now(), followsStore || reading, isDispatcher, d.relayCandidates())
 	if d.relays.chosenAt != lastChosenAt {
 		d.log.Info().Strs("relays", f.Relays).Msg("Store lost, relays chosen.")
 	}
-	f.ViewCurrent = (followsStore || d.relays.available(time.Now())) && d.h.binder.isDispatcher()
+	f.ViewCurrent = (followsStore || d.relays.available(time.Now())) && isDispatcher
 	if f.ViewCurrent {
 		f.Views = d.h.directory.summaries()
 	}
--- a/internal/host/dispatcher_test.go
+++ b/internal/host/dispatcher_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"os"
 	"testing"
 	"time"
@@ -87,3 +88,27 @@
 		t.Errorf("answers that take the link for %s", took)
 	}
 }
+
+// TestNewDispatcherReadsFirst guards against a new dispatcher that has three other hosts read the store for it before its own
+// first calls can be answered, and against one that waits for calls that hang.
+func TestNewDispatcherReadsFirst(t *testing.T) {
+	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: entryCodec{}, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
+	d, other := h.dispatcher, &fakePeer{}
+	h.directory.currentView.Store(&fleet.View{Hosts: []fleet.Host{{Name: "h0"}, {Name: "h1"}}})
+	h.binder.link = &link{host: fleet.Host{Name: "h0"}}
+	d.handle(dispatcherEvent{"h1", other, &wire.Resync{}})
+	if f := d.briefState(); len(f.Relays) > 0 {
+		t.Errorf("relays %v at once", f.Relays)
+	}
+	d.usedSince = time.Now().Add(-firstReadTime)
+	if f := d.briefState(); len(f.Relays) != 1 {
+		t.Errorf("relays %v of a dispatcher whose calls hang", f.Relays)
+	}
+	h.binder.link = nil
+	d.briefState()
+	h.binder.link = &link{host: fleet.Host{Name: "h0"}}
+	h.directory.recordOutcome("servers", context.DeadlineExceeded)
+	if f := d.briefState(); len(f.Relays) != 1 {
+		t.Errorf("relays %v of a dispatcher that lost the store", f.Relays)
+	}
+}
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -161,6 +161,13 @@
 	return lost
 }
 
+// hasOutage reports whether calls for any kind are failing.
+func (d *directory) hasOutage() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.outages) > 0
+}
+
 // recordAnswer records that the store has answered a call.
 func (d *directory) recordAnswer(kind string) {
 	d.recordOutcome(kind, nil)
