Agree on a dispatcher when hosts start together

Each host chose the first entry of its own list of hosts. After a loss of power that list shows the earlier processes, and each host reads it at another moment: hosts used entries of others that had not registered anew or not started yet, and the host at the other end did not serve itself, so that it had no view and passed none on. Hosts kept it for 400 ms, waited 300 ms for entries that do not answer, and heard of registrations only every 500 ms. All waited half a second before they read the store themselves.

The state that a dispatcher sends now tells whether its own host uses it, or which other dispatcher that host uses. Hosts follow this at once, and stay with a dispatcher that serves its own host although another is listed before it. Two dispatchers become one again: a dispatcher turns to a host before it that does not use it, to a stronger one, and to any host if no other uses it. A host that starts turns to the first one that has started with it, else to the first listed one; it becomes its own dispatcher once the list shows its registration, with which it shows all earlier ones. A failure counts against the process that failed, not against the next one of the host. A dispatcher sends its state at once when its view is complete, and waits for its source of changes end with the change.

Ruled out: an order that keeps the place of a host that starts again, as a host that was killed would become the dispatcher again at once; faster reads of the hosts by all, as the calls grow with the fleet.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -26,12 +26,10 @@
 	connectTimeout    = 300 * time.Millisecond // for the connection to a dispatcher, which is suspected after it
 	dispatcherTimeout = 600 * time.Millisecond // without a message of the dispatcher, four broadcasts are missing
 	stallThreshold    = 250 * time.Millisecond // by which a check is late if this process was stalled, not the dispatcher
-	hostListWait      = 400 * time.Millisecond // for the list of hosts after the start, before a host becomes its own dispatcher
+	hostListWait      = 400 * time.Millisecond // for the own entry in the list of hosts after the start
 	checkInterval     = 50 * time.Millisecond  // between two checks while the dispatcher may change
 	switchDelay       = 400 * time.Millisecond // for which another host has to be preferred before the dispatcher is replaced
-	minSuspectTime    = 2 * time.Second        // for which a failed dispatcher is not used; doubles with each failure
-	maxSuspectTime    = 16 * time.Second
-	localShare        = 1.5 // times the even share of an endpoint's slots: what a host may use without the dispatcher
+	localShare        = 1.5                    // times the even share of an endpoint's slots: what a host may use without the dispatcher
 	localRetryAfter   = 300 * time.Millisecond
 	maxStateAge       = 2 * time.Second // of the dispatcher's last state; older loads are ignored
 	avoidTime         = time.Second     // for an endpoint after a fault
@@ -80,7 +78,9 @@
 
 // link is the connection to one dispatcher, with its state. Its fields are guarded by the binder's lock.
 type link struct {
-	host         fleet.Host
+	host         fleet.Host        // incarnation of the process that answered, once connected
+	wanted       fleet.Host        // as it was listed when the link was opened
+	report       dispatcherReport  // of the last state
 	client       *transport.Client // nil for the dispatcher of this process
 	conn         peer              // nil until the connection is established and after it ended
 	openedAt     time.Time
@@ -89,12 +89,6 @@
 	closed       bool
 }
 
-// suspicion records the failures of a dispatcher.
-type suspicion struct {
-	until    time.Time // it is not used before
-	failures int       // failures since its last broadcast
-}
-
 // binder gets slots at endpoints for requests. It asks the dispatcher or, if there is none, decides locally.
 type binder struct {
 	h    *Host
@@ -105,8 +99,9 @@
 	lastID         uint64           // of calls
 	calls          map[uint64]*call // by id, those that wait or hold a slot
 	link           *link            // to the dispatcher in use, nil if there is none
+	started        bool             // a dispatcher has been in use since the start
 	nextLink       *link            // to the dispatcher that replaces it once connected, nil if there is none
-	suspects       map[string]suspicion
+	suspects       suspects
 	state          wire.FleetState
 	stateAt        time.Time
 	loadsAt        time.Time                // when the loads of endpoints in state arrived
@@ -122,7 +117,7 @@
 func newBinder(h *Host) *binder {
 	return &binder{
 		h: h, log: h.log.Part("binder"), startedAt: time.Now(), wake: make(chan struct{}, 1), calls: make(map[uint64]*call),
-		suspects: make(map[string]suspicion), localSlots: make(map[string]int), localBudgets: make(map[string]*sched.Budget), avoidUntil: make(map[string]time.Time),
+		suspects: make(suspects), localSlots: make(map[string]int), localBudgets: make(map[string]*sched.Budget), avoidUntil: make(map[string]time.Time),
 	}
 }
 
@@ -153,15 +148,22 @@
 	}
 }
 
-// preferredHost returns the first host of the list that is not suspected. A host that knows no others is its own dispatcher.
-func (b *binder) preferredHost(now time.Time) fleet.Host {
-	self := b.h.deployment().Host
-	for _, h := range b.h.directory.view().Hosts {
-		if h.Name == self || now.After(b.suspects[h.Name].until) {
-			return h
-		}
+// chooseDispatcher returns the dispatcher to use, whether to switch to it without switchDelay, and false while none can be
+// chosen. The caller holds the lock.
+func (b *binder) chooseDispatcher(now time.Time) (want fleet.Host, atOnce, ok bool) {
+	d := b.h.deployment()
+	age := now.Sub(b.startedAt)
+	c := dispatcherChoice{
+		self:     fleet.Host{Name: d.Host, Address: d.PeerAddress, Incarnation: b.h.incarnation, MilliCores: d.MilliCores},
+		hosts:    b.h.directory.view().Hosts,
+		starting: !b.started, age: age, listed: b.h.directory.registrationSeen.Load() || age >= hostListWait,
+		leaving: b.h.leaving(), hasClient: b.h.dispatcher.hasClient,
+		trust: func(h fleet.Host) trust { return b.suspects.trust(h, now) },
+	}
+	if b.link != nil {
+		c.inUse, c.report = &b.link.host, b.link.report
 	}
-	return fleet.Host{Name: self, Incarnation: b.h.incarnation}
+	return c.choose()
 }
 
 // checkDispatcher drops a dispatcher that failed, connects to the preferred one, and switches to it when it is connected. It
@@ -172,6 +174,7 @@
 	before := b.link
 	defer func() {
 		if b.link != before {
+			b.h.dispatcher.announce()
 			b.h.directory.sourceChanged.notify()
 		}
 		b.nextCheck = now.Add(next)
@@ -189,20 +192,25 @@
 		b.closeLink(c)
 		b.nextLink = nil
 	}
-	if b.link == nil && now.Sub(b.startedAt) < hostListWait && !b.h.directory.hostsListed.Load() {
+	if c := b.nextLink; b.link == nil && !b.started && c != nil && c.conn != nil {
+		// Any process that answers leads to the dispatcher, also a successor of the listed one.
+		b.switchDispatcher(now)
+		return checkInterval
+	}
+	want, atOnce, ok := b.chooseDispatcher(now)
+	if !ok {
 		return checkInterval
 	}
-	want := b.preferredHost(now)
-	if b.link != nil && sameHost(b.link.host, want) {
+	if b.link != nil && (sameHost(b.link.host, want) || sameHost(b.link.wanted, want)) {
 		b.closeLink(b.nextLink)
 		b.nextLink = nil
 		b.preferred = fleet.Host{}
 		return max(b.link.lastHeard.Add(dispatcherTimeout).Sub(now), checkInterval)
 	}
-	if b.link != nil && !b.preferenceSettled(want, now) {
+	if b.link != nil && !b.preferenceSettled(want, now) && !atOnce {
 		return checkInterval
 	}
-	if b.nextLink == nil || !sameHost(b.nextLink.host, want) {
+	if b.nextLink == nil || !sameHost(b.nextLink.wanted, want) {
 		b.closeLink(b.nextLink)
 		b.nextLink = b.openLink(ctx, want, now)
 	}
@@ -225,22 +233,19 @@
 	return a.Name == b.Name && a.Incarnation == b.Incarnation && a.Address == b.Address
 }
 
-// suspect excludes a failed dispatcher from use for a time that doubles with each failure. A host never suspects itself.
+// suspect excludes a failed dispatcher from use for some time. A host never suspects itself.
 func (b *binder) suspect(l *link, now time.Time) {
 	if l.host.Name == b.h.deployment().Host {
 		return
 	}
-	s := b.suspects[l.host.Name]
-	s.until = now.Add(min(minSuspectTime<<min(s.failures, 8), maxSuspectTime))
-	s.failures++
-	b.suspects[l.host.Name] = s
+	until := b.suspects.recordFailure(l.host, l.wanted, now)
 	b.log.Warn().Str("dispatcher", l.host.Name).Bool("closed", l.closed).Int64("silentMs", now.Sub(l.lastHeard).Milliseconds()).
-		Time("until", s.until).Msg("Dispatcher passed over.")
+		Time("until", until).Msg("Dispatcher passed over.")
 }
 
 // openLink starts the connection to the dispatcher on a host.
 func (b *binder) openLink(ctx context.Context, host fleet.Host, now time.Time) *link {
-	l := &link{host: host, openedAt: now, lastHeard: now}
+	l := &link{host: host, wanted: host, openedAt: now, lastHeard: now}
 	if host.Name == b.h.deployment().Host {
 		l.conn = &binderEnd{b: b, l: l}
 		return l
@@ -256,6 +261,11 @@
 	b.mu.Lock()
 	if !l.closed {
 		l.conn = c
+		if running := c.Remote().Incarnation; running != l.wanted.Incarnation {
+			// The listed process has ended. Its successor comes last in the order, and will be listed soon.
+			l.host.Incarnation = running
+			b.suspects.recordEnd(l.wanted, time.Now())
+		}
 	}
 	b.mu.Unlock()
 	b.triggerCheck()
@@ -292,7 +302,7 @@
 		before = b.link.host.Name
 	}
 	b.closeLink(b.link)
-	b.link, b.nextLink = b.nextLink, nil
+	b.link, b.nextLink, b.started = b.nextLink, nil, true
 	b.link.lastHeard = now
 	b.state.ViewCurrent = false // until the new dispatcher's state says so
 	r := &wire.Resync{}
@@ -373,6 +383,16 @@
 	return relaySearchGrace
 }
 
+// dispatcherInUse returns the dispatcher in use, and false if there is none.
+func (b *binder) dispatcherInUse() (fleet.Host, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.link == nil {
+		return fleet.Host{}, false
+	}
+	return b.link.host, true
+}
+
 // isDispatcher reports whether this host is its own dispatcher.
 func (b *binder) isDispatcher() bool {
 	b.mu.Lock()
@@ -407,6 +427,10 @@
 		}
 		b.state.Endpoints = loads
 		delete(b.suspects, l.host.Name)
+		if r := newDispatcherReport(l.host, m); r != l.report {
+			l.report = r
+			b.triggerCheck()
+		}
 	case *wire.ViewUpdate:
 		b.queueRelayed(l, forwardedMessage{update: m})
 	case *wire.ViewAsk:
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -66,7 +66,7 @@
 	registrationWake chan struct{}                // signals that the own host object may have to be written
 	updates          *ring.Ring[forwardedMessage] // from the dispatcher or a relay
 	sourceChanged    notifier                     // another host may have started or stopped forwarding changes
-	hostsListed      atomic.Bool                  // the hosts have been listed since the start
+	registrationSeen atomic.Bool                  // the list of hosts or its changes have shown the registration of this process
 
 	mu              sync.Mutex
 	mirror          mirror
@@ -258,7 +258,7 @@
 func sortHosts(hosts []fleet.Host) {
 	sort.Slice(hosts, func(i, j int) bool {
 		a, b := &hosts[i], &hosts[j]
-		if x, y := a.MilliCores/strengthClassSize, b.MilliCores/strengthClassSize; x != y {
+		if x, y := strengthClass(*a), strengthClass(*b); x != y {
 			return x > y
 		}
 		if a.Revision != b.Revision {
@@ -451,7 +451,6 @@
 
 // retainHosts removes the hosts that a full list does not show. The caller holds the lock.
 func (d *directory) retainHosts(names map[string]bool) {
-	d.hostsListed.Store(true)
 	for _, name := range d.mirror.missing(kindHosts, names) {
 		d.removeHost(name)
 	}
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,8 @@
 	events         *ring.Ring[dispatcherEvent]
 	viewWake       chan struct{}                // signals a new view
 	pendingUpdates *ring.Ring[*wire.ViewUpdate] // changes of the view for the other hosts
+	announceWake   chan struct{}                // signals a change that hosts have to know before the next broadcast
+	clients        sync.Map                     // names of the hosts that use this dispatcher
 	start          time.Time
 
 	state          *sched.State    // nil while no host is connected
@@ -65,6 +68,7 @@
 	storeLoadsAt   time.Time
 	usedSince      time.Time // since when this host uses its own dispatcher, zero if it does not
 	relays         relaySelector
+	announcedView  bool               // the last state that was sent says that the view is current
 	round          uint64             // number of broadcasts so far
 	answerBucket   tokenBucket        // limits the answers to ViewAsk
 	batch          []*wire.ViewUpdate // changes that are collected to be sent together
@@ -72,7 +76,7 @@
 
 func newDispatcher(h *Host) *dispatcher {
 	return &dispatcher{
-		h: h, log: h.log.Part("dispatcher"), events: ring.New[dispatcherEvent](eventQueueSize), viewWake: make(chan struct{}, 1),
+		h: h, log: h.log.Part("dispatcher"), events: ring.New[dispatcherEvent](eventQueueSize), viewWake: make(chan struct{}, 1), announceWake: make(chan struct{}, 1),
 		pendingUpdates: ring.New[*wire.ViewUpdate](updateQueueSize), start: time.Now(), peers: make(map[string]peer),
 	}
 }
@@ -93,6 +97,20 @@
 	}
 }
 
+// announce has the state of the fleet broadcast at once.
+func (d *dispatcher) announce() {
+	select {
+	case d.announceWake <- struct{}{}:
+	default:
+	}
+}
+
+// hasClient reports whether a host uses this dispatcher.
+func (d *dispatcher) hasClient(host string) bool {
+	_, ok := d.clients.Load(host)
+	return ok
+}
+
 // queueUpdates queues changes of the view for the other hosts. If the queue is full, the rest is dropped, and the hosts
 // notice by the summaries in broadcasts that they lack objects.
 func (d *dispatcher) queueUpdates(updates []*wire.ViewUpdate) {
@@ -137,6 +155,16 @@
 					d.state.SetView(d.now(), d.h.directory.view())
 				}
 				d.processDeferred()
+				if d.state != nil && !d.announcedView && d.h.binder.isDispatcher() && d.h.directory.isCurrent() {
+					d.announce() // hosts that start wait for the view
+				}
+			})
+		case <-d.announceWake:
+			d.runStep(func() {
+				if d.state != nil {
+					d.lastBroadcast = time.Now()
+					d.broadcast()
+				}
 			})
 		case <-t.C:
 			d.runStep(d.tick)
@@ -156,6 +184,7 @@
 	}
 	peers := d.peers
 	d.state, d.peers, d.deferredEvents = nil, make(map[string]peer), nil
+	d.clients.Clear()
 	for _, p := range peers {
 		p.Close()
 	}
@@ -268,6 +297,7 @@
 func (d *dispatcher) broadcast() {
 	d.sendBatch() // hosts need the changes before the summaries that include them
 	full, loads, brief := d.fleetStates()
+	d.announcedView = brief.ViewCurrent
 	d.round++
 	for host, p := range d.peers {
 		switch {
@@ -312,6 +342,7 @@
 		d.log.Info().Strs("relays", f.Relays).Msg("Store lost, relays chosen.")
 	}
 	f.ViewCurrent = (followsStore || d.relays.available(time.Now())) && isDispatcher
+	d.addDispatcherInUse(f)
 	if f.ViewCurrent {
 		f.Views = d.h.directory.summaries()
 	}
@@ -323,6 +354,18 @@
 	return f
 }
 
+// addDispatcherInUse adds to a state which dispatcher this host uses. A host that is stopping adds none.
+func (d *dispatcher) addDispatcherInUse(f *wire.FleetState) {
+	u, ok := d.h.binder.dispatcherInUse()
+	switch {
+	case !ok || d.h.leaving():
+	case u.Name == d.h.deployment().Host:
+		f.Serving = true
+	default:
+		f.Successor = &wire.HostRef{Name: u.Name, Address: u.Address, Incarnation: u.Incarnation, MilliCores: uint32(u.MilliCores)}
+	}
+}
+
 // agedStoreLoads returns the loads from the weight store that a holder last reported, with their ages as of now, and
 // whether any holder has reported.
 func (d *dispatcher) agedStoreLoads() ([]wire.StoreLoads, bool) {
@@ -488,6 +531,7 @@
 		d.log.Info().Str("first", e.host).Msg("Serving as dispatcher.")
 	}
 	d.peers[e.host] = e.peer
+	d.clients.Store(e.host, struct{}{})
 	d.state.HostUp(d.now(), e.host)
 	d.send(e.peer, d.briefState()) // its summaries show a host that has just started which objects to ask for
 }
@@ -498,6 +542,7 @@
 		return
 	}
 	delete(d.peers, e.host)
+	d.clients.Delete(e.host)
 	d.state.HostDown(d.now(), e.host)
 	if len(d.peers) == 0 {
 		d.state = nil
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -39,26 +39,23 @@
 			// The dispatcher follows the store for all hosts, so that the number of calls does not grow with the fleet.
 			d.recordOutcome(w.kind, nil)
 			version = ""
-			select {
-			case <-sourceChanged:
-			case <-time.After(forwardIdleInterval):
-			case <-ctx.Done():
-			}
+			waitForSource(ctx, sourceChanged, forwardIdleInterval)
 			lastForwarded = time.Now()
 			continue
 		case version == "" && !isDispatcher && !d.isStale(w.kind) && time.Since(lastForwarded) < d.h.binder.relayWait():
 			// The next dispatcher, or a relay, is about to forward the kind.
-			clock.Sleep(ctx, forwardPollInterval)
+			waitForSource(ctx, sourceChanged, forwardPollInterval)
 			continue
 		case version == "":
 			version, err = d.listKind(ctx, w)
 		default:
 			before := version
 			if version, err = d.applyChanges(ctx, w, version); err == nil && version != before {
-				if isDispatcher {
+				switch {
+				case isDispatcher, w.kind == kindHosts && !d.registrationSeen.Load():
 					clock.Sleep(ctx, batchPause)
-				} else {
-					clock.Sleep(ctx, fallbackBatchPause)
+				default:
+					waitForSource(ctx, sourceChanged, fallbackBatchPause)
 				}
 			}
 		}
@@ -77,6 +74,17 @@
 	}
 }
 
+// waitForSource waits for a change of the hosts that forward changes, at most for limit.
+func waitForSource(ctx context.Context, sourceChanged <-chan struct{}, limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-sourceChanged:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // isForwarded reports whether another host forwards all changes of a kind.
 func (d *directory) isForwarded(kind string) bool {
 	if !d.h.binder.storeChangesRelayed() {
@@ -116,6 +124,7 @@
 		// the dispatcher's link when all hosts start.
 		d.pendingUpdates = d.pendingUpdates[:pending]
 	}
+	d.noteRegistration(w.kind, names[d.h.deployment().Host])
 	delete(d.stale, w.kind)
 	d.publishView()
 	return version, nil
@@ -141,7 +150,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	ownListed := false
 	for _, e := range events {
+		ownListed = ownListed || e.Object.Name == d.h.deployment().Host
 		if e.Type == objects.EventDeleted {
 			w.remove(e.Object.Name)
 		} else {
@@ -149,10 +160,19 @@
 			w.put(e.Object)
 		}
 	}
+	d.noteRegistration(w.kind, ownListed)
 	d.publishView()
 	return next, nil
 }
 
+// noteRegistration records that what the store lists has reached the registration of this process, and with it all earlier
+// ones. ownListed is true if the last answer shows this host. The caller holds the lock.
+func (d *directory) noteRegistration(kind string, ownListed bool) {
+	if _, ok := d.hosts[d.h.deployment().Host]; kind == kindHosts && ownListed && ok {
+		d.registrationSeen.Store(true)
+	}
+}
+
 // isStoreLost reports whether calls for a kind are failing.
 func (d *directory) isStoreLost(kind string) bool {
 	d.mu.Lock()
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -354,6 +354,18 @@
 	Leaving []EndpointLeaves `msg:"l"`
 	// Weights are those of Models. A model that is not listed has 1 slot per request.
 	Weights []ModelWeight `msg:"m"`
+	// Serving is true if the dispatcher's own host uses it. Otherwise Successor is the dispatcher that this host uses, if
+	// any.
+	Serving   bool     `msg:"n"`
+	Successor *HostRef `msg:"o"`
+}
+
+// HostRef identifies a process of a host and its address for other hosts.
+type HostRef struct {
+	Name        string `msg:"a"`
+	Address     string `msg:"b"`
+	Incarnation uint64 `msg:"c"`
+	MilliCores  uint32 `msg:"d"` // processor time of the host, in thousandths of a core
 }
 
 // StoreLoads lists the recent orders to endpoints of a service that load a model from the weight store.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -2501,9 +2501,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 15
 	// string "a"
-	o = append(o, 0x8d, 0xa1, 0x61)
+	o = append(o, 0x8f, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 3
@@ -2598,6 +2598,20 @@
 		o = msgp.AppendString(o, z.Weights[za0008].Model)
 		o = msgp.AppendFloat32(o, z.Weights[za0008].SlotsPerRequest)
 	}
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendBool(o, z.Serving)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	if z.Successor == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Successor.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Successor")
+			return
+		}
+	}
 	return
 }
 
@@ -2934,6 +2948,29 @@
 					return
 				}
 			}
+		case "n":
+			z.Serving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Serving")
+				return
+			}
+		case "o":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Successor = nil
+			} else {
+				if z.Successor == nil {
+					z.Successor = new(HostRef)
+				}
+				bts, err = z.Successor.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Successor")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2976,6 +3013,12 @@
 	for za0008 := range z.Weights {
 		s += 1 + msgp.StringPrefixSize + len(z.Weights[za0008].Service) + msgp.StringPrefixSize + len(z.Weights[za0008].Model) + msgp.Float32Size
 	}
+	s += 2 + msgp.BoolSize + 2
+	if z.Successor == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Successor.Msgsize()
+	}
 	return
 }
 
@@ -3955,6 +3998,85 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *HostRef) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Name)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendString(o, z.Address)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendUint32(o, z.MilliCores)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HostRef) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "b":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "c":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "d":
+			z.MilliCores, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MilliCores")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *HostRef) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Inquiry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
