--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,12 +24,16 @@
 	rebuildDuration    = 120 * time.Millisecond // in which hosts report their requests in flight to a new dispatcher
 	holderTimeout      = 700 * time.Millisecond // without a beat, after which no holder is announced
 	broadcastsPerLoads = 5                      // number of broadcasts to a host of which one has the loads of endpoints
+	firstReadTime      = 100 * time.Millisecond // in which a host that becomes the dispatcher reads the store, before it chooses relays
 	// maxUpdateLinkShare limits the size of one view update, summed over all hosts, in seconds of this host's link.
 	// Hosts read longer changes from the store, which has more bandwidth than a host.
 	maxUpdateLinkShare = 0.2
 	// maxAnswerLinkShare limits the answers to hosts that ask for missing objects, as a share of this host's link.
 	maxAnswerLinkShare = 0.4
-	defaultLinkMbps    = 10.0 // if the deployment does not state the link's bandwidth
+	// answerBurstTime limits the answers that wait for the link together, in time of the link. Grants wait behind them, and
+	// hosts that connect give up after connectTimeout.
+	answerBurstTime = 50 * time.Millisecond
+	defaultLinkMbps = 10.0 // if the deployment does not state the link's bandwidth
 	// batchDelay is how long changes are collected before they are forwarded. In a large fleet they come dozens of
 	// times a second, and every host has to process each message.
 	batchDelay = 60 * time.Millisecond
@@ -48,6 +54,8 @@
 	events         *ring.Ring[dispatcherEvent]
 	viewWake       chan struct{}                // signals a new view
 	pendingUpdates *ring.Ring[*wire.ViewUpdate] // changes of the view for the other hosts
+	announceWake   chan struct{}                // signals a change that hosts have to know before the next broadcast
+	clients        sync.Map                     // names of the hosts that use this dispatcher
 	start          time.Time
 
 	state          *sched.State    // nil while no host is connected
@@ -58,7 +66,9 @@
 	deferredEvents []dispatcherEvent // events that wait for a complete view
 	storeLoads     []wire.StoreLoads // last reported by a holder of the placement lease
 	storeLoadsAt   time.Time
+	usedSince      time.Time // since when this host uses its own dispatcher, zero if it does not
 	relays         relaySelector
+	announcedView  bool               // the last state that was sent says that the view is current
 	round          uint64             // number of broadcasts so far
 	answerBucket   tokenBucket        // limits the answers to ViewAsk
 	batch          []*wire.ViewUpdate // changes that are collected to be sent together
@@ -66,7 +76,7 @@
 
 func newDispatcher(h *Host) *dispatcher {
 	return &dispatcher{
-		h: h, log: h.log.Part("dispatcher"), events: ring.New[dispatcherEvent](eventQueueSize), viewWake: make(chan struct{}, 1),
+		h: h, log: h.log.Part("dispatcher"), events: ring.New[dispatcherEvent](eventQueueSize), viewWake: make(chan struct{}, 1), announceWake: make(chan struct{}, 1),
 		pendingUpdates: ring.New[*wire.ViewUpdate](updateQueueSize), start: time.Now(), peers: make(map[string]peer),
 	}
 }
@@ -87,6 +97,20 @@
 	}
 }
 
+// announce has the state of the fleet broadcast at once.
+func (d *dispatcher) announce() {
+	select {
+	case d.announceWake <- struct{}{}:
+	default:
+	}
+}
+
+// hasClient reports whether a host uses this dispatcher.
+func (d *dispatcher) hasClient(host string) bool {
+	_, ok := d.clients.Load(host)
+	return ok
+}
+
 // queueUpdates queues changes of the view for the other hosts. If the queue is full, the rest is dropped, and the hosts
 // notice by the summaries in broadcasts that they lack objects.
 func (d *dispatcher) queueUpdates(updates []*wire.ViewUpdate) {
@@ -131,6 +155,16 @@
 					d.state.SetView(d.now(), d.h.directory.view())
 				}
 				d.processDeferred()
+				if d.state != nil && !d.announcedView && d.h.binder.isDispatcher() && d.h.directory.isCurrent() {
+					d.announce() // hosts that start wait for the view
+				}
+			})
+		case <-d.announceWake:
+			d.runStep(func() {
+				if d.state != nil {
+					d.lastBroadcast = time.Now()
+					d.broadcast()
+				}
 			})
 		case <-t.C:
 			d.runStep(d.tick)
@@ -150,6 +184,7 @@
 	}
 	peers := d.peers
 	d.state, d.peers, d.deferredEvents = nil, make(map[string]peer), nil
+	d.clients.Clear()
 	for _, p := range peers {
 		p.Close()
 	}
@@ -211,24 +246,24 @@
 func (d *dispatcher) viewAnswer(m *wire.ViewAsk) *wire.ViewUpdate {
 	u := d.h.directory.updateSince(m)
 	rate := maxAnswerLinkShare * d.linkBytes()
-	if !d.answerBucket.allow(d.now(), float64(updateSize(u)), rate) {
+	if !d.answerBucket.allow(d.now(), float64(updateSize(u)), rate, answerBurstTime.Seconds()*d.linkBytes()) {
 		return &wire.ViewUpdate{ObjectKind: u.ObjectKind, Fetch: true}
 	}
 	return u
 }
 
-// tokenBucket limits a rate. Its capacity is the amount that the rate allows in one second.
+// tokenBucket limits a rate.
 type tokenBucket struct {
 	used      float64       // tokens taken and not yet refilled
 	updatedAt time.Duration // time of the last call of allow
 }
 
-// allow takes n tokens from the bucket, which is refilled at rate tokens per second, and returns whether there were enough. A
-// full bucket allows any n, so that a message longer than the capacity can be sent.
-func (b *tokenBucket) allow(now time.Duration, n, rate float64) bool {
+// allow takes n tokens from the bucket, which is refilled at rate tokens per second up to capacity, and returns whether there
+// were enough. A full bucket allows any n, so that a message longer than the capacity can be sent.
+func (b *tokenBucket) allow(now time.Duration, n, rate, capacity float64) bool {
 	b.used = max(b.used-rate*(now-b.updatedAt).Seconds(), 0)
 	b.updatedAt = now
-	if b.used > 0 && b.used+n > rate {
+	if b.used > 0 && b.used+n > capacity {
 		return false
 	}
 	b.used += n
@@ -262,6 +297,7 @@
 func (d *dispatcher) broadcast() {
 	d.sendBatch() // hosts need the changes before the summaries that include them
 	full, loads, brief := d.fleetStates()
+	d.announcedView = brief.ViewCurrent
 	d.round++
 	for host, p := range d.peers {
 		switch {
@@ -294,11 +330,19 @@
 	f := &wire.FleetState{Leaving: d.h.directory.leavingEndpoints()}
 	followsStore := d.h.directory.isCurrent()
 	lastChosenAt := d.relays.chosenAt
-	f.Relays = d.relays.choose(time.Now(), followsStore, d.h.binder.isDispatcher(), d.relayCandidates())
+	isDispatcher := d.h.binder.isDispatcher()
+	if !isDispatcher {
+		d.usedSince = time.Time{}
+	} else if d.usedSince.IsZero() {
+		d.usedSince = time.Now()
+	}
+	reading := time.Since(d.usedSince) < firstReadTime && !d.h.directory.hasOutage()
+	f.Relays = d.relays.choose(time.Now(), followsStore || reading, isDispatcher, d.relayCandidates())
 	if d.relays.chosenAt != lastChosenAt {
 		d.log.Info().Strs("relays", f.Relays).Msg("Store lost, relays chosen.")
 	}
-	f.ViewCurrent = (followsStore || d.relays.available(time.Now())) && d.h.binder.isDispatcher()
+	f.ViewCurrent = (followsStore || d.relays.available(time.Now())) && isDispatcher
+	d.addDispatcherInUse(f)
 	if f.ViewCurrent {
 		f.Views = d.h.directory.summaries()
 	}
@@ -310,6 +354,18 @@
 	return f
 }
 
+// addDispatcherInUse adds to a state which dispatcher this host uses. A host that is stopping adds none.
+func (d *dispatcher) addDispatcherInUse(f *wire.FleetState) {
+	u, ok := d.h.binder.dispatcherInUse()
+	switch {
+	case !ok || d.h.leaving():
+	case u.Name == d.h.deployment().Host:
+		f.Serving = true
+	default:
+		f.Successor = &wire.HostRef{Name: u.Name, Address: u.Address, Incarnation: u.Incarnation, MilliCores: uint32(u.MilliCores)}
+	}
+}
+
 // agedStoreLoads returns the loads from the weight store that a holder last reported, with their ages as of now, and
 // whether any holder has reported.
 func (d *dispatcher) agedStoreLoads() ([]wire.StoreLoads, bool) {
@@ -349,6 +405,7 @@
 // host that connects gets the state of the fleet at once, so that it waits for the dispatcher.
 func (d *dispatcher) deferEvent(e dispatcherEvent) {
 	if e.message == nil {
+		d.deferredEvents = slices.DeleteFunc(d.deferredEvents, func(x dispatcherEvent) bool { return x.peer == e.peer })
 		d.hostDisconnected(e)
 		return
 	}
@@ -474,6 +531,7 @@
 		d.log.Info().Str("first", e.host).Msg("Serving as dispatcher.")
 	}
 	d.peers[e.host] = e.peer
+	d.clients.Store(e.host, struct{}{})
 	d.state.HostUp(d.now(), e.host)
 	d.send(e.peer, d.briefState()) // its summaries show a host that has just started which objects to ask for
 }
@@ -484,6 +542,7 @@
 		return
 	}
 	delete(d.peers, e.host)
+	d.clients.Delete(e.host)
 	d.state.HostDown(d.now(), e.host)
 	if len(d.peers) == 0 {
 		d.state = nil
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -39,26 +39,23 @@
 			// The dispatcher follows the store for all hosts, so that the number of calls does not grow with the fleet.
 			d.recordOutcome(w.kind, nil)
 			version = ""
-			select {
-			case <-sourceChanged:
-			case <-time.After(forwardIdleInterval):
-			case <-ctx.Done():
-			}
+			waitForSource(ctx, sourceChanged, forwardIdleInterval)
 			lastForwarded = time.Now()
 			continue
 		case version == "" && !isDispatcher && !d.isStale(w.kind) && time.Since(lastForwarded) < d.h.binder.relayWait():
 			// The next dispatcher, or a relay, is about to forward the kind.
-			clock.Sleep(ctx, forwardPollInterval)
+			waitForSource(ctx, sourceChanged, forwardPollInterval)
 			continue
 		case version == "":
 			version, err = d.listKind(ctx, w)
 		default:
 			before := version
 			if version, err = d.applyChanges(ctx, w, version); err == nil && version != before {
-				if isDispatcher {
+				switch {
+				case isDispatcher, w.kind == kindHosts && !d.registrationSeen.Load():
 					clock.Sleep(ctx, batchPause)
-				} else {
-					clock.Sleep(ctx, fallbackBatchPause)
+				default:
+					waitForSource(ctx, sourceChanged, fallbackBatchPause)
 				}
 			}
 		}
@@ -77,6 +74,17 @@
 	}
 }
 
+// waitForSource waits for a change of the hosts that forward changes, at most for limit.
+func waitForSource(ctx context.Context, sourceChanged <-chan struct{}, limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-sourceChanged:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // isForwarded reports whether another host forwards all changes of a kind.
 func (d *directory) isForwarded(kind string) bool {
 	if !d.h.binder.storeChangesRelayed() {
@@ -104,12 +112,19 @@
 	names := make(map[string]bool, len(list))
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	first, pending := len(d.mirror[w.kind]) == 0, len(d.pendingUpdates)
 	for _, o := range list {
 		names[o.Name] = true
 		d.recordObject(o)
 		w.put(o)
 	}
 	w.retain(names)
+	if first {
+		// Other hosts ask for what they lack, by the summaries in broadcasts. Sent to each of them, the whole list would fill
+		// the dispatcher's link when all hosts start.
+		d.pendingUpdates = d.pendingUpdates[:pending]
+	}
+	d.noteRegistration(w.kind, names[d.h.deployment().Host])
 	delete(d.stale, w.kind)
 	d.publishView()
 	return version, nil
@@ -135,7 +150,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	ownListed := false
 	for _, e := range events {
+		ownListed = ownListed || e.Object.Name == d.h.deployment().Host
 		if e.Type == objects.EventDeleted {
 			w.remove(e.Object.Name)
 		} else {
@@ -143,10 +160,19 @@
 			w.put(e.Object)
 		}
 	}
+	d.noteRegistration(w.kind, ownListed)
 	d.publishView()
 	return next, nil
 }
 
+// noteRegistration records that what the store lists has reached the registration of this process, and with it all earlier
+// ones. ownListed is true if the last answer shows this host. The caller holds the lock.
+func (d *directory) noteRegistration(kind string, ownListed bool) {
+	if _, ok := d.hosts[d.h.deployment().Host]; kind == kindHosts && ownListed && ok {
+		d.registrationSeen.Store(true)
+	}
+}
+
 // isStoreLost reports whether calls for a kind are failing.
 func (d *directory) isStoreLost(kind string) bool {
 	d.mu.Lock()
@@ -155,6 +181,13 @@
 	return lost
 }
 
+// hasOutage reports whether calls for any kind are failing.
+func (d *directory) hasOutage() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.outages) > 0
+}
+
 // recordAnswer records that the store has answered a call.
 func (d *directory) recordAnswer(kind string) {
 	d.recordOutcome(kind, nil)
