Count calls to the store by kind, operation and cause

Cause: the process knew only the number of all calls, so which of them a deployment pays for could not be told.

Change: the context of a call carries its cause, the store client counts each HTTP call by kind, operation and cause. The metric sycamore_store_calls_total has these as labels, and a log line every 5 s with calls gives the same for deployments without a metrics collector. The calls of processes that are killed are missing for at most 5 s.

--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -96,7 +96,7 @@
 
 // listKind reads all objects of a kind from the store, and returns the version from which to ask for changes.
 func (d *directory) listKind(ctx context.Context, w kindWatch) (string, error) {
-	list, version, err := d.h.opts.Store.List(ctx, w.kind)
+	list, version, err := d.h.opts.Store.List(objects.WithCause(ctx, d.followCause(w.kind)), w.kind)
 	if err != nil {
 		return "", err
 	}
@@ -122,7 +122,7 @@
 	if d.isStoreLost(w.kind) {
 		wait = probeWait
 	}
-	events, next, err := d.h.opts.Store.Changes(ctx, w.kind, version, wait)
+	events, next, err := d.h.opts.Store.Changes(objects.WithCause(ctx, d.followCause(w.kind)), w.kind, version, wait)
 	if errors.Is(err, objects.ErrExpired) {
 		return "", err
 	}
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -197,7 +197,7 @@
 			machine.MakeDue()
 		}
 		if machine.HeldEpoch(now) > 0 || release == nil || ph.mayChallenge(now-lastHeard) {
-			if err := storedLease.Step(ctx, machine); err != nil {
+			if err := storedLease.Step(objects.WithCause(ctx, leaseCause(machine.HeldEpoch(now) > 0, release == nil)), machine); err != nil {
 				ph.log.Debug().Err(err).Msg("Lease call failed.")
 			}
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -38,6 +38,8 @@
 	Delete(ctx context.Context, o objects.Object) error
 	// Calls returns the number of calls made.
 	Calls() uint64
+	// CallCounts returns the number of calls made, by class. The cause is that of the call's context.
+	CallCounts() map[objects.CallClass]uint64
 	// Move changes the address of the store.
 	Move(address string)
 }
@@ -168,7 +170,7 @@
 		return err
 	}
 	for _, run := range []func(context.Context){h.directory.run, h.dispatcher.run, h.binder.run, h.holder.run,
-		h.sweepConnections} {
+		h.sweepConnections, h.logStoreCalls} {
 		g.Go(func() error { run(work); return nil })
 	}
 	if err := h.front.listen(work, g); err != nil {
@@ -262,7 +264,7 @@
 	dials := func() uint64 { n, _ := h.requestPool.Counts(); return n }
 	reuses := func() uint64 { _, n := h.requestPool.Counts(); return n }
 	for _, err := range []error{
-		m.Counter("sycamore.store.calls", "Calls to the platform's store.", h.opts.Store.Calls),
+		m.AttributedCounter("sycamore.store.calls", "Calls to the platform's store.", h.storeCallSeries),
 		m.Counter("sycamore.upstream.dials", "Connections opened to endpoints.", dials),
 		m.Counter("sycamore.upstream.reuses", "Requests sent on a kept connection.", reuses),
 		m.Gauge("sycamore.in.flight", "Requests in progress.", func() float64 { return float64(h.front.inFlight.Load()) }),
--- a/internal/host/registration.go
+++ b/internal/host/registration.go
@@ -40,6 +40,7 @@
 
 // writeHostObject creates or replaces this host's object in the store unless the list of hosts already shows it.
 func (d *directory) writeHostObject(ctx context.Context) error {
+	ctx = objects.WithCause(ctx, causeRegistration)
 	dep := d.h.deployment()
 	d.mu.Lock()
 	version := d.ownVersion
@@ -91,7 +92,7 @@
 	if version == "" {
 		return
 	}
-	err := d.h.opts.Store.Delete(ctx, objects.Object{Kind: kindHosts, Name: d.h.deployment().Host, Version: version})
+	err := d.h.opts.Store.Delete(objects.WithCause(ctx, causeDeregistration), objects.Object{Kind: kindHosts, Name: d.h.deployment().Host, Version: version})
 	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		d.log.Warn().Err(err).Msg("Failed to remove this host's entry.")
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -103,6 +103,29 @@
 	return errors.Annotate(err, name)
 }
 
+// AttributedCount is the value of a counter for one set of attributes.
+type AttributedCount struct {
+	Attributes map[string]string
+	Count      uint64
+}
+
+// AttributedCounter registers a counter with one value for each set of attributes, read at each collection. The values
+// must never decrease, and the number of sets must be limited by the code.
+func (m *Metrics) AttributedCounter(name, help string, read func() []AttributedCount) error {
+	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(help),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for _, c := range read() {
+				attrs := make([]attribute.KeyValue, 0, len(c.Attributes))
+				for k, v := range c.Attributes {
+					attrs = append(attrs, attribute.String(k, v))
+				}
+				o.Observe(int64(c.Count), metric.WithAttributes(attrs...))
+			}
+			return nil
+		}))
+	return errors.Annotate(err, name)
+}
+
 // LabeledGauge registers a gauge with one value for each value of a label, read at each collection. The label's values must
 // come from the declarations, so that their number is limited.
 func (m *Metrics) LabeledGauge(name, help, label string, read func() map[string]int) error {
