List a stale kind that a host follows itself

Cause: a change that is too long to be forwarded marks its kind as stale at all hosts until they have listed it. A host that already followed the kind itself, for example after it had lost its dispatcher, asked for changes instead of listing, so the mark stayed, and it went on asking for changes every 0.6 s although the dispatcher forwarded them again.

Change: a stale kind is listed also by a host that follows it. An answer to a call for changes does not clear the mark, because the mark may also stand for objects that differ without a later change.

--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -50,7 +50,8 @@
 			// The next dispatcher, or a relay, is about to forward the kind.
 			clock.Sleep(ctx, forwardPollInterval)
 			continue
-		case version == "":
+		case version == "" || d.isStale(w.kind):
+			// A host that already follows the kind lists it too: a stale kind is not forwarded until it has been listed.
 			version, err = d.listKind(ctx, w)
 		default:
 			before := version
