Derive the waits of calls for changes from the deployment's bound

Cause: the dispatcher asked for changes of the configuration and of endpoints every 0.6 s each, and again 50 ms after each rewrite of a server's entry, which servers repeat all the time. The short wait bounded both how long a hung call hides a change and how late a silent store is noticed.

Ruled out: waits of several seconds guarded only by probes. A probe shows that the store answers, not that the answer of a waiting call has not been lost, so a change would be in force too late after it. Ending the waiting calls after a failed probe: with a call bounded by itself it brings nothing, and after a short silence it was later.

Change: the waits are fractions of the time in which a change has to be in force, the shorter of bounds.apply_ms and bounds.drain_ms. A call waits 0.6 of it less the pause before it, and is given up 0.2 later (1.6 s at 2 s, as before). A dispatcher or relay without an answer to any call for 0.3 of it makes a probe, a serializable read at a tenth of the price; the store counts as lost after half of it without an answer (1.0 s at 2 s, as before). After changes of entries that alter nothing of an endpoint but its heartbeat, the next call comes 0.25 later, after others 50 ms later. An empty answer is followed by the next call at once; before, a newer revision of other kinds caused the pause.

--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -16,6 +16,7 @@
 	LinkMbps      float64 // bandwidth of this host's link, 0 if unknown
 
 	FencingEnforced bool          // endpoints refuse orders with an old epoch
+	ChangeBound     time.Duration // time in which a change in the store has to be in force on all hosts, 0 if unknown
 	LeaseTerm       time.Duration // least time between orders of two successive holders
 	StopTimeout     time.Duration // time from the signal to stop until the process is killed
 	RetryRatio      float64       // retries allowed per request to a service
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -21,24 +21,16 @@
 const kindHosts = "sycamore-hosts"
 
 const (
-	// watchWait is the longest wait of a call for changes. A change has to be in force within two seconds, even if the
-	// connection of such a call has gone silent.
-	watchWait           = 600 * time.Millisecond
-	hostWatchWait       = 10 * time.Second       // longer than watchWait, since connections show when a host vanishes
+	hostWatchWait       = 10 * time.Second       // longer than for other kinds, since connections show when a host vanishes
 	probeWait           = 0                      // of calls that test whether the store is back
-	batchPause          = 50 * time.Millisecond  // after changes, so that the next call returns those that follow at once
+	maxProbeTime        = time.Second            // of such a call, longer than others have in case that the store is slow
+	seriesPause         = 50 * time.Millisecond  // after changes that others mostly follow at once
 	forwardPollInterval = 100 * time.Millisecond // between checks whether another host has started forwarding changes
 	forwardIdleInterval = 2 * time.Second        // between checks while the dispatcher forwards changes, whose end is also signaled
 	forwardGrace        = 500 * time.Millisecond // after the loss of a dispatcher, for the next one to take over
 	// relaySearchGrace replaces forwardGrace while the dispatcher looks for a host that reaches the store. A change has
 	// to be in force within two seconds.
 	relaySearchGrace = 1400 * time.Millisecond
-	// fallbackBatchPause replaces batchPause on a host that reads the store although it is not the dispatcher, for
-	// example because it can't reach the dispatcher. Each call to the store has a price, and a change has to be in
-	// force within two seconds.
-	fallbackBatchPause = 500 * time.Millisecond
-	// maxAnswerDelay is how much later than expected an answer of the store may come before the store counts as lost.
-	maxAnswerDelay = 350 * time.Millisecond
 	// fallbackMaxRetryDelay replaces maxRetryDelay on such a host while its view is complete. Three seconds after an
 	// outage, guarantees with a time limit hold again.
 	fallbackMaxRetryDelay = 1500 * time.Millisecond
@@ -87,9 +79,11 @@
 	configsListed   bool
 	outages         map[string]time.Time
 	answeredAt      map[string]time.Time // time of the store's last answer to a call of this host, by kind
+	storeAnsweredAt time.Time            // time of the store's last answer to any call of the directory
 	pendingUpdates  []*wire.ViewUpdate   // changes to hand to the dispatcher with the next view
 	endpointChanges []endpointChange     // to be logged with the next view
 	outageEndedAt   time.Time            // end of the last outage of the store
+	seriesBegun     bool                 // an answer contained a change of an endpoint that others mostly follow at once
 }
 
 func newDirectory(h *Host) *directory {
@@ -110,8 +104,8 @@
 func (d *directory) run(ctx context.Context) {
 	config, endpoints := d.h.opts.Codec.Kinds()
 	watches := []kindWatch{
-		{config, watchWait, d.putConfig, d.removeConfig, d.retainConfigs},
-		{endpoints, watchWait, d.putEndpoint, d.removeEndpoint, d.retainEndpoints},
+		{config, 0, d.putConfig, d.removeConfig, d.retainConfigs},
+		{endpoints, 0, d.putEndpoint, d.removeEndpoint, d.retainEndpoints},
 		{kindHosts, hostWatchWait, d.putHost, d.removeHost, d.retainHosts},
 	}
 	var wg sync.WaitGroup
@@ -120,6 +114,7 @@
 	}
 	wg.Go(func() { d.keepRegistered(ctx) })
 	wg.Go(func() { d.fetchFromSeeds(ctx) })
+	wg.Go(func() { d.keepProbing(ctx) })
 	wg.Go(func() {
 		for {
 			m, err := d.updates.Pop(ctx)
@@ -149,16 +144,13 @@
 // isCurrent reports whether this host follows the store and has recent answers to its calls. A call that hangs counts
 // as an outage before it times out.
 func (d *directory) isCurrent() bool {
-	pause := fallbackBatchPause
-	if d.h.binder.isDispatcher() {
-		pause = batchPause
-	}
-	oldest := time.Now().Add(-watchWait - pause - maxAnswerDelay)
+	times, now := d.times(), time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.endpointsListed || !d.configsListed || len(d.outages) > 0 {
+	if !d.endpointsListed || !d.configsListed || len(d.outages) > 0 || now.Sub(d.storeAnsweredAt) > times.maxSilence {
 		return false
 	}
+	oldest := now.Add(-times.watchWait - times.answerDelay)
 	config, endpoints := d.h.opts.Codec.Kinds()
 	return d.answeredAt[config].After(oldest) && d.answeredAt[endpoints].After(oldest)
 }
@@ -307,6 +299,7 @@
 		return
 	}
 	old, known := d.endpoints[e.ID]
+	d.seriesBegun = d.seriesBegun || !known || !old.SameModels(&e) || !old.SameProcess(&e) || old.Draining != e.Draining
 	delete(d.graceUntil, e.ID)
 	d.endpoints[e.ID] = e
 	d.changedEndpoints[e.ID] = true
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -13,7 +14,7 @@
 // kindWatch holds how the directory follows one kind of objects.
 type kindWatch struct {
 	kind    string
-	maxWait time.Duration          // of a call for changes
+	maxWait time.Duration          // of a call for changes, 0 to derive it from the deployment's bounds
 	put     func(o objects.Object) // adds or replaces an object
 	remove  func(name string)
 	retain  func(names map[string]bool) // removes the objects that a full list does not show
@@ -24,6 +25,7 @@
 func (d *directory) watchKind(ctx context.Context, w kindWatch) {
 	backoff := objects.Backoff{Min: minRetryDelay, Max: maxRetryDelay}
 	version := ""
+	var paused time.Duration // between the last call for changes and the next one
 	// lastForwarded is when the dispatcher last forwarded the kind. A host that starts waits for this first: at the
 	// start of a large fleet, most calls to the store would otherwise be lists.
 	var lastForwarded time.Time
@@ -54,13 +56,11 @@
 			// A host that already follows the kind lists it too: a stale kind is not forwarded until it has been listed.
 			version, err = d.listKind(ctx, w)
 		default:
-			before := version
-			if version, err = d.applyChanges(ctx, w, version); err == nil && version != before {
-				if isDispatcher {
-					clock.Sleep(ctx, batchPause)
-				} else {
-					clock.Sleep(ctx, fallbackBatchPause)
-				}
+			var changed bool
+			version, changed, err = d.applyChanges(ctx, w, version, paused)
+			if paused = 0; changed {
+				paused = d.pauseAfterChanges(isDispatcher)
+				clock.Sleep(ctx, paused)
 			}
 		}
 		if ctx.Err() != nil {
@@ -116,23 +116,28 @@
 	return version, nil
 }
 
-// applyChanges asks the store for the changes after a version and applies them. It returns the version from which to
-// ask next, empty if the store no longer has the history.
-func (d *directory) applyChanges(ctx context.Context, w kindWatch, version string) (string, error) {
-	wait := w.maxWait
+// applyChanges asks the store for the changes after a version and applies them. paused is how long this call has been
+// put off, which makes its wait shorter. It returns the version from which to ask next, empty if the store no longer has
+// the history, and whether there were changes.
+func (d *directory) applyChanges(ctx context.Context, w kindWatch, version string, paused time.Duration) (next string, changed bool, err error) {
+	times := d.times()
+	wait := cmp.Or(w.maxWait, times.watchWait) - paused
+	timeout := wait + times.answerDelay
 	if d.isStoreLost(w.kind) {
-		wait = probeWait
+		wait, timeout = probeWait, maxProbeTime
 	}
-	events, next, err := d.h.opts.Store.Changes(objects.WithCause(ctx, d.followCause(w.kind)), w.kind, version, wait)
+	ctx, cancel := context.WithTimeout(objects.WithCause(ctx, d.followCause(w.kind)), timeout)
+	defer cancel()
+	events, next, err := d.h.opts.Store.Changes(ctx, w.kind, version, wait)
 	if errors.Is(err, objects.ErrExpired) {
-		return "", err
+		return "", false, err
 	}
 	if err != nil {
-		return version, err
+		return version, false, err
 	}
 	d.recordAnswer(w.kind)
 	if len(events) == 0 {
-		return next, nil
+		return next, false, nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -145,7 +150,21 @@
 		}
 	}
 	d.publishView()
-	return next, nil
+	return next, true, nil
+}
+
+// pauseAfterChanges returns the time until the next call for changes after one that has returned some. The entries of
+// endpoints change all the time without a difference to what the view holds of them. The dispatcher waits for several of
+// these changes, and asks again at once after other changes, which come in series.
+func (d *directory) pauseAfterChanges(isDispatcher bool) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	series := d.seriesBegun
+	d.seriesBegun = false
+	if series && isDispatcher {
+		return seriesPause
+	}
+	return d.times().pause
 }
 
 // isStoreLost reports whether calls for a kind are failing.
@@ -161,7 +180,7 @@
 	d.recordOutcome(kind, nil)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.answeredAt[kind] = time.Now()
+	d.answeredAt[kind], d.storeAnsweredAt = time.Now(), time.Now()
 }
 
 // recordOutcome records whether a kind can be followed, from the store or through another host, and logs the start and
--- a/internal/host/feeds_test.go
+++ b/internal/host/feeds_test.go
@@ -49,7 +49,7 @@
 	config, endpoints := entryCodec{}.Kinds()
 	read := func() {
 		for _, w := range []kindWatch{
-			{config, watchWait, d.putConfig, d.removeConfig, d.retainConfigs}, {endpoints, watchWait, d.putEndpoint, d.removeEndpoint, d.retainEndpoints},
+			{config, 0, d.putConfig, d.removeConfig, d.retainConfigs}, {endpoints, 0, d.putEndpoint, d.removeEndpoint, d.retainEndpoints},
 		} {
 			ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
 			if _, err := d.listKind(ctx, w); err != nil && !store.hanging.Load() {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -30,6 +30,8 @@
 	List(ctx context.Context, kind string) (list []objects.Object, version string, err error)
 	// Changes waits for changes after a version, for at most wait, and returns them and the version to continue from.
 	Changes(ctx context.Context, kind, version string, wait time.Duration) ([]objects.Event, string, error)
+	// Probe makes a call that costs little and only shows whether the store answers. The object need not exist.
+	Probe(ctx context.Context, kind, name string) error
 	// Create stores a new object and returns it with its version, or objects.ErrConflict if it exists.
 	Create(ctx context.Context, o objects.Object) (objects.Object, error)
 	// Update replaces an object if its version is current, and returns it with its new version.
--- a/internal/host/storecalls.go
+++ b/internal/host/storecalls.go
@@ -17,6 +17,7 @@
 	causeStale          = "stale"         // a kind that the dispatcher or a relay does not forward in full
 	causeOutage         = "outage"        // a kind whose last call failed
 	causeDispatcher     = "dispatcher"    // followed by the dispatcher for all hosts
+	causeProbe          = "probe"         // of a host whose other calls all wait
 	causeRelay          = "relay"         // followed by a relay for the dispatcher
 	causeNoDispatcher   = "no-dispatcher" // followed by a host that gets no changes from a dispatcher
 	causeRegistration   = "registration"
--- a/internal/host/storefake_test.go
+++ b/internal/host/storefake_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/telemetry"
@@ -26,6 +27,7 @@
 	changed  chan struct{} // closed and replaced at each change
 	silent   bool          // no call gets an answer
 	failing  error         // of all calls, if not nil
+	latency  time.Duration // of all answers
 	// loseNextChange makes the answer with the next change of this kind get lost, and the call hang.
 	loseNextChange string
 }
@@ -63,10 +65,12 @@
 func (s *fakeStore) begin(ctx context.Context, kind, operation string) error {
 	s.calls.Add(ctx, kind, operation)
 	s.mu.Lock()
-	silent, failing := s.silent, s.failing
+	silent, failing, latency := s.silent, s.failing, s.latency
 	s.mu.Unlock()
 	if silent {
 		<-ctx.Done()
+	}
+	if clock.Sleep(ctx, latency); ctx.Err() != nil {
 		return objects.ErrUnavailable
 	}
 	return failing
@@ -125,6 +129,10 @@
 	}
 }
 
+func (s *fakeStore) Probe(ctx context.Context, kind, _ string) error {
+	return s.begin(ctx, kind, "probe")
+}
+
 func (s *fakeStore) Create(ctx context.Context, o objects.Object) (objects.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
--- a/internal/objects/calls.go
+++ b/internal/objects/calls.go
@@ -14,6 +14,7 @@
 	OpCreate = "create"
 	OpUpdate = "update"
 	OpDelete = "delete"
+	OpProbe  = "probe" // a read that need not be current
 )
 
 // CallClass is what calls to a store are counted by.
