--- a/internal/host/feeds_test.go
+++ b/internal/host/feeds_test.go
@@ -49,7 +49,7 @@
 	config, endpoints := entryCodec{}.Kinds()
 	read := func() {
 		for _, w := range []kindWatch{
-			{config, watchWait, d.putConfig, d.removeConfig, d.retainConfigs}, {endpoints, watchWait, d.putEndpoint, d.removeEndpoint, d.retainEndpoints},
+			{config, 0, d.putConfig, d.removeConfig, d.retainConfigs}, {endpoints, 0, d.putEndpoint, d.removeEndpoint, d.retainEndpoints},
 		} {
 			ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
 			if _, err := d.listKind(ctx, w); err != nil && !store.hanging.Load() {
@@ -91,7 +91,7 @@
 	store.put(objects.Object{Kind: "servers", Name: "e0", Data: []byte("1")})
 	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: entryCodec{}, Store: store, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
 	d := h.directory
-	w := kindWatch{"servers", watchWait, d.putEndpoint, d.removeEndpoint, d.retainEndpoints}
+	w := kindWatch{"servers", 0, d.putEndpoint, d.removeEndpoint, d.retainEndpoints}
 	for _, forwarded := range []int{0, 1} {
 		if _, err := d.listKind(t.Context(), w); err != nil {
 			t.Fatal(err)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -30,6 +30,8 @@
 	List(ctx context.Context, kind string) (list []objects.Object, version string, err error)
 	// Changes waits for changes after a version, for at most wait, and returns them and the version to continue from.
 	Changes(ctx context.Context, kind, version string, wait time.Duration) ([]objects.Event, string, error)
+	// Probe makes a call that costs little and only shows whether the store answers. The object need not exist.
+	Probe(ctx context.Context, kind, name string) error
 	// Create stores a new object and returns it with its version, or objects.ErrConflict if it exists.
 	Create(ctx context.Context, o objects.Object) (objects.Object, error)
 	// Update replaces an object if its version is current, and returns it with its new version.
@@ -38,6 +40,8 @@
 	Delete(ctx context.Context, o objects.Object) error
 	// Calls returns the number of calls made.
 	Calls() uint64
+	// CallCounts returns the number of calls made, by class. The cause is that of the call's context.
+	CallCounts() map[objects.CallClass]uint64
 	// Move changes the address of the store.
 	Move(address string)
 }
@@ -168,7 +172,7 @@
 		return err
 	}
 	for _, run := range []func(context.Context){h.directory.run, h.dispatcher.run, h.binder.run, h.holder.run,
-		h.sweepConnections} {
+		h.sweepConnections, h.logStoreCalls} {
 		g.Go(func() error { run(work); return nil })
 	}
 	if err := h.front.listen(work, g); err != nil {
@@ -262,7 +266,7 @@
 	dials := func() uint64 { n, _ := h.requestPool.Counts(); return n }
 	reuses := func() uint64 { _, n := h.requestPool.Counts(); return n }
 	for _, err := range []error{
-		m.Counter("sycamore.store.calls", "Calls to the platform's store.", h.opts.Store.Calls),
+		m.AttributedCounter("sycamore.store.calls", "Calls to the platform's store.", h.storeCallSeries),
 		m.Counter("sycamore.upstream.dials", "Connections opened to endpoints.", dials),
 		m.Counter("sycamore.upstream.reuses", "Requests sent on a kept connection.", reuses),
 		m.Gauge("sycamore.in.flight", "Requests in progress.", func() float64 { return float64(h.front.inFlight.Load()) }),
--- a/internal/host/memorystore_test.go
+++ b/internal/host/memorystore_test.go
@@ -85,3 +85,10 @@
 }
 
 func (s *memoryStore) Calls() uint64 { return uint64(s.calls.Load()) }
+
+func (s *memoryStore) Probe(context.Context, string, string) error {
+	s.calls.Add(1)
+	return nil
+}
+
+func (s *memoryStore) CallCounts() map[objects.CallClass]uint64 { return nil }
