Make TestExtraAnswer wait for the extra response

Cause: the test waited 60 ms for a response that its server sends after 20 ms. Change: the test waits until the server has written the extra response. The check is the same. It fails if idle connections with unread bytes are reused.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -105,14 +105,16 @@
 // TestExtraAnswer guards against a second response on an idle connection that is returned as the response to the next
 // request.
 func TestExtraAnswer(t *testing.T) {
+	extraSent := make(chan struct{}, 3)
 	addr := startServer(t, func(n int32, c net.Conn, r *bufio.Reader) {
 		for {
 			if _, _, err := readRequest(r); err != nil {
 				return
 			}
 			io.WriteString(c, okResponse)
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(20 * time.Millisecond) // until the connection is idle again
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nKeep-Alive: timeout=5\r\n\r\nextra")
+			extraSent <- struct{}{}
 		}
 	})
 	p := NewPool(0)
@@ -120,7 +122,7 @@
 		if body, err := do(t, p, &Request{Address: addr, Method: "GET", Target: "/"}); body != "ok" || err != nil {
 			t.Fatalf("got body %q, error %v", body, err)
 		}
-		time.Sleep(60 * time.Millisecond)
+		<-extraSent // a write on loopback has reached the client's socket when it returns
 	}
 }
 
