Show the requests in progress from reports that are otherwise unchanged

Cause: TestObserve failed at the end of its 40 s. The holder asks engines for reports with an entity tag that does not cover the numbers of requests, and an engine that answers 304 left those of an earlier report in place: the status and the drain of a maintenance window showed 0 requests at a busy engine until its memory changed. Change: engines state the numbers in headers, also with status 304. The client asks conditionally only if an engine sends them.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -72,6 +73,13 @@
 	known map[string]tagged // latest report with an entity tag by address
 }
 
+// Headers of a report with the numbers of requests, which an entity tag does not cover. An engine that sends them also
+// sends them in a 304 response.
+const (
+	HeaderRunning = "X-Requests-Running"
+	HeaderWaiting = "X-Requests-Waiting"
+)
+
 // tagged is a report with the entity tag that the engine gave it.
 type tagged struct {
 	tag    string
@@ -86,10 +94,10 @@
 	}
 }
 
-// Report asks the engine at an ip:port for its report. If the engine gives its reports entity tags (RFC 9110), the
-// request is conditional, because decoding unchanged reports was the largest part of a lease holder's processor time. A
-// weak tag stands for everything but Running and Waiting, which may then be those of an earlier report. The caller must
-// not change the report.
+// Report asks the engine at an ip:port for its report. If the engine gives its reports entity tags (RFC 9110) and states
+// the numbers of requests in headers, the request is conditional, because decoding unchanged reports was the largest part
+// of a lease holder's processor time. A weak tag stands for everything but Running and Waiting, which are read from the
+// headers. The caller must not change the report.
 func (c *Client) Report(ctx context.Context, addr string) (Report, error) {
 	var r Report
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/report", nil)
@@ -107,6 +115,10 @@
 	defer resp.Body.Close()
 	switch {
 	case resp.StatusCode == http.StatusNotModified && before.tag != "":
+		if !readCounts(resp.Header, &before.report) {
+			c.forget(addr)
+			return r, errors.Errorf("report of %s: unchanged, without the numbers of requests", addr)
+		}
 		return before.report, nil
 	case resp.StatusCode != http.StatusOK:
 		return r, errors.Errorf("report of %s: status %d", addr, resp.StatusCode)
@@ -114,10 +126,29 @@
 	if err = json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&r); err != nil {
 		return r, errors.Annotatef(err, "report of %s", addr)
 	}
-	c.remember(addr, tagged{resp.Header.Get("ETag"), r})
+	counted := r
+	if tag := resp.Header.Get("ETag"); tag != "" && readCounts(resp.Header, &counted) {
+		c.remember(addr, tagged{tag, r})
+	} else {
+		c.forget(addr)
+	}
 	return r, nil
 }
 
+// readCounts sets the numbers of requests to those in a response header. It returns false if the header lacks one.
+func readCounts(h http.Header, r *Report) bool {
+	running, err := strconv.Atoi(h.Get(HeaderRunning))
+	if err != nil {
+		return false
+	}
+	waiting, err := strconv.Atoi(h.Get(HeaderWaiting))
+	if err != nil {
+		return false
+	}
+	r.Running, r.Waiting = running, waiting
+	return true
+}
+
 func (c *Client) latest(addr string) tagged {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -127,13 +158,16 @@
 func (c *Client) remember(addr string, t tagged) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t.tag == "" {
-		delete(c.known, addr)
-		return
-	}
 	c.known[addr] = t
 }
 
+// forget makes the next request for the report of an engine unconditional.
+func (c *Client) forget(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.known, addr)
+}
+
 // Order sends an order. An error other than ErrStaleFence leaves open whether the engine received it.
 func (c *Client) Order(ctx context.Context, addr string, o Order) error {
 	b, err := json.Marshal(o)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -133,13 +133,15 @@
 }
 
 // handleReport serves the report, or 304 if the client has it. The weak entity tag identifies the state of memory and orders
-// but not the number of requests.
+// but not the numbers of requests, which are in headers.
 func (s *Server) handleReport(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	rep := s.laggedReport(time.Now())
 	s.mu.Unlock()
 	tag := fmt.Sprintf(`W/"%s-%d"`, rep.Incarnation, rep.Sequence)
 	w.Header().Set("ETag", tag)
+	w.Header().Set(engine.HeaderRunning, strconv.Itoa(rep.Running))
+	w.Header().Set(engine.HeaderWaiting, strconv.Itoa(rep.Waiting))
 	if r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
 		return
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// TestReportCounts checks that a report shows the requests in progress, also to a client that has the state of memory and
+// orders already.
+func TestReportCounts(t *testing.T) {
+	s, addr := startServer(t, Options{MemoryBytes: 10, Slots: 1})
+	c := engine.NewClient(time.Second)
+	for _, want := range []int{0, 2, 0} {
+		s.addRequests(want-s.waiting, want-s.running)
+		if r, err := c.Report(t.Context(), addr); err != nil || r.Running != want || r.Waiting != want {
+			t.Errorf("report %+v, %v, want %d running and waiting", r, err, want)
+		}
+	}
+}
+
 // TestQueueOrder checks that requests with a lower priority value are admitted first, and equal ones in order of arrival.
 func TestQueueOrder(t *testing.T) {
 	q := newQueue(1)
--- a/test/integration/observe_test.go
+++ b/test/integration/observe_test.go
@@ -173,7 +173,13 @@
 			other = h2
 		}
 		// The same question at either control process finds what the entry and the dispatcher decided, wherever they run.
-		o.until("grant of ready-"+h.Name, func() bool { return has(o.explain(other, "ready-"+h.Name), "dispatch", "grant", "") })
+		o.until("grant of ready-"+h.Name, func() bool {
+			e := o.explain(other, "ready-"+h.Name)
+			if has(e, "entry", "chose alone", "") { // the dispatcher did not answer in time, so it has decided nothing yet
+				o.request(h, "ready-"+h.Name, "m1", 5)
+			}
+			return has(e, "dispatch", "grant", "")
+		})
 	}
 	if e := o.explain(h1, "m1"); !has(e, "planner", "load", "too few copies") || len(e.Missing) > 0 {
 		t.Errorf("explain m1 lacks why the planner loaded it, or processes did not answer: %+v", e)
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -19,12 +19,23 @@
 
 var bin string
 
+const buildLimit = 3 * time.Minute // of the programs, beside other builds
+
+// TestMain builds the programs before the tests, whose limits are for the programs' work: the build alone may take longer.
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "sycamore-bin")
 	if err != nil {
 		panic(err)
 	}
 	bin = dir
+	ctx, cancel := context.WithTimeout(context.Background(), buildLimit)
+	bed, err := testbed.New(ctx, bin)
+	cancel()
+	if err != nil {
+		os.RemoveAll(dir)
+		panic(err)
+	}
+	bed.Close()
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
