Collect garbage of a host at half the growth of its heap

Cause: memory is a price of most deployments, and a host of 13 to 21 MB has a few MB of live data, of which the runtime allows as much again as garbage. Processor time is hardly used: 0.002 cores of 0.272.

Change: garbage is collected after the heap has grown by 50%.

--- a/cmd/sycamore-host/main.go
+++ b/cmd/sycamore-host/main.go
@@ -23,6 +23,9 @@
 	exitInvalidSettings = 2 // exit code
 	// gcMemoryShare is the share of the process's memory limit that is set as the soft memory limit of the Go runtime.
 	gcMemoryShare = 0.6
+	// gcPercent is the growth of the heap, in percent, after which garbage is collected. Live data is a few MB on most hosts, and
+	// memory is scarcer there than processor time.
+	gcPercent = 50
 )
 
 func main() {
@@ -35,6 +38,7 @@
 		fmt.Fprintf(os.Stderr, "sycamore-host: %v\n", err)
 		os.Exit(exitInvalidSettings)
 	}
+	debug.SetGCPercent(gcPercent)
 	if deployment.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(gcMemoryShare * float64(deployment.MemoryMB) * (1 << 20)))
 	}
