Read each change of the hosts only while no dispatcher is known

A host that asks the store for changes of the hosts pauses for 0.5 s after each answer, but for 50 ms until it has seen its own registration there. A host that heard of its registration through the dispatcher never saw it there, so that it went on with the short pause when it lost the dispatcher later. The short pause now ends with the first dispatcher in use, and 0.4 s after the start.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -393,6 +393,13 @@
 	return b.link.host, true
 }
 
+// isStarting reports whether this host has just started and has not used a dispatcher yet.
+func (b *binder) isStarting() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.started && time.Since(b.startedAt) < hostListWait
+}
+
 // isDispatcher reports whether this host is its own dispatcher.
 func (b *binder) isDispatcher() bool {
 	b.mu.Lock()
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -52,7 +52,7 @@
 			before := version
 			if version, err = d.applyChanges(ctx, w, version); err == nil && version != before {
 				switch {
-				case isDispatcher, w.kind == kindHosts && !d.registrationSeen.Load():
+				case isDispatcher, w.kind == kindHosts && d.h.binder.isStarting():
 					clock.Sleep(ctx, batchPause)
 				default:
 					waitForSource(ctx, sourceChanged, fallbackBatchPause)
--- a/internal/host/feeds_test.go
+++ b/internal/host/feeds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"sync/atomic"
 	"testing"
@@ -102,3 +103,28 @@
 		store.put(objects.Object{Kind: "servers", Name: "e1", Data: []byte("1")}) // missed, and seen by the second list
 	}
 }
+
+// TestHostsReadRarely guards against a host that asks for each change of the hosts although it is not the dispatcher. Only a
+// host that starts and has not found a dispatcher does, since it may become the dispatcher itself.
+func TestHostsReadRarely(t *testing.T) {
+	const changes, every, mostCalls = 20, 15 * time.Millisecond, 3
+	store := newMemoryStore()
+	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: entryCodec{}, Store: store, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
+	h.binder.started = true
+	d := h.directory
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		d.watchKind(ctx, kindWatch{kindHosts, hostWatchWait, d.putHost, d.removeHost, d.retainHosts})
+	}()
+	for i := range changes {
+		store.put(objects.Object{Kind: kindHosts, Name: fmt.Sprint("h", i+1), Data: []byte("{}")})
+		time.Sleep(every)
+	}
+	cancel()
+	<-ended
+	if n := store.Calls(); n > mostCalls {
+		t.Errorf("%d calls for %d changes in %s", n, changes, changes*every)
+	}
+}
