Pass over hosts whose address refuses connections at once

After the loss of the dispatcher, hosts try the listed ones in order. Each that had died as well cost 300 ms, although the address of a process that has ended refuses connections at once.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -250,10 +251,12 @@
 		l.conn = &binderEnd{b: b, l: l}
 		return l
 	}
-	l.client = b.h.dialPeer(ctx, host.Address,
-		func(c *transport.Conn, _ uint64, m wire.Message) { b.onMessage(l, m) },
-		func(c *transport.Conn) { b.onConnected(l, c) },
-		func(c *transport.Conn) { b.onDisconnected(l, c) })
+	l.client = b.h.dialPeerWith(ctx, host.Address, transport.Options{
+		Handler:        func(c *transport.Conn, _ uint64, m wire.Message) { b.onMessage(l, m) },
+		OnConnected:    func(c *transport.Conn) { b.onConnected(l, c) },
+		OnDisconnected: func(c *transport.Conn) { b.onDisconnected(l, c) },
+		OnDialFailed:   func(err error) { b.onDialFailed(l, err) },
+	})
 	return l
 }
 
@@ -271,6 +274,19 @@
 	b.triggerCheck()
 }
 
+// onDialFailed closes a link whose address refuses connections: the listed process has ended.
+func (b *binder) onDialFailed(l *link, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	b.mu.Lock()
+	if l.conn == nil {
+		l.closed = true
+	}
+	b.mu.Unlock()
+	b.triggerCheck()
+}
+
 func (b *binder) onDisconnected(l *link, c *transport.Conn) {
 	b.mu.Lock()
 	if l.conn == peer(c) {
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -43,10 +43,17 @@
 
 // dialPeer opens a connection to another host. A panic in handler closes the connection.
 func (h *Host) dialPeer(ctx context.Context, addr string, handler transport.Handler, up, down func(*transport.Conn)) *transport.Client {
-	safeHandler := func(c *transport.Conn, corr uint64, m wire.Message) {
+	return h.dialPeerWith(ctx, addr, transport.Options{Handler: handler, OnConnected: up, OnDisconnected: down})
+}
+
+// dialPeerWith opens a connection to another host with some options. A panic in the handler closes the connection.
+func (h *Host) dialPeerWith(ctx context.Context, addr string, o transport.Options) *transport.Client {
+	o.Hello = h.hello()
+	handler := o.Handler
+	o.Handler = func(c *transport.Conn, corr uint64, m wire.Message) {
 		if catchPanic(h.log, "answer of a host", func() { handler(c, corr, m) }) != nil {
 			c.Close()
 		}
 	}
-	return transport.Dial(ctx, addr, transport.Options{Hello: h.hello(), Handler: safeHandler, OnConnected: up, OnDisconnected: down})
+	return transport.Dial(ctx, addr, o)
 }
--- a/internal/host/together_test.go
+++ b/internal/host/together_test.go
@@ -104,3 +104,36 @@
 		})
 	}
 }
+
+// TestRefusingHostsArePassedOver guards against a fleet that waits for connectTimeout for each dead host that is listed before a
+// living one, after it has lost its dispatcher: the address of a process that has ended refuses connections at once.
+func TestRefusingHostsArePassedOver(t *testing.T) {
+	const dead, within = 4, connectTimeout
+	log := telemetry.NewLogger(os.Stderr, "fatal", "test")
+	address := testbed.FreeAddr()
+	other := New(Options{Deployment: fleet.Deployment{Host: "h8", PeerAddress: address}, Codec: entryCodec{}, Log: log})
+	if _, err := transport.Listen(t.Context(), address, other.peerOptions()); err != nil {
+		t.Fatal(err)
+	}
+	h := New(Options{Deployment: fleet.Deployment{Host: "h9"}, Codec: entryCodec{}, Log: log})
+	v := &fleet.View{}
+	for i := range dead {
+		v.Hosts = append(v.Hosts, fleet.Host{Name: fmt.Sprint("h", i), Address: testbed.FreeAddr()})
+	}
+	v.Hosts = append(v.Hosts, fleet.Host{Name: "h8", Address: address, Incarnation: other.incarnation}, fleet.Host{Name: "h9", Incarnation: h.incarnation})
+	h.directory.currentView.Store(v)
+	h.binder.started = true
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { h.binder.run(ctx) })
+	for begin := time.Now(); ; time.Sleep(time.Millisecond) {
+		if d, _ := h.binder.dispatcherInUse(); d.Name == "h8" {
+			return
+		}
+		if time.Since(begin) > within {
+			t.Fatalf("no dispatcher %s after the loss of the last one, %d dead hosts are listed first", within, dead)
+		}
+	}
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -77,7 +77,11 @@
 	defer close(c.done)
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if nc, err := c.dial(ctx); err == nil {
+		nc, err := c.dial(ctx)
+		if err != nil && c.opts.OnDialFailed != nil && ctx.Err() == nil {
+			c.opts.OnDialFailed(err)
+		}
+		if err == nil {
 			started := time.Now()
 			newConn(ctx, nc, &c.opts).run()
 			c.conn.Store(nil)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -64,6 +64,7 @@
 	OnConnected       func(*Conn)                  // called after the handshake, before the first message is handled; may be nil
 	OnDisconnected    func(*Conn)                  // called after the end of a connection that completed the handshake; may be nil
 	OnHandshakeFailed func(addr string, err error) // called after a failed handshake, for example with an untrusted certificate; may be nil
+	OnDialFailed      func(error)                  // called after a failed attempt to connect to the address; may be nil
 	TLS               *tls.Config                  // nil for plain TCP
 	Counters          *Counters                    // nil to disable counting
 	// SelectCounters replaces Counters if it is not nil. It returns the counters for a message of the given kind. The Hello
