--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -59,7 +59,7 @@
 				switch {
 				case isDispatcher:
 					clock.Sleep(ctx, paused)
-				case w.kind == kindHosts && !d.registrationSeen.Load():
+				case w.kind == kindHosts && d.h.binder.isStarting():
 					paused = seriesPause
 					clock.Sleep(ctx, paused)
 				default:
