Repeat calls for one kind only while the store does not answer

Cause: in an outage of the store, a host that follows it repeated its calls for the configuration, the endpoints and the hosts, each with its own backoff.

Change: while calls for the configuration fail, those for other kinds that failed too wait until they succeed. A kind that fails alone is repeated as before, and so is each kind once the configuration is forwarded or answered.

--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -52,6 +52,9 @@
 			// The next dispatcher, or a relay, is about to forward the kind.
 			clock.Sleep(ctx, forwardPollInterval)
 			continue
+		case d.waitsForProbe(w.kind):
+			clock.Sleep(ctx, forwardPollInterval)
+			continue
 		case version == "" || d.isStale(w.kind):
 			// A host that already follows the kind lists it too: a stale kind is not forwarded until it has been listed.
 			version, err = d.listKind(ctx, w)
@@ -78,6 +81,13 @@
 	}
 }
 
+// waitsForProbe reports whether calls for a kind have to wait until the store answers again. While it does not, only the
+// calls for the configuration are repeated, since a store in trouble should not be asked for each kind.
+func (d *directory) waitsForProbe(kind string) bool {
+	config, _ := d.h.opts.Codec.Kinds()
+	return kind != config && d.isStoreLost(kind) && d.isStoreLost(config)
+}
+
 // isForwarded reports whether another host forwards all changes of a kind.
 func (d *directory) isForwarded(kind string) bool {
 	if !d.h.binder.storeChangesRelayed() {
