--- a/cmd/sycamore-pairs/main.go
+++ b/cmd/sycamore-pairs/main.go
@@ -23,13 +23,14 @@
 	days := app.Flag("day", "Name of a day; may be given several times.").Required().Strings()
 	seeds := app.Flag("seeds", "Seeds for each day, from 1 on.").Default("5").Uint64()
 	cpu := app.Flag("cpu", "Measure processor time.").Bool()
+	small := app.Flag("small", "Play the small twin of the site.").Bool()
 	parallel := app.Flag("parallel", "Number of runs at the same time.").Default(fmt.Sprint(max(runtime.NumCPU()/2, 1))).Int()
 	keep := app.Flag("keep", "File with the results of the base: read if it exists, otherwise written. It must have the same days and seeds.").String()
 	why := app.Flag("why", "Reason of the runs, for the journal of the bench.").Required().String()
 	base := app.Arg("base", "Checkout to compare with.").Required().ExistingDir()
 	candidate := app.Arg("candidate", "Checkout to evaluate.").Required().ExistingDir()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	b := &bench.Bench{Program: absolute(*program), Site: absolute(*site), Reason: *why, CountCPU: *cpu, MaxParallel: *parallel, Progress: os.Stderr}
+	b := &bench.Bench{Program: absolute(*program), Site: absolute(*site), Reason: *why, Small: *small, CountCPU: *cpu, MaxParallel: *parallel, Progress: os.Stderr}
 	if err := run(b, *days, *seeds, *base, *candidate, *keep); err != nil {
 		fmt.Fprintln(os.Stderr, "sycamore-pairs:", err)
 		os.Exit(1)
