Keep the order of challengers for the lease

Cause: the longer stagger of challengers, 0.5 s for each later host, saves a few reads for each takeover, but delays it by seconds when an availability zone with several of the first hosts is lost.

--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -33,7 +33,7 @@
 	idleLeaseInterval        = 250 * time.Millisecond // between lease steps while another host holds it
 	leaseCallTimeout         = 700 * time.Millisecond // of one call to the store
 	challengeSilence         = 500 * time.Millisecond // silence of the holder after which the first hosts read the lease
-	challengeStagger         = 500 * time.Millisecond // additional silence for each later host in the order of hosts
+	challengeStagger         = 250 * time.Millisecond // additional silence for each later host in the order of hosts
 	dispatcherChallengeDelay = 2 * time.Second        // additional silence for the dispatcher, which challenges last
 	orderCutoff              = 60 * time.Millisecond  // time before the end of the term from which no order is sent
 	placementInterval        = 150 * time.Millisecond // between placement rounds, each of which sends a HolderBeat
