Decide the pause after changes from the answer that caused it

Cause: whether a change was one that others follow at once was kept in a mark shared by all kinds, so the answer for one kind could take the mark of another; and the pause after heartbeats also followed registrations of hosts and removed entries, which come in series.

Change: the call that applied the changes returns the pause.

--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -83,7 +83,7 @@
 	pendingUpdates  []*wire.ViewUpdate   // changes to hand to the dispatcher with the next view
 	endpointChanges []endpointChange     // to be logged with the next view
 	outageEndedAt   time.Time            // end of the last outage of the store
-	seriesBegun     bool                 // an answer contained a change of an endpoint that others mostly follow at once
+	seriesBegun     bool                 // a change was applied that others mostly follow at once
 }
 
 func newDirectory(h *Host) *directory {
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -59,12 +59,8 @@
 			// A host that already follows the kind lists it too: a stale kind is not forwarded until it has been listed.
 			version, err = d.listKind(ctx, w)
 		default:
-			var changed bool
-			version, changed, err = d.applyChanges(ctx, w, version, paused)
-			if paused = 0; changed {
-				paused = d.pauseAfterChanges(isDispatcher)
-				clock.Sleep(ctx, paused)
-			}
+			version, paused, err = d.applyChanges(ctx, w, version, paused)
+			clock.Sleep(ctx, paused)
 		}
 		if ctx.Err() != nil {
 			return
@@ -128,8 +124,8 @@
 
 // applyChanges asks the store for the changes after a version and applies them. paused is how long this call has been
 // put off, which makes its wait shorter. It returns the version from which to ask next, empty if the store no longer has
-// the history, and whether there were changes.
-func (d *directory) applyChanges(ctx context.Context, w kindWatch, version string, paused time.Duration) (next string, changed bool, err error) {
+// the history, and the pause before the next call.
+func (d *directory) applyChanges(ctx context.Context, w kindWatch, version string, paused time.Duration) (next string, pause time.Duration, err error) {
 	times := d.times()
 	wait := cmp.Or(w.maxWait, times.watchWait) - paused
 	timeout := wait + times.answerDelay
@@ -140,19 +136,23 @@
 	defer cancel()
 	events, next, err := d.h.opts.Store.Changes(ctx, w.kind, version, wait)
 	if errors.Is(err, objects.ErrExpired) {
-		return "", false, err
+		return "", 0, err
 	}
 	if err != nil {
-		return version, false, err
+		return version, 0, err
 	}
 	d.recordAnswer(w.kind)
 	if len(events) == 0 {
-		return next, false, nil
+		return next, 0, nil
 	}
+	isDispatcher := d.h.binder.isDispatcher()
+	_, endpoints := d.h.opts.Codec.Kinds()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.seriesBegun = w.kind != endpoints
 	for _, e := range events {
 		if e.Type == objects.EventDeleted {
+			d.seriesBegun = true
 			w.remove(e.Object.Name)
 		} else {
 			d.recordObject(e.Object)
@@ -160,21 +160,12 @@
 		}
 	}
 	d.publishView()
-	return next, true, nil
-}
-
-// pauseAfterChanges returns the time until the next call for changes after one that has returned some. The entries of
-// endpoints change all the time without a difference to what the view holds of them. The dispatcher waits for several of
-// these changes, and asks again at once after other changes, which come in series.
-func (d *directory) pauseAfterChanges(isDispatcher bool) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	series := d.seriesBegun
-	d.seriesBegun = false
-	if series && isDispatcher {
-		return seriesPause
+	// The entries of endpoints are rewritten all the time without a difference to what the view holds of them. The
+	// dispatcher waits for several of these, and asks again soon after other changes, which come in series.
+	if d.seriesBegun && isDispatcher {
+		return next, seriesPause, nil
 	}
-	return d.times().pause
+	return next, times.pause, nil
 }
 
 // isStoreLost reports whether calls for a kind are failing.
--- a/internal/host/liveness_test.go
+++ b/internal/host/liveness_test.go
@@ -192,3 +192,32 @@
 		}
 	}
 }
+
+// TestSeriesOfChangesIsReadAtOnce plays endpoints that appear one after the other, as in a start or a release. It guards
+// against a dispatcher that learns of each only after the pause that heartbeats cause.
+func TestSeriesOfChangesIsReadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		h := startDispatcher(t, ctx, store)
+		for i := range 10 {
+			store.put("servers", fmt.Sprint("n", i), "1")
+			time.Sleep(2 * seriesPause)
+			if n := len(h.directory.view().Endpoints); n != i+2 {
+				t.Fatalf("%d endpoints %v after number %d appeared", n, 2*seriesPause, i+2)
+			}
+		}
+		store.put("servers", "n0", "1") // a heartbeat
+		time.Sleep(seriesPause / 2)
+		before := store.count("servers")
+		for range 10 {
+			time.Sleep(seriesPause)
+			store.put("servers", "n0", "1")
+		}
+		if n := store.count("servers") - before; n > 2 {
+			t.Errorf("%d calls in %v of heartbeats", n, 10*seriesPause)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
