--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -48,23 +48,15 @@
 			// The next dispatcher, or a relay, is about to forward the kind.
 			waitForSource(ctx, sourceChanged, forwardPollInterval)
 			continue
+		case d.waitsForProbe(w.kind):
+			clock.Sleep(ctx, forwardPollInterval)
+			continue
 		case version == "" || d.isStale(w.kind):
 			// A host that already follows the kind lists it too: a stale kind is not forwarded until it has been listed.
 			version, err = d.listKind(ctx, w)
 		default:
-			var changed bool
-			version, changed, err = d.applyChanges(ctx, w, version, paused)
-			if paused = 0; changed {
-				paused = d.pauseAfterChanges(isDispatcher)
-				switch {
-				case isDispatcher:
-					clock.Sleep(ctx, paused)
-				case w.kind == kindHosts && d.h.binder.isStarting():
-					paused = seriesPause
-					clock.Sleep(ctx, paused)
-				default:
-					waitForSource(ctx, sourceChanged, paused)
-				}
+			if version, paused, err = d.applyChanges(ctx, w, version, paused); paused > 0 {
+				waitForSource(ctx, sourceChanged, paused)
 			}
 		}
 		if ctx.Err() != nil {
@@ -93,6 +85,13 @@
 	}
 }
 
+// waitsForProbe reports whether calls for a kind have to wait until the store answers again. While it does not, only the
+// calls for the configuration are repeated, since a store in trouble should not be asked for each kind.
+func (d *directory) waitsForProbe(kind string) bool {
+	config, _ := d.h.opts.Codec.Kinds()
+	return kind != config && d.isStoreLost(kind) && d.isStoreLost(config)
+}
+
 // isForwarded reports whether another host forwards all changes of a kind.
 func (d *directory) isForwarded(kind string) bool {
 	if !d.h.binder.storeChangesRelayed() {
@@ -140,8 +139,8 @@
 
 // applyChanges asks the store for the changes after a version and applies them. paused is how long this call has been
 // put off, which makes its wait shorter. It returns the version from which to ask next, empty if the store no longer has
-// the history, and whether there were changes.
-func (d *directory) applyChanges(ctx context.Context, w kindWatch, version string, paused time.Duration) (next string, changed bool, err error) {
+// the history, and the pause before the next call.
+func (d *directory) applyChanges(ctx context.Context, w kindWatch, version string, paused time.Duration) (next string, pause time.Duration, err error) {
 	times := d.times()
 	wait := cmp.Or(w.maxWait, times.watchWait) - paused
 	timeout := wait + times.answerDelay
@@ -152,21 +151,25 @@
 	defer cancel()
 	events, next, err := d.h.opts.Store.Changes(ctx, w.kind, version, wait)
 	if errors.Is(err, objects.ErrExpired) {
-		return "", false, err
+		return "", 0, err
 	}
 	if err != nil {
-		return version, false, err
+		return version, 0, err
 	}
 	d.recordAnswer(w.kind)
 	if len(events) == 0 {
-		return next, false, nil
+		return next, 0, nil
 	}
+	asksSoon := d.h.binder.isDispatcher() || w.kind == kindHosts && d.h.binder.isStarting()
+	_, endpoints := d.h.opts.Codec.Kinds()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	ownListed := false
+	d.seriesBegun = w.kind != endpoints
 	for _, e := range events {
 		ownListed = ownListed || e.Object.Name == d.h.deployment().Host
 		if e.Type == objects.EventDeleted {
+			d.seriesBegun = true
 			w.remove(e.Object.Name)
 		} else {
 			d.recordObject(e.Object)
@@ -175,21 +178,13 @@
 	}
 	d.noteRegistration(w.kind, ownListed)
 	d.publishView()
-	return next, true, nil
-}
-
-// pauseAfterChanges returns the time until the next call for changes after one that has returned some. The entries of
-// endpoints change all the time without a difference to what the view holds of them. The dispatcher waits for several of
-// these changes, and asks again at once after other changes, which come in series.
-func (d *directory) pauseAfterChanges(isDispatcher bool) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	series := d.seriesBegun
-	d.seriesBegun = false
-	if series && isDispatcher {
-		return seriesPause
+	// The entries of endpoints are rewritten all the time without a difference to what the view holds of them. The
+	// dispatcher waits for several of these, and asks again soon after other changes, which come in series. So does a host
+	// that starts after changes of the hosts.
+	if d.seriesBegun && asksSoon {
+		return next, seriesPause, nil
 	}
-	return d.times().pause
+	return next, times.pause, nil
 }
 
 // noteRegistration records that what the store lists has reached the registration of this process, and with it all earlier
