Tell a caller's end from an endpoint's fault in long answers

Cause: whatever ended the copying of an answer above 1 MB counted as a broken response of the endpoint, also a failed write to a caller that had left, and the end of the request's time. Such endpoints were avoided, and paused if it happened at two hosts. Writes of whole and long answers had no deadline, so a caller that stopped reading held its slot. Change: writes to the caller go through callerWriter, whose errors are told from those of the response. Tests: TestCallerIsNoFaultOfEndpoint fails without the change in its two cases of the caller and passes in that of the endpoint; TestEachWriteToCallerHasDeadline.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -466,7 +466,7 @@
 		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, err: err}
 	}
 	if more {
-		return x.passOnLong(resp, body)
+		return x.passOnLong(ctx, resp, body)
 	}
 	resp.Close(true)
 	x.f.h.opts.Codec.PassOn(resp.Header)
@@ -482,18 +482,28 @@
 	return attemptResult{outcome: attempt.Answered, fault: fault, delivered: true}
 }
 
-// passOnLong passes on an answer that is too long to be buffered. The parameter begun is the part read so far.
-func (x *exchange) passOnLong(resp *upstream.Response, begun []byte) attemptResult {
+// passOnLong passes on an answer that is too long to be buffered. The parameter begun is the part read so far. If the
+// caller leaves or the request's time ends, that is no fault of the endpoint.
+func (x *exchange) passOnLong(ctx context.Context, resp *upstream.Response, begun []byte) attemptResult {
 	x.f.h.opts.Codec.PassOn(resp.Header)
 	x.copyHeader(resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
-	_, werr := x.w.Write(begun)
-	n, err := copyBody(x.w, resp, maxUnsizedAnswer)
-	resp.Close(err == nil && werr == nil)
+	w := callerWriter{x.w}
+	_, err := w.Write(begun)
+	n := int64(0)
+	if err == nil {
+		n, err = copyBody(w, resp, maxUnsizedAnswer)
+	}
+	resp.Close(err == nil)
 	x.logEnd("answered", resp.StatusCode, err)
-	if err != nil || werr != nil {
+	if err != nil {
 		x.f.log.Warn().Str("request", x.q.ID).Int64("bytes", n).Err(err).Msg("Answer passed on in part.")
-		x.lastBinding.done(wire.Done{Outcome: uint8(attempt.Unknown), Fault: uint8(sched.BrokenResponse)})
+		d := wire.Done{Outcome: uint8(attempt.Unknown)}
+		var callerErr *callerError
+		if !errors.As(err, &callerErr) && ctx.Err() == nil {
+			d.Fault, d.Failed = uint8(sched.BrokenResponse), true
+		}
+		x.lastBinding.done(d)
 		panic(http.ErrAbortHandler)
 	}
 	return attemptResult{outcome: attempt.Answered, delivered: true}
@@ -514,7 +524,7 @@
 func (x *exchange) writeAnswer(a *bufferedAnswer) {
 	x.copyHeader(a.header)
 	x.w.WriteHeader(a.status)
-	if _, err := x.w.Write(a.body); err != nil {
+	if _, err := (callerWriter{x.w}).Write(a.body); err != nil {
 		x.logEnd("caller left", a.status, err)
 		return
 	}
