Reserve the memory of request bodies before they are read

Cause: the bound for all bodies was checked before each was read and counted after, so bodies read at the same time could together exceed it. A body of unknown length was not checked at all. Change: the stated length is reserved before the body is read, and a body of unknown length as it is read.

--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -247,6 +247,39 @@
 
 var errTimeout = errors.New("the request's time is over")
 
+var errNoBodyMemory = errors.New("no memory for the body")
+
+// bodyReservation is the memory that one request body takes of the bound for all. Bodies that are read at the same time
+// could together exceed the bound if it were only checked before each of them.
+type bodyReservation struct {
+	f        *front
+	source   io.Reader
+	reserved int64 // bytes reserved in front.bodyBytes
+	read     int64
+}
+
+// reserve takes n more bytes. It returns false if they exceed the bound.
+func (b *bodyReservation) reserve(n int64) bool {
+	if b.f.bodyBytes.Add(n) > b.f.maxBodyBytes {
+		b.f.bodyBytes.Add(-n)
+		return false
+	}
+	b.reserved += n
+	return true
+}
+
+// Read implements io.Reader. It returns errNoBodyMemory if the body of unknown length exceeds the bound.
+func (b *bodyReservation) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	if b.read += int64(n); b.read > b.reserved && !b.reserve(b.read-b.reserved) {
+		return n, errNoBodyMemory
+	}
+	return n, err
+}
+
+// release frees what was reserved.
+func (b *bodyReservation) release() { b.f.bodyBytes.Add(-b.reserved) }
+
 // readBody reads the whole request body, because it may have to be sent more than once. If that fails, readBody answers the
 // caller and returns false.
 func (f *front) readBody(x *exchange, r *http.Request) bool {
@@ -258,20 +291,30 @@
 		x.respondError(http.StatusRequestEntityTooLarge, "body is too long", 0)
 		return false
 	}
-	if f.bodyBytes.Load()+max(r.ContentLength, 0) > f.maxBodyBytes {
-		x.reject("no memory for the body", retryAfterFull)
+	b := &bodyReservation{f: f, source: http.MaxBytesReader(x.w, r.Body, limit)}
+	if !b.reserve(max(r.ContentLength, 0)) {
+		x.reject(errNoBodyMemory.Error(), retryAfterFull)
 		return false
 	}
+	keep := false
+	defer func() {
+		if !keep {
+			b.release()
+		}
+	}()
 	rc := http.NewResponseController(x.w)
 	if err := rc.SetReadDeadline(x.q.Arrived.Add(bodyTimeout)); err != nil {
 		f.log.Debug().Err(err).Msg("Setting the read deadline for the request body failed.")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
+	body, err := io.ReadAll(b)
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		x.respondError(http.StatusRequestEntityTooLarge, "body is too long", 0)
 		return false
+	case errors.Is(err, errNoBodyMemory):
+		x.reject(err.Error(), retryAfterFull)
+		return false
 	case err != nil:
 		x.logEnd("caller left while sending the body", 0, err)
 		panic(http.ErrAbortHandler)
@@ -279,7 +322,6 @@
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
 		f.log.Debug().Err(err).Msg("Clearing the read deadline for the request body failed.")
 	}
-	x.q.Body = body
-	f.bodyBytes.Add(int64(len(body)))
+	x.q.Body, keep = body, true
 	return true
 }
