Ignore the full queue of a dispatcher whose connection has ended

Cause: the end of a connection sets it to nil in its link. A change relayed before that, handled after it, and not fitting into the directory's queue closed the nil connection, which panicked. Change: one condition in queueRelayed. Test: TestRelayedChangeAfterDisconnect panics without the change.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -438,7 +438,7 @@
 // queueRelayed queues what the dispatcher relayed for the directory. If the queue is full, it closes the connection. The caller
 // holds the lock.
 func (b *binder) queueRelayed(l *link, m forwardedMessage) {
-	if !b.h.directory.updates.TryPush(m) {
+	if !b.h.directory.updates.TryPush(m) && l.conn != nil {
 		l.conn.Close() // on the next connection, the summaries show what is missing
 	}
 }
--- a/internal/host/binder_test.go
+++ b/internal/host/binder_test.go
@@ -74,3 +74,14 @@
 		t.Fatal("the binder waits for the directory's lock")
 	}
 }
+
+// TestRelayedChangeAfterDisconnect guards against a panic on a change that the dispatcher relayed before its connection
+// ended and that no longer fits into the directory's queue.
+func TestRelayedChangeAfterDisconnect(t *testing.T) {
+	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
+	for h.directory.updates.TryPush(forwardedMessage{}) {
+	}
+	l := &link{host: fleet.Host{Name: "h1"}}
+	h.binder.link = l
+	h.binder.onMessage(l, &wire.ViewUpdate{})
+}
