Read an engine's list entry under the lock

Cause: refresh replaces engineState.endpoint under the lock, while updateFromReport and awaitChange read it without. Change: both take a copy. The models of an engine go to the planner in order, since it takes the first of equal choices and they came from a map. The unused planInterval is removed. Test: TestReportsWhileListChanges; the race detector reports the race without the change, and none in the package with it.

--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -33,8 +33,7 @@
 	dispatcherChallengeDelay = 2 * time.Second        // additional silence for the dispatcher, which challenges last
 	orderCutoff              = 60 * time.Millisecond  // time before the end of the term from which no order is sent
 	placementInterval        = 150 * time.Millisecond // between placement rounds, each of which sends a HolderBeat
-	planInterval             = 150 * time.Millisecond
-	fleetStateMaxAge         = time.Second // age beyond which the dispatcher's state is not used
+	fleetStateMaxAge         = time.Second            // age beyond which the dispatcher's state is not used
 	// maxTermExtension is how long a holder that cannot reach the store may continue after the end of its term.
 	maxTermExtension    = 20 * time.Second
 	extraLoadsPerWindow = 3.0 // number of loads that the platform's rule allows in a window beyond its rate
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -181,7 +182,8 @@
 
 // updateFromReport fetches an engine's report and updates the engine's state from it.
 func (em *engineManager) updateFromReport(ctx context.Context, es *engineState) {
-	r, err := em.fetchReport(ctx, &es.endpoint)
+	e := em.endpointOf(es)
+	r, err := em.fetchReport(ctx, &e)
 	em.mu.Lock()
 	defer em.mu.Unlock()
 	es.reportPending, es.lastReportAt = false, clock.Boot()
@@ -193,6 +195,13 @@
 	em.notifyChanged()
 }
 
+// endpointOf returns a copy of an engine's list entry, which refresh replaces.
+func (em *engineManager) endpointOf(es *engineState) fleet.Endpoint {
+	em.mu.Lock()
+	defer em.mu.Unlock()
+	return es.endpoint
+}
+
 // applyReport replaces the known state of an engine by its report. The caller must hold em.mu.
 func (em *engineManager) applyReport(es *engineState, r *fleet.Report) {
 	now := clock.Boot()
@@ -270,6 +279,7 @@
 			p.Models = append(p.Models, es.loadingModel)
 			p.Loading = es.loadingModel
 		}
+		sort.Strings(p.Models) // the planner takes the first of equal choices
 		out = append(out, p)
 	}
 	return out
@@ -410,10 +420,11 @@
 		if clock.Sleep(ctx, wait); ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if em.holder.h.quietRemaining(es.endpoint.ID) > 0 {
+		e := em.endpointOf(es)
+		if em.holder.h.quietRemaining(e.ID) > 0 {
 			continue
 		}
-		r, err := em.fetchReport(ctx, &es.endpoint)
+		r, err := em.fetchReport(ctx, &e)
 		if err != nil {
 			var upstreamErr *upstream.Error
 			if errors.As(err, &upstreamErr) && upstreamErr.DialFailed {
--- a/internal/host/ledgers_test.go
+++ b/internal/host/ledgers_test.go
@@ -1,15 +1,64 @@
 package host
 
 import (
+	"context"
+	"io"
 	"os"
 	"slices"
+	"sync"
 	"testing"
 
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/telemetry"
+	"sycamoredeal/internal/upstream"
 	"sycamoredeal/internal/wire"
 )
 
+// reportCodec reads every response as an empty report.
+type reportCodec struct{ entryCodec }
+
+func (reportCodec) ReportCall(e *fleet.Endpoint) *upstream.Request {
+	return &upstream.Request{Address: e.Address, Method: "GET", Target: "/"}
+}
+
+func (reportCodec) Report([]byte) (fleet.Report, error) { return fleet.Report{}, nil }
+
+// TestReportsWhileListChanges guards, under the race detector, against reports that are read from an entry of an engine
+// while a new list of endpoints replaces it.
+func TestReportsWhileListChanges(t *testing.T) {
+	s := newScriptedServer(t, func(n int64, id string, w io.Writer) bool {
+		io.WriteString(w, wholeAnswer(id, "{}"))
+		return true
+	})
+	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: reportCodec{}, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
+	em := h.holder.engines
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	v := &fleet.View{
+		Config:    &fleet.Config{Services: map[string]*fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{Slots: 1}}}},
+		Endpoints: []fleet.Endpoint{{ID: "e0", Service: "s", Address: s.address, StartUnixMs: 1}},
+	}
+	em.refresh(ctx, v)
+	em.mu.Lock()
+	es := em.byID["e0"]
+	em.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for range 20 {
+			em.updateFromReport(ctx, es)
+		}
+	})
+	wg.Go(func() {
+		if err := em.awaitChange(ctx, es, "m", false, 0, 0); err != nil {
+			t.Error(err)
+		}
+	})
+	for range 200 {
+		em.refresh(ctx, v)
+	}
+	wg.Wait()
+}
+
 // TestHolderBeatListsUnloadedCopy guards against the dispatcher sending requests for several seconds to an endpoint
 // that has unloaded the model, because the endpoint's entry in the list still shows it. In soak seed 17, a request was
 // held until its deadline although its model had another copy. An engine whose state is unknown reports nothing.
