Free the places of requests at the former process of an endpoint

Cause: an endpoint that restarts under its id takes over the counts of places and cache of the requests granted at the former process. Their ends were taken off the former one alone, so the new one kept them counted for good: with all places in use at the restart it got no request any more, until another dispatcher took over. Change: ends are taken off the processes that followed too. Outcomes still count for the health of the former process only. Test: TestRestartedEndpointFreesSlots fails without the change, for an engine and for a plain service.

--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -62,6 +62,7 @@
 	slownessAt      time.Duration
 	sentParts       partCache
 	health          health
+	successor       *endpoint // the process that replaced this one under the same id, nil if there is none
 }
 
 func newEndpoint(p *fleet.Endpoint) *endpoint {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -179,6 +179,7 @@
 		replacement := newEndpoint(p)
 		if e != nil {
 			replacement.usedSlots, replacement.kvTokens = e.usedSlots, e.kvTokens
+			e.successor = replacement
 		}
 		e = replacement
 		s.endpoints[p.ID] = e
@@ -392,9 +393,14 @@
 func (s *State) release(r *request) {
 	delete(s.requests, r.requestKey)
 	r.model.running--
-	r.endpoint.removeRequest(r)
-	if !r.endpoint.present && r.endpoint.usedSlots == 0 && s.endpoints[r.endpoint.id] == r.endpoint {
-		delete(s.endpoints, r.endpoint.id)
+	e := r.endpoint
+	e.removeRequest(r)
+	for e.successor != nil { // its count includes the requests of the processes before it
+		e = e.successor
+		e.usedSlots, e.kvTokens = max(e.usedSlots-1, 0), max(e.kvTokens-r.kvTokens, 0)
+	}
+	if !e.present && e.usedSlots == 0 && s.endpoints[e.id] == e {
+		delete(s.endpoints, e.id)
 	}
 }
 
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -574,6 +574,48 @@
 	}
 }
 
+// TestRestartedEndpointFreesSlots guards against an endpoint that loses places for good when its process restarts: requests
+// at the former process stayed counted at the new one after they had ended.
+func TestRestartedEndpointFreesSlots(t *testing.T) {
+	const slots = 2
+	for _, service := range []string{engineService, plainService} {
+		v := testView(slots, [][]string{{"m"}}, 1)
+		s := New(0, testConfig(), v)
+		ask := func(id uint64) {
+			a := chat(id, "m")
+			if service == plainService {
+				a = wire.Ask{ID: id, Service: plainService, DeadlineMs: 2000, TargetMs: 1000}
+			}
+			s.Ask(0, "h", a)
+		}
+		for restart := range int64(3) {
+			for i := range uint64(slots) {
+				ask(uint64(restart)*10 + i + 1)
+			}
+			for id, m := range answers(s) {
+				if _, ok := m.(*wire.Grant); !ok {
+					t.Errorf("%s, restart %d: request %d got %#v although no other is in progress", service, restart, id, m)
+				}
+			}
+			next := *v
+			next.Endpoints = append([]fleet.Endpoint(nil), v.Endpoints...)
+			for i := range next.Endpoints {
+				next.Endpoints[i].StartUnixMs = restart + 1
+			}
+			v = &next
+			s.SetView(0, v)
+			ask(uint64(restart)*10 + 9) // waits, since the requests of the former process are still counted
+			if m, ok := answers(s)[uint64(restart)*10+9].(*wire.Grant); ok {
+				t.Errorf("%s, restart %d: %#v before the hosts have reported the ends", service, restart, m)
+			}
+			s.Cancel(0, "h", uint64(restart)*10+9)
+			for i := range uint64(slots) {
+				s.Done(0, "h", wire.Done{ID: uint64(restart)*10 + i + 1, Fault: uint8(BrokenResponse), Failed: true})
+			}
+		}
+	}
+}
+
 // TestWorkShareRepeats guards against a share that depends on the order of a map by the rounding of its sum.
 func TestWorkShareRepeats(t *testing.T) {
 	names := []string{"m", "n", "o", "p", "q", "r", "s", "t"}
