Forget the reports of a placement holder that is gone

Cause: the copies that the last holder had announced to unload stayed out of use, and those that it had reported as loaded counted as loaded, until the next holder's report. During an outage of the store there may be none for long, and a model whose last copy was announced stayed unusable. Change: without a holder, its last report counts for 2 s more, in which its orders take effect and the list shows them. Test: TestClosingCopyWithoutHolder fails without the change; it also checks that the report counts before.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -35,8 +35,11 @@
 	rebuildSlotShare  = 0.5             // share of an endpoint's slots that may be granted during Config.RebuildDuration
 	hostLossTimeout   = 2 * time.Second // until a disconnected host's requests are dropped; they ended, or another dispatcher has them
 	maxQueuedRequests = 4096            // requests in the queue; bounds its memory
-	minRetryDelay     = 150 * time.Millisecond
-	maxRetryDelay     = 4 * time.Second
+	// holderReportLife is how long the last report of a holder counts after the holder is gone: an order that it gave shows
+	// in the list of endpoints by then, and one that it did not give would keep a copy from use until the next holder.
+	holderReportLife = 2 * time.Second
+	minRetryDelay    = 150 * time.Millisecond
+	maxRetryDelay    = 4 * time.Second
 )
 
 // Output is a message to a host, with the inputs of the decision for the log.
@@ -117,6 +120,7 @@
 	loadedCopies        []wire.ModelCopy
 	changingEndpoints   map[string]bool // endpoints that accept no order to load an adapter
 	holder              string          // host that can load adapters, empty if none
+	holderReportedAt    time.Duration   // time of the last report of a holder
 	waiting             int
 	scratch             []*model  // buffer reused by waitingFor
 	shares              []float64 // buffer reused by workShare
@@ -198,14 +202,21 @@
 }
 
 // SetHolder applies the state that the placement lease holder reports about the endpoints. A nil report means that there is
-// no holder, so that no adapter can be loaded.
+// no holder, so that no adapter can be loaded. What the last holder reported about copies is forgotten after
+// holderReportLife.
 func (s *State) SetHolder(now time.Duration, b *wire.HolderBeat) {
 	s.now = now
 	s.holder = ""
 	if b == nil {
+		if now-s.holderReportedAt > holderReportLife && len(s.closingCopies)+len(s.changingEndpoints)+len(s.loadedCopies) > 0 {
+			clear(s.closingCopies)
+			clear(s.changingEndpoints)
+			s.loadedCopies = s.loadedCopies[:0]
+			s.fillAllEndpoints()
+		}
 		return
 	}
-	s.holder = b.Host
+	s.holder, s.holderReportedAt = b.Host, now
 	for _, a := range b.Evicted {
 		if e := s.endpoints[a.Endpoint]; e != nil && e.requestsByAdapter[copies.Adapter{Model: a.Model, Name: a.Adapter}] == 0 {
 			e.markMissing(a.Model, a.Adapter)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -616,6 +616,30 @@
 	}
 }
 
+// TestClosingCopyWithoutHolder guards against a copy that stays out of use because its unload was announced by a holder
+// that is gone, and against a copy that counts as loaded for good although the list does not show it.
+func TestClosingCopyWithoutHolder(t *testing.T) {
+	s := New(0, testConfig(), testView(4, [][]string{{"m"}, {"n"}}, 0))
+	s.SetHolder(0, &wire.HolderBeat{Host: "h", Unloading: []wire.ModelCopy{{Endpoint: "e0", Model: "m"}}, Loaded: []wire.ModelCopy{{Endpoint: "e1", Model: "o"}}})
+	granted := func(now time.Duration, id uint64, model string) bool {
+		s.Ask(now, "h", chat(id, model))
+		_, ok := answers(s)[id].(*wire.Grant)
+		s.Cancel(now, "h", id)
+		return ok
+	}
+	const soon = 800 * time.Millisecond // the holder's beats have stopped, its orders may still take effect
+	s.SetHolder(soon, nil)
+	if granted(soon, 1, "m") || !granted(soon, 2, "o") {
+		t.Error("the last report of a holder does not count soon after it is gone")
+	}
+	late := holderReportLife + time.Millisecond
+	s.SetHolder(late, nil)
+	s.SetView(late, testView(4, [][]string{{"m"}, {"n"}}, 0))
+	if !granted(late, 3, "m") || granted(late, 4, "o") {
+		t.Error("the last report of a holder that is gone still counts")
+	}
+}
+
 // TestWorkShareRepeats guards against a share that depends on the order of a map by the rounding of its sum.
 func TestWorkShareRepeats(t *testing.T) {
 	names := []string{"m", "n", "o", "p", "q", "r", "s", "t"}
