--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -35,8 +35,11 @@
 	rebuildSlotShare  = 0.5             // share of an endpoint's slots that may be granted during Config.RebuildDuration
 	hostLossTimeout   = 2 * time.Second // until a disconnected host's requests are dropped; they ended, or another dispatcher has them
 	maxQueuedRequests = 4096            // requests in the queue; bounds its memory
-	minRetryDelay     = 150 * time.Millisecond
-	maxRetryDelay     = 4 * time.Second
+	// holderReportLife is how long the last report of a holder counts after the holder is gone: an order that it gave shows
+	// in the list of endpoints by then, and one that it did not give would keep a copy from use until the next holder.
+	holderReportLife = 2 * time.Second
+	minRetryDelay    = 150 * time.Millisecond
+	maxRetryDelay    = 4 * time.Second
 )
 
 // Output is a message to a host, with the inputs of the decision for the log.
@@ -109,6 +112,7 @@
 	sortedEndpoints     []*endpoint // endpoints of the current view, sorted by id
 	indexVersion        uint64      // incremented when the models held by endpoints change
 	models              map[modelKey]*model
+	modelOrder          []*model // the same models in the order of their creation, so that decisions don't depend on a map's
 	requests            map[requestKey]*request
 	hosts               map[string]*hostState
 	budgets             map[string]*Budget
@@ -116,8 +120,10 @@
 	loadedCopies        []wire.ModelCopy
 	changingEndpoints   map[string]bool // endpoints that accept no order to load an adapter
 	holder              string          // host that can load adapters, empty if none
+	holderReportedAt    time.Duration   // time of the last report of a holder
 	waiting             int
-	scratch             []*model // buffer reused by waitingFor
+	scratch             []*model  // buffer reused by waitingFor
+	shares              []float64 // buffer reused by workShare
 	measuredAt          time.Duration
 	prefillEstimates    map[string]*prefillEstimate    // by service
 	generationEstimates map[string]*generationEstimate // by service
@@ -177,6 +183,7 @@
 		replacement := newEndpoint(p)
 		if e != nil {
 			replacement.usedSlots, replacement.kvTokens = e.usedSlots, e.kvTokens
+			e.successor = replacement
 		}
 		e = replacement
 		s.endpoints[p.ID] = e
@@ -195,14 +202,21 @@
 }
 
 // SetHolder applies the state that the placement lease holder reports about the endpoints. A nil report means that there is
-// no holder, so that no adapter can be loaded.
+// no holder, so that no adapter can be loaded. What the last holder reported about copies is forgotten after
+// holderReportLife.
 func (s *State) SetHolder(now time.Duration, b *wire.HolderBeat) {
 	s.now = now
 	s.holder = ""
 	if b == nil {
+		if now-s.holderReportedAt > holderReportLife && len(s.closingCopies)+len(s.changingEndpoints)+len(s.loadedCopies) > 0 {
+			clear(s.closingCopies)
+			clear(s.changingEndpoints)
+			s.loadedCopies = s.loadedCopies[:0]
+			s.fillAllEndpoints()
+		}
 		return
 	}
-	s.holder = b.Host
+	s.holder, s.holderReportedAt = b.Host, now
 	for _, a := range b.Evicted {
 		if e := s.endpoints[a.Endpoint]; e != nil && e.requestsByAdapter[copies.Adapter{Model: a.Model, Name: a.Adapter}] == 0 {
 			e.markMissing(a.Model, a.Adapter)
@@ -257,6 +271,7 @@
 			m.holdSec = initialPlainHoldSec
 		}
 		s.models[k] = m
+		s.modelOrder = append(s.modelOrder, m)
 	}
 	return m
 }
@@ -389,9 +404,14 @@
 func (s *State) release(r *request) {
 	delete(s.requests, r.requestKey)
 	r.model.running--
-	r.endpoint.removeRequest(r)
-	if !r.endpoint.present && r.endpoint.usedSlots == 0 && s.endpoints[r.endpoint.id] == r.endpoint {
-		delete(s.endpoints, r.endpoint.id)
+	e := r.endpoint
+	e.removeRequest(r)
+	for e.successor != nil { // its count includes the requests of the processes before it
+		e = e.successor
+		e.usedSlots, e.kvTokens = max(e.usedSlots-1, 0), max(e.kvTokens-r.kvTokens, 0)
+	}
+	if !e.present && e.usedSlots == 0 && s.endpoints[e.id] == e {
+		delete(s.endpoints, e.id)
 	}
 }
 
@@ -500,7 +520,7 @@
 // It is called every few tens of milliseconds.
 func (s *State) Tick(now time.Duration) {
 	s.now = now
-	for _, m := range s.models {
+	for _, m := range s.modelOrder {
 		s.refuseExpired(m)
 	}
 	for name, h := range s.hosts {
@@ -560,7 +580,7 @@
 		return
 	}
 	s.measuredAt = s.now
-	for _, m := range s.models {
+	for _, m := range s.modelOrder {
 		m.arrivalsPerSec += arrivalSmoothing * (m.arrivals/dt - m.arrivalsPerSec)
 		m.arrivals = 0
 	}
@@ -638,7 +658,7 @@
 		f.Endpoints = append(f.Endpoints, wire.EndpointLoad{Endpoint: e.id, UsedSlots: uint16(e.usedSlots), Down: e.health.down(s.now)})
 	}
 	uses := s.copiesInUse()
-	for _, m := range s.models {
+	for _, m := range s.modelOrder {
 		f.Models = append(f.Models, wire.ModelLoad{
 			Service: m.key.service, Model: m.key.model, Running: uint16(m.running), Waiting: uint16(len(m.waiting)),
 			ArrivalsPerSec: float32(m.arrivalsPerSec), MeanHoldSec: float32(m.holdSec), Copies: uses[m.key],
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -572,3 +573,86 @@
 		}
 	}
 }
+
+// TestRestartedEndpointFreesSlots guards against an endpoint that loses places for good when its process restarts: requests
+// at the former process stayed counted at the new one after they had ended.
+func TestRestartedEndpointFreesSlots(t *testing.T) {
+	const slots = 2
+	for _, service := range []string{engineService, plainService} {
+		v := testView(slots, [][]string{{"m"}}, 1)
+		s := New(0, testConfig(), v)
+		ask := func(id uint64) {
+			a := chat(id, "m")
+			if service == plainService {
+				a = wire.Ask{ID: id, Service: plainService, DeadlineMs: 2000, TargetMs: 1000}
+			}
+			s.Ask(0, "h", a)
+		}
+		for restart := range int64(3) {
+			for i := range uint64(slots) {
+				ask(uint64(restart)*10 + i + 1)
+			}
+			for id, m := range answers(s) {
+				if _, ok := m.(*wire.Grant); !ok {
+					t.Errorf("%s, restart %d: request %d got %#v although no other is in progress", service, restart, id, m)
+				}
+			}
+			next := *v
+			next.Endpoints = append([]fleet.Endpoint(nil), v.Endpoints...)
+			for i := range next.Endpoints {
+				next.Endpoints[i].StartUnixMs = restart + 1
+			}
+			v = &next
+			s.SetView(0, v)
+			ask(uint64(restart)*10 + 9) // waits, since the requests of the former process are still counted
+			if m, ok := answers(s)[uint64(restart)*10+9].(*wire.Grant); ok {
+				t.Errorf("%s, restart %d: %#v before the hosts have reported the ends", service, restart, m)
+			}
+			s.Cancel(0, "h", uint64(restart)*10+9)
+			for i := range uint64(slots) {
+				s.Done(0, "h", wire.Done{ID: uint64(restart)*10 + i + 1, Fault: uint8(BrokenResponse), Failed: true})
+			}
+		}
+	}
+}
+
+// TestClosingCopyWithoutHolder guards against a copy that stays out of use because its unload was announced by a holder
+// that is gone, and against a copy that counts as loaded for good although the list does not show it.
+func TestClosingCopyWithoutHolder(t *testing.T) {
+	s := New(0, testConfig(), testView(4, [][]string{{"m"}, {"n"}}, 0))
+	s.SetHolder(0, &wire.HolderBeat{Host: "h", Unloading: []wire.ModelCopy{{Endpoint: "e0", Model: "m"}}, Loaded: []wire.ModelCopy{{Endpoint: "e1", Model: "o"}}})
+	granted := func(now time.Duration, id uint64, model string) bool {
+		s.Ask(now, "h", chat(id, model))
+		_, ok := answers(s)[id].(*wire.Grant)
+		s.Cancel(now, "h", id)
+		return ok
+	}
+	const soon = 800 * time.Millisecond // the holder's beats have stopped, its orders may still take effect
+	s.SetHolder(soon, nil)
+	if granted(soon, 1, "m") || !granted(soon, 2, "o") {
+		t.Error("the last report of a holder does not count soon after it is gone")
+	}
+	late := holderReportLife + time.Millisecond
+	s.SetHolder(late, nil)
+	s.SetView(late, testView(4, [][]string{{"m"}, {"n"}}, 0))
+	if !granted(late, 3, "m") || granted(late, 4, "o") {
+		t.Error("the last report of a holder that is gone still counts")
+	}
+}
+
+// TestWorkShareRepeats guards against a share that depends on the order of a map by the rounding of its sum.
+func TestWorkShareRepeats(t *testing.T) {
+	names := []string{"m", "n", "o", "p", "q", "r", "s", "t"}
+	s := New(0, testConfig(), testView(4, [][]string{names}, 0))
+	for i, name := range names {
+		a := chat(1, name)
+		s.modelOf(&a).arrivalsPerSec = math.Sqrt(float64(i + 2))
+	}
+	a := chat(1, "m")
+	first := s.workShare(s.endpoints["e0"], s.modelOf(&a))
+	for range 200 {
+		if again := s.workShare(s.endpoints["e0"], s.modelOf(&a)); again != first {
+			t.Fatalf("the same share is %v and %v", first, again)
+		}
+	}
+}
