Let a need decay within a second after demand falls

The need of the model that loses its requests decayed with a time constant of five seconds, so that the sum of needs was 1.2 to 1.6 times the present one, and endpoints stayed with that model.

Ruled out as the main cause: the drain of victims (half of the unloads were seen as done at the first poll, a quarter took over 0.3 to 1.8 s), the rate of the store (3 to 6 loads in a window that allows 9), and dwell.

The time constant is now one second. The noise of arrivals that are measured over 500 ms is still bridged, as TestHysteresis shows.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	fallTime       = 5 * time.Second         // time constant of the decay after demand falls; a rise counts at once
+	fallTime       = time.Second             // time constant of the decay after demand falls; a rise counts at once
 	dwell          = 1500 * time.Millisecond // least time between two changes of an endpoint
 	minChangeLimit = 5                       // least value of the limit on endpoints that change at the same time
 	changeShare    = 0.5                     // share of the endpoints of a large fleet that may change at the same time
