Poll engines more often around the expected end of a change

A new copy is used once the holder has seen it in the engine's report, and the next step of an exchange starts then.

Polls now follow at 100 ms, four at most, before the interval of 250 ms. An early report can't be mistaken: it shows an older sequence number.

--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -23,10 +23,8 @@
 	maxReportBytes = 1 << 20 // of a response body
 	// reportLag is the delay of reports: one requested sooner after the answer to an order may not show its effect.
 	reportLag              = 250 * time.Millisecond
-	unloadNoticeDelay      = 40 * time.Millisecond  // before an unload, so that the dispatcher learns of it first
-	reportPollInterval     = 250 * time.Millisecond // while an order is carried out; each report has a cost
-	firstPollLead          = 50 * time.Millisecond  // time of the first poll before the expected end of a load
-	orderCompletionTimeout = 12 * time.Second       // an unload waits for the requests in progress
+	unloadNoticeDelay      = 40 * time.Millisecond // before an unload, so that the dispatcher learns of it first
+	orderCompletionTimeout = 12 * time.Second      // an unload waits for the requests in progress
 	// adapterLoadTime is the time from the answer to a load order until the adapter is usable. Loads take 5 to 10 ms.
 	adapterLoadTime  = 11 * time.Millisecond
 	prepareQueueSize = 256
@@ -347,11 +345,11 @@
 // applyChange unloads and loads the models that an order of the planner names, and waits for each step.
 func (em *engineManager) applyChange(ctx context.Context, es *engineState, c copies.Order, engine *fleet.Engine) error {
 	if c.Unload != "" {
-		if err := em.changeModel(ctx, es, c.Unload, false, engine, reportLag); err != nil {
+		if err := em.changeModel(ctx, es, c.Unload, false, engine, 0); err != nil {
 			return errors.Annotate(err, "unload")
 		}
 	}
-	return errors.Annotate(em.changeModel(ctx, es, c.Load, true, engine, c.LoadTime+reportLag/2-firstPollLead), "load")
+	return errors.Annotate(em.changeModel(ctx, es, c.Load, true, engine, c.LoadTime), "load")
 }
 
 // changeModel orders an engine to load or unload a model, and waits until the engine has done so. takes is the expected
@@ -379,7 +377,7 @@
 	if result != fleet.OrderAccepted && result != fleet.OrderNoop {
 		return errors.Errorf("answer to the order: %s", result)
 	}
-	return em.awaitChange(ctx, es, model, load, expect+1, max(takes, reportLag))
+	return em.awaitChange(ctx, es, model, load, expect+1, takes)
 }
 
 // fitsInMemory reports whether a model fits into the engine's memory together with the models there and a full set of
@@ -406,8 +404,8 @@
 func (em *engineManager) awaitChange(ctx context.Context, es *engineState, model string, load bool, sequence int64,
 	takes time.Duration) error {
 	deadline := time.Now().Add(orderCompletionTimeout)
-	for wait := takes; time.Now().Before(deadline); wait = reportPollInterval {
-		if clock.Sleep(ctx, wait); ctx.Err() != nil {
+	for poll := 0; time.Now().Before(deadline); poll++ {
+		if clock.Sleep(ctx, pollDelay(poll, takes)); ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if em.holder.h.quietRemaining(es.endpoint.ID) > 0 {
