--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -22,8 +22,8 @@
 
 const (
 	hostWatchWait       = 10 * time.Second       // longer than for other kinds, since connections show when a host vanishes
-	probeWait           = 0                      // of calls that test whether the store is back
-	maxProbeTime        = time.Second            // of such a call, longer than others have in case that the store is slow
+	outageWait          = 0                      // of calls that test whether the store is back
+	outageTimeout       = time.Second            // of such a call, longer than others have in case that the store is slow
 	seriesPause         = 50 * time.Millisecond  // after changes that others mostly follow at once
 	forwardPollInterval = 100 * time.Millisecond // between checks whether another host has started forwarding changes
 	forwardIdleInterval = 2 * time.Second        // between checks while the dispatcher forwards changes, whose end is also signaled
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -52,7 +52,7 @@
 			// The next dispatcher, or a relay, is about to forward the kind.
 			clock.Sleep(ctx, forwardPollInterval)
 			continue
-		case d.waitsForProbe(w.kind):
+		case d.waitsForStore(w.kind):
 			clock.Sleep(ctx, forwardPollInterval)
 			continue
 		case version == "" || d.isStale(w.kind):
@@ -77,9 +77,9 @@
 	}
 }
 
-// waitsForProbe reports whether calls for a kind have to wait until the store answers again. While it does not, only the
+// waitsForStore reports whether calls for a kind have to wait until the store answers again. While it does not, only the
 // calls for the configuration are repeated, since a store in trouble should not be asked for each kind.
-func (d *directory) waitsForProbe(kind string) bool {
+func (d *directory) waitsForStore(kind string) bool {
 	config, _ := d.h.opts.Codec.Kinds()
 	return kind != config && d.isStoreLost(kind) && d.isStoreLost(config)
 }
@@ -130,7 +130,7 @@
 	wait := cmp.Or(w.maxWait, times.watchWait) - paused
 	timeout := wait + times.answerDelay
 	if d.isStoreLost(w.kind) {
-		wait, timeout = probeWait, maxProbeTime
+		wait, timeout = outageWait, outageTimeout
 	}
 	ctx, cancel := context.WithTimeout(objects.WithCause(ctx, d.followCause(w.kind)), timeout)
 	defer cancel()
