--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -88,6 +88,19 @@
 			t.Errorf("token %q, error %v, want %q", s.PlatformToken, err, tc.want)
 		}
 	}
+	// A long secret must not be cut: its first part would be used as if it were the whole.
+	if err := os.WriteFile(path, []byte(strings.Repeat("x", maxSecretBytes+1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var long Sycamorectl
+	app = long.Application()
+	app.Command("x", "")
+	if _, err := app.Parse([]string{"--platform-token-file", path, "x"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := long.Validate(); err == nil || !strings.Contains(err.Error(), path) {
+		t.Errorf("a secret of %d bytes: token of %d bytes, error %v", maxSecretBytes+1, len(long.PlatformToken), err)
+	}
 	t.Setenv("SYCAMORECTL_PLATFORM_TOKEN", "two\nlines")
 	if err := s.Validate(); err == nil || strings.Contains(err.Error(), "two") {
 		t.Errorf("error %v", err)
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -85,10 +85,13 @@
 			return err.Error()
 		}
 		defer f.Close()
-		b, err := io.ReadAll(io.LimitReader(f, maxSecretBytes))
+		b, err := io.ReadAll(io.LimitReader(f, maxSecretBytes+1))
 		if err != nil {
 			return err.Error()
 		}
+		if len(b) > maxSecretBytes {
+			return fmt.Sprintf("file %s is longer than %d bytes", s.raw, maxSecretBytes)
+		}
 		secret = strings.TrimSpace(string(b))
 		if secret == "" {
 			return fmt.Sprintf("file %s is empty", s.raw)
