Tell the errors of a watch apart

Cause: every error event ended a watch as expired, which is neither logged nor, as a rate limit, waited for longer. Change: the code in the event decides as the status of a response does; an unknown one counts as unavailable. Test: TestWatchError fails for 4 of 5 codes without the change.

--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -44,9 +44,14 @@
 	Items    []apiObject `json:"items"`
 }
 
+// apiEvent is an event of a watch. The object of an error event is a status, whose code is that of a response.
 type apiEvent struct {
 	Type   EventType `json:"type"`
-	Object apiObject `json:"object"`
+	Object struct {
+		apiObject
+		Code    int    `json:"code"`
+		Message string `json:"message"`
+	} `json:"object"`
 }
 
 func (a apiObject) toObject() Object {
@@ -140,7 +145,10 @@
 			return errors.Annotate(err, "watch event")
 		}
 		if e.Type == "ERROR" {
-			return ErrExpired
+			if err := codeError(e.Object.Code); err != nil {
+				return err
+			}
+			return unavailableError(errors.Errorf("watch of %s ended with code %d: %s", kind, e.Object.Code, e.Object.Message))
 		}
 		fn(Event{Type: e.Type, Object: e.Object.toObject()})
 	}
@@ -222,22 +230,31 @@
 	return resp, nil
 }
 
-// statusError returns the error for the status of a response, or nil if the call succeeded.
-func statusError(resp *http.Response) error {
+// codeError returns the error that a status code stands for, or nil if it stands for none.
+func codeError(code int) error {
 	switch {
-	case resp.StatusCode < 300:
-		return nil
-	case resp.StatusCode == http.StatusNotFound:
+	case code == http.StatusNotFound:
 		return ErrNotFound
-	case resp.StatusCode == http.StatusConflict:
+	case code == http.StatusConflict:
 		return ErrConflict
-	case resp.StatusCode == http.StatusGone:
+	case code == http.StatusGone:
 		return ErrExpired
-	case resp.StatusCode == http.StatusTooManyRequests:
+	case code == http.StatusTooManyRequests:
 		return ErrThrottled
-	case resp.StatusCode >= 500:
+	case code >= 500:
 		return ErrUnavailable
 	}
+	return nil
+}
+
+// statusError returns the error for the status of a response, or nil if the call succeeded.
+func statusError(resp *http.Response) error {
+	if resp.StatusCode < 300 {
+		return nil
+	}
+	if err := codeError(resp.StatusCode); err != nil {
+		return err
+	}
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
 	return errors.Errorf("unexpected status %d from the platform: %s", resp.StatusCode, bytes.TrimSpace(b))
 }
--- a/internal/objects/client_test.go
+++ b/internal/objects/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -144,3 +145,24 @@
 		t.Fatalf("%v, want %v", err, objects.ErrExpired)
 	}
 }
+
+// TestWatchError guards against an error of the platform that is taken for an expired version: it would be neither logged nor
+// waited for, and a client that is to send less would list at once.
+func TestWatchError(t *testing.T) {
+	for _, tc := range []struct {
+		object string
+		want   error
+	}{
+		{`{"code":410}`, objects.ErrExpired}, {`{"code":429}`, objects.ErrThrottled}, {`{"code":500}`, objects.ErrUnavailable},
+		{`{"code":400,"message":"bad"}`, objects.ErrUnavailable}, {`{}`, objects.ErrUnavailable},
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, `{"type":"ERROR","object":%s}`+"\n", tc.object)
+		}))
+		c := objects.NewClient(srv.URL, "")
+		if err := c.Watch(t.Context(), objects.KindHead, "", "1", func(objects.Event) {}); !errors.Is(err, tc.want) {
+			t.Errorf("%s: %v, want %v", tc.object, err, tc.want)
+		}
+		srv.Close()
+	}
+}
