--- a/cmd/sycamore-soak/main.go
+++ b/cmd/sycamore-soak/main.go
@@ -76,6 +76,7 @@
 				}
 				r, runErr := soak.Run(ctx, soak.NewPlan(seed, hosts), o)
 				mu.Lock()
+				r.Err = runErr
 				if runs++; runErr != nil {
 					err = errors.Annotatef(runErr, "seed %d", seed)
 				}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -30,6 +30,7 @@
 	Statuses     map[int]int   // number of answers by status; 0 stands for no answer
 	Recovery     time.Duration // from the end of the last fault until everything was served
 	PeakMemoryMB int           // of the host that used the most memory
+	Err          error         // with which the run ended, nil for a whole run
 	LogDir       string        // folder with the logs of a failed run; empty if none were written
 }
 
@@ -48,6 +49,9 @@
 	if n := len(r.Violations); n > 0 {
 		verdict = fmt.Sprintf("%d violations, logs in %s", n, r.LogDir)
 	}
+	if r.Err != nil {
+		verdict = strings.TrimPrefix(verdict+", error: "+r.Err.Error(), "ok, ")
+	}
 	return fmt.Sprintf("seed %d: %d hosts, %d faults, %d planned events, %d requests (%s ), recovered after %.1f s, peak memory %d MB: %s",
 		r.Plan.Seed, r.Plan.Hosts, len(r.Plan.Faults), len(r.Plan.Planned), r.Requests, b.String(), r.Recovery.Seconds(), r.PeakMemoryMB, verdict)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 
+	"github.com/juju/errors"
+
 	"sycamoredeal/internal/testbed"
 )
 
@@ -62,3 +65,19 @@
 		}
 	}
 }
+
+// TestResultLine guards against a run that ended with an error and is printed as ok.
+func TestResultLine(t *testing.T) {
+	for _, tc := range []struct {
+		r    Result
+		want string
+	}{
+		{Result{}, ": ok"},
+		{Result{Err: errors.New("no port")}, ": error: no port"},
+		{Result{Err: errors.New("no disk"), Violations: make([]Violation, 2), LogDir: "x"}, ": 2 violations, logs in x, error: no disk"},
+	} {
+		if got := tc.r.String(); !strings.HasSuffix(got, tc.want) {
+			t.Errorf("%q does not end with %q", got, tc.want)
+		}
+	}
+}
