Ask for each kind in full once, and keep a seed's objects out of the mirror

The dispatcher had listed the endpoints while there were none. It forwarded the first ones as single changes, and a kind without objects has no summary, so the digests of hosts equalled the dispatcher's before they had asked for the kind, and they never learned that they had all of it. The first list is not forwarded since hosts agree on a dispatcher together. Found by playing each commit: one missed duty came with objects of a seed in the mirror, which made the digests equal in the same way; besides, a seed may lack objects older than its newest one, and a host asks only for newer ones than its own.

Change: a host asks for each kind until it has received it in full, whatever the digests say, and a listed kind has a summary also without objects. A seed's objects stay out of the mirror; lists and full updates remove what the view has and they don't show, so TestSeedObjectsThatAreGone still passes.

TestFullListIsAskedFor fails with the former comparison. TestCompareWithOlderSummary now says that its host has listed the kind, which it meant.

--- a/internal/host/compare_test.go
+++ b/internal/host/compare_test.go
@@ -19,6 +19,7 @@
 func TestCompareWithOlderSummary(t *testing.T) {
 	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Log: telemetry.NewLogger(os.Stderr, "error", "test")})
 	d := h.directory
+	d.received["servers"] = true // the host has listed the servers before
 	const behind, changes, every = 4, 200, 40 * time.Millisecond
 	var summaries []wire.ViewSummary
 	now := time.Now()
@@ -54,6 +55,39 @@
 	}
 }
 
+// TestFullListIsAskedFor plays a dispatcher that lists no endpoints at first, and forwards the first one before its summary.
+// It guards against hosts that never learn that they have all endpoints, as their digest equals the dispatcher's: six of
+// 13 hosts were not ready for a whole day.
+func TestFullListIsAskedFor(t *testing.T) {
+	entry := objects.Object{Kind: "servers", Name: "e1", Data: []byte("1")}
+	for _, forwarded := range []int{0, 1} {
+		store := newMemoryStore()
+		newHost := func(name string) *Host {
+			return New(Options{Deployment: fleet.Deployment{Host: name}, Codec: entryCodec{}, Store: store, Log: telemetry.NewLogger(os.Stderr, "error", "test")})
+		}
+		dispatcher, h := newHost("h0").directory, newHost("h1").directory
+		if _, err := dispatcher.listKind(t.Context(), kindWatch{"servers", 0, dispatcher.putEndpoint, dispatcher.removeEndpoint, dispatcher.retainEndpoints}); err != nil {
+			t.Fatal(err)
+		}
+		if forwarded > 0 {
+			o := store.put(entry)
+			h.applyUpdate(dispatcher.mirror.put(o))
+		}
+		now := time.Now()
+		asks := h.compareSummaries(now, dispatcher.summaries())
+		if len(asks) != 1 || asks[0].ObjectKind != "servers" || asks[0].Newest != 0 {
+			t.Fatalf("%d changes forwarded: asks %v", forwarded, asks)
+		}
+		h.applyUpdate(dispatcher.updateSince(asks[0]))
+		if v := h.view(); !v.EndpointsListed || len(v.Endpoints) != forwarded {
+			t.Errorf("%d changes forwarded: %d endpoints, listed %v", forwarded, len(v.Endpoints), v.EndpointsListed)
+		}
+		if asks := h.compareSummaries(now.Add(time.Hour), dispatcher.summaries()); len(asks) > 0 {
+			t.Errorf("%d changes forwarded: asks after the full list: %v", forwarded, asks)
+		}
+	}
+}
+
 // TestTokenBucket guards against a link that is filled by answers when the hosts of a fleet all ask at once.
 func TestTokenBucket(t *testing.T) {
 	var a tokenBucket
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -63,6 +63,7 @@
 	mu              sync.Mutex
 	mirror          mirror
 	stale           map[string]bool     // kinds to read from the store, as other hosts do not forward them in full
+	received        map[string]bool     // kinds that were received in full since the start, from the store or another host
 	mismatches      map[string]mismatch // by kind, between this host's objects and the dispatcher's
 	config          *fleet.Config
 	endpoints       map[string]fleet.Endpoint
@@ -89,7 +90,7 @@
 func newDirectory(h *Host) *directory {
 	d := &directory{
 		h: h, log: h.log.Part("directory"), registrationWake: make(chan struct{}, 1), mirror: make(mirror),
-		stale: make(map[string]bool), mismatches: make(map[string]mismatch),
+		stale: make(map[string]bool), received: make(map[string]bool), mismatches: make(map[string]mismatch),
 		endpoints: make(map[string]fleet.Endpoint), graceUntil: make(map[string]time.Time), leavingBorn: make(map[string]int64), changedEndpoints: make(map[string]bool), hosts: make(map[string]fleet.Host),
 		outages: make(map[string]time.Time), answeredAt: make(map[string]time.Time), updates: ring.New[forwardedMessage](updateQueueSize),
 	}
@@ -392,7 +393,7 @@
 func (d *directory) retainEndpoints(names map[string]bool) {
 	d.endpointsListed = true
 	_, kind := d.h.opts.Codec.Kinds()
-	for _, id := range d.mirror.missing(kind, names) {
+	for _, id := range unlisted(d.mirror, kind, d.endpoints, names) {
 		d.removeEndpoint(id)
 	}
 }
@@ -447,8 +448,11 @@
 
 // retainHosts removes the hosts that a full list does not show. The caller holds the lock.
 func (d *directory) retainHosts(names map[string]bool) {
-	for _, name := range d.mirror.missing(kindHosts, names) {
-		d.removeHost(name)
+	own := d.h.deployment().Host
+	for _, name := range unlisted(d.mirror, kindHosts, d.hosts, names) {
+		if _, mirrored := d.mirror[kindHosts][name]; mirrored || name != own { // a list may be older than the registration
+			d.removeHost(name)
+		}
 	}
 	d.triggerRegistration()
 }
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -120,6 +120,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	first, pending := len(d.mirror[w.kind]) == 0, len(d.pendingUpdates)
+	d.mirror.add(w.kind)
 	for _, o := range list {
 		names[o.Name] = true
 		d.recordObject(o)
@@ -132,6 +133,7 @@
 		d.pendingUpdates = d.pendingUpdates[:pending]
 	}
 	d.noteRegistration(w.kind, names[d.h.deployment().Host])
+	d.received[w.kind] = true
 	delete(d.stale, w.kind)
 	d.publishView()
 	return version, nil
--- a/internal/host/mirror.go
+++ b/internal/host/mirror.go
@@ -29,11 +29,16 @@
 // maxPatchShare is the share of an object's size below which a change is sent as a patch.
 const maxPatchShare = 0.5
 
+// add adds a kind without objects, so that it has a summary. Other hosts can't tell otherwise that there are none.
+func (m mirror) add(kind string) {
+	if m[kind] == nil {
+		m[kind] = make(map[string]mirroredObject)
+	}
+}
+
 // put stores an object and returns the update for other hosts, or nil if the mirror has this version already.
 func (m mirror) put(o objects.Object) *wire.ViewUpdate {
-	if m[o.Kind] == nil {
-		m[o.Kind] = make(map[string]mirroredObject)
-	}
+	m.add(o.Kind)
 	old, known := m[o.Kind][o.Name]
 	if known && old.Version == o.Version {
 		return nil
@@ -70,6 +75,19 @@
 	return out
 }
 
+// unlisted returns the sorted names of a kind's objects that are not in listed. Objects of the view that came from a seed are
+// not in the mirror.
+func unlisted[V any](m mirror, kind string, view map[string]V, listed map[string]bool) []string {
+	out := m.missing(kind, listed)
+	for name := range view {
+		if _, mirrored := m[kind][name]; !mirrored && !listed[name] {
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
 // makePatch returns the change between two versions of an object's data: the bytes between their common prefix and
 // their common suffix.
 func makePatch(before, after []byte) wire.ObjectPatch {
--- a/internal/host/passedon.go
+++ b/internal/host/passedon.go
@@ -47,6 +47,11 @@
 	}
 	if m.Complete && m.ObjectKind == endpoints {
 		d.endpointsListed = true
+		listed := make(map[string]bool, len(m.Names))
+		for _, name := range m.Names {
+			listed[name] = true
+		}
+		removed = unlisted(d.mirror, endpoints, d.endpoints, listed)
 	}
 	if m.Complete && m.ObjectKind == config {
 		d.configsListed = true
@@ -54,6 +59,9 @@
 	for _, name := range removed {
 		remove(name)
 	}
+	if m.Complete {
+		d.received[m.ObjectKind] = true
+	}
 	d.publishView()
 }
 
@@ -84,20 +92,21 @@
 
 // compareSummaries compares the summaries of another host with the objects of this one, and returns requests for the
 // kinds that have differed for mismatchDelay. After maxViewAsks requests, a kind that still differs is read from the
-// store.
+// store. A kind that was not received in full since the start is asked for at once: single changes that came before the
+// summary can make the digests equal, and a host is not ready before it knows that it has all.
 func (d *directory) compareSummaries(now time.Time, views []wire.ViewSummary) []*wire.ViewAsk {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var asks []*wire.ViewAsk
 	for _, theirs := range views {
-		own := d.mirror.summary(theirs.Of)
+		own, received := d.mirror.summary(theirs.Of), d.received[theirs.Of]
 		current := d.mismatches[theirs.Of]
 		switch {
-		case own.Digest == theirs.Digest:
+		case received && own.Digest == theirs.Digest:
 			current = mismatch{}
-		case own.Newest > theirs.Newest:
+		case received && own.Newest > theirs.Newest:
 			current = mismatch{} // this host has newer objects, so the summary does not show whether it lacks any
-		case current.since.IsZero() && own.Digest == 0: // this host has just started and has no objects
+		case current.since.IsZero() && (!received || own.Digest == 0): // this host has just started
 			current.since, current.asks = now, current.asks+1
 			asks = append(asks, &wire.ViewAsk{ObjectKind: theirs.Of})
 		case current.since.IsZero():
@@ -107,7 +116,11 @@
 			current.since, current.asks = now, current.asks+1
 			d.log.Info().Str("kind", theirs.Of).Uint64("newest", own.Newest).Uint64("theirs", theirs.Newest).Int("asks", current.asks).
 				Msg("Objects differ from the dispatcher's, asked for.")
-			asks = append(asks, &wire.ViewAsk{ObjectKind: theirs.Of, Newest: own.Newest})
+			ask := &wire.ViewAsk{ObjectKind: theirs.Of}
+			if received {
+				ask.Newest = own.Newest
+			}
+			asks = append(asks, ask)
 		default:
 			current = mismatch{}
 			d.stale[theirs.Of] = true
