--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -399,14 +399,15 @@
 	return relaySearchGrace
 }
 
-// dispatcherInUse returns the dispatcher in use, and false if there is none.
-func (b *binder) dispatcherInUse() (fleet.Host, bool) {
+// dispatcherInUse returns the dispatcher in use, whether its own host uses it as well, and false if there is none.
+func (b *binder) dispatcherInUse() (h fleet.Host, serves, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.link == nil {
-		return fleet.Host{}, false
+		return fleet.Host{}, false, false
 	}
-	return b.link.host, true
+	r := b.link.report
+	return b.link.host, r.known && sameHost(r.host, b.link.host), true
 }
 
 // isStarting reports whether this host has just started and has not used a dispatcher yet.
@@ -452,6 +453,7 @@
 		delete(b.suspects, l.host.Name)
 		if r := newDispatcherReport(l.host, m); r != l.report {
 			l.report = r
+			b.h.dispatcher.announce()
 			b.triggerCheck()
 		}
 	case *wire.ViewUpdate:
--- a/internal/host/choice.go
+++ b/internal/host/choice.go
@@ -13,7 +13,8 @@
 // The load pattern: all hosts of a fleet start at once, or one after another within a second or two, and the store still lists
 // their earlier processes. Each host lists the hosts once, at another moment than the others, so that each sees another first
 // entry. The hosts agree because each dispatcher says whether its own host uses it or, if not, which other one that host
-// uses: hosts follow this, and stay with a dispatcher that serves its own host although another is listed before it.
+// uses: hosts follow this if that one serves its own host, and stay with a dispatcher that serves its own host although
+// another is listed before it.
 
 const (
 	// freshWindow is the difference of the start times of two processes within which they count as started together. It
@@ -35,18 +36,19 @@
 
 // dispatcherReport is what a dispatcher says about the dispatcher that its own host uses.
 type dispatcherReport struct {
-	known bool
-	host  fleet.Host
+	known  bool
+	host   fleet.Host
+	serves bool // that dispatcher is used by its own host
 }
 
 // newDispatcherReport reads the report in a state that the dispatcher on host from has sent.
 func newDispatcherReport(from fleet.Host, m *wire.FleetState) dispatcherReport {
 	switch {
 	case m.Serving:
-		return dispatcherReport{true, from}
+		return dispatcherReport{true, from, true}
 	case m.Successor != nil:
 		return dispatcherReport{true, fleet.Host{Name: m.Successor.Name, Address: m.Successor.Address, Incarnation: m.Successor.Incarnation,
-			MilliCores: int(m.Successor.MilliCores)}}
+			MilliCores: int(m.Successor.MilliCores)}, m.SuccessorServes}
 	}
 	return dispatcherReport{}
 }
@@ -88,7 +90,7 @@
 	case sameHost(r, *c.inUse):
 		return *c.inUse, true, true
 	case r.Name != c.self.Name:
-		return r, true, c.trust(r) != excluded
+		return r, true, c.report.serves && c.trust(r) != excluded
 	case r.Incarnation != c.self.Incarnation || c.leaving:
 		return fleet.Host{}, false, false
 	}
--- a/internal/host/choice_test.go
+++ b/internal/host/choice_test.go
@@ -21,7 +21,7 @@
 	old1, old2 := listedHost("h1", 1), listedHost("h2", 2)
 	fresh3, fresh4 := listedHost("h3", now-0.2), listedHost("h4", now-0.1)
 	strong := fleet.Host{Name: "h9", Incarnation: 9, MilliCores: 2 * strengthClassSize}
-	reports := func(h fleet.Host) dispatcherReport { return dispatcherReport{true, h} }
+	reports := func(h fleet.Host) dispatcherReport { return dispatcherReport{true, h, true} }
 	for _, c := range []struct {
 		name       string
 		choice     dispatcherChoice
@@ -50,7 +50,9 @@
 			choice: dispatcherChoice{inUse: &old2, report: reports(old2), hosts: []fleet.Host{old1, old2, self}}, want: old2, wantAtOnce: true},
 		{name: "the dispatcher that it reports is used",
 			choice: dispatcherChoice{inUse: &old1, report: reports(old2), hosts: []fleet.Host{old1, old2, self}}, want: old2, wantAtOnce: true},
-		{name: "unless that failed here",
+		{name: "unless that one may not serve",
+			choice: dispatcherChoice{inUse: &old1, report: dispatcherReport{known: true, host: old2}, hosts: []fleet.Host{old1, old2, self}}, want: old1},
+		{name: "or failed here",
 			choice: dispatcherChoice{inUse: &old2, report: reports(old1), hosts: []fleet.Host{old1, old2, self}}, excluded: []string{"h1"}, want: old2},
 		{name: "of two hosts that use each other, the first by name serves, and the other one only after a delay",
 			choice: dispatcherChoice{inUse: &fresh4, report: reports(self), hosts: []fleet.Host{old1, fresh4}}, want: self},
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -356,13 +356,14 @@
 
 // addDispatcherInUse adds to a state which dispatcher this host uses. A host that is stopping adds none.
 func (d *dispatcher) addDispatcherInUse(f *wire.FleetState) {
-	u, ok := d.h.binder.dispatcherInUse()
+	u, serves, ok := d.h.binder.dispatcherInUse()
 	switch {
 	case !ok || d.h.leaving():
 	case u.Name == d.h.deployment().Host:
 		f.Serving = true
 	default:
 		f.Successor = &wire.HostRef{Name: u.Name, Address: u.Address, Incarnation: u.Incarnation, MilliCores: uint32(u.MilliCores)}
+		f.SuccessorServes = serves
 	}
 }
 
--- a/internal/host/dispatcher_test.go
+++ b/internal/host/dispatcher_test.go
@@ -104,7 +104,11 @@
 		inUse *link
 		want  dispatcherReport
 	}{
-		{nil, dispatcherReport{}}, {&link{host: self}, dispatcherReport{true, self}}, {&link{host: other}, dispatcherReport{true, other}},
+		{nil, dispatcherReport{}},
+		{&link{host: self}, dispatcherReport{true, self, true}},
+		{&link{host: other}, dispatcherReport{true, other, false}},
+		{&link{host: other, report: dispatcherReport{true, self, false}}, dispatcherReport{true, other, false}},
+		{&link{host: other, report: dispatcherReport{true, other, true}}, dispatcherReport{true, other, true}},
 	} {
 		h.binder.link = c.inUse
 		if got := newDispatcherReport(self, h.dispatcher.briefState()); got != c.want {
--- a/internal/host/together_test.go
+++ b/internal/host/together_test.go
@@ -78,7 +78,7 @@
 			for {
 				used, complete := make(map[string]int), 0
 				for _, h := range fleetHosts {
-					d, _ := h.binder.dispatcherInUse()
+					d, _, _ := h.binder.dispatcherInUse()
 					used[d.Name]++
 					if h.directory.isComplete() {
 						complete++
@@ -129,7 +129,7 @@
 	defer cancel()
 	wg.Go(func() { h.binder.run(ctx) })
 	for begin := time.Now(); ; time.Sleep(time.Millisecond) {
-		if d, _ := h.binder.dispatcherInUse(); d.Name == "h8" {
+		if d, _, _ := h.binder.dispatcherInUse(); d.Name == "h8" {
 			return
 		}
 		if time.Since(begin) > within {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -355,9 +355,10 @@
 	// Weights are those of Models. A model that is not listed has 1 slot per request.
 	Weights []ModelWeight `msg:"m"`
 	// Serving is true if the dispatcher's own host uses it. Otherwise Successor is the dispatcher that this host uses, if
-	// any.
-	Serving   bool     `msg:"n"`
-	Successor *HostRef `msg:"o"`
+	// any, and SuccessorServes is true if that one reports that its own host uses it.
+	Serving         bool     `msg:"n"`
+	Successor       *HostRef `msg:"o"`
+	SuccessorServes bool     `msg:"p"`
 }
 
 // HostRef identifies a process of a host and its address for other hosts.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -2501,9 +2501,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "a"
-	o = append(o, 0x8f, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 3
@@ -2612,6 +2612,9 @@
 			return
 		}
 	}
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendBool(o, z.SuccessorServes)
 	return
 }
 
@@ -2971,6 +2974,12 @@
 					return
 				}
 			}
+		case "p":
+			z.SuccessorServes, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SuccessorServes")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2985,7 +2994,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetState) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Endpoints {
 		s += 1 + msgp.StringPrefixSize + len(z.Endpoints[za0001].Endpoint) + msgp.Uint16Size + msgp.BoolSize
 	}
@@ -3019,6 +3028,7 @@
 	} else {
 		s += z.Successor.Msgsize()
 	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
