--- a/internal/host/choice.go
+++ b/internal/host/choice.go
@@ -17,9 +17,9 @@
 // another is listed before it.
 
 const (
-	// freshWindow is the difference of the start times of two processes within which they count as started together. It
-	// exceeds the difference of the hosts' clocks.
-	freshWindow = 5 * time.Second
+	// freshWindow is the difference of the start times of two processes within which they count as started together. A
+	// longer one includes hosts that had started again shortly before all of them failed.
+	freshWindow = 2 * time.Second
 	// earlierGrace is the time after the start for which a host tries the hosts that started long before it, before it
 	// becomes its own dispatcher.
 	earlierGrace = 100 * time.Millisecond
--- a/internal/host/choice_test.go
+++ b/internal/host/choice_test.go
@@ -38,6 +38,8 @@
 			choice: dispatcherChoice{starting: true, listed: true, hosts: []fleet.Host{old1, old2, self}}, want: old1, wantAtOnce: true},
 		{name: "hosts that start together use the first of them, not the earlier ones that may not run yet",
 			choice: dispatcherChoice{starting: true, hosts: []fleet.Host{old1, fresh3, fresh4}}, want: fresh3, wantAtOnce: true},
+		{name: "also if a host started again shortly before all failed",
+			choice: dispatcherChoice{starting: true, hosts: []fleet.Host{listedHost("h1", now-3), fresh3, fresh4}}, want: fresh3, wantAtOnce: true},
 		{name: "a host that may not be the first to start waits",
 			choice: dispatcherChoice{starting: true, hosts: []fleet.Host{self}}, wantNone: true},
 		{name: "the first to start is its own dispatcher",
