Don't read the store for a patch that arrives before its object

A host that has just started asks the dispatcher for all objects of a kind. The answer contains the change, and the summaries in broadcasts show if it does not.

--- a/internal/host/compare_test.go
+++ b/internal/host/compare_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// TestPatchBeforeObjects guards against hosts that have just started and read a kind from the store because a change of an
+// object arrives before the objects that they have asked for. On further-grown, trouble-3 --seed 1, there were 136 such reads
+// by 115 hosts within 0.2 s.
+func TestPatchBeforeObjects(t *testing.T) {
+	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: entryCodec{}, Log: telemetry.NewLogger(os.Stderr, "error", "test")})
+	d := h.directory
+	patch := &wire.ViewUpdate{ObjectKind: "servers", Patches: []wire.ObjectPatch{{Name: "e0", From: "1", Version: "2", Middle: []byte("1")}}}
+	if d.applyUpdate(patch); d.isStale("servers") {
+		t.Error("a patch for a host without objects leads to a read of the store")
+	}
+	d.applyUpdate(&wire.ViewUpdate{ObjectKind: "servers", Complete: true, Names: []string{"e1"},
+		Objects: []wire.StoredObject{{Kind: "servers", Name: "e1", Version: "1", Data: []byte("1")}}})
+	if d.applyUpdate(patch); !d.isStale("servers") {
+		t.Error("a patch that does not fit leads to no read of the store")
+	}
+}
+
 // TestTokenBucket guards against a link that is filled by answers when the hosts of a fleet all ask at once.
 func TestTokenBucket(t *testing.T) {
 	var a tokenBucket
--- a/internal/host/passedon.go
+++ b/internal/host/passedon.go
@@ -35,8 +35,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	known := len(d.mirror[m.ObjectKind]) > 0 // a host that has just started has asked for all objects, whose answer is on the way
 	newObjects, removed, ok := d.mirror.resolve(m)
-	if !ok || m.Fetch {
+	if !ok && known || m.Fetch {
 		d.stale[m.ObjectKind] = true
 		d.sourceChanged.notify()
 		d.log.Info().Str("kind", m.ObjectKind).Bool("long", m.Fetch).Msg("Change is read from the store.")
