--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -151,6 +151,8 @@
 	}
 	ctx, cancel := context.WithTimeout(objects.WithCause(ctx, d.followCause(w.kind)), timeout)
 	defer cancel()
+	config, _ := d.h.opts.Codec.Kinds()
+	isDispatcher := d.h.binder.isDispatcher() // before the call: during it, a host that starts may be its own dispatcher
 	events, next, err := d.h.opts.Store.Changes(ctx, w.kind, version, wait)
 	if errors.Is(err, objects.ErrExpired) {
 		return "", 0, err
@@ -162,16 +164,15 @@
 	if len(events) == 0 {
 		return next, 0, nil
 	}
-	asksSoon := d.h.binder.isDispatcher() || w.kind == kindHosts && d.h.binder.isStarting()
-	_, endpoints := d.h.opts.Codec.Kinds()
+	starting := w.kind == kindHosts && d.h.binder.isStarting()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	ownListed := false
-	d.seriesBegun = w.kind != endpoints
+	d.seriesBegun = w.kind == config
 	for _, e := range events {
 		ownListed = ownListed || e.Object.Name == d.h.deployment().Host
 		if e.Type == objects.EventDeleted {
-			d.seriesBegun = true
+			d.seriesBegun = w.kind != kindHosts
 			w.remove(e.Object.Name)
 		} else {
 			d.recordObject(e.Object)
@@ -180,10 +181,10 @@
 	}
 	d.noteRegistration(w.kind, ownListed)
 	d.publishView()
-	// The entries of endpoints are rewritten all the time without a difference to what the view holds of them. The
-	// dispatcher waits for several of these, and asks again soon after other changes, which come in series. So does a host
-	// that starts after changes of the hosts.
-	if d.seriesBegun && asksSoon {
+	// The entries of endpoints are rewritten all the time without a difference to what the view holds of them, and all
+	// hosts of a fleet that starts register at once. The dispatcher waits for several of these changes, and asks again
+	// soon after others, which come in series. A host without a dispatcher asks soon for the registrations of others.
+	if d.seriesBegun && isDispatcher || starting {
 		return next, seriesPause, nil
 	}
 	return next, times.pause, nil
