--- a/internal/copies/shift_test.go
+++ b/internal/copies/shift_test.go
@@ -86,13 +86,3 @@
 	}
 	return out
 }
-
-// usableCopies returns the number of endpoints that hold a model and have loaded it.
-func usableCopies(in *Input, model string) (n int) {
-	for i := range in.Endpoints {
-		if e := &in.Endpoints[i]; e.holds(model) && e.Loading != model {
-			n++
-		}
-	}
-	return n
-}
