Poll an engine first 125 ms after the expected end of a change

A poll 75 ms after the end came before any report of the users' engines shows it (their reports are 100 or 200 ms old), so that a load was noticed by the second one.

--- a/internal/host/changepolls.go
+++ b/internal/host/changepolls.go
@@ -8,7 +8,7 @@
 // times around the expected end, and rarely while an unload waits for requests in progress, because each report has a
 // cost.
 const (
-	firstPollDelay       = 75 * time.Millisecond  // after the expected end of the change; a report is older than that
+	firstPollDelay       = 125 * time.Millisecond // after the expected end of the change; an earlier report does not show it
 	frequentPollInterval = 100 * time.Millisecond // between polls around the expected end
 	frequentPolls        = 4                      // polls at that interval
 	rarePollInterval     = 250 * time.Millisecond // between later polls
