--- a/internal/host/storefake_test.go
+++ b/internal/host/storefake_test.go
@@ -173,6 +173,7 @@
 	h := New(Options{Deployment: fleet.Deployment{Host: name, StopTimeout: time.Second}, Codec: configCodec{}, Store: store,
 		Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
 	h.binder.link = &link{host: fleet.Host{Name: dispatcher}, conn: nullPeer{}}
+	h.binder.started = true
 	return h
 }
 
