Recognize callers who come back after a refusal

A refused caller comes back with the rest of its deadline and a new request id. Its host starts the target anew, so the queue took a request that can only be late for one that can be on time: it was served in the place of new requests, and counted as an arrival that leaves no capacity for late ones.

The dispatcher now remembers the target of what it refuses until the deadline ends. A request with the same model, rank, lengths and last prompt part, whose deadline ends within 100 to 200 ms of it, gets the first target: it waits behind what can be on time, and is refused at once if arrivals leave nothing. The capacity for late requests is what arrivals that can be on time leave.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -229,9 +229,9 @@
 }
 
 // predictWait estimates how long a request waits, from the requests of its model that are served before it and the rates at
-// which the model's endpoints free slots and process prompts. Requests that arrive later overtake a request that will be
-// late, so only the capacity that arrivals leave is available to it. If no endpoint holds the model, a copy has to be
-// loaded first; the wait can't be predicted and 0 is returned.
+// which the model's endpoints free slots and process prompts. A request that will be late is overtaken by later arrivals that
+// can be on time, so only the capacity that these leave is available to it. If no endpoint holds the model, a copy has to
+// be loaded first; the wait can't be predicted and 0 is returned.
 func (s *State) predictWait(r *request) time.Duration {
 	var work queuedWork
 	for _, w := range r.model.waiting {
@@ -270,7 +270,7 @@
 	if s.now+seconds(wait)+s.idleFirstToken(r) <= r.target {
 		return seconds(wait)
 	}
-	left := c.requestsPerSec - r.model.arrivalsPerSec
+	left := c.requestsPerSec - r.model.onTimePerSec
 	if left <= minSpareShare*c.requestsPerSec {
 		return maxPredictedWait
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -35,8 +35,6 @@
 	rebuildSlotShare  = 0.5             // share of an endpoint's slots that may be granted during Config.RebuildDuration
 	hostLossTimeout   = 2 * time.Second // until a disconnected host's requests are dropped; they ended, or another dispatcher has them
 	maxQueuedRequests = 4096            // requests in the queue; bounds its memory
-	minRetryDelay     = 150 * time.Millisecond
-	maxRetryDelay     = 4 * time.Second
 )
 
 // Output is a message to a host, with the inputs of the decision for the log.
@@ -87,6 +85,8 @@
 	running        int
 	arrivals       float64 // first sends since the last measurement
 	arrivalsPerSec float64
+	onTime         float64 // arrivals since the last measurement that could meet their target
+	onTimePerSec   float64
 	holdSec        float64 // mean seconds that a request occupies its slot
 	uncachedTokens float64 // mean uncached prompt tokens per request
 	kvTokens       float64 // mean KV cache tokens per request
@@ -125,6 +125,7 @@
 	latestQuietEnd      time.Duration                  // latest time in any health.quietUntil
 	out                 []Output
 	healthChanges       []HealthChange
+	refusedTargets      map[returnKey]time.Duration // targets of refused requests whose callers may come back
 }
 
 // New returns a State without any requests. Requests in flight are added by Resync.
@@ -134,7 +135,7 @@
 		endpoints: make(map[string]*endpoint), models: make(map[modelKey]*model), requests: make(map[requestKey]*request),
 		hosts: make(map[string]*hostState), budgets: make(map[string]*Budget), closingCopies: make(map[wire.ModelCopy]bool),
 		changingEndpoints: make(map[string]bool), prefillEstimates: make(map[string]*prefillEstimate),
-		generationEstimates: make(map[string]*generationEstimate),
+		generationEstimates: make(map[string]*generationEstimate), refusedTargets: make(map[returnKey]time.Duration),
 	}
 	s.SetView(now, view)
 	return s
@@ -276,10 +277,14 @@
 	if ask.EndMs > 0 {
 		r.endBy = now + ms(ask.EndMs)
 	}
+	s.restoreTarget(r)
 	b := s.budget(ask.Service)
 	if !ask.Retry {
 		b.AddFirstSend(now)
-		r.model.arrivals++
+		m.arrivals++
+		if !s.late(r) {
+			m.onTime++
+		}
 	}
 	if ask.ChosenEndpoint != "" {
 		if ask.Retry {
@@ -331,12 +336,6 @@
 	})
 }
 
-// refuse rejects a request. The retry delays have random jitter, so that callers don't all retry at the same time.
-func (s *State) refuse(r *request, reason string, wait time.Duration) {
-	retryAfter := time.Duration(float64(max(wait, minRetryDelay)) * (0.7 + 0.6*s.rng.Float64()))
-	s.emit(r, &wire.Refuse{ID: r.id, Reason: reason, RetryAfterMs: uint32(min(retryAfter, maxRetryDelay).Milliseconds())}, reason, wait)
-}
-
 // grant assigns an endpoint to a request and sends the Grant. If the adapter has to be loaded, the Grant names the holder
 // and the adapter to unload.
 func (s *State) grant(r *request, e *endpoint) {
@@ -515,44 +514,6 @@
 	s.fillAllEndpoints()
 }
 
-// refuseExpired refuses waiting requests whose start deadline has passed, and late ones that are predicted to miss it.
-func (s *State) refuseExpired(m *model) {
-	if len(m.waiting) == 0 {
-		return
-	}
-	queue := slices.Clone(m.waiting)
-	slices.SortStableFunc(queue, func(a, b *request) int {
-		switch {
-		case s.servedBefore(a, b):
-			return -1
-		case s.servedBefore(b, a):
-			return 1
-		}
-		return 0
-	})
-	var work queuedWork
-	for _, r := range queue {
-		late := s.late(r)
-		wait := s.waitBehind(r, work)
-		reason := ""
-		switch {
-		case s.acceptsAgainAt(r) > r.startBy:
-			reason = "its endpoints want nothing from the host for longer"
-		case s.now+s.idleFirstToken(r) >= r.startBy:
-			reason = "waited until it could not start in time"
-		case s.noEndpointEndsInTime(r):
-			reason = "can't end in time any more"
-		case late && s.now+wait > r.startBy:
-			reason = "late, and arrivals leave no capacity"
-		default:
-			work.add(r, late)
-			continue
-		}
-		s.dequeue(r)
-		s.refuse(r, reason, wait)
-	}
-}
-
 // measure updates the arrival rates from the time since the last measurement, and decays the slowness of endpoints.
 func (s *State) measure() {
 	dt := (s.now - s.measuredAt).Seconds()
@@ -560,9 +521,11 @@
 		return
 	}
 	s.measuredAt = s.now
+	s.forgetTargets()
 	for _, m := range s.models {
 		m.arrivalsPerSec += arrivalSmoothing * (m.arrivals/dt - m.arrivalsPerSec)
-		m.arrivals = 0
+		m.onTimePerSec += arrivalSmoothing * (m.onTime/dt - m.onTimePerSec)
+		m.arrivals, m.onTime = 0, 0
 	}
 	for _, e := range s.endpoints {
 		e.decaySlowness(s.now)
