Name the parts of prompts in logs, and tell lost connections from other faults

Cause: the logs could not tell whether requests that had no event when an endpoint ended had a part of their prompts in common. Change: 'Request ended.' and 'Attempt failed, another follows.' name the parts; hosts report in Done whether the endpoint ended the connection, and the dispatcher logs each request that had no event then. No decision uses it yet.

--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -564,6 +564,10 @@
 			l.Msg("Endpoint used again.")
 		}
 	}
+	for _, l := range d.state.TakeLostRequests() {
+		d.log.Info().Str("endpoint", l.Endpoint).Str("request", l.RequestID).Str("host", l.Host).Str("parts", formatParts(l.Parts)).
+			Msg("Connection lost before an answer began.")
+	}
 	for _, o := range d.state.TakeOutputs() {
 		if m, ok := o.Message.(*wire.Refuse); ok {
 			d.log.Info().Str("request", o.RequestID).Str("host", o.To).Str("reason", o.Reason).Int64("waitMs", o.WaitMs).
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -33,6 +36,7 @@
 	lackingDelay        = 20 * time.Millisecond   // doubles while adapters can't be loaded, up to maxLackingDelay
 	maxLackingDelay     = 200 * time.Millisecond  // upper limit of lackingDelay
 	retryAfterNotRun    = 200 * time.Millisecond  // Retry-After of a request that did not run
+	maxLoggedParts      = 8                       // parts of a prompt in a log line
 )
 
 var errSilent = errors.New("the endpoint was silent")
@@ -72,6 +76,7 @@
 	retrySame bool          // the same endpoint may accept the request soon: it is loading the adapter
 	quiet     time.Duration // time for which the endpoint wants no requests from this host
 	answer    *bufferedAnswer
+	connLost  bool // the endpoint ended the connection before the answer was complete
 	delivered bool // the answer was passed on to the caller
 	streamed  bool // the attempt was part of a stream
 	err       error
@@ -108,7 +113,7 @@
 			return
 		}
 		x.f.log.Info().Str("request", x.q.ID).Str("endpoint", b.endpoint).Str("outcome", r.outcome.String()).Str("fault", r.fault.String()).
-			Bool("missing", r.missing).Int("sends", x.sends).Err(r.err).Msg("Attempt failed, another follows.")
+			Bool("missing", r.missing).Int("sends", x.sends).Str("parts", formatParts(x.q.PromptParts)).Err(r.err).Msg("Attempt failed, another follows.")
 	}
 }
 
@@ -217,7 +222,7 @@
 		clock.Sleep(ctx, adapterRetryDelay<<resent)
 		resent++
 	}
-	d := wire.Done{RetryAfterMs: ceilMilliseconds(r.quiet), Resends: uint8(resent), Outcome: uint8(r.outcome), Fault: uint8(r.fault), Missing: r.missing, Failed: r.fault != sched.NoFault}
+	d := wire.Done{RetryAfterMs: ceilMilliseconds(r.quiet), Resends: uint8(resent), Outcome: uint8(r.outcome), Fault: uint8(r.fault), Missing: r.missing, Failed: r.fault != sched.NoFault, ConnectionLost: r.connLost}
 	if r.streamed {
 		x.stream.addPace(&d)
 	}
@@ -225,7 +230,7 @@
 		d.TotalMs = uint32(max(time.Since(start).Milliseconds(), 1))
 	}
 	if ctx.Err() != nil && errors.Cause(r.err) != errSilent && r.fault != sched.NoFault {
-		d.Fault, d.Failed = 0, false // the caller left or the request timed out, which is no fault of the endpoint
+		d.Fault, d.Failed, d.ConnectionLost = 0, false, false // the caller left or the request timed out, which is no fault of the endpoint
 	}
 	if r.missing && x.q.Adapter != "" {
 		x.reportMissingAdapter(b)
@@ -405,6 +410,7 @@
 	if !ue.MaybeSent {
 		r.outcome = attempt.NotSent
 	}
+	r.connLost = ue.MaybeSent && isConnectionEnd(err)
 	switch {
 	case context.Cause(ctx) == errSilent:
 		r.fault, r.err = sched.TimedOut, errSilent
@@ -418,6 +424,16 @@
 	return r
 }
 
+// isConnectionEnd reports whether an error means that the endpoint closed or reset the connection.
+func isConnectionEnd(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // handleResponse checks that a response belongs to the request and is complete, and passes it on to the caller.
 func (x *exchange) handleResponse(ctx context.Context, b *binding, e *fleet.Endpoint, resp *upstream.Response, start time.Time, w *watchdog) attemptResult {
 	a := x.f.h.opts.Codec.Answer(resp.StatusCode, resp.Header)
@@ -463,7 +479,7 @@
 	body, more, err := resp.ReadAll(maxBufferedAnswer)
 	if err != nil {
 		resp.Close(false)
-		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, err: err}
+		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, connLost: isConnectionEnd(err), err: err}
 	}
 	if more {
 		return x.passOnLong(ctx, resp, body)
@@ -593,7 +609,7 @@
 		l = l.Str("route", q.Route.Name).Str("kind", q.Route.Kind.String()).Int("rank", q.Route.Rank).Str("service", q.Service)
 	}
 	if q.Model != "" {
-		l = l.Str("model", q.Model).Str("adapter", q.Adapter).Uint32("prompt", q.PromptTokens)
+		l = l.Str("model", q.Model).Str("adapter", q.Adapter).Uint32("prompt", q.PromptTokens).Str("parts", formatParts(q.PromptParts))
 	}
 	if b := x.lastBinding; b != nil {
 		l = l.Str("endpoint", b.endpoint).Bool("alone", b.local).Bool("prepare", b.prepare).Uint16("used", b.c.grant.UsedSlots).
@@ -606,6 +622,21 @@
 	x.recordMetrics(how, status)
 }
 
+// formatParts returns the ids of a prompt's parts for the log, in hexadecimal as callers state them.
+func formatParts(parts []wire.PromptPart) string {
+	var b []byte
+	for i, p := range parts {
+		if i == maxLoggedParts {
+			return string(append(b, ",..."...))
+		}
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendUint(b, p.ID, 16)
+	}
+	return string(b)
+}
+
 // recordMetrics records the metrics of an ended request.
 func (x *exchange) recordMetrics(how string, status int) {
 	m := x.f.h.opts.Metrics
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -131,7 +132,7 @@
 		if !x.stream.headerSent {
 			x.stream = nil // nothing went to the caller yet
 		}
-		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, err: err}
+		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, connLost: isConnectionEnd(err), err: err}
 	}
 	resp.Close(true)
 	if !x.stream.headerSent {
@@ -181,6 +182,8 @@
 	return nil
 }
 
+var errEndsWithinEvent = fmt.Errorf("the stream ends within an event: %w", io.ErrUnexpectedEOF)
+
 // splitEvents reads a stream and calls fn with each whole event, including the empty line that ends it. Events that are read
 // together go into one call. It returns an error if the stream ends within an event.
 func splitEvents(r io.Reader, fn func(event []byte) error) error {
@@ -206,7 +209,7 @@
 		}
 		switch {
 		case err == io.EOF && len(bytes.TrimSpace(buf)) > 0:
-			return errors.New("the stream ends within an event")
+			return errEndsWithinEvent
 		case err == io.EOF:
 			return nil
 		case err != nil:
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -131,6 +131,7 @@
 	latestQuietEnd      time.Duration                  // latest time in any health.quietUntil
 	out                 []Output
 	healthChanges       []HealthChange
+	lostRequests        []LostRequest
 	refusedTargets      map[returnKey]time.Duration // targets of refused requests whose callers may come back
 }
 
@@ -487,6 +488,9 @@
 		e.markMissing(r.ask.Model, r.ask.Adapter)
 		s.indexVersion++
 	}
+	if d.ConnectionLost && d.Events == 0 && len(r.ask.PromptParts) > 0 {
+		s.lostRequests = append(s.lostRequests, LostRequest{Endpoint: e.id, RequestID: r.ask.Request, Host: host, Parts: r.ask.PromptParts})
+	}
 	fault := Fault(d.Fault)
 	switch {
 	case fault != NoFault:
@@ -503,6 +507,19 @@
 	s.fill(e)
 }
 
+// LostRequest is a request with a prompt whose endpoint ended the connection before its answer began, for the log.
+type LostRequest struct {
+	Endpoint, RequestID, Host string
+	Parts                     []wire.PromptPart
+}
+
+// TakeLostRequests returns the lost requests since the previous call. The slice is valid until the next event.
+func (s *State) TakeLostRequests() []LostRequest {
+	out := s.lostRequests
+	s.lostRequests = s.lostRequests[:0]
+	return out
+}
+
 // observeGeneration updates the estimates of answer length and event time from a finished attempt.
 func (s *State) observeGeneration(r *request, d *wire.Done) {
 	if d.Events < 2 || r.ask.Resumed {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -288,6 +288,9 @@
 	RetryAfterMs uint32 `msg:"k"` // time for which the endpoint wants no requests from the sending host
 	Events       uint32 `msg:"l"` // number of a stream's events that arrived in the attempt
 	StreamMs     uint32 `msg:"m"` // time from the first event to the last one
+	// ConnectionLost is true if the endpoint closed or reset the connection after it may have received the request, and the
+	// answer was not complete.
+	ConnectionLost bool `msg:"n"`
 }
 
 // EndpointLeaves reports that an endpoint announced in an answer that it is leaving. The list of endpoints may show this
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -1501,9 +1501,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Done) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "a"
-	o = append(o, 0x8d, 0xa1, 0x61)
+	o = append(o, 0x8e, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -1541,6 +1541,9 @@
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendUint32(o, z.StreamMs)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendBool(o, z.ConnectionLost)
 	return
 }
 
@@ -1640,6 +1643,12 @@
 				err = msgp.WrapError(err, "StreamMs")
 				return
 			}
+		case "n":
+			z.ConnectionLost, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConnectionLost")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1654,7 +1663,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Done) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize
 	return
 }
 
