Stop sending prompts with a part that crashes engines

Cause: nothing related the end of an engine to the requests that had no event then. The dispatcher granted the next request with the part to the next engine. Class of fault: a failure that a request causes is booked only on the server it hits.

Change: sched.Quarantine. A request whose connection ended before its answer began makes its parts suspected, except the last one and those on which answers have begun. Requests with a suspected part are sent one at a time in the fleet, each to an engine of low load without another such request. An answer that begins clears the part; a second process that crashes under a trial blocks it, for 10 minutes and doubling. Requests with a blocked part are refused at once, queued ones too, with the time until the block ends. The dispatcher broadcasts the list at once when a part is blocked and with the loads; hosts refuse by it when they decide alone, check it once more before they send, and report it to the next dispatcher.

Why this works: deadly requests in flight are bounded by one after the first crash; sound requests share parts on which answers begin all the time, so they are neither held nor refused; a crash for other reasons can block a part only if trials of it fail at several processes in a row.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -109,6 +110,7 @@
 	localSlots     map[string]int           // slots in use that the dispatcher does not know of, by endpoint
 	localBudgets   map[string]*sched.Budget // retry budgets for sends decided locally, by service
 	avoidUntil     map[string]time.Time     // time until which local decisions avoid an endpoint that failed
+	quarantine     *sched.Quarantine        // prompt parts that crash engines, by the dispatcher and by what this host saw without one
 	startedAt      time.Time
 	nextCheck      time.Time  // when the dispatcher is due to be checked again
 	preferred      fleet.Host // comes before the dispatcher in use, zero if none does
@@ -119,6 +121,7 @@
 	return &binder{
 		h: h, log: h.log.Part("binder"), startedAt: time.Now(), wake: make(chan struct{}, 1), calls: make(map[uint64]*call),
 		suspects: make(suspects), localSlots: make(map[string]int), localBudgets: make(map[string]*sched.Budget), avoidUntil: make(map[string]time.Time),
+		quarantine: sched.NewQuarantine(),
 	}
 }
 
@@ -321,7 +324,7 @@
 	b.link, b.nextLink, b.started = b.nextLink, nil, true
 	b.link.lastHeard = now
 	b.state.ViewCurrent = false // until the new dispatcher's state says so
-	r := &wire.Resync{}
+	r := &wire.Resync{Quarantine: b.quarantine.List(clock.Boot())}
 	for _, c := range b.calls {
 		switch c.state {
 		case callBound:
@@ -451,6 +454,9 @@
 		}
 		b.state.Endpoints = loads
 		delete(b.suspects, l.host.Name)
+		if m.QuarantineListed {
+			b.replaceQuarantine(m.Quarantine)
+		}
 		if r := newDispatcherReport(l.host, m); r != l.report {
 			l.report = r
 			b.h.dispatcher.announce()
@@ -646,18 +652,21 @@
 // the retry budget. The caller holds the lock.
 func (b *binder) bindLocally(c *call) (*binding, error) {
 	delete(b.calls, c.ask.ID)
+	if left, blocked := b.quarantine.Blocked(clock.Boot(), c.ask.PromptParts); blocked {
+		return b.refuseLocally(c, sched.BlockedReason, left)
+	}
 	reason := ""
 	e := b.chooseLocally(&c.ask)
 	switch {
+	case b.quarantine.Suspected(c.ask.PromptParts):
+		reason = "a part of the prompt is suspected, and only the dispatcher can try it" // one request at a time in the fleet
 	case e == nil:
 		reason = "no endpoint has a place"
 	case !b.localSendAllowed(&c.ask):
 		reason = "the budget of repeats is used up"
 	}
 	if reason != "" {
-		c.state = callWithdrawn
-		b.log.Info().Str("request", c.ask.Request).Str("model", c.ask.Model).Str("reason", reason).Msg("Refused without the dispatcher.")
-		return nil, &refusal{reason, localRetryAfter + time.Duration(rand.Int64N(int64(localRetryAfter)))}
+		return b.refuseLocally(c, reason, localRetryAfter+time.Duration(rand.Int64N(int64(localRetryAfter))))
 	}
 	b.lastID++
 	c.ask.ID = b.lastID // the dispatcher may still know the call by its old id
@@ -677,6 +686,32 @@
 	return x, nil
 }
 
+// refuseLocally refuses a call without the dispatcher. The caller holds the lock.
+func (b *binder) refuseLocally(c *call, reason string, retryAfter time.Duration) (*binding, error) {
+	c.state = callWithdrawn
+	b.log.Info().Str("request", c.ask.Request).Str("model", c.ask.Model).Str("reason", reason).Int64("retryMs", retryAfter.Milliseconds()).
+		Msg("Refused without the dispatcher.")
+	return nil, &refusal{reason, retryAfter}
+}
+
+// replaceQuarantine replaces the known suspected and blocked prompt parts by the dispatcher's. The caller holds the lock.
+func (b *binder) replaceQuarantine(list []wire.QuarantinedPart) {
+	b.quarantine.Replace(clock.Boot(), list)
+	for _, c := range b.quarantine.TakeChanges() {
+		if c.State == sched.PartBlocked {
+			b.log.Info().Str("promptPart", strconv.FormatUint(c.Part, 16)).Int64("blockMs", c.Block.Milliseconds()).Msg("Prompt part is blocked, by the dispatcher.")
+		}
+	}
+}
+
+// promptBlocked returns for how long a part of the prompt is still blocked, 0 if none is.
+func (b *binder) promptBlocked(prompt []wire.PromptPart) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left, _ := b.quarantine.Blocked(clock.Boot(), prompt)
+	return max(left, 0)
+}
+
 // localBudget returns the retry budget for the sends of a service that are decided locally. The caller holds the lock.
 func (b *binder) localBudget(service string) *sched.Budget {
 	x := b.localBudgets[service]
@@ -753,6 +788,7 @@
 	b := x.b
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.quarantine.Began(x.c.ask.PromptParts)
 	b.sendLocked(&wire.Started{ID: x.c.ask.ID, FirstMs: uint32(first.Milliseconds())})
 }
 
@@ -775,6 +811,10 @@
 		b.avoidUntil[x.endpoint] = time.Now().Add(avoidTime)
 	}
 	d.ID, d.Endpoint = x.c.ask.ID, x.endpoint
+	if e := b.h.directory.view().Endpoint(x.endpoint); d.ConnectionLost && d.Events == 0 && e != nil {
+		// The next dispatcher learns it from this host if the one in use doesn't get the outcome.
+		b.quarantine.Crashed(clock.Boot(), x.c.ask.PromptParts, x.endpoint, e.StartUnixMs, false)
+	}
 	b.sendLocked(&d)
 }
 
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -58,20 +59,21 @@
 	clients        sync.Map                     // names of the hosts that use this dispatcher
 	start          time.Time
 
-	state          *sched.State    // nil while no host is connected
-	peers          map[string]peer // by host name
-	lastBroadcast  time.Time
-	lastBeat       wire.HolderBeat   // from the holder with the highest epoch
-	lastBeatAt     time.Time         // zero once the holder has given up the lease
-	deferredEvents []dispatcherEvent // events that wait for a complete view
-	storeLoads     []wire.StoreLoads // last reported by a holder of the placement lease
-	storeLoadsAt   time.Time
-	usedSince      time.Time // since when this host uses its own dispatcher, zero if it does not
-	relays         relaySelector
-	announcedView  bool               // the last state that was sent says that the view is current
-	round          uint64             // number of broadcasts so far
-	answerBucket   tokenBucket        // limits the answers to ViewAsk
-	batch          []*wire.ViewUpdate // changes that are collected to be sent together
+	state               *sched.State    // nil while no host is connected
+	peers               map[string]peer // by host name
+	lastBroadcast       time.Time
+	lastBeat            wire.HolderBeat   // from the holder with the highest epoch
+	lastBeatAt          time.Time         // zero once the holder has given up the lease
+	deferredEvents      []dispatcherEvent // events that wait for a complete view
+	storeLoads          []wire.StoreLoads // last reported by a holder of the placement lease
+	storeLoadsAt        time.Time
+	usedSince           time.Time // since when this host uses its own dispatcher, zero if it does not
+	relays              relaySelector
+	announcedView       bool               // the last state that was sent says that the view is current
+	announcedQuarantine uint64             // version of the quarantine that was sent last
+	round               uint64             // number of broadcasts so far
+	answerBucket        tokenBucket        // limits the answers to ViewAsk
+	batch               []*wire.ViewUpdate // changes that are collected to be sent together
 }
 
 func newDispatcher(h *Host) *dispatcher {
@@ -298,6 +300,10 @@
 	d.sendBatch() // hosts need the changes before the summaries that include them
 	full, loads, brief := d.fleetStates()
 	d.announcedView = brief.ViewCurrent
+	if v := d.state.Quarantine().Version(); v != d.announcedQuarantine {
+		d.announcedQuarantine = v
+		brief.Quarantine, brief.QuarantineListed = loads.Quarantine, true
+	}
 	d.round++
 	for host, p := range d.peers {
 		switch {
@@ -319,6 +325,7 @@
 	brief = d.briefState()
 	withLoads, current := *brief, d.state.FleetState()
 	withLoads.Endpoints, withLoads.Hosts = current.Endpoints, current.Hosts
+	withLoads.Quarantine, withLoads.QuarantineListed = d.state.Quarantine().List(d.now()), true
 	withDemand := withLoads
 	withDemand.Models, withDemand.Weights = current.Models, current.Weights
 	withDemand.StoreLoads, withDemand.StoreLoadsKnown = d.agedStoreLoads()
@@ -466,6 +473,7 @@
 		d.state.Cancel(now, e.host, m.ID)
 	case *wire.Resync:
 		d.state.Resync(now, e.host, *m)
+		d.sendQuarantine(e.peer)
 	case *wire.HolderBeat:
 		d.handleHolderBeat(m)
 	case *wire.ViewAsk:
@@ -485,6 +493,18 @@
 	}
 }
 
+// sendQuarantine sends a host that has just connected the prompt parts that are suspected or blocked. It is called after the
+// host has reported what it knows, because the host replaces that by the list.
+func (d *dispatcher) sendQuarantine(p peer) {
+	list := d.state.Quarantine().List(d.now())
+	if len(list) == 0 {
+		return
+	}
+	f := d.briefState()
+	f.Quarantine, f.QuarantineListed = list, true
+	d.send(p, f)
+}
+
 // askRelay compares a relay's summaries with the objects of this host, and asks the relay for missing ones.
 func (d *dispatcher) askRelay(p peer, views []wire.ViewSummary) {
 	for _, ask := range d.h.directory.compareSummaries(time.Now(), views) {
@@ -568,6 +588,13 @@
 		d.log.Info().Str("endpoint", l.Endpoint).Str("request", l.RequestID).Str("host", l.Host).Str("parts", formatParts(l.Parts)).
 			Msg("Connection lost before an answer began.")
 	}
+	for _, c := range d.state.Quarantine().TakeChanges() {
+		d.log.Warn().Str("promptPart", strconv.FormatUint(c.Part, 16)).Str("state", c.State).Str("endpoint", c.Endpoint).Int("trialCrashes", c.Crashes).
+			Int64("blockMs", c.Block.Milliseconds()).Msg("Prompt part " + c.State + ".")
+		if c.State == sched.PartBlocked {
+			d.announce() // hosts that decide alone need it at once
+		}
+	}
 	for _, o := range d.state.TakeOutputs() {
 		if m, ok := o.Message.(*wire.Refuse); ok {
 			d.log.Info().Str("request", o.RequestID).Str("host", o.To).Str("reason", o.Reason).Int64("waitMs", o.WaitMs).
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -211,6 +211,10 @@
 		b.done(wire.Done{Outcome: uint8(attempt.NotSent), RetryAfterMs: ceilMilliseconds(left)})
 		return attemptResult{outcome: attempt.NotSent, err: errors.Errorf("endpoint %s wants no requests for %v", b.endpoint, left)}
 	}
+	if x.f.h.binder.promptBlocked(x.q.PromptParts) > 0 { // since the slot was granted
+		b.done(wire.Done{Outcome: uint8(attempt.NotSent)})
+		return attemptResult{outcome: attempt.NotSent, err: errors.New(sched.BlockedReason)}
+	}
 	start := time.Now()
 	var r attemptResult
 	resent := 0
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -108,11 +108,11 @@
 	first := true
 	x.stream.received = 0
 	err := splitEvents(resp.Body, func(event []byte) error {
-		if first {
-			first = false
-			b.reportStarted(time.Since(start))
-		}
 		if hasContent(event) {
+			if first {
+				first = false
+				b.reportStarted(time.Since(start))
+			}
 			x.stream.recordEvent(time.Now())
 			w.recordActivity(x.eventGapLimit())
 		}
--- a/internal/sched/crashingpart_test.go
+++ b/internal/sched/crashingpart_test.go
@@ -41,8 +41,7 @@
 	asked       map[bool]int    // sound requests since countFrom, by whether they have begun
 	countFrom   time.Duration
 	refused     map[string]int // by reason
-	delayed     []time.Duration
-	heldLong    int // sound requests that began later than 300 ms after they came
+	heldLong    int            // sound requests that began later than 300 ms after they came
 }
 
 type replayedRequest struct {
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -60,8 +60,9 @@
 	eventMsAt       time.Duration    // time of the last update of eventMs
 	slowness        float64          // smoothed ratio of the measured to the predicted time to the first token
 	slownessAt      time.Duration
-	sentParts       partCache
+	sentParts       recentSet[partKey]
 	health          health
+	trials          int       // requests without an answer so far whose prompts have suspected parts
 	successor       *endpoint // the process that replaced this one under the same id, nil if there is none
 }
 
@@ -69,7 +70,7 @@
 	return &endpoint{
 		id: p.ID, born: p.StartUnixMs, slowness: 1, requestsByModel: make(map[string]int), requestsByAdapter: make(map[copies.Adapter]int),
 		adapterLastUse: make(map[copies.Adapter]time.Duration),
-		sentParts:      newPartCache(maxSentParts),
+		sentParts:      newRecentSet[partKey](maxSentParts),
 	}
 }
 
@@ -291,18 +292,18 @@
 	}
 }
 
-// partCache remembers the prompt parts that were sent to an endpoint. Parts are added to newer. When newer holds half
-// of size, it replaces older, and the parts that were only in older are dropped.
-type partCache struct {
+// recentSet remembers the values that were added last. Values are added to newer. When newer holds half of size, it replaces
+// older, and the values that were only in older are dropped.
+type recentSet[K comparable] struct {
 	size         int
-	newer, older map[partKey]struct{}
+	newer, older map[K]struct{}
 }
 
-func newPartCache(size int) partCache {
-	return partCache{size: size, newer: make(map[partKey]struct{}), older: make(map[partKey]struct{})}
+func newRecentSet[K comparable](size int) recentSet[K] {
+	return recentSet[K]{size: size, newer: make(map[K]struct{}), older: make(map[K]struct{})}
 }
 
-func (c *partCache) has(k partKey) bool {
+func (c *recentSet[K]) has(k K) bool {
 	if _, ok := c.newer[k]; ok {
 		return true
 	}
@@ -310,9 +311,9 @@
 	return ok
 }
 
-func (c *partCache) add(k partKey) {
+func (c *recentSet[K]) add(k K) {
 	if len(c.newer) >= c.size/2 {
-		c.older, c.newer = c.newer, make(map[partKey]struct{})
+		c.older, c.newer = c.newer, make(map[K]struct{})
 	}
 	c.newer[k] = struct{}{}
 }
--- /dev/null
+++ b/internal/sched/quarantine.go
@@ -0,0 +1,390 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sycamoredeal/internal/wire"
+)
+
+// Some prompts crash the engine that begins an answer on them. The requests come at all hosts and share one part of their
+// prompts with each other, and other parts with sound requests. Without a memory of that, each engine that is left gets the
+// next one and crashes as well, together with all streams in progress there.
+//
+// A request is suspect if its connection ended before its answer began. Its parts are suspected, except those on which
+// answers have begun lately. Requests with a suspected part are then sent one at a time, each to an engine without another
+// such request: an answer that begins clears the part, a second and a third engine that crash show that it is the part that
+// crashes them. From then on it is blocked, and its requests are refused at once. A block ends after some time; the next
+// request is a trial again.
+//
+// Engines that crash for other reasons, connections that are reset and hosts that are cut off make parts suspected, which
+// delays requests by one first token, but a block needs trials that fail at different processes one after the other.
+const (
+	trialCrashesToBlock = 2 // processes that crashed under a trial of the part
+	crashesOfKnownPart  = 3 // processes that crashed, until a part is suspected on which answers have begun
+	// crashSpacing is the time within which crashes under such a part count as one: in the loss of a zone or a reset of
+	// all connections, many processes have requests with a popular part.
+	crashSpacing   = 100 * time.Millisecond
+	firstBlock     = 10 * time.Minute // doubles with each further block
+	maxBlock       = 4 * time.Hour
+	suspicionLife  = 30 * time.Minute // after the last crash or the end of the block
+	maxQuarantined = 1024             // suspected and blocked parts; bounds the memory
+	maxBegunParts  = 16384            // parts remembered on which answers have begun
+	maxListedParts = 64               // quarantined parts in a message
+)
+
+// engineProcess identifies a run of an engine.
+type engineProcess struct {
+	endpoint string
+	born     int64
+}
+
+// quarantinedPart is what is known of a part since an answer on it last began.
+type quarantinedPart struct {
+	crashed      []engineProcess // processes that crashed, at most crashesOfKnownPart
+	crashedAt    time.Duration   // when the last of them crashed
+	suspected    bool            // its requests are sent one at a time
+	trialCrashes int
+	trial        requestKey // request on trial, zero if there is none
+	blockedUntil time.Duration
+	blocks       int           // number of blocks so far
+	expiresAt    time.Duration // when it is forgotten
+}
+
+// Quarantine decides which prompt parts requests may have. It is a state machine without I/O, like State. It is not safe for
+// concurrent use.
+type Quarantine struct {
+	parts   map[uint64]*quarantinedPart
+	begun   recentSet[uint64]
+	version uint64 // incremented by each change of List
+	changes []QuarantineChange
+}
+
+// NewQuarantine returns an empty Quarantine.
+func NewQuarantine() *Quarantine {
+	return &Quarantine{parts: make(map[uint64]*quarantinedPart), begun: newRecentSet[uint64](maxBegunParts)}
+}
+
+// States of a part in a QuarantineChange.
+const (
+	PartSuspected = "suspected"
+	PartBlocked   = "blocked"
+	PartCleared   = "cleared"
+)
+
+// QuarantineChange is a change of what is known of a part, for the log.
+type QuarantineChange struct {
+	Part     uint64
+	State    string        // PartSuspected, PartBlocked or PartCleared
+	Crashes  int           // processes that crashed under a trial
+	Endpoint string        // where it crashed last, empty if another host reported it
+	Block    time.Duration // length of the block
+}
+
+// sharedParts returns the parts of a prompt that other requests may have as well. The last part belongs to the request itself
+// or to its session.
+func sharedParts(parts []wire.PromptPart) []wire.PromptPart { return parts[:max(len(parts)-1, 0)] }
+
+// Blocked returns how long the prompt's parts remain blocked, and false if none is.
+func (q *Quarantine) Blocked(now time.Duration, prompt []wire.PromptPart) (left time.Duration, blocked bool) {
+	if len(q.parts) == 0 {
+		return 0, false
+	}
+	for _, p := range sharedParts(prompt) {
+		if x := q.parts[p.ID]; x != nil {
+			left = max(left, x.blockedUntil-now)
+		}
+	}
+	return left, left > 0
+}
+
+// Suspected reports whether a request with the prompt has to be sent as a trial.
+func (q *Quarantine) Suspected(prompt []wire.PromptPart) bool {
+	if len(q.parts) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(sharedParts(prompt), func(p wire.PromptPart) bool { return q.parts[p.ID] != nil && q.parts[p.ID].suspected })
+}
+
+// onTrial reports whether another request is on trial for one of the prompt's parts.
+func (q *Quarantine) onTrial(prompt []wire.PromptPart) bool {
+	return slices.ContainsFunc(sharedParts(prompt), func(p wire.PromptPart) bool {
+		x := q.parts[p.ID]
+		return x != nil && x.suspected && x.trial != requestKey{}
+	})
+}
+
+// startTrial makes a request the trial for the suspected parts of its prompt.
+func (q *Quarantine) startTrial(k requestKey, prompt []wire.PromptPart) {
+	for _, p := range sharedParts(prompt) {
+		if x := q.parts[p.ID]; x != nil && x.suspected {
+			x.trial = k
+		}
+	}
+}
+
+// endTrial ends the trial of a request, which may have shown nothing.
+func (q *Quarantine) endTrial(k requestKey, prompt []wire.PromptPart) {
+	for _, p := range sharedParts(prompt) {
+		if x := q.parts[p.ID]; x != nil && x.trial == k {
+			x.trial = requestKey{}
+		}
+	}
+}
+
+// Began records that an answer on a prompt has begun, which clears all its parts.
+func (q *Quarantine) Began(prompt []wire.PromptPart) {
+	for _, p := range sharedParts(prompt) {
+		q.begun.add(p.ID)
+		if x := q.parts[p.ID]; x != nil {
+			delete(q.parts, p.ID)
+			if x.suspected {
+				q.note(p.ID, x, PartCleared, "", 0)
+			}
+		}
+	}
+}
+
+// Crashed records that an engine ended the connection of a request before the answer began. onTrial is true if the request was
+// the trial for the suspected parts of its prompt.
+func (q *Quarantine) Crashed(now time.Duration, prompt []wire.PromptPart, endpoint string, born int64, onTrial bool) {
+	process := engineProcess{endpoint, born}
+	var worst *quarantinedPart
+	worstPart := uint64(0)
+	for _, p := range sharedParts(prompt) {
+		x := q.parts[p.ID]
+		if x == nil {
+			if x = q.add(now, p.ID); x == nil {
+				continue
+			}
+		}
+		if slices.Contains(x.crashed, process) {
+			continue
+		}
+		wasSuspected, known := x.suspected, q.begun.has(p.ID)
+		if known && !wasSuspected && len(x.crashed) > 0 && now-x.crashedAt < crashSpacing {
+			continue
+		}
+		x.crashedAt = now
+		if x.crashed = append(x.crashed, process); len(x.crashed) > crashesOfKnownPart {
+			x.crashed = x.crashed[1:]
+		}
+		x.expiresAt = max(x.expiresAt, now+suspicionLife)
+		if !wasSuspected && (!known || len(x.crashed) >= crashesOfKnownPart) {
+			x.suspected = true
+			q.note(p.ID, x, PartSuspected, endpoint, 0)
+		}
+		if !wasSuspected || !onTrial {
+			continue
+		}
+		x.trialCrashes++
+		q.version++
+		// Of parts that crashed equally often, the last one is the most specific: sound requests share the parts before it.
+		if worst == nil || x.trialCrashes >= worst.trialCrashes {
+			worst, worstPart = x, p.ID
+		}
+	}
+	if worst != nil && worst.trialCrashes >= trialCrashesToBlock {
+		q.block(now, worstPart, worst, endpoint)
+	}
+}
+
+// block blocks a part. After the block, one more crash under a trial blocks it again.
+func (q *Quarantine) block(now time.Duration, part uint64, x *quarantinedPart, endpoint string) {
+	length := min(firstBlock<<min(x.blocks, 8), maxBlock)
+	x.blocks++
+	x.blockedUntil = now + length
+	x.expiresAt = x.blockedUntil + suspicionLife
+	q.note(part, x, PartBlocked, endpoint, length)
+	x.trialCrashes = trialCrashesToBlock - 1
+}
+
+// add returns the new entry of a part, or nil if there is no room for it: a part that is blocked, on trial or has crashed as
+// many processes never makes room, so that prompts with ever new parts can't displace what is known.
+func (q *Quarantine) add(now time.Duration, part uint64) *quarantinedPart {
+	q.forget(now)
+	if len(q.parts) >= maxQuarantined {
+		victim, found := uint64(0), false
+		for id, x := range q.parts {
+			if x.blockedUntil > now || x.trial != (requestKey{}) || len(x.crashed) > 1 {
+				continue
+			}
+			if v := q.parts[victim]; !found || x.expiresAt < v.expiresAt || x.expiresAt == v.expiresAt && id < victim {
+				victim, found = id, true
+			}
+		}
+		if !found {
+			return nil
+		}
+		delete(q.parts, victim)
+		q.version++
+	}
+	x := &quarantinedPart{expiresAt: now + suspicionLife}
+	q.parts[part] = x
+	return x
+}
+
+// forget drops the parts that have not crashed an engine for long.
+func (q *Quarantine) forget(now time.Duration) {
+	for id, x := range q.parts {
+		if now > x.expiresAt {
+			delete(q.parts, id)
+			q.version++
+		}
+	}
+}
+
+func (q *Quarantine) note(part uint64, x *quarantinedPart, state, endpoint string, block time.Duration) {
+	q.version++
+	if len(q.changes) >= maxQuarantined {
+		return // nobody takes them
+	}
+	q.changes = append(q.changes, QuarantineChange{Part: part, State: state, Crashes: x.trialCrashes, Endpoint: endpoint, Block: block})
+}
+
+// TakeChanges returns the changes since the previous call. The slice is valid until the next event.
+func (q *Quarantine) TakeChanges() []QuarantineChange {
+	out := q.changes
+	q.changes = q.changes[:0]
+	return out
+}
+
+// Version returns a number that changes whenever the result of List may have changed.
+func (q *Quarantine) Version() uint64 { return q.version }
+
+// List returns the blocked parts and then the suspected ones, at most maxListedParts.
+func (q *Quarantine) List(now time.Duration) []wire.QuarantinedPart {
+	var out []wire.QuarantinedPart
+	for id, x := range q.parts {
+		if x.suspected && now <= x.expiresAt {
+			out = append(out, wire.QuarantinedPart{
+				Part: id, TrialCrashes: uint8(min(x.trialCrashes, trialCrashesToBlock)), Blocks: uint8(min(x.blocks, 255)),
+				BlockedMs: uint32(max(x.blockedUntil-now, 0).Milliseconds()), ExpiresMs: uint32((x.expiresAt - now).Milliseconds()),
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b wire.QuarantinedPart) int {
+		return cmp.Or(cmp.Compare(b.BlockedMs, a.BlockedMs), cmp.Compare(b.TrialCrashes, a.TrialCrashes), cmp.Compare(b.ExpiresMs, a.ExpiresMs), cmp.Compare(a.Part, b.Part))
+	})
+	return out[:min(len(out), maxListedParts)]
+}
+
+// Merge adds what another host knows. A part on which an answer has begun here is not suspected because of another host's
+// older knowledge, but a block is taken over.
+func (q *Quarantine) Merge(now time.Duration, list []wire.QuarantinedPart) {
+	for _, m := range list {
+		if m.BlockedMs == 0 && q.begun.has(m.Part) {
+			continue
+		}
+		x := q.parts[m.Part]
+		if x == nil {
+			if x = q.add(now, m.Part); x == nil {
+				continue
+			}
+		}
+		before := *x
+		x.suspected = true
+		x.trialCrashes = max(x.trialCrashes, int(m.TrialCrashes))
+		x.blocks = max(x.blocks, int(m.Blocks))
+		// A block that is known already is not prolonged by the time that its report took.
+		if until := now + ms(m.BlockedMs); m.BlockedMs > 0 && x.blockedUntil <= now {
+			x.blockedUntil = until
+		}
+		x.expiresAt = max(x.expiresAt, now+ms(m.ExpiresMs))
+		switch {
+		case before.blockedUntil <= now && x.blockedUntil > now:
+			q.note(m.Part, x, PartBlocked, "", x.blockedUntil-now)
+		case !before.suspected:
+			q.note(m.Part, x, PartSuspected, "", 0)
+		}
+	}
+}
+
+// Replace replaces all suspected and blocked parts by those in a list.
+func (q *Quarantine) Replace(now time.Duration, list []wire.QuarantinedPart) {
+	listed := make(map[uint64]bool, len(list))
+	for _, m := range list {
+		listed[m.Part] = true
+		if m.BlockedMs == 0 && q.parts[m.Part] != nil {
+			q.parts[m.Part].blockedUntil = 0
+		}
+	}
+	for id := range q.parts {
+		if !listed[id] {
+			delete(q.parts, id)
+			q.version++
+		}
+	}
+	q.Merge(now, list)
+}
+
+// Quarantine returns the quarantine of the state's requests, which State keeps up to date.
+func (s *State) Quarantine() *Quarantine { return s.quarantine }
+
+// MergeQuarantine adds what another host knows of prompt parts that crash engines.
+func (s *State) MergeQuarantine(now time.Duration, list []wire.QuarantinedPart) {
+	s.now = now
+	s.quarantine.Merge(now, list)
+	s.refuseBlocked()
+}
+
+// BlockedReason is the reason of a refusal for a blocked part.
+const BlockedReason = "a part of the prompt crashes engines"
+
+// refuseIfBlocked refuses a request with a blocked part, and reports whether it did. The caller is told the time until the
+// block ends: an earlier return would be refused as well.
+func (s *State) refuseIfBlocked(r *request) bool {
+	left, blocked := s.quarantine.Blocked(s.now, r.ask.PromptParts)
+	if blocked {
+		s.emit(r, &wire.Refuse{ID: r.id, Reason: BlockedReason, RetryAfterMs: uint32(left.Milliseconds())}, BlockedReason, left)
+	}
+	return blocked
+}
+
+// refuseBlocked refuses the waiting requests with a blocked part.
+func (s *State) refuseBlocked() {
+	for _, m := range s.modelOrder {
+		for _, r := range slices.Clone(m.waiting) {
+			if s.refuseIfBlocked(r) {
+				s.dequeue(r)
+			}
+		}
+	}
+}
+
+// mayTry reports whether a request with suspected parts may be sent to an endpoint now: one request at a time for each part,
+// and one at a time at each endpoint, because a crash would not show which of two was the cause.
+func (s *State) mayTry(e *endpoint, r *request) bool {
+	return !s.quarantine.Suspected(r.ask.PromptParts) || e.trials == 0 && !s.quarantine.onTrial(r.ask.PromptParts)
+}
+
+// startTrial makes a granted request a trial if its prompt has suspected parts.
+func (s *State) startTrial(r *request) {
+	if r.onTrial = s.quarantine.Suspected(r.ask.PromptParts); r.onTrial {
+		s.quarantine.startTrial(r.requestKey, r.ask.PromptParts)
+		r.endpoint.trials++
+	}
+}
+
+// endTrial ends the trial of a request whose answer has begun or whose slot is freed.
+func (s *State) endTrial(r *request) {
+	if r.onTrial {
+		r.onTrial = false
+		r.endpoint.trials--
+		s.quarantine.endTrial(r.requestKey, r.ask.PromptParts)
+	}
+}
+
+// observeCrash updates the quarantine from the end of an attempt, which was a trial if onTrial is true.
+func (s *State) observeCrash(r *request, d *wire.Done, onTrial bool) {
+	e := r.endpoint
+	switch {
+	case e.engine == nil:
+	case d.Events > 0 || d.TotalMs > 0 && d.Fault == 0:
+		s.quarantine.Began(r.ask.PromptParts)
+	case d.ConnectionLost:
+		s.quarantine.Crashed(s.now, r.ask.PromptParts, e.id, e.born, onTrial)
+		s.refuseBlocked()
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -70,6 +70,7 @@
 	tokensToPrefill float64 // uncached tokens of this request and of the prompts queued before it
 	predictedMs     float64 // predicted time to the first token
 	started         bool    // the first token has arrived
+	onTrial         bool    // its prompt has suspected parts, and its answer has not begun
 	kvTokens        float64 // KV cache tokens reserved at the endpoint
 }
 
@@ -132,6 +133,7 @@
 	out                 []Output
 	healthChanges       []HealthChange
 	lostRequests        []LostRequest
+	quarantine          *Quarantine
 	refusedTargets      map[returnKey]time.Duration // targets of refused requests whose callers may come back
 }
 
@@ -143,6 +145,7 @@
 		hosts: make(map[string]*hostState), budgets: make(map[string]*Budget), closingCopies: make(map[wire.ModelCopy]bool),
 		changingEndpoints: make(map[string]bool), prefillEstimates: make(map[string]*prefillEstimate),
 		generationEstimates: make(map[string]*generationEstimate), refusedTargets: make(map[returnKey]time.Duration),
+		quarantine: NewQuarantine(),
 	}
 	s.SetView(now, view)
 	return s
@@ -311,6 +314,9 @@
 		}
 		return
 	}
+	if s.refuseIfBlocked(r) {
+		return
+	}
 	e := s.choose(r)
 	wait := time.Duration(0)
 	if e == nil {
@@ -367,6 +373,7 @@
 		g.Keep = e.loadedAdapters()
 	}
 	s.assign(r, e)
+	s.startTrial(r)
 	s.emit(r, g, "", wait)
 }
 
@@ -403,6 +410,7 @@
 // release frees the slot of a granted request and deletes the request.
 func (s *State) release(r *request) {
 	delete(s.requests, r.requestKey)
+	s.endTrial(r)
 	r.model.running--
 	e := r.endpoint
 	e.removeRequest(r)
@@ -450,6 +458,8 @@
 		return
 	}
 	e := r.endpoint
+	s.quarantine.Began(r.ask.PromptParts)
+	s.endTrial(r)
 	e.markPrefilled(r)
 	if r.predictedMs > 0 && !r.ask.Resumed {
 		e.updateSlowness(now, float64(m.FirstMs)/r.predictedMs)
@@ -475,7 +485,7 @@
 	if r == nil || r.endpoint == nil {
 		return
 	}
-	e := r.endpoint
+	e, onTrial, started := r.endpoint, r.onTrial, r.started
 	s.release(r)
 	s.observeGeneration(r, &d)
 	s.budget(r.ask.Service).AddRetries(now, int(d.Resends))
@@ -491,6 +501,9 @@
 	if d.ConnectionLost && d.Events == 0 && len(r.ask.PromptParts) > 0 {
 		s.lostRequests = append(s.lostRequests, LostRequest{Endpoint: e.id, RequestID: r.ask.Request, Host: host, Parts: r.ask.PromptParts})
 	}
+	if !started {
+		s.observeCrash(r, &d, onTrial)
+	}
 	fault := Fault(d.Fault)
 	switch {
 	case fault != NoFault:
@@ -559,6 +572,7 @@
 	}
 	s.measuredAt = s.now
 	s.forgetTargets()
+	s.quarantine.forget(s.now)
 	for _, m := range s.modelOrder {
 		m.arrivalsPerSec += arrivalSmoothing * (m.arrivals/dt - m.arrivalsPerSec)
 		m.onTimePerSec += arrivalSmoothing * (m.onTime/dt - m.onTimePerSec)
@@ -608,6 +622,7 @@
 			s.budget(x.Ask.Service).AddRetries(now, 1) // an earlier dispatcher may have allowed it
 		}
 	}
+	s.MergeQuarantine(now, m.Quarantine)
 	for _, a := range m.Waiting {
 		s.Ask(now, host, a)
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -390,6 +390,9 @@
 				if e.usedSlots > slots || e.usedSlots < 0 || e.backlogTokens < 0 || e.kvTokens < 0 {
 					t.Fatalf("endpoint %s: %d of %d slots, backlog %f, KV cache tokens %f", e.id, e.usedSlots, slots, e.backlogTokens, e.kvTokens)
 				}
+				if e.trials < 0 || e.trials > 1 {
+					t.Fatalf("endpoint %s: %d trials of suspected parts", e.id, e.trials)
+				}
 			}
 		}
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
@@ -400,6 +403,7 @@
 				a := chat(id, rapid.SampledFrom([]string{"m", "n", "none"}).Draw(t, "model"))
 				a.Priority = uint8(rapid.IntRange(0, 2).Draw(t, "rank"))
 				a.PromptTokens = uint32(rapid.IntRange(1, 9000).Draw(t, "tokens"))
+				a.PromptParts = []wire.PromptPart{{ID: uint64(rapid.IntRange(1, 2).Draw(t, "part"))}, {ID: 100 + id}}
 				if rapid.Bool().Draw(t, "plain") {
 					a.Service, a.Model = plainService, ""
 				}
@@ -409,8 +413,11 @@
 				for k, st := range state {
 					if st == "granted" {
 						state[k] = "done"
-						s.Started(now, "h", wire.Started{ID: k, FirstMs: 20})
-						s.Done(now, "h", wire.Done{ID: k, TotalMs: 100, Fault: uint8(rapid.IntRange(0, 4).Draw(t, "fault"))})
+						lost := rapid.Bool().Draw(t, "lost")
+						if !lost {
+							s.Started(now, "h", wire.Started{ID: k, FirstMs: 20})
+						}
+						s.Done(now, "h", wire.Done{ID: k, TotalMs: 100, Fault: uint8(rapid.IntRange(0, 4).Draw(t, "fault")), ConnectionLost: lost})
 						break
 					}
 				}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -4,7 +4,7 @@
 // counts against the limit on control traffic. Their fields and the order of the fields never change; an extension needs
 // a new message.
 //
-//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField PromptPart EndpointLoad ModelLoad AdapterUse CopyUse AdapterCopy ModelCopy ModelWeight StoredObject
+//msgp:tuple Heartbeat HeadFile Resident ModelDemand DecisionField PromptPart EndpointLoad ModelLoad AdapterUse CopyUse AdapterCopy ModelCopy ModelWeight StoredObject QuarantinedPart
 
 // Role names the process that opened a connection.
 type Role uint8
@@ -362,6 +362,18 @@
 	Serving         bool     `msg:"n"`
 	Successor       *HostRef `msg:"o"`
 	SuccessorServes bool     `msg:"p"`
+	// Quarantine lists the prompt parts that are suspected or blocked, in messages with QuarantineListed.
+	Quarantine       []QuarantinedPart `msg:"q"`
+	QuarantineListed bool              `msg:"r"`
+}
+
+// QuarantinedPart is a prompt part that is suspected to crash engines, or blocked because it does.
+type QuarantinedPart struct {
+	Part         uint64
+	TrialCrashes uint8  // engines that crashed under a trial of the part
+	Blocks       uint8  // number of blocks so far
+	BlockedMs    uint32 // time until the block ends, 0 if the part is only suspected
+	ExpiresMs    uint32 // time until the part is forgotten
 }
 
 // HostRef identifies a process of a host and its address for other hosts.
@@ -463,6 +475,8 @@
 type Resync struct {
 	Waiting []Ask     `msg:"a"`
 	Running []Running `msg:"b"`
+	// Quarantine lists the suspected and blocked prompt parts that the host knows of.
+	Quarantine []QuarantinedPart `msg:"c"`
 }
 
 // ClaimRequest claims an idempotency key for one attempt before the attempt is sent.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -2510,9 +2510,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 18
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x12, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 3
@@ -2624,6 +2624,19 @@
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendBool(o, z.SuccessorServes)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Quarantine)))
+	for za0009 := range z.Quarantine {
+		o, err = z.Quarantine[za0009].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Quarantine", za0009)
+			return
+		}
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.QuarantineListed)
 	return
 }
 
@@ -2989,6 +3002,31 @@
 				err = msgp.WrapError(err, "SuccessorServes")
 				return
 			}
+		case "q":
+			var zb0015 uint32
+			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Quarantine")
+				return
+			}
+			if cap(z.Quarantine) >= int(zb0015) {
+				z.Quarantine = (z.Quarantine)[:zb0015]
+			} else {
+				z.Quarantine = make([]QuarantinedPart, zb0015)
+			}
+			for za0009 := range z.Quarantine {
+				bts, err = z.Quarantine[za0009].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Quarantine", za0009)
+					return
+				}
+			}
+		case "r":
+			z.QuarantineListed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "QuarantineListed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3037,6 +3075,10 @@
 	} else {
 		s += z.Successor.Msgsize()
 	}
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0009 := range z.Quarantine {
+		s += z.Quarantine[za0009].Msgsize()
+	}
 	s += 2 + msgp.BoolSize
 	return
 }
@@ -5613,6 +5655,66 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *QuarantinedPart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendUint64(o, z.Part)
+	o = msgp.AppendUint8(o, z.TrialCrashes)
+	o = msgp.AppendUint8(o, z.Blocks)
+	o = msgp.AppendUint32(o, z.BlockedMs)
+	o = msgp.AppendUint32(o, z.ExpiresMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QuarantinedPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Part, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	z.TrialCrashes, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TrialCrashes")
+		return
+	}
+	z.Blocks, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Blocks")
+		return
+	}
+	z.BlockedMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "BlockedMs")
+		return
+	}
+	z.ExpiresMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ExpiresMs")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *QuarantinedPart) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Queued) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -5910,9 +6012,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Resync) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "a"
-	o = append(o, 0x82, 0xa1, 0x61)
+	o = append(o, 0x83, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Waiting)))
 	for za0001 := range z.Waiting {
 		o, err = z.Waiting[za0001].MarshalMsg(o)
@@ -5937,6 +6039,16 @@
 		o = append(o, 0xa1, 0x62)
 		o = msgp.AppendString(o, z.Running[za0002].Endpoint)
 	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Quarantine)))
+	for za0003 := range z.Quarantine {
+		o, err = z.Quarantine[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Quarantine", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -6025,6 +6137,25 @@
 					}
 				}
 			}
+		case "c":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Quarantine")
+				return
+			}
+			if cap(z.Quarantine) >= int(zb0005) {
+				z.Quarantine = (z.Quarantine)[:zb0005]
+			} else {
+				z.Quarantine = make([]QuarantinedPart, zb0005)
+			}
+			for za0003 := range z.Quarantine {
+				bts, err = z.Quarantine[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Quarantine", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -6047,6 +6178,10 @@
 	for za0002 := range z.Running {
 		s += 1 + 2 + z.Running[za0002].Ask.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Running[za0002].Endpoint)
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Quarantine {
+		s += z.Quarantine[za0003].Msgsize()
+	}
 	return
 }
 
