Keep blocked prompt parts in the store

What callers saw: after a kill of all hosts at the same moment, three more engines crashed before the hosts had learned the part again. Cause: the verdict lived in the hosts' memory only. Evidence: TestPlatformBlockOutlivesHosts failed with 3 crashes. Change: the dispatcher stores the blocked parts in one object, reads it when it takes the duty and merges it before it writes (internal/host/blockedparts.go); a silent store delays only this. One call for each change of dispatcher, one for each block.

--- /dev/null
+++ b/internal/host/blockedparts_test.go
@@ -0,0 +1,104 @@
+package host
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sycamoredeal/internal/objects"
+	"sycamoredeal/internal/wire"
+)
+
+// storedParts returns the parts that the store holds as blocked.
+func storedParts(t *testing.T, s *fakeStore) []storedBlock {
+	t.Helper()
+	s.mu.Lock()
+	o := s.current[kindQuarantine][nameBlocked]
+	s.mu.Unlock()
+	if o.Data == nil {
+		return nil
+	}
+	v, err := objects.Decode[storedBlocks](o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v.Parts
+}
+
+// TestBlockedPartsStored guards against blocks that are lost with the fleet: because the store was silent when a part was
+// blocked, because a dispatcher that has just started replaces the stored list by its empty one, or because another one has
+// written it meanwhile.
+func TestBlockedPartsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		start := func() *blockedParts {
+			b := newFollower("h0", "h0", store).blocked
+			go b.run(ctx)
+			return b
+		}
+		first := start()
+		first.setActive(true)
+		store.setSilent(true)
+		first.update([]wire.QuarantinedPart{{Part: 0xdead, BlockedMs: 600_000, Blocks: 1}, {Part: 0xa1}})
+		time.Sleep(5 * time.Second)
+		store.setSilent(false)
+		time.Sleep(10 * time.Second)
+		if got := storedParts(t, store); len(got) != 1 || got[0].Part != "dead" || got[0].Blocks != 1 {
+			t.Fatalf("stored: %+v", got)
+		}
+		second := start()
+		second.setActive(true)
+		second.update(nil) // it has not read the stored list yet
+		var read []wire.QuarantinedPart
+		select {
+		case read = <-second.read:
+		case <-time.After(time.Second):
+		}
+		time.Sleep(time.Second)
+		if got := storedParts(t, store); len(got) != 1 {
+			t.Fatalf("stored before the dispatcher merged the list: %+v", got)
+		}
+		if len(read) != 1 || read[0].Part != 0xdead || read[0].BlockedMs < 500_000 || read[0].BlockedMs > 600_000 {
+			t.Fatalf("read: %+v", read)
+		}
+		second.update(append(read, wire.QuarantinedPart{Part: 0xbeef, BlockedMs: 600_000, Blocks: 1}))
+		time.Sleep(time.Second)
+		first.update(nil) // has lost its duty without knowing it
+		var again []wire.QuarantinedPart
+		select {
+		case again = <-first.read:
+		case <-time.After(time.Second):
+		}
+		if len(again) != 2 || len(storedParts(t, store)) != 2 {
+			t.Errorf("read after a conflict: %+v, stored: %+v", again, storedParts(t, store))
+		}
+		first.update(nil) // both are cleared
+		time.Sleep(time.Second)
+		if got := storedParts(t, store); len(got) != 0 {
+			t.Errorf("stored after the parts are cleared: %+v", got)
+		}
+	})
+}
+
+// TestBadStoredParts guards against a host that fails on a list of blocked parts that it can't read.
+func TestBadStoredParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, data := range []string{`"text"`, `{"parts":[{"part":"not hexadecimal","untilUnixMs":99999999999999}]}`, `{"parts":[{"part":"1","untilUnixMs":5}]}`} {
+			store.put(kindQuarantine, nameBlocked, data)
+			b := newFollower("h0", "h0", store).blocked
+			go b.run(ctx)
+			b.setActive(true)
+			b.update([]wire.QuarantinedPart{{Part: 0xdead, BlockedMs: 600_000, Blocks: 1}})
+			time.Sleep(5 * time.Second)
+			if got := storedParts(t, store); len(got) != 1 || got[0].Part != "dead" {
+				t.Errorf("stored instead of %s: %+v", data, got)
+			}
+		}
+	})
+}
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -161,6 +161,13 @@
 					d.announce() // hosts that start wait for the view
 				}
 			})
+		case list := <-d.h.blocked.read:
+			d.runStep(func() {
+				if d.state != nil {
+					d.state.MergeQuarantine(d.now(), list)
+					d.h.blocked.update(d.state.Quarantine().List(d.now()))
+				}
+			})
 		case <-d.announceWake:
 			d.runStep(func() {
 				if d.state != nil {
@@ -185,6 +192,7 @@
 		return
 	}
 	peers := d.peers
+	d.h.blocked.setActive(false)
 	d.state, d.peers, d.deferredEvents = nil, make(map[string]peer), nil
 	d.clients.Clear()
 	for _, p := range peers {
@@ -550,6 +558,7 @@
 			Seed: d.h.incarnation, RetryRatio: dep.RetryRatio, RetryExtra: dep.RetryExtra, RetryWindow: dep.RetryWindow, RebuildDuration: rebuildDuration,
 		}, d.h.directory.view())
 		d.log.Info().Str("first", e.host).Msg("Serving as dispatcher.")
+		d.h.blocked.setActive(true)
 	}
 	d.peers[e.host] = e.peer
 	d.clients.Store(e.host, struct{}{})
@@ -567,6 +576,7 @@
 	d.state.HostDown(d.now(), e.host)
 	if len(d.peers) == 0 {
 		d.state = nil
+		d.h.blocked.setActive(false)
 		d.log.Info().Str("last", e.host).Msg("No longer serving as dispatcher.")
 	}
 }
@@ -588,13 +598,18 @@
 		d.log.Info().Str("endpoint", l.Endpoint).Str("request", l.RequestID).Str("host", l.Host).Str("parts", formatParts(l.Parts)).
 			Msg("Connection lost before an answer began.")
 	}
+	blocksChanged := false
 	for _, c := range d.state.Quarantine().TakeChanges() {
+		blocksChanged = blocksChanged || c.State != sched.PartSuspected
 		d.log.Warn().Str("promptPart", strconv.FormatUint(c.Part, 16)).Str("state", c.State).Str("endpoint", c.Endpoint).Int("trialCrashes", c.Crashes).
 			Int64("blockMs", c.Block.Milliseconds()).Msg("Prompt part " + c.State + ".")
 		if c.State == sched.PartBlocked {
 			d.announce() // hosts that decide alone need it at once
 		}
 	}
+	if blocksChanged {
+		d.h.blocked.update(d.state.Quarantine().List(d.now()))
+	}
 	for _, o := range d.state.TakeOutputs() {
 		if m, ok := o.Message.(*wire.Refuse); ok {
 			d.log.Info().Str("request", o.RequestID).Str("host", o.To).Str("reason", o.Reason).Int64("waitMs", o.WaitMs).
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -95,6 +95,7 @@
 	binder      *binder
 	dispatcher  *dispatcher
 	holder      *holder
+	blocked     *blockedParts
 	requestPool *upstream.Pool // connections for callers' requests
 	// orderPool has the connections for orders and reports. It is separate so that a late response to a request
 	// is not taken for the response to an order or a report.
@@ -112,6 +113,7 @@
 		requestPool: upstream.NewPool(0), orderPool: upstream.NewPool(0), stopStarted: make(chan struct{})}
 	h.activeDeployment.Store(&o.Deployment)
 	h.directory = newDirectory(h)
+	h.blocked = newBlockedParts(h)
 	h.dispatcher = newDispatcher(h)
 	h.binder = newBinder(h)
 	h.holder = newHolder(h)
@@ -171,7 +173,7 @@
 	if err := h.serveMetrics(work, g); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){h.directory.run, h.dispatcher.run, h.binder.run, h.holder.run,
+	for _, run := range []func(context.Context){h.directory.run, h.dispatcher.run, h.binder.run, h.holder.run, h.blocked.run,
 		h.sweepConnections, h.logStoreCalls} {
 		g.Go(func() error { run(work); return nil })
 	}
--- a/internal/host/storecalls.go
+++ b/internal/host/storecalls.go
@@ -25,6 +25,7 @@
 	causeLeaseRenewal   = "lease-renewal"
 	causeLeaseChallenge = "lease-challenge"
 	causeLeaseRelease   = "lease-release"
+	causeQuarantine     = "quarantine" // blocked prompt parts
 )
 
 // followCause returns the cause of a call that follows a kind.
--- a/internal/host/storefake_test.go
+++ b/internal/host/storefake_test.go
@@ -142,6 +142,39 @@
 	return s.put(o.Kind, o.Name, string(o.Data)), nil
 }
 
+func (s *fakeStore) Update(ctx context.Context, o objects.Object) (objects.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if err := s.begin(ctx, o.Kind, objects.OpUpdate); err != nil {
+		return objects.Object{}, err
+	}
+	s.mu.Lock()
+	current, ok := s.current[o.Kind][o.Name]
+	s.mu.Unlock()
+	switch {
+	case !ok:
+		return objects.Object{}, objects.ErrNotFound
+	case current.Version != o.Version:
+		return objects.Object{}, objects.ErrConflict
+	}
+	return s.put(o.Kind, o.Name, string(o.Data)), nil
+}
+
+func (s *fakeStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if err := s.begin(ctx, kind, objects.OpGet); err != nil {
+		return objects.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.current[kind][name]
+	if !ok {
+		return o, objects.ErrNotFound
+	}
+	return o, nil
+}
+
 // count returns the number of calls for a kind, or for all kinds if it is empty.
 func (s *fakeStore) count(kind string) int {
 	n := 0
--- a/test/integration/crashingpart_test.go
+++ b/test/integration/crashingpart_test.go
@@ -249,3 +249,38 @@
 		})
 	}
 }
+
+// TestPlatformBlockOutlivesHosts guards against hosts that crash engines again to learn a part, after all of them were killed
+// at the same moment.
+func TestPlatformBlockOutlivesHosts(t *testing.T) {
+	f := startPlatformFleet(t, 3)
+	const part = "dead"
+	e := newCrashingEngines(f, part, 4)
+	callers := []string{"h0", "h1", "h2"}
+	l := f.startDeadlyLoad(part, callers...)
+	f.waitFor("end of the crashes", func() bool {
+		before, _ := e.crashCount()
+		time.Sleep(time.Second)
+		after, _ := e.crashCount()
+		return before > 0 && after == before
+	})
+	l.stop()
+	for _, h := range f.hosts {
+		h.Kill()
+	}
+	for _, name := range callers {
+		f.startHost(name)
+	}
+	for _, name := range callers {
+		f.waitFor("host "+name, func() bool {
+			return platformtest.Do(f.ctx, f.hosts[name].front, chatCall("m0")).Status == http.StatusOK
+		})
+	}
+	before, _ := e.crashCount()
+	l = f.startDeadlyLoad(part, callers...)
+	time.Sleep(2 * time.Second)
+	l.stop()
+	if after, _ := e.crashCount(); after > before {
+		t.Errorf("%d crashes after the hosts were killed", after-before)
+	}
+}
