Take a stream without framing that ends before its first event for broken off

What callers saw: a complete, empty answer with status 200 when an engine crashed after the header of an answer that has neither a length nor chunks. Cause: the end of the connection was taken for the end of the stream whenever it was not inside an event. Such a stream now fails, is resumed where the route allows it, and counts as a lost connection for the quarantine of prompt parts. TestUnframedAnswers failed before for this case; its other cases (whole answers and streams that end with their connection, resets, the end inside an event) passed and stay as guards.

--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -118,6 +118,9 @@
 		}
 		return x.writeEvent(resp, event)
 	})
+	if err == nil && first && !resp.Framed() {
+		err = errNoEvent
+	}
 	var callerErr *callerError
 	switch {
 	case errors.As(err, &callerErr):
@@ -182,6 +185,10 @@
 	return nil
 }
 
+// errNoEvent is the error of a stream without a length or chunks that ends before its first event. The end of its connection
+// does not show whether it is complete.
+var errNoEvent = fmt.Errorf("the stream ends before its first event: %w", io.ErrUnexpectedEOF)
+
 var errEndsWithinEvent = fmt.Errorf("the stream ends within an event: %w", io.ErrUnexpectedEOF)
 
 // splitEvents reads a stream and calls fn with each whole event, including the empty line that ends it. Events that are read
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -323,11 +323,18 @@
 	default:
 		return false
 	}
-	// A body without a stated length ends when the endpoint closes the connection.
-	framed := x.resp.ContentLength >= 0 || len(x.resp.TransferEncoding) > 0
-	return framed && idleTimeoutAfter(x.resp) > 0 && x.conn.reader.Buffered() == 0
+	return isFramed(x.resp) && idleTimeoutAfter(x.resp) > 0 && x.conn.reader.Buffered() == 0
 }
 
+// isFramed reports whether the body of a response has a length or chunks. Any other body ends when the endpoint closes the
+// connection.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// Framed reports whether the end of the body shows that it is complete.
+func (r *Response) Framed() bool { return isFramed(r.Response) }
+
 // abort closes the connection of an exchange without a response.
 func (x *exchange) abort() {
 	x.closeOnce.Do(func() {
