Log the limits that endpoints state

Cause: nothing in the logs says that an endpoint has named a limit, by which host that was seen, or when it ended, so the hypotheses on LIMIT can't be told apart. No decision uses it.

--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -77,5 +77,7 @@
 	NotRun     bool          // the endpoint states that the request was not executed
 	InstanceID string        // id of the server, empty if it does not state it
 	Leaving    bool          // the endpoint is about to leave and must get no new requests
+	Limited    bool          // the endpoint states RateLimit
+	RateLimit  float64       // requests per second that the endpoint takes from all hosts together
 	RetryAfter time.Duration // time in which the endpoint wants no requests from this host, 0 if not stated
 }
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -474,7 +474,7 @@
 	if err == nil {
 		result = ph.h.opts.Codec.OrderResult(resp.StatusCode)
 		answer := ph.h.opts.Codec.Answer(resp.StatusCode, resp.Header)
-		ph.h.applySignals(e, &answer)
+		ph.h.applySignals(e, time.Time{}, &answer)
 		_, more, readErr := resp.ReadAll(maxReportBytes)
 		resp.Close(readErr == nil && !more)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,6 +102,7 @@
 	orderPool        *upstream.Pool
 	front            *front
 	quiet            quietPeriods                     // endpoints that asked this host to send nothing for a time
+	limits           rateLimits                       // of endpoints in need
 	stopping         atomic.Pointer[stopProgress]     // set once a stop was requested; the readiness check then fails
 	stopStarted      chan struct{}                    // closed once stopping is set
 	activeDeployment atomic.Pointer[fleet.Deployment] // settings in force
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -171,7 +171,7 @@
 		return fleet.Report{}, errors.Annotate(err, "report")
 	}
 	answer := em.holder.h.opts.Codec.Answer(resp.StatusCode, resp.Header)
-	em.holder.h.applySignals(e, &answer)
+	em.holder.h.applySignals(e, time.Time{}, &answer)
 	if resp.StatusCode != 200 {
 		return fleet.Report{}, errors.Errorf("report: status %d", resp.StatusCode)
 	}
--- a/internal/host/signals.go
+++ b/internal/host/signals.go
@@ -37,9 +37,9 @@
 	return max(q.until[endpoint]-now, 0)
 }
 
-// applySignals acts on what an endpoint states about itself in an answer: that it is leaving, or that it wants no requests
-// for a time.
-func (h *Host) applySignals(e *fleet.Endpoint, a *fleet.Answer) {
+// applySignals acts on what an endpoint states about itself in an answer: that it is leaving, that it wants no requests for a
+// time, or that it takes a limited number of requests. sentAt is when the request was sent, zero for orders and reports.
+func (h *Host) applySignals(e *fleet.Endpoint, sentAt time.Time, a *fleet.Answer) {
 	if a.Leaving && h.directory.markLeaving(e.ID, e.StartUnixMs, "by its answer") {
 		h.binder.sendToDispatcher(&wire.EndpointLeaves{Endpoint: e.ID, StartUnixMs: e.StartUnixMs})
 	}
@@ -47,6 +47,12 @@
 		h.quiet.set(e.ID, clock.Boot(), a.RetryAfter)
 		h.log.Info().Str("endpoint", e.ID).Int64("quietMs", a.RetryAfter.Milliseconds()).Msg("Endpoint wants no requests.")
 	}
+	switch h.limits.observe(e.ID, sentAt, a) {
+	case limitNew:
+		h.log.Info().Str("endpoint", e.ID).Float64("perSec", a.RateLimit).Msg("Endpoint limits its requests.")
+	case limitEnded:
+		h.log.Info().Str("endpoint", e.ID).Msg("Endpoint limits its requests no longer.")
+	}
 }
 
 // quietRemaining returns for how much longer the endpoint with this id wants no requests from this host.
