Keep to the limits that endpoints state, over all hosts

What callers saw: nothing yet; endpoints in need got 4 to 10 requests a second after they had named limits of 1.7 to 2.3.

Cause: no decision used the limit; each host and the dispatcher went on as before. Class of fault: a constraint on the sum over all hosts that each host can only see for itself.

Change: a host reports a limit that it did not know, another value, or the first answer without one to a request that was sent since, to the dispatcher. sched spaces all grants to a limited endpoint by an allowance (ratelimit.go), counts orders for adapters, resent requests and local decisions in it, uses the rate in its estimates, so that what can't be served in time is refused at once, and drops the limit after two such answers in a row. The limit stays for another process under the same id and while an entry lapses. Hosts get the list at once and with the loads, and give it to the next dispatcher, which starts without an allowance; a dispatcher that few hosts use takes their share. A host that decides alone takes its part of a quarter of the limit, and waits for it first. The holder gives limited engines no orders for models, asks for few reports, and counts their slots as reserved, so that the planner loads copies elsewhere.

Why this works: one counter sees every request, and what it can't see is bounded by a quarter of the limit within the half that the rule leaves over.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -75,6 +75,7 @@
 	InMemory             []string       // models whose weights are in the machine's memory
 	OnDisk               []string       // models whose weights are on its disk
 	Running              map[string]int // requests in progress by model
+	ReservedSlots        float64        // slots that take no requests, because the endpoint limits their rate
 }
 
 // holds tells whether a model is in memory or being loaded.
--- a/internal/copies/layout.go
+++ b/internal/copies/layout.go
@@ -88,6 +88,7 @@
 	r.load, r.needByModel = make([]float64, n), make([]map[string]float64, n)
 	for i := range r.needByModel {
 		r.needByModel[i] = make(map[string]float64)
+		r.load[i] = r.in.Endpoints[i].ReservedSlots
 	}
 	names := make([]string, 0, len(r.endpointsByModel))
 	for m := range r.endpointsByModel {
--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -324,7 +324,7 @@
 	b.link, b.nextLink, b.started = b.nextLink, nil, true
 	b.link.lastHeard = now
 	b.state.ViewCurrent = false // until the new dispatcher's state says so
-	r := &wire.Resync{Quarantine: b.quarantine.List(clock.Boot())}
+	r := &wire.Resync{Quarantine: b.quarantine.List(clock.Boot()), Limits: b.h.limits.list()}
 	for _, c := range b.calls {
 		switch c.state {
 		case callBound:
@@ -457,6 +457,9 @@
 		if m.QuarantineListed {
 			b.replaceQuarantine(m.Quarantine)
 		}
+		if m.LimitsListed {
+			b.h.limits.replace(m.Limits)
+		}
 		if r := newDispatcherReport(l.host, m); r != l.report {
 			l.report = r
 			b.h.dispatcher.announce()
@@ -674,6 +677,7 @@
 	c.grant = wire.Grant{ID: c.ask.ID, Endpoint: e.ID, Prepare: c.ask.Adapter != ""}
 	b.calls[c.ask.ID] = c
 	b.localSlots[e.ID]++
+	b.h.limits.sentLocally(e.ID, time.Now())
 	report := c.currentAsk()
 	report.ChosenEndpoint = e.ID
 	if b.sendLocked(report) {
@@ -754,6 +758,9 @@
 		if e.Service != ask.Service || e.Draining || b.h.quietRemaining(e.ID) > 0 || ask.Model != "" && e.Resident(ask.Model) == nil || slices.Contains(ask.Exclude, e.ID) {
 			continue
 		}
+		if !b.h.limits.allowsLocal(e.ID, hosts, b.stateAt, time.Now()) {
+			continue
+		}
 		slots := max(e.Slots, 1)
 		own := b.localSlots[e.ID]
 		if float64(own) >= math.Ceil(localShare*float64(slots)/float64(hosts)) {
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -71,6 +71,7 @@
 	relays              relaySelector
 	announcedView       bool               // the last state that was sent says that the view is current
 	announcedQuarantine uint64             // version of the quarantine that was sent last
+	announcedLimits     uint64             // version of the limits of endpoints that was sent last
 	round               uint64             // number of broadcasts so far
 	answerBucket        tokenBucket        // limits the answers to ViewAsk
 	batch               []*wire.ViewUpdate // changes that are collected to be sent together
@@ -312,6 +313,10 @@
 		d.announcedQuarantine = v
 		brief.Quarantine, brief.QuarantineListed = loads.Quarantine, true
 	}
+	if v := d.state.LimitVersion(); v != d.announcedLimits {
+		d.announcedLimits = v
+		brief.Limits, brief.LimitsListed = loads.Limits, true
+	}
 	d.round++
 	for host, p := range d.peers {
 		switch {
@@ -333,6 +338,7 @@
 	brief = d.briefState()
 	withLoads, current := *brief, d.state.FleetState()
 	withLoads.Endpoints, withLoads.Hosts = current.Endpoints, current.Hosts
+	withLoads.Limits, withLoads.LimitsListed = d.state.Limits(), true
 	withLoads.Quarantine, withLoads.QuarantineListed = d.state.Quarantine().List(d.now()), true
 	withDemand := withLoads
 	withDemand.Models, withDemand.Weights = current.Models, current.Weights
@@ -481,7 +487,7 @@
 		d.state.Cancel(now, e.host, m.ID)
 	case *wire.Resync:
 		d.state.Resync(now, e.host, *m)
-		d.sendQuarantine(e.peer)
+		d.sendWarnings(e.peer)
 	case *wire.HolderBeat:
 		d.handleHolderBeat(m)
 	case *wire.ViewAsk:
@@ -490,6 +496,8 @@
 		if d.h.directory.markLeaving(m.Endpoint, m.StartUnixMs, "by host "+e.host) {
 			d.state.SetView(now, d.h.directory.view())
 		}
+	case *wire.EndpointLimit:
+		d.state.SetLimit(now, *m)
 	case *wire.RelayBeat:
 		if d.relays.recordBeat(time.Now(), e.host, m.ViewCurrent) {
 			d.askRelay(e.peer, m.Views)
@@ -501,15 +509,16 @@
 	}
 }
 
-// sendQuarantine sends a host that has just connected the prompt parts that are suspected or blocked. It is called after the
-// host has reported what it knows, because the host replaces that by the list.
-func (d *dispatcher) sendQuarantine(p peer) {
-	list := d.state.Quarantine().List(d.now())
-	if len(list) == 0 {
+// sendWarnings sends a host that has just connected the prompt parts that are suspected or blocked, and the limits of
+// endpoints. It is called after the host has reported what it knows, because the host replaces that by the lists.
+func (d *dispatcher) sendWarnings(p peer) {
+	parts, limits := d.state.Quarantine().List(d.now()), d.state.Limits()
+	if len(parts)+len(limits) == 0 {
 		return
 	}
 	f := d.briefState()
-	f.Quarantine, f.QuarantineListed = list, true
+	f.Quarantine, f.QuarantineListed = parts, true
+	f.Limits, f.LimitsListed = limits, true
 	d.send(p, f)
 }
 
@@ -610,6 +619,10 @@
 	if blocksChanged {
 		d.h.blocked.update(d.state.Quarantine().List(d.now()))
 	}
+	for _, c := range d.state.TakeLimitChanges() {
+		d.log.Info().Str("endpoint", c.Endpoint).Float64("perSec", c.PerSec).Bool("ended", c.Ended).Msg("Endpoint's limit changed.")
+		d.announce()
+	}
 	for _, o := range d.state.TakeOutputs() {
 		if m, ok := o.Message.(*wire.Refuse); ok {
 			d.log.Info().Str("request", o.RequestID).Str("host", o.To).Str("reason", o.Reason).Int64("waitMs", o.WaitMs).
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -441,7 +441,11 @@
 // handleResponse checks that a response belongs to the request and is complete, and passes it on to the caller.
 func (x *exchange) handleResponse(ctx context.Context, b *binding, e *fleet.Endpoint, resp *upstream.Response, start time.Time, w *watchdog) attemptResult {
 	a := x.f.h.opts.Codec.Answer(resp.StatusCode, resp.Header)
-	x.f.h.applySignals(e, start, &a)
+	sentAt := start
+	if a.RequestID != x.q.ID {
+		sentAt = time.Time{} // the answer may be an older one
+	}
+	x.f.h.applySignals(e, sentAt, &a)
 	switch {
 	case a.RequestID != "" && a.RequestID != x.q.ID:
 		resp.Close(false)
--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -124,7 +124,7 @@
 		es.inMemory, es.onDisk = e.InMemory, e.OnDisk
 		// A report made before an order took effect does not show the effect.
 		if now := clock.Boot(); !es.stateKnown && !es.reportPending && em.holder.h.quietRemaining(e.ID) == 0 &&
-			now-es.lastReportAt > reportRetryInterval && now-es.lastOrderAt > reportLag {
+			now-es.lastReportAt > em.reportInterval(e.ID) && now-es.lastOrderAt > reportLag {
 			es.reportPending = true
 			go em.updateFromReport(ctx, es)
 		}
@@ -137,6 +137,14 @@
 	}
 }
 
+// reportInterval returns the least time between two reports of an engine whose state is not known.
+func (em *engineManager) reportInterval(endpoint string) time.Duration {
+	if _, limited := em.holder.h.limits.of(endpoint); limited {
+		return limitedPollInterval
+	}
+	return reportRetryInterval
+}
+
 // matches reports whether a listed endpoint shows exactly the models that the holder knows of.
 func (es *engineState) matches(e *fleet.Endpoint) bool {
 	for i := range e.Models {
@@ -240,6 +248,7 @@
 
 // plannerEndpoints returns the engines of a service in the form that the planner takes.
 func (em *engineManager) plannerEndpoints(service string, v *fleet.View, state *wire.FleetState) []copies.Endpoint {
+	meanHold := meanHoldSec(service, state)
 	running := make(map[string]map[string]int)
 	for _, m := range state.Models {
 		for _, c := range m.Copies {
@@ -258,11 +267,15 @@
 		if e.Service != service || es == nil {
 			continue
 		}
+		perSec, limited := em.holder.h.limits.of(e.ID)
 		p := copies.Endpoint{
-			ID: e.ID, Usable: !e.Draining, Busy: es.changingModel || !es.stateKnown || em.holder.h.quietRemaining(e.ID) > 0,
+			ID: e.ID, Usable: !e.Draining, Busy: es.changingModel || !es.stateKnown || em.holder.h.quietRemaining(e.ID) > 0 || limited,
 			ModelOrderInProgress: es.changingModel, InMemory: es.inMemory, OnDisk: es.onDisk,
 			Running: running[e.ID],
 		}
+		if limited {
+			p.ReservedSlots = max(float64(e.Slots)-perSec*meanHold, 0)
+		}
 		if es.models == nil { // not read yet: use the models in the list of endpoints
 			for i := range e.Models {
 				p.Models = append(p.Models, e.Models[i].Model)
@@ -283,6 +296,21 @@
 	return out
 }
 
+// meanHoldSec returns the mean time in seconds for which the requests of a service occupy their slots.
+func meanHoldSec(service string, state *wire.FleetState) float64 {
+	sum, weight := 0.0, 0.0
+	for _, m := range state.Models {
+		if m.Service == service {
+			sum += float64(m.ArrivalsPerSec * m.MeanHoldSec)
+			weight += float64(m.ArrivalsPerSec)
+		}
+	}
+	if weight == 0 {
+		return 0
+	}
+	return sum / weight
+}
+
 // buildBeat returns the message that informs the dispatcher of upcoming changes and of changes that the list of
 // endpoints may not show yet.
 func (em *engineManager) buildBeat(host string, epoch uint64, v *fleet.View) *wire.HolderBeat {
@@ -414,6 +442,7 @@
 func (em *engineManager) awaitChange(ctx context.Context, es *engineState, model string, load bool, sequence int64,
 	takes time.Duration) error {
 	deadline := time.Now().Add(orderCompletionTimeout)
+	var polledAt time.Time
 	for poll := 0; time.Now().Before(deadline); poll++ {
 		if clock.Sleep(ctx, pollDelay(poll, takes)); ctx.Err() != nil {
 			return ctx.Err()
@@ -422,6 +451,10 @@
 		if em.holder.h.quietRemaining(e.ID) > 0 {
 			continue
 		}
+		if _, limited := em.holder.h.limits.of(e.ID); limited && time.Since(polledAt) < limitedPollInterval {
+			continue
+		}
+		polledAt = time.Now()
 		r, err := em.fetchReport(ctx, &e)
 		if err != nil {
 			var upstreamErr *upstream.Error
--- a/internal/host/malformed_test.go
+++ b/internal/host/malformed_test.go
@@ -16,7 +16,7 @@
 // messages has one message of each kind that hosts send each other.
 var messages = []wire.Message{
 	&wire.Ask{}, &wire.Started{}, &wire.Done{}, &wire.Cancel{}, &wire.Resync{}, &wire.HolderBeat{}, &wire.ViewAsk{}, &wire.RelayBeat{},
-	&wire.ViewUpdate{}, &wire.EndpointLeaves{}, &wire.Queued{}, &wire.Grant{}, &wire.Refuse{}, &wire.FleetState{}, &wire.Prepare{},
+	&wire.ViewUpdate{}, &wire.EndpointLeaves{}, &wire.EndpointLimit{}, &wire.Queued{}, &wire.Grant{}, &wire.Refuse{}, &wire.FleetState{}, &wire.Prepare{},
 	&wire.PrepareReply{}, &wire.ViewRequest{}, &wire.ViewReply{}, &wire.Hello{},
 }
 
--- a/internal/host/signals.go
+++ b/internal/host/signals.go
@@ -47,11 +47,16 @@
 		h.quiet.set(e.ID, clock.Boot(), a.RetryAfter)
 		h.log.Info().Str("endpoint", e.ID).Int64("quietMs", a.RetryAfter.Milliseconds()).Msg("Endpoint wants no requests.")
 	}
+	if a.InstanceID != "" && a.InstanceID != e.ID {
+		return // the limit of another server
+	}
 	switch h.limits.observe(e.ID, sentAt, a) {
 	case limitNew:
 		h.log.Info().Str("endpoint", e.ID).Float64("perSec", a.RateLimit).Msg("Endpoint limits its requests.")
+		h.binder.sendToDispatcher(&wire.EndpointLimit{Endpoint: e.ID, PerSec: a.RateLimit})
 	case limitEnded:
 		h.log.Info().Str("endpoint", e.ID).Msg("Endpoint limits its requests no longer.")
+		h.binder.sendToDispatcher(&wire.EndpointLimit{Endpoint: e.ID, Ended: true})
 	}
 }
 
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -27,10 +27,10 @@
 	plainJitter        = 0.05
 )
 
-// acceptsRequests reports whether an endpoint is listed, not draining, and has a free slot and a short enough prefill
-// backlog for another request.
+// acceptsRequests reports whether an endpoint is listed, not draining, within its limit, and has a free slot and a short enough
+// prefill backlog for another request.
 func (s *State) acceptsRequests(e *endpoint) bool {
-	if !e.present || e.draining || e.usedSlots >= s.slotLimit(e) {
+	if !e.present || e.draining || e.usedSlots >= s.slotLimit(e) || s.limitReached(e) {
 		return false
 	}
 	return e.engine == nil || e.backlogMs(s.now) <= s.backlogLimitMs(e.service)
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -62,8 +62,9 @@
 	slownessAt      time.Duration
 	sentParts       recentSet[partKey]
 	health          health
-	trials          int       // requests without an answer so far whose prompts have suspected parts
-	successor       *endpoint // the process that replaced this one under the same id, nil if there is none
+	limit           *rateLimit // nil if the endpoint states none
+	trials          int        // requests without an answer so far whose prompts have suspected parts
+	successor       *endpoint  // the process that replaced this one under the same id, nil if there is none
 }
 
 func newEndpoint(p *fleet.Endpoint) *endpoint {
@@ -180,6 +181,9 @@
 func (e *endpoint) startsPerSec(m *model) float64 {
 	hold := max(m.holdSec, minHoldSec)
 	n := float64(e.slots) / hold
+	if rate, limited := e.limitRate(); limited {
+		n = min(n, rate)
+	}
 	if e.engine == nil {
 		return n
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -134,6 +134,9 @@
 	healthChanges       []HealthChange
 	lostRequests        []LostRequest
 	quarantine          *Quarantine
+	limits              map[string]*rateLimit // by endpoint, also of endpoints that are not listed
+	limitVersion        uint64
+	limitChanges        []LimitChange
 	refusedTargets      map[returnKey]time.Duration // targets of refused requests whose callers may come back
 }
 
@@ -145,7 +148,7 @@
 		hosts: make(map[string]*hostState), budgets: make(map[string]*Budget), closingCopies: make(map[wire.ModelCopy]bool),
 		changingEndpoints: make(map[string]bool), prefillEstimates: make(map[string]*prefillEstimate),
 		generationEstimates: make(map[string]*generationEstimate), refusedTargets: make(map[returnKey]time.Duration),
-		quarantine: NewQuarantine(),
+		quarantine: NewQuarantine(), limits: make(map[string]*rateLimit),
 	}
 	s.SetView(now, view)
 	return s
@@ -195,6 +198,7 @@
 	}
 	e.apply(p, s.service(p.Service))
 	e.prefill = s.prefillEstimateOf(p.Service)
+	e.limit = s.limits[p.ID]
 	s.sortedEndpoints = append(s.sortedEndpoints, e)
 }
 
@@ -311,6 +315,7 @@
 		}
 		if e := s.endpoints[ask.ChosenEndpoint]; e != nil {
 			s.assign(r, e)
+			s.takeFromLimit(e, 1)
 		}
 		return
 	}
@@ -368,10 +373,15 @@
 		ID: r.id, Endpoint: e.id, Prepare: prepare, UsedSlots: uint16(used), Waiting: uint16(len(r.model.waiting)),
 		QueueMs: uint32(wait.Milliseconds()), FirstMs: uint32(r.predictedMs),
 	}
+	sends := 1
 	if prepare {
 		g.Holder, g.Evict = s.holder, e.evictAdapter()
 		g.Keep = e.loadedAdapters()
+		if sends++; g.Evict.Model != "" {
+			sends++
+		}
 	}
+	s.takeFromLimit(e, sends)
 	s.assign(r, e)
 	s.startTrial(r)
 	s.emit(r, g, "", wait)
@@ -489,6 +499,7 @@
 	s.release(r)
 	s.observeGeneration(r, &d)
 	s.budget(r.ask.Service).AddRetries(now, int(d.Resends))
+	s.takeFromLimit(e, int(d.Resends))
 	if d.RetryAfterMs > 0 {
 		until := now + ms(d.RetryAfterMs)
 		e.health.setQuiet(host, until)
@@ -573,6 +584,7 @@
 	s.measuredAt = s.now
 	s.forgetTargets()
 	s.quarantine.forget(s.now)
+	s.forgetLimits()
 	for _, m := range s.modelOrder {
 		m.arrivalsPerSec += arrivalSmoothing * (m.arrivals/dt - m.arrivalsPerSec)
 		m.onTimePerSec += arrivalSmoothing * (m.onTime/dt - m.onTimePerSec)
@@ -623,6 +635,11 @@
 		}
 	}
 	s.MergeQuarantine(now, m.Quarantine)
+	for _, l := range m.Limits {
+		if s.limits[l.Endpoint] == nil { // otherwise known from an answer, or from another host
+			s.SetLimit(now, l)
+		}
+	}
 	for _, a := range m.Waiting {
 		s.Ask(now, host, a)
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -300,6 +300,13 @@
 	StartUnixMs int64  `msg:"b"` // start of the endpoint's process in Unix milliseconds
 }
 
+// EndpointLimit reports how many requests per second an endpoint takes from all hosts together, by one of its answers.
+type EndpointLimit struct {
+	Endpoint string  `msg:"a"`
+	PerSec   float64 `msg:"b"`
+	Ended    bool    `msg:"c"` // it stated none any more, in the answer to a request that was sent after it had a limit
+}
+
 // Started reports that the first piece of a granted request's answer has arrived.
 type Started struct {
 	ID      uint64 `msg:"a"`
@@ -365,6 +372,9 @@
 	// Quarantine lists the prompt parts that are suspected or blocked, in messages with QuarantineListed.
 	Quarantine       []QuarantinedPart `msg:"q"`
 	QuarantineListed bool              `msg:"r"`
+	// Limits lists the limits of endpoints, in messages with LimitsListed.
+	Limits       []EndpointLimit `msg:"s"`
+	LimitsListed bool            `msg:"t"`
 }
 
 // QuarantinedPart is a prompt part that is suspected to crash engines, or blocked because it does.
@@ -477,6 +487,7 @@
 	Running []Running `msg:"b"`
 	// Quarantine lists the suspected and blocked prompt parts that the host knows of.
 	Quarantine []QuarantinedPart `msg:"c"`
+	Limits     []EndpointLimit   `msg:"d"` // of endpoints, as far as the host knows
 }
 
 // ClaimRequest claims an idempotency key for one attempt before the attempt is sent.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -1728,6 +1728,76 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z EndpointLimit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Endpoint)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendFloat64(o, z.PerSec)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendBool(o, z.Ended)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointLimit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoint")
+				return
+			}
+		case "b":
+			z.PerSec, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PerSec")
+				return
+			}
+		case "c":
+			z.Ended, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ended")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z EndpointLimit) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Endpoint) + 2 + msgp.Float64Size + 2 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z EndpointLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2510,9 +2580,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 18
+	// map header, size 20
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x12, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x14, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 3
@@ -2637,6 +2707,24 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBool(o, z.QuarantineListed)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+	for za0010 := range z.Limits {
+		// map header, size 3
+		// string "a"
+		o = append(o, 0x83, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Limits[za0010].Endpoint)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendFloat64(o, z.Limits[za0010].PerSec)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendBool(o, z.Limits[za0010].Ended)
+	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendBool(o, z.LimitsListed)
 	return
 }
 
@@ -3027,6 +3115,66 @@
 				err = msgp.WrapError(err, "QuarantineListed")
 				return
 			}
+		case "s":
+			var zb0016 uint32
+			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if cap(z.Limits) >= int(zb0016) {
+				z.Limits = (z.Limits)[:zb0016]
+			} else {
+				z.Limits = make([]EndpointLimit, zb0016)
+			}
+			for za0010 := range z.Limits {
+				var zb0017 uint32
+				zb0017, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0010)
+					return
+				}
+				for zb0017 > 0 {
+					zb0017--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Limits", za0010)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Limits[za0010].Endpoint, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0010, "Endpoint")
+							return
+						}
+					case "b":
+						z.Limits[za0010].PerSec, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0010, "PerSec")
+							return
+						}
+					case "c":
+						z.Limits[za0010].Ended, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0010, "Ended")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0010)
+							return
+						}
+					}
+				}
+			}
+		case "t":
+			z.LimitsListed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LimitsListed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3079,6 +3227,10 @@
 	for za0009 := range z.Quarantine {
 		s += z.Quarantine[za0009].Msgsize()
 	}
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0010 := range z.Limits {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Limits[za0010].Endpoint) + 2 + msgp.Float64Size + 2 + msgp.BoolSize
+	}
 	s += 2 + msgp.BoolSize
 	return
 }
@@ -6012,9 +6164,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Resync) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "a"
-	o = append(o, 0x83, 0xa1, 0x61)
+	o = append(o, 0x84, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Waiting)))
 	for za0001 := range z.Waiting {
 		o, err = z.Waiting[za0001].MarshalMsg(o)
@@ -6049,6 +6201,21 @@
 			return
 		}
 	}
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+	for za0004 := range z.Limits {
+		// map header, size 3
+		// string "a"
+		o = append(o, 0x83, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Limits[za0004].Endpoint)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendFloat64(o, z.Limits[za0004].PerSec)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendBool(o, z.Limits[za0004].Ended)
+	}
 	return
 }
 
@@ -6156,6 +6323,60 @@
 					return
 				}
 			}
+		case "d":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if cap(z.Limits) >= int(zb0006) {
+				z.Limits = (z.Limits)[:zb0006]
+			} else {
+				z.Limits = make([]EndpointLimit, zb0006)
+			}
+			for za0004 := range z.Limits {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0004)
+					return
+				}
+				for zb0007 > 0 {
+					zb0007--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Limits", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Limits[za0004].Endpoint, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0004, "Endpoint")
+							return
+						}
+					case "b":
+						z.Limits[za0004].PerSec, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0004, "PerSec")
+							return
+						}
+					case "c":
+						z.Limits[za0004].Ended, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0004, "Ended")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0004)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -6182,6 +6403,10 @@
 	for za0003 := range z.Quarantine {
 		s += z.Quarantine[za0003].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Limits {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Limits[za0004].Endpoint) + 2 + msgp.Float64Size + 2 + msgp.BoolSize
+	}
 	return
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -55,6 +55,7 @@
 	KindViewAsk
 	KindRelayBeat
 	KindEndpointLeaves
+	KindEndpointLimit
 )
 
 // Message is implemented by every struct of this package that is sent in a frame of its own.
@@ -114,6 +115,7 @@
 	KindViewAsk:         func() Message { return new(ViewAsk) },
 	KindRelayBeat:       func() Message { return new(RelayBeat) },
 	KindEndpointLeaves:  func() Message { return new(EndpointLeaves) },
+	KindEndpointLimit:   func() Message { return new(EndpointLimit) },
 }
 
 func (*Hello) Kind() Kind           { return KindHello }
@@ -155,3 +157,4 @@
 func (*ViewAsk) Kind() Kind         { return KindViewAsk }
 func (*RelayBeat) Kind() Kind       { return KindRelayBeat }
 func (*EndpointLeaves) Kind() Kind  { return KindEndpointLeaves }
+func (*EndpointLimit) Kind() Kind   { return KindEndpointLimit }
