--- a/test/integration/crashingpart_test.go
+++ b/test/integration/crashingpart_test.go
@@ -181,12 +181,7 @@
 			const part = "dead"
 			e := newCrashingEngines(f, part, 4)
 			first := f.dispatcher()
-			var callers []string
-			for name := range f.hosts {
-				if name != first {
-					callers = append(callers, name)
-				}
-			}
+			callers := f.hostsExcept(first)
 			if trouble == "store away" {
 				f.store.SetUnavailable(true)
 			}
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -127,6 +127,17 @@
 // dispatcher returns the host that has the dispatcher's duty: the first in the order of registration.
 func (f *platformFleet) dispatcher() string { return f.store.Names("sycamore-hosts")[0] }
 
+// hostsExcept returns the names of the other hosts.
+func (f *platformFleet) hostsExcept(name string) []string {
+	var out []string
+	for other := range f.hosts {
+		if other != name {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
 func (f *platformFleet) waitFor(what string, ok func() bool) {
 	f.t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
@@ -239,12 +250,7 @@
 func TestPlatformDispatcherKilled(t *testing.T) {
 	f := startPlatformFleet(t, 4)
 	first := f.dispatcher()
-	var others []string
-	for name := range f.hosts {
-		if name != first {
-			others = append(others, name)
-		}
-	}
+	others := f.hostsExcept(first)
 	stop := f.load(func(n int) platformtest.Call {
 		if n%2 == 0 {
 			return bookingCall()
@@ -270,12 +276,7 @@
 func TestPlatformDispatcherFrozen(t *testing.T) {
 	f := startPlatformFleet(t, 3)
 	first := f.dispatcher()
-	var others []string
-	for name := range f.hosts {
-		if name != first {
-			others = append(others, name)
-		}
-	}
+	others := f.hostsExcept(first)
 	if err := f.hosts[first].Suspend(); err != nil {
 		t.Fatal(err)
 	}
--- a/test/integration/ratelimit_test.go
+++ b/test/integration/ratelimit_test.go
@@ -55,12 +55,7 @@
 				s.Register(f.store, "ready")
 			}
 			first := f.dispatcher()
-			var callers []string
-			for name := range f.hosts {
-				if name != first {
-					callers = append(callers, name)
-				}
-			}
+			callers := f.hostsExcept(first)
 			stop := f.load(func(n int) platformtest.Call {
 				c := lookupCall()
 				if n%2 == 0 {
