Leave requests with a blocked prompt part out of the demand, and show blocked parts in metrics

Cause: the dispatcher counted a request before it refused it for its prompt, so the planner could load copies for requests that are never served.

--- a/internal/host/quarantine.go
+++ b/internal/host/quarantine.go
@@ -19,6 +19,19 @@
 	}
 }
 
+// blockedPartCount returns the number of blocked prompt parts.
+func (b *binder) blockedPartCount() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, p := range b.quarantine.List(clock.Boot()) {
+		if p.BlockedMs > 0 {
+			n++
+		}
+	}
+	return float64(n)
+}
+
 // promptBlocked returns for how long a part of the prompt is still blocked, 0 if none is.
 func (b *binder) promptBlocked(prompt []wire.PromptPart) time.Duration {
 	b.mu.Lock()
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -301,6 +301,9 @@
 		r.endBy = now + ms(ask.EndMs)
 	}
 	s.restoreTarget(r)
+	if ask.ChosenEndpoint == "" && s.refuseIfBlocked(r) {
+		return // it is no demand for the model
+	}
 	b := s.budget(ask.Service)
 	if !ask.Retry {
 		b.AddFirstSend(now)
@@ -319,9 +322,6 @@
 		}
 		return
 	}
-	if s.refuseIfBlocked(r) {
-		return
-	}
 	e := s.choose(r)
 	wait := time.Duration(0)
 	if e == nil {
