--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -274,6 +274,7 @@
 		m.Counter("sycamore.upstream.reuses", "Requests sent on a kept connection.", reuses),
 		m.Gauge("sycamore.in.flight", "Requests in progress.", func() float64 { return float64(h.front.inFlight.Load()) }),
 		m.Gauge("sycamore.prompt.parts.blocked", "Prompt parts that crash engines, by the dispatcher's list.", h.binder.blockedPartCount),
+		m.Gauge("sycamore.endpoints.limited", "Endpoints that limit their requests.", func() float64 { return float64(len(h.limits.list())) }),
 		m.Gauge("sycamore.placement.holder", "1 while this host gives orders to engines.", func() float64 {
 			if h.holder.heldEpoch() > 0 {
 				return 1
