--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -61,6 +61,8 @@
 		f.storeNextConfig()
 	case DrainServer:
 		f.drainServer(e.Target)
+	case ServerLimits:
+		f.limitServer(e)
 	default:
 		f.runConnectionEvent(e, h)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,6 +47,9 @@
 	DrainServer Kind = "drain server"
 )
 
+// ServerLimits is neither: a server limits its requests, which excuses nothing.
+const ServerLimits Kind = "server limits its requests"
+
 // Event is one fault or piece of planned work.
 type Event struct {
 	Kind     Kind
@@ -108,6 +111,7 @@
 	for range 1 + rng.IntN(maxPlanned) {
 		p.Planned = append(p.Planned, drawEvent(rng, plannedKinds, plannedPhase))
 	}
+	drawTroubles(&p)
 	sortByTime(p.Faults)
 	sortByTime(p.Planned)
 	return p
@@ -129,7 +133,7 @@
 // Unplanned reports whether an event excuses requests that end without an answer.
 func (k Kind) Unplanned() bool {
 	switch k {
-	case StopHost, ReloadHost, BadSettings, Configure, DrainServer:
+	case StopHost, ReloadHost, BadSettings, Configure, DrainServer, ServerLimits:
 		return false
 	}
 	return true
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,7 +59,7 @@
 			}
 		}
 	}
-	for _, k := range faultKinds {
+	for _, k := range append([]Kind{ServerLimits}, faultKinds...) {
 		if !drawn[k] {
 			t.Errorf("%s was not drawn", k)
 		}
