--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -94,6 +94,8 @@
 	overdueRuns       int                    // of those, requests that exceeded cancelLimit
 	statuses          map[int]int            // number of answers by status; 0 stands for no answer
 	configs           configAudit
+	partCrashes       []time.Time // engines that a prompt has crashed
+	deadlyArrivals    int         // of requests with the part, when all hosts should know it
 }
 
 // NewAudit returns an audit without requests.
@@ -198,6 +200,7 @@
 	}
 	a.arrivalsByService[x.Service] = append(a.arrivalsByService[x.Service], arrival{x.ArrivedAt, r.arrived})
 	r.arrived = true
+	a.checkDeadlyArrival(r, x)
 	if d := a.draining[x.Server]; d != nil && x.ArrivedAt.Sub(d.since) > drainLimit && a.faultFreeLocked(d.since, x.ArrivedAt) {
 		if d.lateRequests++; d.lateRequests == 1 {
 			a.reportLocked("DRAIN", "request %s reached server %s %v after the server was listed as draining", x.ID, x.Server, x.ArrivedAt.Sub(d.since))
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -90,7 +90,7 @@
 		h := f.pickHost(rng)
 		client := platformtest.NewClient(h.frontAddr)
 		for range 1 + rng.IntN(maxCallsPerConn) {
-			c := drawCall(rng)
+			c := f.withDeadlyPart(rng, drawCall(rng))
 			if rng.Float64() < cancelShare {
 				f.callAndCancel(client, c, time.Duration(rng.Int64N(int64(maxCancelDelay))))
 			} else if o := f.call(f.ctx, client, c); o.Status == 0 {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,12 +40,13 @@
 
 // fleet holds the host processes of one run, and the stand-ins and proxies around them.
 type fleet struct {
-	ctx   context.Context
-	bed   *testbed.Testbed
-	dir   string
-	audit *Audit
-	store *platformtest.Store
-	hosts []*hostProcess
+	ctx    context.Context
+	bed    *testbed.Testbed
+	dir    string
+	audit  *Audit
+	store  *platformtest.Store
+	hosts  []*hostProcess
+	deadly atomic.Bool // callers send some requests with a part that crashes engines
 
 	mu            sync.Mutex
 	servers       []*server
@@ -304,8 +306,11 @@
 	o := platformtest.ServerOptions{
 		ID: id, Service: service, Slots: 16, WorkTime: 8 * time.Millisecond, StreamEvents: streamEvents, EventInterval: 15 * time.Millisecond, Models: loaded,
 		MaxModels: modelsPerEngine, AdapterSlots: adapterSlots, LoadTime: modelLoadTime, OrderTime: orderTime, AdvertisedAddress: p.Address(), Observer: f.audit,
+		CrashPart: deadlyPart,
 	}
-	s := &server{Server: platformtest.NewServer(o), proxy: p, opts: o}
+	s := &server{proxy: p}
+	o.OnCrash = func() { go f.replaceCrashed(s) }
+	s.Server, s.opts = platformtest.NewServer(o), o
 	p.SetTarget(s.Address())
 	p.SetMode(Pass, 0)
 	s.Register(f.store, "ready")
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -73,6 +73,8 @@
 	Callers int
 	Faults  []Event
 	Planned []Event // their times count from the end of the pause
+	// CrashingPart adds a last phase in which some requests have a prompt part that crashes engines.
+	CrashingPart bool
 }
 
 const (
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -118,6 +118,13 @@
 	if problem := f.awaitServing(recoveryLimit); problem != "" {
 		f.audit.Report("RECOVER", "after planned work: %s", problem)
 	}
+	if p.CrashingPart {
+		logEvent("requests with a part that crashes engines")
+		f.runCrashingPart()
+		if problem := f.awaitServing(recoveryLimit); problem != "" {
+			f.audit.Report("RECOVER", "after requests that crash engines: %s", problem)
+		}
+	}
 	stopLoad()
 	for _, h := range f.hosts {
 		r.PeakMemoryMB = max(r.PeakMemoryMB, h.peakMemoryMB())
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -2,16 +2,25 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"time"
+
+	"sycamoredeal/platform/platformtest"
 )
 
-// Troubles of servers that the hosts have to handle together.
+// Troubles of servers that the hosts have to handle together: a limit for all hosts, and a prompt part that crashes engines.
 const (
-	troubleStream    = 1 << 32 // stream of random numbers for troubles, so that a seed's other events stay as they are
-	limitPassedAfter = 500 * time.Millisecond
-	limitWindow      = 4 * time.Second
-	limitOver        = 1.5 // times what a limit allows in limitWindow
-	limitSlack       = 5   // requests
+	troubleStream     = 1 << 32 // stream of random numbers for troubles, so that a seed's other events stay as they are
+	limitPassedAfter  = 500 * time.Millisecond
+	limitWindow       = 4 * time.Second
+	limitOver         = 1.5 // times what a limit allows in limitWindow
+	limitSlack        = 5   // requests
+	deadlyPart        = "dead"
+	deadlyParts       = "a1:50," + deadlyPart + ":20"
+	deadlyCalls       = 5 // one of so many model calls has the deadly part
+	crashingPartTime  = 7 * time.Second
+	crashesToLearn    = 5
+	maxDeadlyArrivals = 3 // from faultGracePeriod after the last crash to learn from
 )
 
 // drawTroubles adds the troubles of a seed to its plan.
@@ -23,6 +32,7 @@
 	if rng.IntN(2) == 0 {
 		p.Planned = append(p.Planned, drawEvent(rng, []Kind{ServerLimits}, plannedPhase))
 	}
+	p.CrashingPart = rng.IntN(2) == 0
 }
 
 // limitServer has a server state that it takes e.Count requests per second, and checks that it gets no more than the users'
@@ -56,3 +66,50 @@
 		}
 	}
 }
+
+// runCrashingPart has callers send some requests with a part that crashes engines.
+func (f *fleet) runCrashingPart() {
+	defer f.audit.BeginFault()()
+	f.deadly.Store(true)
+	time.Sleep(crashingPartTime)
+	f.deadly.Store(false)
+}
+
+// withDeadlyPart returns a call with the deadly part in its prompt, if such calls are sent now and chance has it.
+func (f *fleet) withDeadlyPart(rng *rand.Rand, c callTemplate) callTemplate {
+	if f.deadly.Load() && c.call.Model != "" && rng.IntN(deadlyCalls) == 0 {
+		c.call.Parts = deadlyParts
+	}
+	return c
+}
+
+// replaceCrashed replaces an engine that a prompt has crashed by one without models.
+func (f *fleet) replaceCrashed(s *server) {
+	f.audit.recordPartCrash()
+	f.mu.Lock()
+	s.removed = true
+	f.mu.Unlock()
+	s.proxy.Reset()
+	time.Sleep(entryRemovalDelay)
+	f.store.Delete(serversKind, s.ID())
+	f.addReplacement(s.opts.Service, nil)
+}
+
+// recordPartCrash records that a prompt has crashed an engine.
+func (a *Audit) recordPartCrash() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.partCrashes = append(a.partCrashes, time.Now())
+}
+
+// checkDeadlyArrival checks a request that reached a server. The caller holds the lock.
+func (a *Audit) checkDeadlyArrival(r *request, x platformtest.Arrival) {
+	if !strings.Contains(r.call.Parts, deadlyPart) || len(a.partCrashes) < crashesToLearn ||
+		x.ArrivedAt.Sub(a.partCrashes[crashesToLearn-1]) < faultGracePeriod {
+		return
+	}
+	if a.deadlyArrivals++; a.deadlyArrivals == maxDeadlyArrivals+1 {
+		a.reportLocked("BUDGET", "%d requests with a part that crashes engines reached them %v after the crash number %d",
+			a.deadlyArrivals, x.ArrivedAt.Sub(a.partCrashes[crashesToLearn-1]), crashesToLearn)
+	}
+}
