Let requests wait for a trial of their prompt part for a second at most

What callers would see: requests with a suspected part wait until their deadline when the engine or the host of the trial is silent. Cause: only an outcome ended a trial. A trial now holds others back for one second; its outcome counts also later. TestHungTrial failed before: no request was sent after a second.

--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -610,11 +610,13 @@
 	blocksChanged := false
 	for _, c := range d.state.Quarantine().TakeChanges() {
 		blocksChanged = blocksChanged || c.State != sched.PartSuspected
-		d.log.Warn().Str("promptPart", strconv.FormatUint(c.Part, 16)).Str("state", c.State).Str("endpoint", c.Endpoint).Int("trialCrashes", c.Crashes).
-			Int64("blockMs", c.Block.Milliseconds()).Msg("Prompt part " + c.State + ".")
+		l := d.log.Info()
 		if c.State == sched.PartBlocked {
+			l = d.log.Warn()
 			d.announce() // hosts that decide alone need it at once
 		}
+		l.Str("promptPart", strconv.FormatUint(c.Part, 16)).Str("state", c.State).Str("endpoint", c.Endpoint).Int("trialCrashes", c.Crashes).
+			Int64("blockMs", c.Block.Milliseconds()).Msg("Prompt part " + c.State + ".")
 	}
 	if blocksChanged {
 		d.h.blocked.update(d.state.Quarantine().List(d.now()))
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -63,7 +63,7 @@
 	sentParts       recentSet[partKey]
 	health          health
 	limit           *rateLimit // nil if the endpoint states none
-	trials          int        // requests without an answer so far whose prompts have suspected parts
+	trial           trial      // latest request with a suspected part whose answer has not begun
 	successor       *endpoint  // the process that replaced this one under the same id, nil if there is none
 }
 
--- a/internal/sched/quarantine.go
+++ b/internal/sched/quarantine.go
@@ -32,6 +32,7 @@
 	maxQuarantined = 1024             // suspected and blocked parts; bounds the memory
 	maxBegunParts  = 16384            // parts remembered on which answers have begun
 	maxListedParts = 64               // quarantined parts in a message
+	maxTrialTime   = time.Second      // for which other requests with the part wait for the outcome of a trial
 )
 
 // engineProcess identifies a run of an engine.
@@ -46,12 +47,24 @@
 	crashedAt    time.Duration   // when the last of them crashed
 	suspected    bool            // its requests are sent one at a time
 	trialCrashes int
-	trial        requestKey // request on trial, zero if there is none
+	trial        trial
 	blockedUntil time.Duration
 	blocks       int           // number of blocks so far
 	expiresAt    time.Duration // when it is forgotten
 }
 
+// trial is a request that is sent although its prompt has a suspected part. Other requests wait for its outcome, but not for
+// longer than maxTrialTime: its engine or its host may be silent. The zero value is no trial.
+type trial struct {
+	request requestKey
+	begunAt time.Duration
+}
+
+// pending reports whether other requests have to wait for the outcome.
+func (t trial) pending(now time.Duration) bool {
+	return t.request != requestKey{} && now-t.begunAt < maxTrialTime
+}
+
 // Quarantine decides which prompt parts requests may have. It is a state machine without I/O, like State. It is not safe for
 // concurrent use.
 type Quarantine struct {
@@ -107,19 +120,19 @@
 	return slices.ContainsFunc(sharedParts(prompt), func(p wire.PromptPart) bool { return q.parts[p.ID] != nil && q.parts[p.ID].suspected })
 }
 
-// onTrial reports whether another request is on trial for one of the prompt's parts.
-func (q *Quarantine) onTrial(prompt []wire.PromptPart) bool {
+// onTrial reports whether a request is on trial for one of the prompt's parts.
+func (q *Quarantine) onTrial(now time.Duration, prompt []wire.PromptPart) bool {
 	return slices.ContainsFunc(sharedParts(prompt), func(p wire.PromptPart) bool {
 		x := q.parts[p.ID]
-		return x != nil && x.suspected && x.trial != requestKey{}
+		return x != nil && x.suspected && x.trial.pending(now)
 	})
 }
 
 // startTrial makes a request the trial for the suspected parts of its prompt.
-func (q *Quarantine) startTrial(k requestKey, prompt []wire.PromptPart) {
+func (q *Quarantine) startTrial(t trial, prompt []wire.PromptPart) {
 	for _, p := range sharedParts(prompt) {
 		if x := q.parts[p.ID]; x != nil && x.suspected {
-			x.trial = k
+			x.trial = t
 		}
 	}
 }
@@ -127,8 +140,8 @@
 // endTrial ends the trial of a request, which may have shown nothing.
 func (q *Quarantine) endTrial(k requestKey, prompt []wire.PromptPart) {
 	for _, p := range sharedParts(prompt) {
-		if x := q.parts[p.ID]; x != nil && x.trial == k {
-			x.trial = requestKey{}
+		if x := q.parts[p.ID]; x != nil && x.trial.request == k {
+			x.trial = trial{}
 		}
 	}
 }
@@ -207,7 +220,7 @@
 	if len(q.parts) >= maxQuarantined {
 		victim, found := uint64(0), false
 		for id, x := range q.parts {
-			if x.blockedUntil > now || x.trial != (requestKey{}) || len(x.crashed) > 1 {
+			if x.blockedUntil > now || x.trial.pending(now) || len(x.crashed) > 1 {
 				continue
 			}
 			if v := q.parts[victim]; !found || x.expiresAt < v.expiresAt || x.expiresAt == v.expiresAt && id < victim {
--- a/internal/sched/quarantine_test.go
+++ b/internal/sched/quarantine_test.go
@@ -289,3 +289,31 @@
 		t.Error("reports of a block prolong it")
 	}
 }
+
+// TestHungTrial guards against requests that wait for a trial which has no outcome, because its engine or its host is silent.
+func TestHungTrial(t *testing.T) {
+	s := New(0, testConfig(), testView(8, [][]string{{"m"}, {"m"}}, 0))
+	s.quarantine.Crashed(0, prompt(deadlyPart), "x", 1, false)
+	for id := uint64(1); id <= 3; id++ {
+		a := chat(id, "m")
+		a.DeadlineMs, a.PromptParts = 5000, prompt(deadlyPart)
+		s.Ask(0, "h", a)
+	}
+	first := endpointOf(t, answers(s)[1])
+	s.Tick(maxTrialTime - time.Millisecond)
+	if got := answers(s); len(got) != 0 {
+		t.Errorf("during the trial: %v", got)
+	}
+	s.Tick(maxTrialTime)
+	got := answers(s)
+	if len(got) != 1 || endpointOf(t, got[2]) == "" {
+		t.Fatalf("after %v without an outcome: %v", maxTrialTime, got)
+	}
+	// The outcome of the first trial still counts, and so does that of the second one.
+	for id, endpoint := range map[uint64]string{1: first, 2: endpointOf(t, got[2])} {
+		s.Done(maxTrialTime+time.Millisecond, "h", wire.Done{ID: id, Endpoint: endpoint, Fault: uint8(BrokenResponse), Failed: true, ConnectionLost: true})
+	}
+	if blocked := isBlocked(s.quarantine, maxTrialTime+time.Millisecond, deadlyPart); blocked != (first != endpointOf(t, got[2])) {
+		t.Errorf("blocked %v after trials at %s and %s", blocked, first, endpointOf(t, got[2]))
+	}
+}
