--- a/internal/sched/quarantine.go
+++ b/internal/sched/quarantine.go
@@ -213,8 +213,8 @@
 	x.trialCrashes = trialCrashesToBlock - 1
 }
 
-// add returns the new entry of a part, or nil if there is no room for it: a part that is blocked, on trial or has crashed as
-// many processes never makes room, so that prompts with ever new parts can't displace what is known.
+// add returns the new entry of a part, or nil if there is no room for it. A part that is blocked, on trial or has crashed more
+// than one process never makes room, so that prompts with ever new parts can't displace what is known.
 func (q *Quarantine) add(now time.Duration, part uint64) *quarantinedPart {
 	q.forget(now)
 	if len(q.parts) >= maxQuarantined {
