Log and count who allowed each retry

Logs showed each failed attempt, but not whether the dispatcher, a host without one, or nobody had allowed the retry, so the hypotheses on the exceeded budget could not be told apart.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -529,6 +529,8 @@
 	prepare  bool // the adapter may have to be loaded
 	local    bool // the slot was taken without the dispatcher
 	askedAt  time.Time
+
+	dispatcher fleet.Host // in use when the slot was granted, zero if local
 }
 
 // bind gets a slot for one attempt. The error is a *refusal or that of ctx.
@@ -590,7 +592,11 @@
 
 // newBinding returns the slot of a call that holds one. The caller holds the lock.
 func (b *binder) newBinding(c *call) *binding {
-	return &binding{b: b, c: c, endpoint: c.grant.Endpoint, prepare: c.grant.Prepare, local: c.untracked, askedAt: c.askedAt}
+	x := &binding{b: b, c: c, endpoint: c.grant.Endpoint, prepare: c.grant.Prepare, local: c.untracked, askedAt: c.askedAt}
+	if b.link != nil {
+		x.dispatcher = b.link.host
+	}
+	return x
 }
 
 // handleOverdue decides a call locally if the dispatcher has not answered it in time, or queued it and is now gone. It returns
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -219,7 +219,7 @@
 	var r attemptResult
 	resent := 0
 	for {
-		r = x.send(ctx, b, e, start)
+		r = x.send(ctx, b, e, start, resent > 0)
 		if !r.retrySame || resent == adapterRetries {
 			break
 		}
@@ -361,8 +361,8 @@
 }
 
 // send sends the request to an endpoint once and handles the response. A slot found by a failover becomes that of the next
-// attempt.
-func (x *exchange) send(ctx context.Context, b *binding, e *fleet.Endpoint, start time.Time) attemptResult {
+// attempt. The parameter resend says that the request was sent on the same binding before.
+func (x *exchange) send(ctx context.Context, b *binding, e *fleet.Endpoint, start time.Time, resend bool) attemptResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	m := x.startFailover(ctx, b.endpoint, cancel)
@@ -379,7 +379,9 @@
 			return attemptResult{outcome: attempt.NotSent, err: errTimeout}
 		}
 	}
-	x.sends++
+	if x.sends++; x.sends > 1 {
+		x.recordRetry(b, e.ID, retryAllowedBy(b, resend))
+	}
 	resp, err := x.f.h.requestPool.RoundTrip(ctx, x.f.h.opts.Codec.Outgoing(x.q, e, left, x.resumeAfter()))
 	if err != nil {
 		return x.classifyFailure(ctx, err)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -101,8 +101,9 @@
 	// is not taken for the response to an order or a report.
 	orderPool        *upstream.Pool
 	front            *front
-	quiet            quietPeriods                     // endpoints that asked this host to send nothing for a time
-	limits           rateLimits                       // of endpoints in need
+	quiet            quietPeriods // endpoints that asked this host to send nothing for a time
+	limits           rateLimits   // of endpoints in need
+	retriesSent      retryCounts
 	stopping         atomic.Pointer[stopProgress]     // set once a stop was requested; the readiness check then fails
 	stopStarted      chan struct{}                    // closed once stopping is set
 	activeDeployment atomic.Pointer[fleet.Deployment] // settings in force
@@ -270,6 +271,7 @@
 	reuses := func() uint64 { _, n := h.requestPool.Counts(); return n }
 	for _, err := range []error{
 		m.AttributedCounter("sycamore.store.calls", "Calls to the platform's store.", h.storeCallSeries),
+		m.AttributedCounter("sycamore.retries.sent", "Requests sent again, by who allowed it.", h.retriesSent.series),
 		m.Counter("sycamore.upstream.dials", "Connections opened to endpoints.", dials),
 		m.Counter("sycamore.upstream.reuses", "Requests sent on a kept connection.", reuses),
 		m.Gauge("sycamore.in.flight", "Requests in progress.", func() float64 { return float64(h.front.inFlight.Load()) }),
