--- a/internal/host/troubled_test.go
+++ b/internal/host/troubled_test.go
@@ -27,7 +27,8 @@
 type testCodec struct{ Codec }
 
 func (testCodec) Request(h http.Header, q *fleet.Request) {
-	q.ID, q.Header, q.Model = h.Get("X-Id"), h, h.Get("X-Model")
+	q.ID, q.Header = h.Get("X-Id"), h
+	q.Model, q.Adapter, _ = strings.Cut(h.Get("X-Model"), "/")
 	if ms, err := strconv.Atoi(h.Get("X-Deadline")); err == nil {
 		q.Deadline = q.Arrived.Add(time.Duration(ms) * time.Millisecond)
 	}
@@ -192,7 +193,12 @@
 	elapsed time.Duration
 }
 
-func sendRequest(url, path, id string, deadline time.Duration) (g callerResult) {
+func sendRequest(url, path, id string, deadline time.Duration) callerResult {
+	return sendModelRequest(url, path, id, "", deadline)
+}
+
+// sendModelRequest sends a request for a model, or for a plain service if model is empty.
+func sendModelRequest(url, path, id, model string, deadline time.Duration) (g callerResult) {
 	start := time.Now()
 	defer func() { g.elapsed = time.Since(start) }()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+3*time.Second)
@@ -202,6 +208,9 @@
 		panic(err) // the path is a constant
 	}
 	req.Header.Set("X-Id", id)
+	if model != "" {
+		req.Header.Set("X-Model", model)
+	}
 	if deadline > 0 {
 		req.Header.Set("X-Deadline", fmt.Sprint(deadline.Milliseconds()))
 	}
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,10 +41,24 @@
 type platformHost struct {
 	*testbed.Process
 	front, ready, control, settings string
-	toStore                         *soak.Proxy
+	toStore, toPeers                *soak.Proxy // toPeers is in use only with proxyPeers
 }
 
-func startPlatformFleet(t *testing.T, hosts int) *platformFleet {
+// fleetOption changes a fleet before its hosts start.
+type fleetOption func(*platformFleet)
+
+// proxyPeers puts a proxy before the address at which each host is reached by the others.
+func proxyPeers(f *platformFleet) {
+	f.store.SetRewrite(func(kind, name string, spec json.RawMessage) json.RawMessage {
+		h := f.hosts[name]
+		if kind != "sycamore-hosts" || h == nil {
+			return spec
+		}
+		return json.RawMessage(strings.Replace(string(spec), strconv.Quote(h.control), strconv.Quote(h.toPeers.Address()), 1))
+	})
+}
+
+func startPlatformFleet(t *testing.T, hosts int, options ...fleetOption) *platformFleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 90*time.Second)
 	t.Cleanup(cancel)
@@ -53,6 +69,9 @@
 	t.Cleanup(bed.Close)
 	f := &platformFleet{t: t, ctx: ctx, bed: bed, store: platformtest.NewStore(), hosts: make(map[string]*platformHost)}
 	t.Cleanup(f.store.Close)
+	for _, set := range options {
+		set(f)
+	}
 	f.store.Put("config", "main", platformtest.Config(1, platformModels, platformAdapters))
 	for i, held := range [][]string{{"m0", "m1"}, {"m2", "m3"}} {
 		f.engines = append(f.engines, platformtest.NewServer(platformtest.ServerOptions{
@@ -94,18 +113,38 @@
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(h.toStore.Close)
+	if h.toPeers, err = soak.NewProxy(h.control); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(h.toPeers.Close)
+	f.hosts[name] = h
 	var seeds []string
-	for _, o := range f.hosts {
-		seeds = append(seeds, o.control)
+	for other, o := range f.hosts {
+		if other != name {
+			seeds = append(seeds, o.control)
+		}
 	}
 	f.write(h, platformtest.Settings(name, h.front, h.ready, h.control, h.toStore.Address(), seeds...))
+	f.startProcess(name)
+	return h
+}
+
+// startProcess starts the process of a host.
+func (f *platformFleet) startProcess(name string) {
+	f.t.Helper()
+	h := f.hosts[name]
 	p, err := f.bed.Start(name, "sycamore-host", "--settings-file", h.settings, "--admin-port", "0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	h.Process = p
-	f.hosts[name] = h
-	return h
+}
+
+// restartHost kills the process of a host and starts another one.
+func (f *platformFleet) restartHost(name string) {
+	f.t.Helper()
+	f.hosts[name].Kill()
+	f.startProcess(name)
 }
 
 func (f *platformFleet) write(h *platformHost, settings string) {
@@ -223,6 +262,31 @@
 	}
 }
 
+// steadyLoad sends the given number of calls per second to the hosts in turn until stopped, and returns what the clients saw.
+func (f *platformFleet) steadyLoad(perSec int, call func(n int) platformtest.Call, hosts ...string) (stop func() []platformtest.Outcome) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	var mu sync.Mutex
+	var out []platformtest.Outcome
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			c, address := call(n), f.hosts[hosts[n%len(hosts)]].front
+			wg.Go(func() {
+				o := platformtest.Do(f.ctx, address, c)
+				mu.Lock()
+				defer mu.Unlock()
+				out = append(out, o)
+			})
+			time.Sleep(time.Second / time.Duration(perSec))
+		}
+	})
+	return func() []platformtest.Outcome {
+		cancel()
+		wg.Wait()
+		return out
+	}
+}
+
 // TestPlatformServes guards against models, adapters or kinds of request that are not served on a calm fleet.
 func TestPlatformServes(t *testing.T) {
 	f := startPlatformFleet(t, 3)
