Resend to an engine only while it loads the adapter

Callers gained nothing, as each was refused at once.

The repetition is meant for an adapter that the holder has just ordered; an engine refuses with 503 what waits for an order. Now only that is sent again. Slots that a host takes without the dispatcher order no adapter, so they are never repeated.

TestResendsWithinBudget failed before with 80 retries of 40 requests (18 allowed) and passes.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -530,7 +530,8 @@
 	local    bool // the slot was taken without the dispatcher
 	askedAt  time.Time
 
-	dispatcher fleet.Host // in use when the slot was granted, zero if local
+	adapterOrdered bool       // the holder has had the adapter loaded for this slot
+	dispatcher     fleet.Host // in use when the slot was granted, zero if local
 }
 
 // bind gets a slot for one attempt. The error is a *refusal or that of ctx.
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -255,6 +255,7 @@
 		return attemptResult{outcome: attempt.NotSent, missing: true, err: errors.Annotate(err, "adapter")}, false
 	}
 	if err == nil {
+		b.adapterOrdered = true
 		clock.Sleep(ctx, wait)
 	}
 	return attemptResult{}, true // without the dispatcher, the endpoint's answer shows whether it has the adapter
@@ -478,8 +479,8 @@
 		r.fault = sched.WrongServer
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		r.missing = true
-	case x.q.Adapter != "" && x.lastBinding.prepare && a.RetryAfter == 0:
-		r.retrySame = true
+	case resp.StatusCode == http.StatusServiceUnavailable && x.lastBinding.adapterOrdered && a.RetryAfter == 0:
+		r.retrySame = true // an engine refuses with this status what waits for an order in progress
 	}
 	return r
 }
