--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -85,6 +85,7 @@
 	endpointChanges []endpointChange     // to be logged with the next view
 	outageEndedAt   time.Time            // end of the last outage of the store
 	seriesBegun     bool                 // a change was applied that others mostly follow at once
+	generation      uint64               // of the store, as seen last
 }
 
 func newDirectory(h *Host) *directory {
@@ -269,6 +270,9 @@
 	switch {
 	case err != nil:
 		d.log.Error().Str("object", o.Name).Str("version", o.Version).Err(err).Msg("Can't decode the configuration, keeping the one in force.")
+	case ok && d.config != nil && c.Version < d.config.Version:
+		d.log.Info().Uint64("version", c.Version).Uint64("inForce", d.config.Version).Str("objectVersion", o.Version).
+			Msg("Older configuration ignored.")
 	case ok && (d.config == nil || c.Version > d.config.Version):
 		d.config = c
 		d.log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("services", len(c.Services)).Msg("Configuration in force.")
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -219,6 +219,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answeredAt[kind], d.storeAnsweredAt = time.Now(), time.Now()
+	if g := d.h.opts.Store.Generation(); g != d.generation {
+		d.log.Info().Str("kind", kind).Uint64("generation", g).Uint64("before", d.generation).Msg("Store has another generation.")
+		d.generation = g
+	}
 }
 
 // recordOutcome records whether a kind can be followed, from the store or through another host, and logs the start and
--- a/internal/host/feeds_test.go
+++ b/internal/host/feeds_test.go
@@ -20,6 +20,8 @@
 	hanging atomic.Bool
 }
 
+func (s *hangingStore) Generation() uint64 { return 0 }
+
 func (s *hangingStore) answer(ctx context.Context) error {
 	if s.hanging.Load() {
 		<-ctx.Done()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -38,6 +38,8 @@
 	Update(ctx context.Context, o objects.Object) (objects.Object, error)
 	// Delete removes an object if its version is current.
 	Delete(ctx context.Context, o objects.Object) error
+	// Generation returns the generation of the store's content. It rises when the store has returned from an older copy.
+	Generation() uint64
 	// Calls returns the number of calls made.
 	Calls() uint64
 	// CallCounts returns the number of calls made, by class. The cause is that of the call's context.
@@ -273,6 +275,7 @@
 	for _, err := range []error{
 		m.AttributedCounter("sycamore.store.calls", "Calls to the platform's store.", h.storeCallSeries),
 		m.AttributedCounter("sycamore.retries.sent", "Requests sent again, by who allowed it.", h.retries.series),
+		m.Gauge("sycamore.store.generation", "Rises when the store has returned from an older copy.", func() float64 { return float64(h.opts.Store.Generation()) }),
 		m.Counter("sycamore.upstream.dials", "Connections opened to endpoints.", dials),
 		m.Counter("sycamore.upstream.reuses", "Requests sent on a kept connection.", reuses),
 		m.Gauge("sycamore.in.flight", "Requests in progress.", func() float64 { return float64(h.front.inFlight.Load()) }),
--- a/internal/host/memorystore_test.go
+++ b/internal/host/memorystore_test.go
@@ -84,6 +84,8 @@
 	}
 }
 
+func (s *memoryStore) Generation() uint64 { return 0 }
+
 func (s *memoryStore) Calls() uint64 { return uint64(s.calls.Load()) }
 
 func (s *memoryStore) Probe(context.Context, string, string) error {
--- a/internal/host/passedon.go
+++ b/internal/host/passedon.go
@@ -42,6 +42,10 @@
 		d.sourceChanged.notify()
 		d.log.Info().Str("kind", m.ObjectKind).Bool("long", m.Fetch).Msg("Change is read from the store.")
 	}
+	if ignored := len(m.Objects) + len(m.Patches) - len(newObjects); ignored > 0 {
+		d.log.Info().Str("kind", m.ObjectKind).Int("ignored", ignored).Int("used", len(newObjects)).Uint64("newest", d.mirror.summary(m.ObjectKind).Newest).
+			Msg("Objects passed on are not newer than those here.")
+	}
 	for _, o := range newObjects {
 		d.recordObject(o)
 		put(o)
--- a/internal/host/storefake_test.go
+++ b/internal/host/storefake_test.go
@@ -36,6 +36,8 @@
 	return &fakeStore{revision: 1, current: make(map[string]map[string]objects.Object), changed: make(chan struct{})}
 }
 
+func (s *fakeStore) Generation() uint64 { return 0 }
+
 // put stores an object as the platform does.
 func (s *fakeStore) put(kind, name, data string) objects.Object {
 	s.mu.Lock()
