Keep what endpoints wrote last when the store returns older entries

After the store had returned from an older copy, an endpoint that had begun to leave was used again until it wrote its entry anew, and so was one that had gone (DRAIN); one that had joined was dropped for the moment until its entry came back.

Cause: entries were taken as they are listed. What an endpoint itself wrote has an order of its own, process and number of writes, which the store's copy does not change; it was not read. The same class as the revisions: an order taken from the store that the store may take back.

An entry with fewer writes by the same process than the one known is now ignored. After a return, missing entries are kept as long as after an outage.

--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -13,6 +13,7 @@
 type Endpoint struct {
 	ID          string // may be used again by a later process, see StartUnixMs
 	StartUnixMs int64  // start of the server's process in Unix milliseconds, 0 if unknown
+	Writes      int64  // number of writes of the entry by that process, 0 if unknown
 	Service     string
 	Address     string // ip:port
 	Zone        string
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -68,7 +68,8 @@
 	config          *fleet.Config
 	endpoints       map[string]fleet.Endpoint
 	graceUntil      map[string]time.Time // when to delete endpoints whose entries expired around an outage
-	leavingBorn     map[string]int64     // listed endpoints that have announced that they leave, with their process start times
+	departed        departures
+	leavingBorn     map[string]int64 // listed endpoints that have announced that they leave, with their process start times
 	endpointsListed bool
 	hosts           map[string]fleet.Host
 	// Changes since the last view was published.
@@ -85,14 +86,14 @@
 	endpointChanges []endpointChange     // to be logged with the next view
 	outageEndedAt   time.Time            // end of the last outage of the store
 	seriesBegun     bool                 // a change was applied that others mostly follow at once
-	generation      uint64               // of the store, as seen last
+	generation      uint64               // of the store, the highest one seen
 }
 
 func newDirectory(h *Host) *directory {
 	d := &directory{
 		h: h, log: h.log.Part("directory"), registrationWake: make(chan struct{}, 1), mirror: make(mirror),
 		stale: make(map[string]bool), received: make(map[string]bool), mismatches: make(map[string]mismatch),
-		endpoints: make(map[string]fleet.Endpoint), graceUntil: make(map[string]time.Time), leavingBorn: make(map[string]int64), changedEndpoints: make(map[string]bool), hosts: make(map[string]fleet.Host),
+		endpoints: make(map[string]fleet.Endpoint), graceUntil: make(map[string]time.Time), leavingBorn: make(map[string]int64), departed: make(departures), changedEndpoints: make(map[string]bool), hosts: make(map[string]fleet.Host),
 		outages: make(map[string]time.Time), answeredAt: make(map[string]time.Time), updates: ring.New[forwardedMessage](updateQueueSize),
 	}
 	d.currentView.Store(&fleet.View{})
@@ -159,6 +160,7 @@
 
 // recordObject adds an object to the mirror and collects the change for other hosts. The caller holds the lock.
 func (d *directory) recordObject(o objects.Object) {
+	d.noteGeneration(o.Version)
 	if u := d.mirror.put(o); u != nil {
 		d.pendingUpdates = append(d.pendingUpdates, u)
 	}
@@ -307,6 +309,17 @@
 		return
 	}
 	old, known := d.endpoints[e.ID]
+	if known && old.SameProcess(&e) && e.Writes < old.Writes && e.Writes > 0 {
+		// The store has returned from an older copy. The server has written something newer, and will write it again.
+		delete(d.graceUntil, e.ID)
+		d.log.Info().Str("endpoint", e.ID).Int64("writes", e.Writes).Int64("known", old.Writes).Str("version", o.Version).Msg("Older entry of an endpoint ignored.")
+		return
+	}
+	if !known && d.departed.holds(&e, objects.GenerationOf(o.Version), time.Now()) {
+		d.log.Info().Str("endpoint", e.ID).Int64("writes", e.Writes).Str("version", o.Version).Msg("Entry of an endpoint that is gone ignored.")
+		return
+	}
+	delete(d.departed, e.ID)
 	d.seriesBegun = d.seriesBegun || !known || !old.SameModels(&e) || !old.SameProcess(&e) || old.Draining != e.Draining
 	delete(d.graceUntil, e.ID)
 	d.endpoints[e.ID] = e
@@ -358,8 +371,9 @@
 	d.removeObject(kind, id)
 	delete(d.graceUntil, id)
 	delete(d.leavingBorn, id)
-	if _, ok := d.endpoints[id]; ok {
+	if e, ok := d.endpoints[id]; ok {
 		delete(d.endpoints, id)
+		d.departed.add(&e, d.generation, time.Now())
 		d.changedEndpoints[id] = true
 		d.log.Info().Str("endpoint", id).Str("reason", reason).Msg("Endpoint gone.")
 	}
@@ -413,6 +427,13 @@
 			changed = true
 		}
 	}
+	_, kind := d.h.opts.Codec.Kinds()
+	for _, id := range d.departed.expire(now) {
+		if o, listed := d.mirror[kind][id]; listed {
+			d.putEndpoint(o.Object)
+			changed = true
+		}
+	}
 	if changed {
 		d.publishView()
 	}
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -119,6 +119,7 @@
 	names := make(map[string]bool, len(list))
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.noteGeneration(version)
 	first, pending := len(d.mirror[w.kind]) == 0, len(d.pendingUpdates)
 	d.mirror.add(w.kind)
 	for _, o := range list {
@@ -219,10 +220,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answeredAt[kind], d.storeAnsweredAt = time.Now(), time.Now()
-	if g := d.h.opts.Store.Generation(); g != d.generation {
-		d.log.Info().Str("kind", kind).Uint64("generation", g).Uint64("before", d.generation).Msg("Store has another generation.")
-		d.generation = g
+}
+
+// noteGeneration records the store's generation from the version of what it has answered, or what was passed on. After a change,
+// entries that the store has lost come back as after an outage. The caller holds the lock.
+func (d *directory) noteGeneration(version string) {
+	g := objects.GenerationOf(version)
+	if g <= d.generation {
+		return
+	}
+	d.log.Info().Uint64("generation", g).Uint64("before", d.generation).Msg("Store has another generation.")
+	if d.generation > 0 {
+		d.outageEndedAt = time.Now()
 	}
+	d.generation = g
 }
 
 // recordOutcome records whether a kind can be followed, from the store or through another host, and logs the start and
