Hold the lease safely when the store has lost its record

After the store had returned from an older copy, two hosts could order engines with one fencing token (ONE): an earlier holder that the copy names, or a host that finds the lease free there, took it at once with the epoch that the last holder was using, while that one's term went on.

Cause: the record's epoch and holder were taken for the latest, though the store may have lost later ones. Now epochs begin anew, and higher, with each generation of the store. Where the record is of an earlier generation, a host takes the lease only a term and a margin after it has seen the new one, since a term that the store has lost ends before; the holder itself, whose term goes on, stores its record again at once with a new epoch.

--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -116,6 +116,9 @@
 	return o, err
 }
 
+// Generation returns the generation of the store's content.
+func (c trackedLeaseStore) Generation() uint64 { return c.holder.h.opts.Store.Generation() }
+
 // Get implements leasestore.Store.
 func (c trackedLeaseStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	return c.recordOutcome(c.holder.h.opts.Store.Get(ctx, kind, name))
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -73,6 +73,9 @@
 	nextActionAt time.Duration            // time before which no action is due
 	holderSeenAt time.Duration            // time of the last sign of life of the holder
 	calm         bool                     // the last call was a renewal that was answered within CalmLatency
+	generation   uint64                   // of the store's content
+	lostUntil    time.Duration            // time until which another process may hold the lease although the store has lost its record
+	maxEpoch     uint64                   // highest epoch seen
 	releasing    bool                     // Release was called
 	released     bool                     // the release is complete
 }
@@ -82,6 +85,35 @@
 	return &Machine{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)), writeSentAt: make(map[uint64]time.Duration), holderSeenAt: -cfg.HolderTimeout}
 }
 
+// generationEpochs is the number of epochs of one generation of the store. The epochs of a later one are all higher, so that an
+// epoch that the store has lost is not given out again.
+const (
+	generationEpochs = 1 << 24
+	firstGeneration  = 1 // of a store that has never returned from an older copy
+)
+
+// SetGeneration tells the machine the generation of the store's content. A new one means that the store has returned from an older
+// copy: it may have lost the record of a holder whose term goes on, or name an earlier one.
+func (m *Machine) SetGeneration(now time.Duration, generation uint64) {
+	if generation <= m.generation {
+		return
+	}
+	if generation > firstGeneration { // also for a process that has just started, which can't tell when the store returned
+		m.known = false
+		m.lostUntil = now + m.cfg.Term + m.cfg.Margin
+	}
+	m.generation = generation
+}
+
+// firstEpoch returns the lowest epoch of the store's generation.
+func (m *Machine) firstEpoch() uint64 { return m.generation * generationEpochs }
+
+// nextEpoch returns the epoch of a new acquisition.
+func (m *Machine) nextEpoch() uint64 { return max(m.rec.Epoch, m.maxEpoch, m.firstEpoch()) + 1 }
+
+// recordLost tells whether the record is of an earlier generation of the store, so that it does not show who holds the lease.
+func (m *Machine) recordLost() bool { return m.generation > 0 && m.rec.Epoch < m.firstEpoch() }
+
 // HeldEpoch returns the epoch in which this process holds the lease at now, or 0. It is 0 after the end of the term, even
 // if no other process has taken the lease.
 func (m *Machine) HeldEpoch(now time.Duration) uint64 {
@@ -123,8 +155,11 @@
 		return m.release(now)
 	}
 	if m.HeldEpoch(now) > 0 {
-		if !m.known {
+		switch {
+		case !m.known:
 			return m.read(now)
+		case m.recordLost() && m.heldEpoch < m.firstEpoch():
+			return m.write(now, m.cfg.Host, m.nextEpoch()) // nobody else writes before the end of this term
 		}
 		return m.write(now, m.cfg.Host, m.rec.Epoch)
 	}
@@ -132,14 +167,16 @@
 		return m.read(now)
 	}
 	switch {
+	case m.recordLost() && now < m.lostUntil:
+		return m.read(now)
 	case m.version == "" || m.rec.Holder == "" || m.ownsRecord():
 		// After the end of its own term, the process acquires the lease with a new epoch: the work of the old one was
 		// cancelled.
-		return m.write(now, m.cfg.Host, m.rec.Epoch+1)
+		return m.write(now, m.cfg.Host, m.nextEpoch())
 	case m.lastSeen-m.firstSeen > m.takeoverWait():
 		// The version was read again at the end of the wait, so that a process that has not read for long sends no write
 		// that would be refused.
-		return m.write(now, m.cfg.Host, m.rec.Epoch+1)
+		return m.write(now, m.cfg.Host, m.nextEpoch())
 	case now-m.holderSeenAt < m.cfg.HolderTimeout:
 		m.nextActionAt = m.holderSeenAt + m.cfg.HolderTimeout
 		return Action{}
@@ -226,6 +263,11 @@
 		}
 		m.rec, m.version, m.known = rec, version, true
 	}
+	m.maxEpoch = max(m.maxEpoch, rec.Epoch)
+	if m.recordLost() && m.HeldEpoch(now) > 0 && m.heldEpoch < m.firstEpoch() {
+		m.nextActionAt = now // to store a record again
+		return
+	}
 	if !m.ownsRecord() {
 		m.heldEpoch = 0
 		if rec.Holder == "" {
--- a/internal/leasestore/leasestore.go
+++ b/internal/leasestore/leasestore.go
@@ -18,6 +18,12 @@
 	Update(ctx context.Context, o objects.Object) (objects.Object, error)
 }
 
+// restorable is implemented by stores that may return from an older copy of themselves.
+type restorable interface {
+	// Generation returns the generation of the store's content, which rises each time.
+	Generation() uint64
+}
+
 // Lease identifies the object of one lease in a store.
 type Lease struct {
 	Store       Store
@@ -29,6 +35,7 @@
 // Step carries out the next action of the machine, if one is due, and reports the result to the machine. It returns the
 // error of the call, which the machine has been told of already; an object that a read does not find is no error.
 func (l *Lease) Step(ctx context.Context, m *lease.Machine) error {
+	l.updateGeneration(m)
 	a := m.Next(l.Now())
 	if a.Kind == lease.None {
 		return nil
@@ -36,6 +43,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.CallTimeout)
 	defer cancel()
 	rec, version, err := l.call(ctx, a)
+	l.updateGeneration(m)
 	now := l.Now()
 	switch {
 	case err == nil && a.Kind == lease.Write:
@@ -51,6 +59,13 @@
 	return err
 }
 
+// updateGeneration tells the machine the generation of the store's content.
+func (l *Lease) updateGeneration(m *lease.Machine) {
+	if s, ok := l.Store.(restorable); ok {
+		m.SetGeneration(l.Now(), s.Generation())
+	}
+}
+
 // call carries out an action, and returns the record that is stored then with its version.
 func (l *Lease) call(ctx context.Context, a lease.Action) (lease.Record, string, error) {
 	var o objects.Object
