Store blocked prompt parts again when the store has lost them

A fleet that loses power after the store has returned from an older copy would crash engines again by prompt parts that had been blocked: the dispatcher took the parts for stored, because it compares with what it had written.

The object is now read again when a later generation of the store is seen, and written if it lacks any parts. TestOwnObjectsAreWrittenAgain failed for the blocked parts (nothing stored after the loss) and passes; for the registration of a host it passed before.

--- a/internal/host/blockedparts.go
+++ b/internal/host/blockedparts.go
@@ -80,6 +80,14 @@
 	b.notify()
 }
 
+// reload has the object read again, and written if it lacks any parts, because the store may have lost it.
+func (b *blockedParts) reload() {
+	b.mu.Lock()
+	b.loaded = false
+	b.mu.Unlock()
+	b.notify()
+}
+
 func (b *blockedParts) notify() {
 	select {
 	case b.wake <- struct{}{}:
--- a/internal/host/blockedparts_test.go
+++ b/internal/host/blockedparts_test.go
@@ -83,6 +83,37 @@
 	})
 }
 
+// TestOwnObjectsAreWrittenAgain guards against what a host has written and the store has lost by returning from an older copy:
+// blocked prompt parts, so that a fleet that loses power crashes engines again, and the host's registration.
+func TestOwnObjectsAreWrittenAgain(t *testing.T) {
+	for _, lost := range []string{kindQuarantine, kindHosts} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			h := newFollower("h0", "h0", store)
+			go h.directory.run(ctx)
+			go h.blocked.run(ctx)
+			h.blocked.setActive(true)
+			h.blocked.update([]wire.QuarantinedPart{{Part: 0xdead, BlockedMs: 600_000, Blocks: 1}})
+			registered := func() bool {
+				store.mu.Lock()
+				defer store.mu.Unlock()
+				return len(store.current[kindHosts]) == 1
+			}
+			time.Sleep(5 * time.Second)
+			if len(storedParts(t, store)) != 1 || !registered() {
+				t.Fatalf("stored before: %+v, registered %v", storedParts(t, store), registered())
+			}
+			store.restore(lost)
+			time.Sleep(15 * time.Second)
+			if len(storedParts(t, store)) != 1 || !registered() {
+				t.Errorf("after the loss of %s: stored %+v, registered %v", lost, storedParts(t, store), registered())
+			}
+		})
+	}
+}
+
 // TestBadStoredParts guards against a host that fails on a list of blocked parts that it can't read.
 func TestBadStoredParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -232,6 +232,7 @@
 	d.log.Info().Uint64("generation", g).Uint64("before", d.generation).Msg("Store has another generation.")
 	if d.generation > 0 {
 		d.outageEndedAt = time.Now()
+		d.h.blocked.reload()
 	}
 	d.generation = g
 }
--- a/internal/host/storefake_test.go
+++ b/internal/host/storefake_test.go
@@ -20,30 +20,55 @@
 	Store
 	calls objects.CallCounter
 
-	mu       sync.Mutex
-	revision uint64
-	current  map[string]map[string]objects.Object // by kind and name
-	history  []objects.Event
-	changed  chan struct{} // closed and replaced at each change
-	silent   bool          // no call gets an answer
-	failing  error         // of all calls, if not nil
-	latency  time.Duration // of all answers
+	mu         sync.Mutex
+	generation uint64
+	revision   uint64
+	current    map[string]map[string]objects.Object // by kind and name
+	history    []objects.Event
+	changed    chan struct{} // closed and replaced at each change
+	silent     bool          // no call gets an answer
+	failing    error         // of all calls, if not nil
+	latency    time.Duration // of all answers
 	// loseNextChange makes the answer with the next change of this kind get lost, and the call hang.
 	loseNextChange string
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{revision: 1, current: make(map[string]map[string]objects.Object), changed: make(chan struct{})}
+	return &fakeStore{generation: 1, revision: 1, current: make(map[string]map[string]objects.Object), changed: make(chan struct{})}
 }
 
-func (s *fakeStore) Generation() uint64 { return 0 }
+func (s *fakeStore) Generation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.generation
+}
+
+// restore makes the store go on without the objects of a kind, as if they had been lost, with a revision of before.
+func (s *fakeStore) restore(lost string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generation++
+	s.revision, s.history = 1, nil
+	for kind, byName := range s.current {
+		for name, o := range byName {
+			s.revision++
+			o.Version = objects.MakeVersion(s.generation, s.revision)
+			byName[name] = o
+		}
+		if kind == lost {
+			delete(s.current, kind)
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
 
 // put stores an object as the platform does.
 func (s *fakeStore) put(kind, name, data string) objects.Object {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	o := objects.Object{Kind: kind, Name: name, Version: strconv.FormatUint(s.revision, 10), Data: []byte(data)}
+	o := objects.Object{Kind: kind, Name: name, Version: objects.MakeVersion(s.generation, s.revision), Data: []byte(data)}
 	if s.current[kind] == nil {
 		s.current[kind] = make(map[string]objects.Object)
 	}
@@ -90,7 +115,7 @@
 	for _, o := range s.current[kind] {
 		out = append(out, o)
 	}
-	return out, strconv.FormatUint(s.revision, 10), nil
+	return out, objects.MakeVersion(s.generation, s.revision), nil
 }
 
 func (s *fakeStore) Changes(ctx context.Context, kind, version string, wait time.Duration) ([]objects.Event, string, error) {
@@ -109,7 +134,11 @@
 				out = append(out, e)
 			}
 		}
-		next, changed, lost := strconv.FormatUint(s.revision, 10), s.changed, s.silent
+		next, changed, lost := objects.MakeVersion(s.generation, s.revision), s.changed, s.silent
+		if objects.GenerationOf(version) != s.generation {
+			s.mu.Unlock()
+			return nil, "", objects.ErrExpired
+		}
 		if len(out) > 0 && s.loseNextChange == kind {
 			s.loseNextChange, lost = "", true
 		}
