Register again when an entry of an earlier process is passed on

A host whose entry is missing from the list of hosts writes it again, and one that lists the hosts itself finds an entry of its earlier process there. When the store had returned from an older copy and the dispatcher passed that entry on, the host stayed unregistered: nothing made it look. Others could not turn to it as the next dispatcher.

TestRegistrationOfEarlierProcess failed and passes.

--- a/internal/host/blockedparts_test.go
+++ b/internal/host/blockedparts_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/objects"
 	"sycamoredeal/internal/wire"
 )
@@ -114,6 +115,38 @@
 	}
 }
 
+// TestRegistrationOfEarlierProcess guards against a host that stays unregistered when the store returns from a copy in which its
+// entry is that of an earlier process, and another host passes this entry on.
+func TestRegistrationOfEarlierProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		h := newFollower("h1", "h0", store)
+		go h.directory.run(ctx)
+		receive := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				receiveState(h, wire.FleetState{ViewCurrent: true})
+			}
+		}
+		time.Sleep(5 * time.Second)
+		store.restore("")
+		earlier, err := objects.Encode(kindHosts, "h1", "", fleet.Host{Name: "h1", Incarnation: h.incarnation - 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		earlier = store.put(kindHosts, "h1", string(earlier.Data))
+		h.directory.applyUpdate(&wire.ViewUpdate{ObjectKind: kindHosts, Objects: []wire.StoredObject{toStoredObject(earlier)}})
+		receive(5 * time.Second)
+		store.mu.Lock()
+		o := store.current[kindHosts]["h1"]
+		store.mu.Unlock()
+		if now, err := objects.Decode[fleet.Host](o); err != nil || now.Incarnation != h.incarnation {
+			t.Errorf("registered: %+v, %v; this process is %d", now, err, h.incarnation)
+		}
+	})
+}
+
 // TestBadStoredParts guards against a host that fails on a list of blocked parts that it can't read.
 func TestBadStoredParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -456,6 +456,7 @@
 		d.ownVersion = o.Version
 		if h.Incarnation != d.h.incarnation {
 			delete(d.hosts, o.Name) // an earlier process wrote it, whose place in the order does not apply to this one
+			d.triggerRegistration()
 		}
 	}
 }
