--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -57,6 +57,8 @@
 		f.store.DropAnswers(e.Count)
 	case StoreCompact:
 		f.store.Compact()
+	case StoreRestored:
+		f.restoreStore(e)
 	case Configure:
 		f.storeNextConfig()
 	case DrainServer:
@@ -209,7 +211,7 @@
 		f.addReplacement(other, s.proxy)
 	}
 	time.Sleep(entryRemovalDelay)
-	f.store.Delete(serversKind, s.ID())
+	f.register(s, gone)
 	time.Sleep(e.Duration)
 	f.addReplacement(s.opts.Service, nil)
 }
@@ -230,10 +232,10 @@
 	if s == nil || !f.addReplacement(s.opts.Service, nil) {
 		return
 	}
-	s.Register(f.store, "draining")
+	f.register(s, draining)
 	f.audit.RecordDraining(s.ID())
 	time.Sleep(drainTime)
-	f.store.Delete(serversKind, s.ID())
+	f.register(s, gone)
 	time.Sleep(drainTime / 3)
 	s.Close()
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -79,6 +79,31 @@
 	proxy   *Proxy
 	opts    platformtest.ServerOptions
 	removed bool
+	state   string // of its entry
+}
+
+// States of a server's entry.
+const (
+	ready    = "ready"
+	draining = "draining"
+	gone     = "" // it has no entry
+)
+
+// register changes the state of a server's entry.
+func (f *fleet) register(s *server, state string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.state = state
+	f.writeEntry(s)
+}
+
+// writeEntry writes or removes a server's entry by its state. The caller holds the lock.
+func (f *fleet) writeEntry(s *server) {
+	if s.state == gone {
+		f.store.Delete(serversKind, s.ID())
+	} else {
+		s.Register(f.store, s.state)
+	}
 }
 
 // startFleet starts the store, the servers and the host processes of a run.
@@ -313,10 +338,10 @@
 	s.Server, s.opts = platformtest.NewServer(o), o
 	p.SetTarget(s.Address())
 	p.SetMode(Pass, 0)
-	s.Register(f.store, "ready")
 	f.mu.Lock()
 	f.servers = append(f.servers, s)
 	f.mu.Unlock()
+	f.register(s, ready)
 	return s, nil
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,7 @@
 	StoreSlow           Kind = "store slow"
 	StoreAnswersLost    Kind = "store's answers lost"
 	StoreCompact        Kind = "store's history dropped"
+	StoreRestored       Kind = "store returns from an older copy"
 	ServerCrash         Kind = "server crashes"
 	ServerAddressReused Kind = "server gone, its address reused"
 	ServerSilent        Kind = "server silent"
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -20,6 +20,8 @@
 	deadlyCalls       = 5 // one of so many model calls has the deadly part
 	crashingPartTime  = 7 * time.Second
 	crashesToLearn    = 5
+	maxFaultEvents    = 40
+	heartbeatInterval = 50 * time.Millisecond
 	maxDeadlyArrivals = 3 // from faultGracePeriod after the last crash to learn from
 )
 
@@ -33,6 +35,33 @@
 		p.Planned = append(p.Planned, drawEvent(rng, []Kind{ServerLimits}, plannedPhase))
 	}
 	p.CrashingPart = rng.IntN(2) == 0
+	for rng.IntN(2) == 0 && len(p.Faults) < maxFaultEvents {
+		p.Faults = append(p.Faults, drawEvent(rng, []Kind{StoreRestored}, faultPhase))
+	}
+}
+
+// restoreStore has the store lose what was written within e.Duration, while it is away for e.Delay. The operator and the servers
+// write again what they wrote then.
+func (f *fleet) restoreStore(e Event) {
+	older := f.store.Copy()
+	for end := time.Now().Add(e.Duration); time.Now().Before(end); time.Sleep(heartbeatInterval) {
+		f.mu.Lock()
+		for _, s := range f.servers { // so that revisions of before are not reached again soon
+			f.writeEntry(s)
+		}
+		f.mu.Unlock()
+	}
+	f.storeNextConfig()
+	f.store.SetUnavailable(true)
+	time.Sleep(e.Delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store.Restore(older)
+	f.store.Put("config", "main", configuration(f.configVersion))
+	for _, s := range f.servers {
+		f.writeEntry(s)
+	}
+	f.store.SetUnavailable(false)
 }
 
 // limitServer has a server state that it takes e.Count requests per second, and checks that it gets no more than the users'
@@ -91,7 +120,7 @@
 	f.mu.Unlock()
 	s.proxy.Reset()
 	time.Sleep(entryRemovalDelay)
-	f.store.Delete(serversKind, s.ID())
+	f.register(s, gone)
 	f.addReplacement(s.opts.Service, nil)
 }
 
