Take no answer that names no request on a connection that was used before

A server that wrote an earlier refusal once more, without a request's id, on a kept connection had it taken for the answer to the next request. That request ran at the server and again at another one (TWICE), or its caller was told that it had not run (REFUSED).

Cause: an answer without an id counted as one to the request. Servers state the id in every answer, so on a connection that has carried other requests one without it counts as broken, with an unknown outcome. On a new connection it is still taken. A refusal that names another request was refused before.

TestRepeatedRefusal failed (the request ran twice) and passes.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -454,6 +454,9 @@
 	case a.RequestID != "" && a.RequestID != x.q.ID:
 		resp.Close(false)
 		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, err: errors.Errorf("response belongs to request %s", a.RequestID)}
+	case a.RequestID == "" && x.q.ID != "" && resp.Reused:
+		resp.Close(false)
+		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, err: errors.New("response names no request, on a connection that was used before")}
 	case a.NotRun:
 		return x.handleNotRun(e, resp, &a)
 	case resp.StatusCode < 300 && !a.Sealed:
@@ -473,7 +476,6 @@
 // handleNotRun handles a response that states that the request did not run.
 func (x *exchange) handleNotRun(e *fleet.Endpoint, resp *upstream.Response, a *fleet.Answer) attemptResult {
 	_, more, err := resp.ReadAll(maxReportBytes)
-	resp.Close(err == nil && !more)
 	r := attemptResult{outcome: attempt.Refused, quiet: a.RetryAfter, err: errors.Errorf("endpoint refused with status %d", resp.StatusCode)}
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest && a.InstanceID != "" && a.InstanceID != e.ID:
@@ -483,6 +485,7 @@
 	case resp.StatusCode == http.StatusServiceUnavailable && x.lastBinding.adapterOrdered && a.RetryAfter == 0:
 		r.retrySame = true // an engine refuses with this status what waits for an order in progress
 	}
+	resp.Close(err == nil && !more)
 	return r
 }
 
--- a/internal/host/troubled_test.go
+++ b/internal/host/troubled_test.go
@@ -424,3 +424,66 @@
 		}
 	}
 }
+
+// refused is the answer of a server that refuses a request and states that it did not run. The server names no request if id is
+// empty.
+func refused(status int, id string) string {
+	header := ""
+	if id != "" {
+		header = "X-Id: " + id + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d Refused\r\n%sX-Not-Run: 1\r\nContent-Length: 0\r\nKeep-Alive: timeout=9\r\n\r\n", status, header)
+}
+
+// TestRepeatedRefusal guards against a server that writes an earlier refusal once more on a kept connection, where the answer to
+// the next request is due: the caller was told that a request had not run that the server ran (REFUSED), or it ran at a second
+// server (TWICE).
+func TestRepeatedRefusal(t *testing.T) {
+	for name, earlier := range map[string]string{"names the request": "r0", "names none": ""} {
+		for _, path := range []string{nonIdempotentRoute, streamRoute} {
+			t.Run(name+path, func(t *testing.T) {
+				var mu sync.Mutex
+				runs := make(map[string]int)
+				run := func(id string, w io.Writer) bool {
+					mu.Lock()
+					runs[id]++
+					mu.Unlock()
+					_, err := io.WriteString(w, wholeAnswer(id, "id: 1\ndata: for "+id+"\n\n"))
+					return err == nil
+				}
+				faulty := newScriptedServer(t, func(n int64, id string, w io.Writer) bool {
+					io.WriteString(w, refused(http.StatusServiceUnavailable, earlier))
+					if n == 1 {
+						return true
+					}
+					time.Sleep(20 * time.Millisecond)
+					return run(id, w)
+				})
+				h, url := newScriptedHost(t, faulty)
+				if g := sendRequest(url, path, "r0", time.Second); g.status != http.StatusServiceUnavailable {
+					t.Fatalf("the refused request got %d", g.status)
+				}
+				other := newScriptedServer(t, func(_ int64, id string, w io.Writer) bool { return run(id, w) })
+				v := *h.directory.view()
+				v.Endpoints = append(v.Endpoints, fleet.Endpoint{ID: "other", Service: "s", Address: other.address, Slots: 1})
+				h.directory.currentView.Store(&v)
+				h.binder.mu.Lock()
+				h.binder.avoidUntil["other"] = time.Now().Add(time.Minute) // so that the faulty server comes first
+				h.binder.mu.Unlock()
+				g := sendRequest(url, path, "r1", time.Second)
+				time.Sleep(50 * time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				if faulty.requests.Load() != 2 {
+					t.Fatalf("the faulty server got %d requests", faulty.requests.Load())
+				}
+				if runs["r1"] > 1 {
+					t.Errorf("the request ran %d times", runs["r1"])
+				}
+				if runs["r1"] > 0 && (g.status == http.StatusServiceUnavailable || g.status == http.StatusTooManyRequests) {
+					t.Errorf("status %d for a request that ran", g.status)
+				}
+			})
+		}
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -52,6 +52,7 @@
 // Response is an endpoint's response. Close must be called when the body has been read or is no longer needed.
 type Response struct {
 	*http.Response
+	Reused   bool // the connection had carried other requests before
 	exchange *exchange
 }
 
@@ -274,7 +275,7 @@
 		if resp.StatusCode >= 200 {
 			x.conn.readLimit = 1 << 62 // the code that reads the body limits its size
 			x.resp = resp
-			return &Response{Response: resp, exchange: x}, nil
+			return &Response{Response: resp, Reused: x.conn.reused, exchange: x}, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, fmt.Errorf("unexpected status %d", resp.StatusCode)
