Send a request again to the same engine on another connection

A refusal that a faulty server writes twice can't be told from a second refusal of the same request. Where a request was sent again to the engine that had refused it, for an adapter that loads or a model that it lacked, it could come on the connection on which the first refusal was due once more: the caller was told that it had not run while it ran (REFUSED), or it ran at a second engine (TWICE).

The connection is now closed after a refusal that may be followed by the same request. TestRefusedConnectionNotReused failed for 503 and 421 and passes; connections are kept after other refusals.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -485,7 +485,8 @@
 	case resp.StatusCode == http.StatusServiceUnavailable && x.lastBinding.adapterOrdered && a.RetryAfter == 0:
 		r.retrySame = true // an engine refuses with this status what waits for an order in progress
 	}
-	resp.Close(err == nil && !more)
+	// The request may be sent to the endpoint again. On this connection, a refusal that is written twice would answer it.
+	resp.Close(err == nil && !more && !r.retrySame && !r.missing)
 	return r
 }
 
--- a/internal/host/troubled_test.go
+++ b/internal/host/troubled_test.go
@@ -487,3 +487,26 @@
 		}
 	}
 }
+
+// TestRefusedConnectionNotReused guards against the same fault where the same request is sent again to the server that refused it:
+// an earlier refusal of it can't be told from a later one, so that it must not come on the same connection.
+func TestRefusedConnectionNotReused(t *testing.T) {
+	for status, reused := range map[int]bool{http.StatusServiceUnavailable: false, http.StatusMisdirectedRequest: false, http.StatusTooManyRequests: true} {
+		s := newScriptedServer(t, func(_ int64, id string, w io.Writer) bool {
+			_, err := io.WriteString(w, refused(status, id))
+			return err == nil
+		})
+		h, _ := newScriptedHost(t, s)
+		e := &h.directory.view().Endpoints[0]
+		x := &exchange{f: h.front, q: &fleet.Request{ID: "r", Method: "GET", Target: "/", Model: "m", Adapter: "a"}, lastBinding: &binding{adapterOrdered: true}}
+		resp, err := h.requestPool.RoundTrip(t.Context(), testCodec{}.Outgoing(x.q, e, 0, ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := testCodec{}.Answer(resp.StatusCode, resp.Header)
+		x.handleNotRun(e, resp, &a)
+		if got := h.requestPool.IdleAddresses(time.Now())[s.address]; got != reused {
+			t.Errorf("status %d: connection reused: %v", status, got)
+		}
+	}
+}
