Refuse a resumed stream that starts over

Reported by operators of similar systems: a stream had begun and broke off, the next server answered with an error, and clients found its text in the middle of their stream, or the stream ended as if complete. Tried with TestErrorAfterBrokenStream: error answers, refusals, redirects and bytes that are no answer did no such harm here. Two answers did: one of status 204 ended the stream as complete, and a success that starts over was passed on, so events came twice (ORDER).

Only an answer of status 200 may go on with a stream, and its first event must come after the caller's last one. A success without an event still completes the stream, since it may have broken off after its last event.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -462,7 +462,7 @@
 	case resp.StatusCode < 300 && !a.Sealed:
 		resp.Close(false)
 		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, err: errors.Errorf("status %d without a seal", resp.StatusCode)}
-	case x.stream != nil && resp.StatusCode >= 300:
+	case x.stream != nil && resp.StatusCode != http.StatusOK:
 		resp.Close(false)
 		return attemptResult{outcome: attempt.Unknown, fault: sched.ErrorStatus, err: errors.Errorf("status %d for a stream to be resumed", resp.StatusCode)}
 	case x.q.Route.Kind == fleet.Stream && resp.StatusCode < 300:
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -106,10 +107,14 @@
 		x.stream.resumes++
 	}
 	first := true
+	resumedAfter := x.resumeAfter()
 	x.stream.received = 0
 	err := splitEvents(resp.Body, func(event []byte) error {
 		if hasContent(event) {
 			if first {
+				if !continues(resumedAfter, eventIDs(event)) {
+					return errStartsOver
+				}
 				first = false
 				b.reportStarted(time.Since(start))
 			}
@@ -248,15 +253,39 @@
 	return false
 }
 
-// eventID returns the value of the last id line in whole events, or an empty string if there is none.
-func eventID(b []byte) string {
-	id := ""
+// eventIDs returns the values of the id lines in whole events.
+func eventIDs(b []byte) []string {
+	var ids []string
 	for line := range bytes.Lines(b) {
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(v))
+			ids = append(ids, string(bytes.TrimSpace(v)))
 		}
 	}
-	return id
+	return ids
+}
+
+// eventID returns the value of the last id line in whole events, or an empty string if there is none.
+func eventID(b []byte) string {
+	if ids := eventIDs(b); len(ids) > 0 {
+		return ids[len(ids)-1]
+	}
+	return ""
+}
+
+var errStartsOver = errors.New("the stream does not continue after the last event of the caller")
+
+// continues reports whether a stream that was resumed after an event goes on with these: their ids increase. IDs that are no
+// numbers can't be compared, but must not repeat the last one.
+func continues(after string, ids []string) bool {
+	if after == "" || len(ids) == 0 {
+		return true
+	}
+	last, err1 := strconv.ParseUint(after, 10, 64)
+	next, err2 := strconv.ParseUint(ids[0], 10, 64)
+	if err1 != nil || err2 != nil {
+		return ids[0] != after
+	}
+	return next > last
 }
 
 // copyBody copies the rest of a response body to w. A body without a stated length fails when limit bytes were copied.
--- a/internal/host/troubled_test.go
+++ b/internal/host/troubled_test.go
@@ -510,3 +510,58 @@
 		}
 	}
 }
+
+// TestErrorAfterBrokenStream guards against the answer of the next server in the middle of a stream that had begun and broke off,
+// and against the end of such a stream as if it were complete (ORDER, MIXED): the next server answers with an error, refuses,
+// redirects, sends something else than events, or starts over. A success without an event is no such answer, since the stream may
+// have broken off after its last one.
+func TestErrorAfterBrokenStream(t *testing.T) {
+	const begun = "id: 1\ndata: x\n\n"
+	answer := func(status, header, body string) func(id string) string {
+		return func(id string) string {
+			return fmt.Sprintf("HTTP/1.1 %s\r\nX-Id: %s\r\n%sContent-Length: %d\r\nKeep-Alive: timeout=9\r\n\r\n%s", status, id, header, len(body), body)
+		}
+	}
+	const sealed, events = "X-Seal: s\r\n", "Content-Type: text/event-stream\r\n"
+	for name, next := range map[string]func(id string) string{
+		"error":                     answer("500 Internal Server Error", sealed, "the error's text"),
+		"error as an event":         answer("500 Internal Server Error", sealed+events, "id: 2\ndata: error\n\n"),
+		"error without an id":       func(string) string { return "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 5\r\n\r\nerror" },
+		"refusal":                   answer("503 Full", "X-Not-Run: 1\r\n", ""),
+		"not found":                 answer("404 Not Found", sealed, "nothing here"),
+		"bad request":               answer("400 Bad Request", "X-Not-Run: 1\r\n", "no"),
+		"redirect":                  answer("302 Found", "Location: /elsewhere\r\n", "elsewhere"),
+		"unsealed success":          answer("200 OK", events, "id: 2\ndata: y\n\n"),
+		"no content":                func(id string) string { return "HTTP/1.1 204 No Content\r\nX-Id: " + id + "\r\n" + sealed + "\r\n" },
+		"success that is no stream": answer("200 OK", sealed+"Content-Type: text/plain\r\n", "some text"),
+		"starts over":               answer("200 OK", sealed+events, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"),
+		"error's head":              func(string) string { return "HTTP/1.1 500 Internal Server Error\r\n" },
+		"no HTTP":                   func(string) string { return "error\r\n\r\n" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := true
+			var mu sync.Mutex
+			serve := func(_ int64, id string, w io.Writer) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				if first {
+					first = false
+					fmt.Fprintf(w, "%s%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", answerHead, id, len(begun), begun)
+					time.Sleep(50 * time.Millisecond)
+					return false
+				}
+				io.WriteString(w, next(id))
+				return false
+			}
+			_, url := newScriptedHost(t, newScriptedServer(t, serve), newScriptedServer(t, serve))
+			g := sendRequest(url, resumeRoute, "r", time.Second)
+			if g.whole {
+				t.Errorf("status %d, %q, as if complete", g.status, g.body)
+			}
+			if g.status == http.StatusOK && g.body != begun {
+				t.Errorf("body %q", g.body)
+			}
+		})
+	}
+}
