--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,6 +19,8 @@
 	{5, "a dispatcher that knew the endpoints but no configuration crashed on the first adapter"},
 	{16, "deadlock between the binder and the directory: a restarted host never became ready"},
 	{17, "deadlock between the binder and the directory, at the first start"},
+	{18, "hosts took what the store held after its return from an older copy for older than what they had"},
+	{19, "two holders of the lease used one fencing token after the store's return from an older copy"},
 }
 
 // TestSoak runs the regression seeds with real processes.
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -44,7 +44,7 @@
 // write again what they wrote then.
 func (f *fleet) restoreStore(e Event) {
 	older := f.store.Copy()
-	for end := time.Now().Add(e.Duration); time.Now().Before(end); time.Sleep(heartbeatInterval) {
+	for end := time.Now().Add(e.Duration / 2); time.Now().Before(end); time.Sleep(heartbeatInterval) {
 		f.mu.Lock()
 		for _, s := range f.servers { // so that revisions of before are not reached again soon
 			f.writeEntry(s)
@@ -52,6 +52,7 @@
 		f.mu.Unlock()
 	}
 	f.storeNextConfig()
+	time.Sleep(e.Duration / 2)
 	f.store.SetUnavailable(true)
 	time.Sleep(e.Delay)
 	f.mu.Lock()
