Tell the dispatcher of a copy that was unloaded and loaded again

The only copy of the model was at an endpoint that had unloaded it before, which the dispatcher knew from a refusal; when the endpoint had loaded it again, the holder did not report the copy, because the endpoint's entry in the list had shown it all along. The entries of the stand-ins don't change, so nothing else told the dispatcher.

The holder now reports a load for 2 s, whatever the list shows. TestHolderBeatListsReloadedCopy failed (no copy in the beat, no grant) and passes.

--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -34,6 +34,7 @@
 	adapterMissingAfter = 300 * time.Millisecond
 	// evictionNoticeTime is how long an eviction is repeated in each HolderBeat, because a beat may be lost.
 	evictionNoticeTime  = time.Second
+	loadNoticeTime      = 2 * time.Second        // how long a load is repeated in each HolderBeat, although the list shows the model
 	reportRetryInterval = 400 * time.Millisecond // between two reads of an engine whose state is unknown
 )
 
@@ -57,6 +58,7 @@
 	lastReportAt   time.Duration                    // time of the latest attempt to read the engine's state
 	sequence       int64                            // number of orders that the engine has accepted
 	models         map[string]bool                  // models in the engine's memory
+	loadedAt       map[string]time.Duration         // recent loads of models, reported to the dispatcher
 	adapterLastUse map[copies.Adapter]time.Duration // time of the latest use of each loaded adapter
 	adapterReadyAt map[copies.Adapter]time.Time     // time from which each adapter is usable
 	evictedAt      map[copies.Adapter]time.Duration // recent evictions, reported to the dispatcher
@@ -339,8 +341,15 @@
 				}
 			}
 		}
+		for m, at := range es.loadedAt {
+			if clock.Boot()-at > loadNoticeTime {
+				delete(es.loadedAt, m)
+			}
+		}
 		for m := range es.models {
-			if es.stateKnown && m != es.unloadingModel && e != nil && e.Resident(m) == nil {
+			// The dispatcher may have forgotten a copy that was unloaded and loaded again while the list has shown it.
+			_, justLoaded := es.loadedAt[m]
+			if es.stateKnown && m != es.unloadingModel && e != nil && (e.Resident(m) == nil || justLoaded) {
 				b.Loaded = append(b.Loaded, wire.ModelCopy{Endpoint: id, Model: m})
 			}
 		}
@@ -470,6 +479,9 @@
 		em.applyReport(es, &r)
 		es.stateKnown = true
 		loaded := es.models[model]
+		if loaded && load {
+			em.recordLoaded(es, model)
+		}
 		em.mu.Unlock()
 		if loaded != load {
 			return errors.New("the engine's report does not show the change")
@@ -479,6 +491,15 @@
 	return errors.New("the engine did not carry out the order in time")
 }
 
+// recordLoaded records that an engine has loaded a model. The caller must hold em.mu.
+func (em *engineManager) recordLoaded(es *engineState, model string) {
+	if es.loadedAt == nil {
+		es.loadedAt = make(map[string]time.Duration)
+	}
+	es.models[model] = true
+	es.loadedAt[model] = clock.Boot()
+}
+
 // enqueuePrepare replies to a request for an adapter, or queues the load of the adapter, which replies later. It does
 // not block.
 func (em *engineManager) enqueuePrepare(m *wire.Prepare, reply func(*wire.PrepareReply)) {
