Let hosts that have just started retry a little

In the first window after its start a host could retry only by the ratio to its few requests so far, and a dispatcher of the same age lent nothing: three callers at once of a server that wanted nothing for a time got 503 beside a sound one.

What the process before has used of the host's share is unknown, so a young process now gets a quarter of the share. All parts together stay within what is allowed for two restarts of each host within a window.

--- a/internal/sched/retries.go
+++ b/internal/sched/retries.go
@@ -7,16 +7,18 @@
 // processes restart exactly when retries are many. So it is divided into parts that are never in two places within a window:
 //
 //   - a host may retry by the ratio to the requests that its own callers sent, whoever dispatches;
-//   - a host may use an equal share of a part of the extra retries, from one window after its start on;
+//   - a host may use an equal share of a part of the extra retries, from one window after its start on, and a quarter of this
+//     share before, which is bounded for two restarts of each host within a window;
 //   - the dispatcher lends the shared part, of which each host that it has heard within contributorTimeout, and that has been
 //     connected for a window and this time, contributes an equal share. So a host that turns to another dispatcher, which an
 //     earlier one that is cut off may not notice, contributes to only one of them within a window.
 //
 // Load pattern: endpoints refuse or fail most requests while one dispatcher follows the other.
 const (
-	// The parts leave a fifth of what is allowed unused, for retries that arrive later than they were sent.
+	// The parts leave a fifth of what is allowed unused, for restarts and for retries that arrive later than they were sent.
 	retryRatioShare  = 0.8 // of RetryLimits.Ratio
 	hostRetryShare   = 0.4 // of RetryLimits.Extra, for all hosts together
+	youngRetryShare  = 0.1 // the same for hosts in the first window after their start
 	sharedRetryShare = 0.4 // of RetryLimits.Extra, lent by the dispatcher
 
 	contributorTimeout = 3 * time.Second // since the last message of a host
@@ -115,11 +117,11 @@
 // Reserve reserves a retry and reports whether the host may send it without the dispatcher's. Each reservation has to be
 // followed by Release or Settle.
 func (h *HostRetries) Reserve(now time.Duration, service string, limits RetryLimits) bool {
-	extra := 0.0
-	if now-h.startedAt >= limits.Window { // what the process before used of its share is unknown
-		extra = hostRetryShare * limits.Extra / float64(h.hosts)
+	share := hostRetryShare
+	if now-h.startedAt < limits.Window { // what the process before used of its share is unknown
+		share = youngRetryShare
 	}
-	return h.ledger(service, limits).reserve(now, retryRatioShare*limits.Ratio, extra)
+	return h.ledger(service, limits).reserve(now, retryRatioShare*limits.Ratio, share*limits.Extra/float64(h.hosts))
 }
 
 // Release gives back a reserved retry that was not sent.
