Review, case 3: clients at all hosts

Cause: the script sent requests to the hosts without the lease only.

Change: six hosts, and the requests are spread over all of them.

--- a/review/_cases/silent.go
+++ b/review/_cases/silent.go
@@ -112,7 +112,7 @@
 // silentConnections has the open connections between the hosts go silent for good, while new ones work. Later a route is
 // added, whose requests ask for adapters that are not loaded yet. They are compared with those on the first route.
 func silentConnections(recordPath string, trouble bool) (int, error) {
-	l, err := newLab(recordPath, 5)
+	l, err := newLab(recordPath, 6)
 	if err != nil {
 		return noResult, err
 	}
@@ -155,12 +155,6 @@
 		return noResult, errors.New("no host gives orders")
 	}
 	l.record.printf("%s gives the orders to the engines", lease.Holder)
-	var hosts []*host // those that the clients reach
-	for _, h := range l.hosts {
-		if h.name != lease.Holder {
-			hosts = append(hosts, h)
-		}
-	}
 	first := platformtest.Call{Path: platformtest.StreamPath + "x", Method: http.MethodPost, Model: "m0", Deadline: 4 * time.Second, Body: "{}"}
 	// send sends a request to a host, for an adapter if its number is not 0, and reports whether it was served.
 	send := func(h *host, path, model string, adapter int) bool {
@@ -172,7 +166,7 @@
 		l.record.printf("request %s for %s on %s to %s: status %d, body complete %v, after %d ms", o.ID, call.Model, call.Path, h.name, o.Status, o.BodyComplete, o.Duration.Milliseconds())
 		return o.Status == http.StatusOK && o.BodyComplete
 	}
-	for i, h := range hosts {
+	for i, h := range l.hosts {
 		send(h, platformtest.StreamPath, "m0", i+1)
 	}
 	if trouble {
@@ -186,11 +180,11 @@
 	l.store.Put("config", "main", configWithAdapters(5, true))
 	l.record.printf("configuration 5 adds a route, acknowledged by the store")
 	time.Sleep(4 * time.Second) // longer than apply_ms
-	const perHost = 8
+	const perHost = 5
 	servedFirst, servedNew := 0, 0
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	for i, h := range hosts {
+	for i, h := range l.hosts {
 		wg.Go(func() {
 			for j := range perHost {
 				a, b := send(h, platformtest.StreamPath, "m0", 0), send(h, newRoutePath, "m1", i*perHost+j+1)
@@ -206,7 +200,7 @@
 		})
 	}
 	wg.Wait()
-	fmt.Printf("of %d requests each, %d on the first route and %d on the new route were served\n", perHost*len(hosts), servedFirst, servedNew)
+	fmt.Printf("of %d requests each, %d on the first route and %d on the new route were served\n", perHost*len(l.hosts), servedFirst, servedNew)
 	if 4*servedNew < servedFirst {
 		return broken, nil
 	}
