--- a/review/_cases/blocked.go
+++ b/review/_cases/blocked.go
@@ -14,6 +14,9 @@
 	"sycamoredeal/platform/platformtest"
 )
 
+// maxLostShare is the largest share of its requests whose answers a server loses, in the site file.
+const maxLostShare = 0.4
+
 func init() { cases["sound-route-blocked"] = soundRouteBlocked }
 
 // losingServer is an engine that, while losing is set, runs requests and loses the answers of some: it resets the
@@ -112,6 +115,9 @@
 	for _, s := range servers[:3] {
 		if s.losing.Swap(false) {
 			l.record.printf("%s has lost the answers of %d of %d requests", s.ID(), s.lost.Load(), s.ran.Load())
+			if float64(s.lost.Load()) > maxLostShare*float64(s.ran.Load()) {
+				return noResult, fmt.Errorf("%s lost the answers of more than %v of its requests", s.ID(), maxLostShare)
+			}
 		}
 	}
 	time.Sleep(5 * time.Second) // longer than stable_ms
