--- a/internal/host/compare_test.go
+++ b/internal/host/compare_test.go
@@ -24,7 +24,7 @@
 	var summaries []wire.ViewSummary
 	now := time.Now()
 	for i := range changes {
-		d.mirror.put(objects.Object{Kind: "servers", Name: fmt.Sprint("e", i%10), Version: fmt.Sprint(i + 1)})
+		d.mirror.put(objects.Object{Kind: "servers", Name: fmt.Sprint("e", i%10), Version: fmt.Sprint(i + 1)}, 0)
 		summaries = append(summaries, d.mirror.summary("servers"))
 		if i < behind {
 			continue
@@ -71,7 +71,7 @@
 		}
 		if forwarded > 0 {
 			o := store.put(entry)
-			h.applyUpdate(dispatcher.mirror.put(o))
+			h.applyUpdate(dispatcher.mirror.put(o, 0))
 		}
 		now := time.Now()
 		asks := h.compareSummaries(now, dispatcher.summaries())
--- a/internal/host/departures_test.go
+++ b/internal/host/departures_test.go
@@ -77,14 +77,14 @@
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			d.noteGeneration(objects.MakeVersion(2, 20))
-			d.retainEndpoints(map[string]bool{})
+			d.retainEndpoints(map[string]bool{}, 0)
 			d.publishView()
 		}, ready},
 		{"joined, not listed for longer", func(d *directory) {
 			put(d, 1, 50, "7/1/ready")
 			d.mu.Lock()
 			d.noteGeneration(objects.MakeVersion(2, 20))
-			d.retainEndpoints(map[string]bool{})
+			d.retainEndpoints(map[string]bool{}, 0)
 			d.mu.Unlock()
 			d.deleteAfterGrace(time.Now().Add(entryGrace + time.Second))
 		}, gone},
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -159,16 +159,34 @@
 }
 
 // recordObject adds an object to the mirror and collects the change for other hosts. The caller holds the lock.
-func (d *directory) recordObject(o objects.Object) {
+//
+// shownAt is the position at which the store showed the object, 0 if it is not known. It returns false if the object is older
+// than what is known of it, and then must not be used.
+func (d *directory) recordObject(o objects.Object, shownAt uint64) bool {
 	d.noteGeneration(o.Version)
-	if u := d.mirror.put(o); u != nil {
+	if d.mirror.isOutdated(o.Kind, o.Name, o.Version, shownAt) {
+		d.log.Info().Str("kind", o.Kind).Str("object", o.Name).Str("version", o.Version).Uint64("shownAt", shownAt).Msg("Outdated object ignored.")
+		return false
+	}
+	if u := d.mirror.put(o, shownAt); u != nil {
 		d.pendingUpdates = append(d.pendingUpdates, u)
 	}
+	return true
+}
+
+// markAbsent records that the store lacked an object at a position, 0 if it is not known. It returns false if what is known of
+// the object is newer. The caller holds the lock.
+func (d *directory) markAbsent(kind, name string, position uint64) bool {
+	if d.mirror.markAbsent(kind, name, position, time.Now()) {
+		return true
+	}
+	d.log.Info().Str("kind", kind).Str("object", name).Uint64("position", position).Msg("Outdated removal ignored.")
+	return false
 }
 
 // removeObject removes an object from the mirror and collects the change for other hosts. The caller holds the lock.
 func (d *directory) removeObject(kind, name string) {
-	if u := d.mirror.remove(kind, name); u != nil {
+	if u := d.mirror.remove(kind, name, time.Now()); u != nil {
 		d.pendingUpdates = append(d.pendingUpdates, u)
 	}
 }
@@ -283,17 +301,19 @@
 
 // removeConfig removes a configuration object from the mirror. The configuration in force stays. The caller holds the
 // lock.
-func (d *directory) removeConfig(name string) {
+func (d *directory) removeConfig(name string, position uint64) {
 	config, _ := d.h.opts.Codec.Kinds()
-	d.removeObject(config, name)
+	if d.markAbsent(config, name, position) {
+		d.removeObject(config, name)
+	}
 }
 
 // retainConfigs removes the configuration objects that a full list does not show. The caller holds the lock.
-func (d *directory) retainConfigs(names map[string]bool) {
+func (d *directory) retainConfigs(names map[string]bool, position uint64) {
 	d.configsListed = true
 	config, _ := d.h.opts.Codec.Kinds()
-	for _, name := range d.mirror.missing(config, names) {
-		d.removeConfig(name)
+	for _, name := range d.mirror.missing(config, names, position) {
+		d.removeConfig(name, position)
 	}
 }
 
@@ -354,7 +374,10 @@
 // removeEndpoint handles the removal of an endpoint's entry. Entries expire during an outage of the store although
 // their servers are running, so until entryGrace after an outage the endpoint is kept, to give the entry time to come
 // back. The caller holds the lock.
-func (d *directory) removeEndpoint(id string) {
+func (d *directory) removeEndpoint(id string, position uint64) {
+	if _, kind := d.h.opts.Codec.Kinds(); !d.markAbsent(kind, id, position) {
+		return
+	}
 	if _, known := d.endpoints[id]; known && time.Now().Before(d.outageEndedAt.Add(entryGrace)) && !d.endpoints[id].Draining {
 		until := d.outageEndedAt.Add(entryGrace)
 		if _, ok := d.graceUntil[id]; !ok {
@@ -408,11 +431,11 @@
 }
 
 // retainEndpoints removes the endpoints that a full list does not show. The caller holds the lock.
-func (d *directory) retainEndpoints(names map[string]bool) {
+func (d *directory) retainEndpoints(names map[string]bool, position uint64) {
 	d.endpointsListed = true
 	_, kind := d.h.opts.Codec.Kinds()
-	for _, id := range unlisted(d.mirror, kind, d.endpoints, names) {
-		d.removeEndpoint(id)
+	for _, id := range unlisted(d.mirror, kind, d.endpoints, names, position) {
+		d.removeEndpoint(id, position)
 	}
 }
 
@@ -429,11 +452,14 @@
 	}
 	_, kind := d.h.opts.Codec.Kinds()
 	for _, id := range d.departed.expire(now) {
-		if o, listed := d.mirror[kind][id]; listed {
+		if o, listed := d.mirror.object(kind, id); listed {
 			d.putEndpoint(o.Object)
 			changed = true
 		}
 	}
+	for _, k := range d.mirror {
+		k.absences.expire(now)
+	}
 	if changed {
 		d.publishView()
 	}
@@ -462,7 +488,10 @@
 }
 
 // removeHost removes a host. The own host object is then written again. The caller holds the lock.
-func (d *directory) removeHost(name string) {
+func (d *directory) removeHost(name string, position uint64) {
+	if !d.markAbsent(kindHosts, name, position) {
+		return
+	}
 	delete(d.hosts, name)
 	d.hostsChanged = true
 	d.removeObject(kindHosts, name)
@@ -473,11 +502,11 @@
 }
 
 // retainHosts removes the hosts that a full list does not show. The caller holds the lock.
-func (d *directory) retainHosts(names map[string]bool) {
+func (d *directory) retainHosts(names map[string]bool, position uint64) {
 	own := d.h.deployment().Host
-	for _, name := range unlisted(d.mirror, kindHosts, d.hosts, names) {
-		if _, mirrored := d.mirror[kindHosts][name]; mirrored || name != own { // a list may be older than the registration
-			d.removeHost(name)
+	for _, name := range unlisted(d.mirror, kindHosts, d.hosts, names, position) {
+		if _, mirrored := d.mirror.object(kindHosts, name); mirrored || name != own { // a list may be older than the registration
+			d.removeHost(name, position)
 		}
 	}
 	d.triggerRegistration()
--- a/internal/host/directory_test.go
+++ b/internal/host/directory_test.go
@@ -112,8 +112,8 @@
 		t.Fatalf("view after the reply: %+v", v)
 	}
 	d.mu.Lock()
-	d.retainEndpoints(map[string]bool{"kept": true})
-	d.retainHosts(map[string]bool{})
+	d.retainEndpoints(map[string]bool{"kept": true}, 0)
+	d.retainHosts(map[string]bool{}, 0)
 	d.publishView()
 	d.mu.Unlock()
 	if v := d.view(); v.Endpoint("gone") != nil || v.Endpoint("kept") == nil || len(v.Hosts) != 0 {
--- a/internal/host/dispatcher_test.go
+++ b/internal/host/dispatcher_test.go
@@ -122,7 +122,7 @@
 func TestViewAnswersLeaveLink(t *testing.T) {
 	const hosts, size, linkMbps = 18, 53_000, 10.0
 	h := New(Options{Deployment: fleet.Deployment{Host: "h0", LinkMbps: linkMbps}, Codec: entryCodec{}, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
-	h.directory.mirror.put(objects.Object{Kind: "config", Name: "c", Version: "1", Data: make([]byte, size)})
+	h.directory.mirror.put(objects.Object{Kind: "config", Name: "c", Version: "1", Data: make([]byte, size)}, 0)
 	sent := 0
 	for range hosts {
 		if u := h.dispatcher.viewAnswer(&wire.ViewAsk{ObjectKind: "config"}); !u.Fetch {
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -14,10 +14,10 @@
 // kindWatch holds how the directory follows one kind of objects.
 type kindWatch struct {
 	kind    string
-	maxWait time.Duration          // of a call for changes, 0 to derive it from the deployment's bounds
-	put     func(o objects.Object) // adds or replaces an object
-	remove  func(name string)
-	retain  func(names map[string]bool) // removes the objects that a full list does not show
+	maxWait time.Duration                                // of a call for changes, 0 to derive it from the deployment's bounds
+	put     func(o objects.Object)                       // adds or replaces an object
+	remove  func(name string, position uint64)           // position of the store at which the object was gone
+	retain  func(names map[string]bool, position uint64) // removes the objects that a full list of that position does not show
 }
 
 // watchKind keeps one kind up to date until ctx ends. It lists the kind, asks the store for changes, and lists again if
@@ -51,7 +51,7 @@
 		case d.waitsForStore(w.kind):
 			clock.Sleep(ctx, forwardPollInterval)
 			continue
-		case version == "" || d.isStale(w.kind):
+		case version == "" || d.isStale(w.kind) || d.hasForgotten(w.kind, version):
 			// A host that already follows the kind lists it too: a stale kind is not forwarded until it has been listed.
 			version, err = d.listKind(ctx, w)
 		default:
@@ -120,14 +120,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.noteGeneration(version)
-	first, pending := len(d.mirror[w.kind]) == 0, len(d.pendingUpdates)
+	first, pending := d.mirror.count(w.kind) == 0, len(d.pendingUpdates)
 	d.mirror.add(w.kind)
+	position := parseRevision(version)
 	for _, o := range list {
 		names[o.Name] = true
-		d.recordObject(o)
-		w.put(o)
+		if d.recordObject(o, position) {
+			w.put(o)
+		}
 	}
-	w.retain(names)
+	w.retain(names, position)
+	d.mirror.advance(w.kind, position)
 	if first {
 		// Other hosts ask for what they lack, by the summaries in broadcasts. Sent to each of them, the whole list would fill
 		// the dispatcher's link when all hosts start.
@@ -163,6 +166,7 @@
 	}
 	d.recordAnswer(w.kind)
 	if len(events) == 0 {
+		d.advance(w.kind, next)
 		return next, 0, nil
 	}
 	starting := w.kind == kindHosts && d.h.binder.isStarting()
@@ -170,16 +174,24 @@
 	defer d.mu.Unlock()
 	ownListed := false
 	d.seriesBegun = w.kind == config
-	for _, e := range events {
+	last := make(map[string]int, len(events)) // index of each object's last event
+	for i, e := range events {
+		last[e.Object.Name] = i
+	}
+	for i, e := range events {
 		ownListed = ownListed || e.Object.Name == d.h.deployment().Host
 		if e.Type == objects.EventDeleted {
 			d.seriesBegun = w.kind != kindHosts
-			w.remove(e.Object.Name)
-		} else {
-			d.recordObject(e.Object)
+			position := parseRevision(e.Object.Version)
+			if last[e.Object.Name] == i {
+				position = max(position, parseRevision(next)) // the answer holds all changes up to next
+			}
+			w.remove(e.Object.Name, position)
+		} else if d.recordObject(e.Object, 0) {
 			w.put(e.Object)
 		}
 	}
+	d.mirror.advance(w.kind, parseRevision(next))
 	d.noteRegistration(w.kind, ownListed)
 	d.publishView()
 	// The entries of endpoints are rewritten all the time without a difference to what the view holds of them, and all
@@ -199,6 +211,21 @@
 	}
 }
 
+// advance records that all changes of a kind up to a version are known.
+func (d *directory) advance(kind, version string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mirror.advance(kind, parseRevision(version))
+}
+
+// hasForgotten reports whether changes of a kind after a version may contradict removals that are no longer kept.
+func (d *directory) hasForgotten(kind, version string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k := d.mirror[kind]
+	return k != nil && parseRevision(version) < k.absences.forgotten
+}
+
 // isStoreLost reports whether calls for a kind are failing.
 func (d *directory) isStoreLost(kind string) bool {
 	d.mu.Lock()
--- a/internal/host/mirror.go
+++ b/internal/host/mirror.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sort"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,7 +18,18 @@
 // Hosts compare a digest of each kind with the dispatcher's. Equal digests mean equal objects, so a host that turns to
 // another dispatcher gets only the objects that it lacks: the full view for each of a hundred hosts would fill the
 // dispatcher's link for seconds.
-type mirror map[string]map[string]mirroredObject
+//
+// Objects and removals come from this host's own calls and from other hosts, in any order and more than once. Each has a
+// position in the store's order of changes, and one that is older than what is known has no effect.
+type mirror map[string]*mirroredKind
+
+// mirroredKind holds the objects of one kind.
+type mirroredKind struct {
+	objects  map[string]mirroredObject
+	absences absences
+	// position is the highest position up to which all changes are known, 0 if there is none.
+	position uint64
+}
 
 // mirroredObject is an object with the values that summaries are computed from.
 type mirroredObject struct {
@@ -29,21 +41,61 @@
 // maxPatchShare is the share of an object's size below which a change is sent as a patch.
 const maxPatchShare = 0.5
 
-// add adds a kind without objects, so that it has a summary. Other hosts can't tell otherwise that there are none.
-func (m mirror) add(kind string) {
+// add adds a kind without objects, so that it has a summary. Other hosts can't tell otherwise that there are none. It returns
+// the kind.
+func (m mirror) add(kind string) *mirroredKind {
 	if m[kind] == nil {
-		m[kind] = make(map[string]mirroredObject)
+		m[kind] = &mirroredKind{objects: make(map[string]mirroredObject), absences: newAbsences()}
+	}
+	return m[kind]
+}
+
+// object returns an object, if the mirror has it.
+func (m mirror) object(kind, name string) (mirroredObject, bool) {
+	if k := m[kind]; k != nil {
+		o, ok := k.objects[name]
+		return o, ok
+	}
+	return mirroredObject{}, false
+}
+
+// count returns the number of objects of a kind.
+func (m mirror) count(kind string) int {
+	if k := m[kind]; k != nil {
+		return len(k.objects)
+	}
+	return 0
+}
+
+// isOutdated reports whether an object that the store showed at a position is older than what is known of it: a newer
+// version, or that it was gone later. shownAt is 0 if only the object's version is known. A version without an order is not
+// outdated.
+func (m mirror) isOutdated(kind, name, version string, shownAt uint64) bool {
+	k, revision := m[kind], parseRevision(version)
+	if k == nil || revision == 0 {
+		return false
+	}
+	known, exists := k.objects[name]
+	if exists && revision < known.revision {
+		return true
 	}
+	absentAt := k.absences.byName[name].position
+	if !exists {
+		absentAt = max(absentAt, k.absences.forgotten, k.position)
+	}
+	return max(revision, shownAt) <= absentAt
 }
 
-// put stores an object and returns the update for other hosts, or nil if the mirror has this version already.
-func (m mirror) put(o objects.Object) *wire.ViewUpdate {
-	m.add(o.Kind)
-	old, known := m[o.Kind][o.Name]
+// put stores an object that the store showed at a position, and returns the update for other hosts, or nil if the mirror has
+// this version already.
+func (m mirror) put(o objects.Object, shownAt uint64) *wire.ViewUpdate {
+	k := m.add(o.Kind)
+	delete(k.absences.byName, o.Name)
+	old, known := k.objects[o.Name]
 	if known && old.Version == o.Version {
 		return nil
 	}
-	m[o.Kind][o.Name] = mirroredObject{o, parseRevision(o.Version), xxhash.Sum64String(o.Name + " " + o.Version)}
+	k.objects[o.Name] = mirroredObject{o, parseRevision(o.Version), xxhash.Sum64String(o.Name + " " + o.Version)}
 	if known {
 		if p := makePatch(old.Data, o.Data); float64(len(p.Middle)) < maxPatchShare*float64(len(o.Data)) {
 			p.Name, p.From, p.Version = o.Name, old.Version, o.Version
@@ -53,34 +105,66 @@
 	return &wire.ViewUpdate{ObjectKind: o.Kind, Objects: []wire.StoredObject{toStoredObject(o)}}
 }
 
-// remove removes an object and returns the update for other hosts, or nil if the mirror does not have the object. A relay
-// and its dispatcher forward updates to each other, so a removal that is already known must not make another one.
-func (m mirror) remove(kind, name string) *wire.ViewUpdate {
-	if _, known := m[kind][name]; !known {
+// markAbsent records that the store lacked an object at a position; 0 stands for that of the known version. It returns false
+// if what is known of the object is newer. The object stays until remove is called.
+func (m mirror) markAbsent(kind, name string, position uint64, now time.Time) bool {
+	k := m.add(kind)
+	known, exists := k.objects[name]
+	if exists && position > 0 && known.revision > position {
+		return false
+	}
+	k.absences.record(name, max(position, known.revision), now)
+	return true
+}
+
+// remove removes an object, and returns the update for other hosts, or nil if the mirror does not
+// have the object. A relay and its dispatcher forward updates to each other, so a removal that is already known must not make
+// another one.
+func (m mirror) remove(kind, name string, now time.Time) *wire.ViewUpdate {
+	known, exists := m.object(kind, name)
+	if !exists {
 		return nil
 	}
-	delete(m[kind], name)
-	return &wire.ViewUpdate{ObjectKind: kind, Removed: []string{name}}
+	k := m[kind]
+	delete(k.objects, name)
+	k.absences.record(name, known.revision, now)
+	u := &wire.ViewUpdate{ObjectKind: kind, Removed: []string{name}, RemovedAt: []uint64{k.absences.byName[name].position}}
+	m.advance(kind, 0)
+	return u
 }
 
-// missing returns the sorted names of a kind's objects that are not in listed.
-func (m mirror) missing(kind string, listed map[string]bool) []string {
+// advance records that all changes of a kind up to a position are known: whatever the mirror lacks was absent then.
+func (m mirror) advance(kind string, position uint64) {
+	k := m.add(kind)
+	k.position = max(k.position, position)
+	for name, a := range k.absences.byName {
+		if _, kept := k.objects[name]; !kept && a.position <= k.position {
+			delete(k.absences.byName, name)
+		}
+	}
+}
+
+// missing returns the sorted names of a kind's objects that are not in listed and not newer than position, the store's when it
+// made the list; 0 stands for no limit.
+func (m mirror) missing(kind string, listed map[string]bool, position uint64) []string {
 	var out []string
-	for name := range m[kind] {
-		if !listed[name] {
-			out = append(out, name)
+	if k := m[kind]; k != nil {
+		for name, o := range k.objects {
+			if !listed[name] && (position == 0 || o.revision <= position) {
+				out = append(out, name)
+			}
 		}
 	}
 	sort.Strings(out)
 	return out
 }
 
-// unlisted returns the sorted names of a kind's objects that are not in listed. Objects of the view that came from a seed are
-// not in the mirror.
-func unlisted[V any](m mirror, kind string, view map[string]V, listed map[string]bool) []string {
-	out := m.missing(kind, listed)
+// unlisted returns the sorted names of a kind's objects that are missing in a list. Objects of the view that came from a seed
+// are not in the mirror.
+func unlisted[V any](m mirror, kind string, view map[string]V, listed map[string]bool, position uint64) []string {
+	out := m.missing(kind, listed, position)
 	for name := range view {
-		if _, mirrored := m[kind][name]; !mirrored && !listed[name] {
+		if _, mirrored := m.object(kind, name); !mirrored && !listed[name] {
 			out = append(out, name)
 		}
 	}
@@ -117,7 +201,12 @@
 // summary returns the digest of a kind and its highest revision.
 func (m mirror) summary(kind string) wire.ViewSummary {
 	s := wire.ViewSummary{Of: kind}
-	for _, o := range m[kind] {
+	k := m[kind]
+	if k == nil {
+		return s
+	}
+	s.Position = k.position
+	for _, o := range k.objects {
 		s.Digest += o.hash // a sum, as it does not depend on the order of the map
 		s.Newest = max(s.Newest, o.revision)
 	}
@@ -135,32 +224,63 @@
 }
 
 // updateSince returns the update for a host whose highest revision of a kind is newest: the objects with a higher one,
-// and the names of all objects, by which the host notices those that were removed.
+// the names of all objects, by which the host notices those that were removed, and the removals that Position does not cover.
 func (m mirror) updateSince(kind string, newest uint64) *wire.ViewUpdate {
 	u := &wire.ViewUpdate{ObjectKind: kind, Complete: true}
-	for name, o := range m[kind] {
+	k := m[kind]
+	if k == nil {
+		return u
+	}
+	u.Position = k.position
+	for name, o := range k.objects {
 		u.Names = append(u.Names, name)
 		if o.revision > newest {
 			u.Objects = append(u.Objects, toStoredObject(o.Object))
 		}
 	}
+	for name, a := range k.absences.byName {
+		if _, kept := k.objects[name]; !kept {
+			u.Removed, u.RemovedAt = append(u.Removed, name), append(u.RemovedAt, a.position)
+		}
+	}
 	sort.Strings(u.Names)
 	return u
 }
 
-// resolve returns the objects of an update that are newer than those in the mirror, and the names of removed objects.
+// removal is an object that was gone at a position of the store, 0 if it is not known.
+type removal struct {
+	name     string
+	position uint64
+}
+
+// removalsIn returns the removals that an update states by themselves.
+func removalsIn(u *wire.ViewUpdate) []removal {
+	var out []removal
+	for i, name := range u.Removed {
+		r := removal{name: name}
+		if i < len(u.RemovedAt) {
+			r.position = u.RemovedAt[i]
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// resolve returns the objects of an update that are newer than what is known, and the removed objects.
 // ok is false if a patch does not fit: the kind then has to be read from the store.
-func (m mirror) resolve(u *wire.ViewUpdate) (newObjects []objects.Object, removed []string, ok bool) {
+func (m mirror) resolve(u *wire.ViewUpdate) (newObjects []objects.Object, removed []removal, ok bool) {
 	ok = true
 	for _, s := range u.Objects {
-		if known, exists := m[u.ObjectKind][s.Name]; !exists || isNewer(s.Version, known.Version) {
-			newObjects = append(newObjects, objects.Object{Kind: s.Kind, Name: s.Name, Version: s.Version, Data: s.Data})
+		known, exists := m.object(u.ObjectKind, s.Name)
+		if exists && !isNewer(s.Version, known.Version) || m.isOutdated(u.ObjectKind, s.Name, s.Version, u.Position) {
+			continue
 		}
+		newObjects = append(newObjects, objects.Object{Kind: s.Kind, Name: s.Name, Version: s.Version, Data: s.Data})
 	}
 	for i := range u.Patches {
 		p := &u.Patches[i]
-		known, exists := m[u.ObjectKind][p.Name]
-		if exists && !isNewer(p.Version, known.Version) {
+		known, exists := m.object(u.ObjectKind, p.Name)
+		if exists && !isNewer(p.Version, known.Version) || m.isOutdated(u.ObjectKind, p.Name, p.Version, 0) {
 			continue
 		}
 		data, fits := applyPatch(known.Data, p)
@@ -170,17 +290,24 @@
 		}
 		newObjects = append(newObjects, objects.Object{Kind: u.ObjectKind, Name: p.Name, Version: p.Version, Data: data})
 	}
-	removed = u.Removed
-	if u.Complete {
-		names := make(map[string]bool, len(u.Names))
-		for _, name := range u.Names {
-			names[name] = true
+	removed = removalsIn(u)
+	if u.Complete && u.Position > 0 {
+		for _, name := range m.missing(u.ObjectKind, namesIn(u), u.Position) {
+			removed = append(removed, removal{name, u.Position})
 		}
-		removed = append(removed, m.missing(u.ObjectKind, names)...)
 	}
 	return newObjects, removed, ok
 }
 
+// namesIn returns the names that a full update lists.
+func namesIn(u *wire.ViewUpdate) map[string]bool {
+	names := make(map[string]bool, len(u.Names))
+	for _, name := range u.Names {
+		names[name] = true
+	}
+	return names
+}
+
 // mergeUpdates joins updates of the same kind in their order. A joined update names no object twice and has no more
 // than maxBytes bytes. Full lists and announcements of long changes are not joined with others.
 func mergeUpdates(updates []*wire.ViewUpdate, maxBytes float64) []*wire.ViewUpdate {
@@ -191,12 +318,18 @@
 		into, added := last[u.ObjectKind], objectNames(u)
 		if into == nil || float64(updateSize(into)+updateSize(u)) > maxBytes || u.Complete || u.Fetch || into.Complete || into.Fetch || containsAny(names[u.ObjectKind], added) {
 			c := *u
+			c.RemovedAt = nil // as long as Removed
+			for _, r := range removalsIn(u) {
+				c.RemovedAt = append(c.RemovedAt, r.position)
+			}
 			out = append(out, &c)
 			last[u.ObjectKind], names[u.ObjectKind] = &c, make(map[string]bool)
 		} else {
 			into.Objects = append(slices.Clip(into.Objects), u.Objects...)
 			into.Patches = append(slices.Clip(into.Patches), u.Patches...)
-			into.Removed = append(slices.Clip(into.Removed), u.Removed...)
+			for _, r := range removalsIn(u) {
+				into.Removed, into.RemovedAt = append(slices.Clip(into.Removed), r.name), append(slices.Clip(into.RemovedAt), r.position)
+			}
 		}
 		for _, n := range added {
 			names[u.ObjectKind][n] = true
--- a/internal/host/mirror_test.go
+++ b/internal/host/mirror_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -30,14 +31,19 @@
 func (m mirror) apply(u *wire.ViewUpdate) bool {
 	newObjects, removed, ok := m.resolve(u)
 	for _, o := range newObjects {
-		m.put(o)
+		m.put(o, u.Position)
 	}
-	for _, name := range removed {
-		m.remove(u.ObjectKind, name)
+	for _, r := range removed {
+		if m.markAbsent(u.ObjectKind, r.name, r.position, time.Now()) {
+			m.remove(u.ObjectKind, r.name, time.Now())
+		}
 	}
 	return ok
 }
 
+// objectsOf returns the objects of a kind as text.
+func objectsOf(m mirror, kind string) string { return fmt.Sprint(m.add(kind).objects) }
+
 // TestMirrorConverges guards against hosts whose objects stay different from the dispatcher's, whichever updates they
 // missed: the update from updateSince has to make the objects equal, and equal digests have to mean equal objects.
 func TestMirrorConverges(t *testing.T) {
@@ -50,8 +56,8 @@
 			var u *wire.ViewUpdate
 			if revision++; rapid.IntRange(0, 3).Draw(t, "step") > 0 {
 				data := fmt.Sprintf("a long text that stays %d and ends alike", rapid.IntRange(0, 9).Draw(t, "data"))
-				u = theirs.put(objects.Object{Kind: kind, Name: name, Version: fmt.Sprint(revision), Data: []byte(data)})
-			} else if u = theirs.remove(kind, name); u == nil {
+				u = theirs.put(objects.Object{Kind: kind, Name: name, Version: fmt.Sprint(revision), Data: []byte(data)}, 0)
+			} else if u = theirs.remove(kind, name, time.Now()); u == nil {
 				continue // nothing to remove, and nothing to send
 			}
 			if !own.apply(u) {
@@ -64,14 +70,14 @@
 		for range rapid.IntRange(0, 10).Draw(t, "missed") {
 			revision++
 			name := fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "late name"))
-			theirs.put(objects.Object{Kind: kind, Name: name, Version: fmt.Sprint(revision), Data: []byte(name)})
+			theirs.put(objects.Object{Kind: kind, Name: name, Version: fmt.Sprint(revision), Data: []byte(name)}, 0)
 		}
 		equal := theirs.summary(kind).Digest == own.summary(kind).Digest
 		own.apply(theirs.updateSince(kind, own.summary(kind).Newest))
-		if equal != (fmt.Sprint(theirs) == fmt.Sprint(own)) && equal {
+		if equal != (objectsOf(theirs, kind) == objectsOf(own, kind)) && equal {
 			t.Fatalf("equal digests of\n%v\n%v", theirs, own)
 		}
-		if theirs.summary(kind).Digest != own.summary(kind).Digest || fmt.Sprint(theirs[kind]) != fmt.Sprint(own[kind]) {
+		if theirs.summary(kind).Digest != own.summary(kind).Digest || objectsOf(theirs, kind) != objectsOf(own, kind) {
 			t.Fatalf("after the update:\n%v\n%v", theirs, own)
 		}
 	})
@@ -80,7 +86,7 @@
 // TestPatchOfOtherVersion guards against a patch that is applied to another version than the one that it was made from.
 func TestPatchOfOtherVersion(t *testing.T) {
 	m := make(mirror)
-	m.put(objects.Object{Kind: "k", Name: "n", Version: "3", Data: []byte("data")})
+	m.put(objects.Object{Kind: "k", Name: "n", Version: "3", Data: []byte("data")}, 0)
 	u := &wire.ViewUpdate{ObjectKind: "k", Patches: []wire.ObjectPatch{{Name: "n", From: "4", Version: "5", Prefix: 1, Middle: []byte("x")}}}
 	if newObjects, _, ok := m.resolve(u); ok || len(newObjects) > 0 {
 		t.Errorf("patched: %v", newObjects)
@@ -102,8 +108,8 @@
 			name := fmt.Sprint("n", rapid.IntRange(0, 4).Draw(t, "name"))
 			if rapid.IntRange(0, 3).Draw(t, "step") > 0 {
 				data := fmt.Sprintf("a long text that stays %d and ends alike", rapid.IntRange(0, 9).Draw(t, "data"))
-				batch = append(batch, theirs.put(objects.Object{Kind: kind, Name: name, Version: fmt.Sprint(i + 1), Data: []byte(data)}))
-			} else if u := theirs.remove(kind, name); u != nil {
+				batch = append(batch, theirs.put(objects.Object{Kind: kind, Name: name, Version: fmt.Sprint(i + 1), Data: []byte(data)}, 0))
+			} else if u := theirs.remove(kind, name, time.Now()); u != nil {
 				batch = append(batch, u)
 			}
 			if rapid.IntRange(0, 5).Draw(t, "send") > 0 {
@@ -120,7 +126,7 @@
 			own.apply(u)
 		}
 		for _, kind := range []string{"k0", "k1"} {
-			if len(theirs[kind])+len(own[kind]) > 0 && fmt.Sprint(theirs[kind]) != fmt.Sprint(own[kind]) {
+			if objectsOf(theirs, kind) != objectsOf(own, kind) {
 				t.Fatalf("%s:\n%v\n%v", kind, theirs[kind], own[kind])
 			}
 		}
@@ -133,7 +139,7 @@
 	m := make(mirror)
 	var batch []*wire.ViewUpdate
 	for i := range 20 {
-		batch = append(batch, m.put(objects.Object{Kind: "k", Name: fmt.Sprint("n", i), Version: fmt.Sprint(i + 1)}))
+		batch = append(batch, m.put(objects.Object{Kind: "k", Name: fmt.Sprint("n", i), Version: fmt.Sprint(i + 1)}, 0))
 	}
 	if n := len(mergeUpdates(batch, 1000)); n != 1 {
 		t.Errorf("20 changes of different objects make %d messages", n)
--- a/internal/host/passedon.go
+++ b/internal/host/passedon.go
@@ -26,16 +26,14 @@
 func (d *directory) applyUpdate(m *wire.ViewUpdate) {
 	config, endpoints := d.h.opts.Codec.Kinds()
 	puts := map[string]func(objects.Object){config: d.putConfig, endpoints: d.putEndpoint, kindHosts: d.putHost}
-	removes := map[string]func(string){
-		config: d.removeConfig, endpoints: func(id string) { d.deleteEndpoint(id, "removed at the dispatcher") }, kindHosts: d.removeHost,
-	}
+	removes := map[string]func(string, uint64){config: d.removeConfig, endpoints: d.removeForwarded, kindHosts: d.removeHost}
 	put, remove := puts[m.ObjectKind], removes[m.ObjectKind]
 	if put == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := len(d.mirror[m.ObjectKind]) > 0 // a host that has just started has asked for all objects, whose answer is on the way
+	known := d.mirror.count(m.ObjectKind) > 0 // a host that has just started has asked for all objects, whose answer is on the way
 	newObjects, removed, ok := d.mirror.resolve(m)
 	if !ok && known || m.Fetch {
 		d.stale[m.ObjectKind] = true
@@ -47,29 +45,42 @@
 			Msg("Objects passed on are not newer than those here.")
 	}
 	for _, o := range newObjects {
-		d.recordObject(o)
-		put(o)
+		if d.recordObject(o, m.Position) {
+			put(o)
+		}
 	}
 	if m.Complete && m.ObjectKind == endpoints {
 		d.endpointsListed = true
-		listed := make(map[string]bool, len(m.Names))
-		for _, name := range m.Names {
-			listed[name] = true
+		listed := namesIn(m)
+		for id := range d.endpoints { // those from a seed are not in the mirror
+			if _, mirrored := d.mirror.object(endpoints, id); !mirrored && !listed[id] {
+				removed = append(removed, removal{id, m.Position})
+			}
 		}
-		removed = unlisted(d.mirror, endpoints, d.endpoints, listed)
 	}
 	if m.Complete && m.ObjectKind == config {
 		d.configsListed = true
 	}
-	for _, name := range removed {
-		remove(name)
+	for _, r := range removed {
+		remove(r.name, r.position)
 	}
 	if m.Complete {
 		d.received[m.ObjectKind] = true
+		if ok {
+			d.mirror.advance(m.ObjectKind, m.Position)
+		}
 	}
 	d.publishView()
 }
 
+// removeForwarded removes an endpoint that another host says is gone. That host has waited for entries that come back after an
+// outage of the store. The caller holds the lock.
+func (d *directory) removeForwarded(id string, position uint64) {
+	if _, kind := d.h.opts.Codec.Kinds(); d.markAbsent(kind, id, position) {
+		d.deleteEndpoint(id, "removed at the dispatcher")
+	}
+}
+
 // markAllStale has all kinds read from the store.
 func (d *directory) markAllStale() {
 	d.mu.Lock()
@@ -109,8 +120,9 @@
 		switch {
 		case received && own.Digest == theirs.Digest:
 			current = mismatch{}
-		case received && own.Newest > theirs.Newest:
-			current = mismatch{} // this host has newer objects, so the summary does not show whether it lacks any
+			d.mirror.advance(theirs.Of, theirs.Position)
+		case received && (own.Newest > theirs.Newest || own.Position > theirs.Position):
+			current = mismatch{} // this host knows newer changes, so the summary does not show whether it lacks any
 		case current.since.IsZero() && (!received || own.Digest == 0): // this host has just started
 			current.since, current.asks = now, current.asks+1
 			asks = append(asks, &wire.ViewAsk{ObjectKind: theirs.Of})
--- a/internal/host/seeds.go
+++ b/internal/host/seeds.go
@@ -66,7 +66,7 @@
 	addEndpoints := !d.endpointsListed
 	for _, s := range m.Objects {
 		o := objects.Object{Kind: s.Kind, Name: s.Name, Version: s.Version, Data: s.Data}
-		if known, exists := d.mirror[s.Kind][s.Name]; exists && !isNewer(s.Version, known.Version) {
+		if known, exists := d.mirror.object(s.Kind, s.Name); exists && !isNewer(s.Version, known.Version) || d.mirror.isOutdated(s.Kind, s.Name, s.Version, 0) {
 			continue
 		}
 		switch {
@@ -90,8 +90,8 @@
 	out := &wire.ViewReply{}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, byName := range d.mirror {
-		for _, o := range byName {
+	for _, k := range d.mirror {
+		for _, o := range k.objects {
 			out.Objects = append(out.Objects, toStoredObject(o.Object))
 		}
 	}
--- a/internal/host/storecalls.go
+++ b/internal/host/storecalls.go
@@ -37,7 +37,7 @@
 	switch {
 	case lost:
 		return causeOutage
-	case d.answeredAt[kind].IsZero() && len(d.mirror[kind]) == 0:
+	case d.answeredAt[kind].IsZero() && d.mirror.count(kind) == 0:
 		return causeStart
 	case d.stale[kind]:
 		return causeStale
--- a/internal/host/storefake_test.go
+++ b/internal/host/storefake_test.go
@@ -79,6 +79,28 @@
 	return o
 }
 
+// delete removes an object as the platform does.
+func (s *fakeStore) delete(kind, name string) objects.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o := objects.Object{Kind: kind, Name: name, Version: objects.MakeVersion(s.generation, s.revision)}
+	delete(s.current[kind], name)
+	s.history = append(s.history, objects.Event{Type: objects.EventDeleted, Object: o})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return o
+}
+
+// setFailing makes all calls fail with err from now on, or succeed again if it is nil.
+func (s *fakeStore) setFailing(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = err
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // setSilent starts or ends a time without answers, in which waiting calls lose their answers too.
 func (s *fakeStore) setSilent(on bool) {
 	s.mu.Lock()
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -588,6 +588,8 @@
 	Names      []string       `msg:"e"`
 	Patches    []ObjectPatch  `msg:"f"`
 	Fetch      bool           `msg:"g"` // the change is too long to forward, so the host reads the kind from the store
+	RemovedAt  []uint64       `msg:"h"` // for each of Removed a position of the store at which it was gone, 0 if not known
+	Position   uint64         `msg:"i"` // of a complete update: the sender knows all changes up to here, 0 if not known
 }
 
 // ObjectPatch is a change of an object's data: it replaces the bytes between an unchanged prefix and suffix.
@@ -605,6 +607,8 @@
 	Of     string // kind of the objects
 	Newest uint64 // highest version
 	Digest uint64 // digest of the names and versions
+	// Position is the highest position of the store up to which the host knows all changes of the kind.
+	Position uint64
 }
 
 // RelayBeat is sent several times a second by a host that follows the store on behalf of a dispatcher that can't reach it.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -2629,16 +2629,11 @@
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Views)))
 	for za0003 := range z.Views {
-		// map header, size 3
-		// string "Of"
-		o = append(o, 0x83, 0xa2, 0x4f, 0x66)
-		o = msgp.AppendString(o, z.Views[za0003].Of)
-		// string "Newest"
-		o = append(o, 0xa6, 0x4e, 0x65, 0x77, 0x65, 0x73, 0x74)
-		o = msgp.AppendUint64(o, z.Views[za0003].Newest)
-		// string "Digest"
-		o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
-		o = msgp.AppendUint64(o, z.Views[za0003].Digest)
+		o, err = z.Views[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Views", za0003)
+			return
+		}
 	}
 	// string "i"
 	o = append(o, 0xa1, 0x69)
@@ -2856,68 +2851,33 @@
 				z.Views = make([]ViewSummary, zb0005)
 			}
 			for za0003 := range z.Views {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Views[za0003].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Views", za0003)
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Views", za0003)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "Of":
-						z.Views[za0003].Of, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Views", za0003, "Of")
-							return
-						}
-					case "Newest":
-						z.Views[za0003].Newest, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Views", za0003, "Newest")
-							return
-						}
-					case "Digest":
-						z.Views[za0003].Digest, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Views", za0003, "Digest")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Views", za0003)
-							return
-						}
-					}
-				}
 			}
 		case "i":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "StoreLoads")
 				return
 			}
-			if cap(z.StoreLoads) >= int(zb0007) {
-				z.StoreLoads = (z.StoreLoads)[:zb0007]
+			if cap(z.StoreLoads) >= int(zb0006) {
+				z.StoreLoads = (z.StoreLoads)[:zb0006]
 			} else {
-				z.StoreLoads = make([]StoreLoads, zb0007)
+				z.StoreLoads = make([]StoreLoads, zb0006)
 			}
 			for za0004 := range z.StoreLoads {
-				var zb0008 uint32
-				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "StoreLoads", za0004)
 					return
 				}
-				for zb0008 > 0 {
-					zb0008--
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "StoreLoads", za0004)
@@ -2931,16 +2891,16 @@
 							return
 						}
 					case "AgesMs":
-						var zb0009 uint32
-						zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						var zb0008 uint32
+						zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "StoreLoads", za0004, "AgesMs")
 							return
 						}
-						if cap(z.StoreLoads[za0004].AgesMs) >= int(zb0009) {
-							z.StoreLoads[za0004].AgesMs = (z.StoreLoads[za0004].AgesMs)[:zb0009]
+						if cap(z.StoreLoads[za0004].AgesMs) >= int(zb0008) {
+							z.StoreLoads[za0004].AgesMs = (z.StoreLoads[za0004].AgesMs)[:zb0008]
 						} else {
-							z.StoreLoads[za0004].AgesMs = make([]uint32, zb0009)
+							z.StoreLoads[za0004].AgesMs = make([]uint32, zb0008)
 						}
 						for za0005 := range z.StoreLoads[za0004].AgesMs {
 							z.StoreLoads[za0004].AgesMs[za0005], bts, err = msgp.ReadUint32Bytes(bts)
@@ -2965,16 +2925,16 @@
 				return
 			}
 		case "k":
-			var zb0010 uint32
-			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Relays")
 				return
 			}
-			if cap(z.Relays) >= int(zb0010) {
-				z.Relays = (z.Relays)[:zb0010]
+			if cap(z.Relays) >= int(zb0009) {
+				z.Relays = (z.Relays)[:zb0009]
 			} else {
-				z.Relays = make([]string, zb0010)
+				z.Relays = make([]string, zb0009)
 			}
 			for za0006 := range z.Relays {
 				z.Relays[za0006], bts, err = msgp.ReadStringBytes(bts)
@@ -2984,26 +2944,26 @@
 				}
 			}
 		case "l":
-			var zb0011 uint32
-			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-			if cap(z.Leaving) >= int(zb0011) {
-				z.Leaving = (z.Leaving)[:zb0011]
+			if cap(z.Leaving) >= int(zb0010) {
+				z.Leaving = (z.Leaving)[:zb0010]
 			} else {
-				z.Leaving = make([]EndpointLeaves, zb0011)
+				z.Leaving = make([]EndpointLeaves, zb0010)
 			}
 			for za0007 := range z.Leaving {
-				var zb0012 uint32
-				zb0012, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0011 uint32
+				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Leaving", za0007)
 					return
 				}
-				for zb0012 > 0 {
-					zb0012--
+				for zb0011 > 0 {
+					zb0011--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Leaving", za0007)
@@ -3032,26 +2992,26 @@
 				}
 			}
 		case "m":
-			var zb0013 uint32
-			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Weights")
 				return
 			}
-			if cap(z.Weights) >= int(zb0013) {
-				z.Weights = (z.Weights)[:zb0013]
+			if cap(z.Weights) >= int(zb0012) {
+				z.Weights = (z.Weights)[:zb0012]
 			} else {
-				z.Weights = make([]ModelWeight, zb0013)
+				z.Weights = make([]ModelWeight, zb0012)
 			}
 			for za0008 := range z.Weights {
-				var zb0014 uint32
-				zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				var zb0013 uint32
+				zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Weights", za0008)
 					return
 				}
-				if zb0014 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0014}
+				if zb0013 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0013}
 					return
 				}
 				z.Weights[za0008].Service, bts, err = msgp.ReadStringBytes(bts)
@@ -3100,16 +3060,16 @@
 				return
 			}
 		case "q":
-			var zb0015 uint32
-			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Quarantine")
 				return
 			}
-			if cap(z.Quarantine) >= int(zb0015) {
-				z.Quarantine = (z.Quarantine)[:zb0015]
+			if cap(z.Quarantine) >= int(zb0014) {
+				z.Quarantine = (z.Quarantine)[:zb0014]
 			} else {
-				z.Quarantine = make([]QuarantinedPart, zb0015)
+				z.Quarantine = make([]QuarantinedPart, zb0014)
 			}
 			for za0009 := range z.Quarantine {
 				bts, err = z.Quarantine[za0009].UnmarshalMsg(bts)
@@ -3125,26 +3085,26 @@
 				return
 			}
 		case "s":
-			var zb0016 uint32
-			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0015 uint32
+			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Limits")
 				return
 			}
-			if cap(z.Limits) >= int(zb0016) {
-				z.Limits = (z.Limits)[:zb0016]
+			if cap(z.Limits) >= int(zb0015) {
+				z.Limits = (z.Limits)[:zb0015]
 			} else {
-				z.Limits = make([]EndpointLimit, zb0016)
+				z.Limits = make([]EndpointLimit, zb0015)
 			}
 			for za0010 := range z.Limits {
-				var zb0017 uint32
-				zb0017, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0016 uint32
+				zb0016, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Limits", za0010)
 					return
 				}
-				for zb0017 > 0 {
-					zb0017--
+				for zb0016 > 0 {
+					zb0016--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Limits", za0010)
@@ -3208,7 +3168,7 @@
 	}
 	s += 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint16Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.Views {
-		s += 1 + 3 + msgp.StringPrefixSize + len(z.Views[za0003].Of) + 7 + msgp.Uint64Size + 7 + msgp.Uint64Size
+		s += z.Views[za0003].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0004 := range z.StoreLoads {
@@ -6009,16 +5969,11 @@
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Views)))
 	for za0001 := range z.Views {
-		// map header, size 3
-		// string "Of"
-		o = append(o, 0x83, 0xa2, 0x4f, 0x66)
-		o = msgp.AppendString(o, z.Views[za0001].Of)
-		// string "Newest"
-		o = append(o, 0xa6, 0x4e, 0x65, 0x77, 0x65, 0x73, 0x74)
-		o = msgp.AppendUint64(o, z.Views[za0001].Newest)
-		// string "Digest"
-		o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
-		o = msgp.AppendUint64(o, z.Views[za0001].Digest)
+		o, err = z.Views[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Views", za0001)
+			return
+		}
 	}
 	return
 }
@@ -6060,46 +6015,11 @@
 				z.Views = make([]ViewSummary, zb0002)
 			}
 			for za0001 := range z.Views {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Views[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Views", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Views", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "Of":
-						z.Views[za0001].Of, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Views", za0001, "Of")
-							return
-						}
-					case "Newest":
-						z.Views[za0001].Newest, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Views", za0001, "Newest")
-							return
-						}
-					case "Digest":
-						z.Views[za0001].Digest, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Views", za0001, "Digest")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Views", za0001)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -6117,7 +6037,7 @@
 func (z *RelayBeat) Msgsize() (s int) {
 	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Views {
-		s += 1 + 3 + msgp.StringPrefixSize + len(z.Views[za0001].Of) + 7 + msgp.Uint64Size + 7 + msgp.Uint64Size
+		s += z.Views[za0001].Msgsize()
 	}
 	return
 }
@@ -6947,11 +6867,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ViewSummary) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ViewSummary) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "Of"
-	o = append(o, 0x83, 0xa2, 0x4f, 0x66)
+	o = append(o, 0x84, 0xa2, 0x4f, 0x66)
 	o = msgp.AppendString(o, z.Of)
 	// string "Newest"
 	o = append(o, 0xa6, 0x4e, 0x65, 0x77, 0x65, 0x73, 0x74)
@@ -6959,6 +6879,9 @@
 	// string "Digest"
 	o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
 	o = msgp.AppendUint64(o, z.Digest)
+	// string "Position"
+	o = append(o, 0xa8, 0x50, 0x6f, 0x73, 0x69, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Position)
 	return
 }
 
@@ -6998,6 +6921,12 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "Position":
+			z.Position, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Position")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -7011,17 +6940,17 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ViewSummary) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.Of) + 7 + msgp.Uint64Size + 7 + msgp.Uint64Size
+func (z *ViewSummary) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.Of) + 7 + msgp.Uint64Size + 7 + msgp.Uint64Size + 9 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ViewUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 9
 	// string "a"
-	o = append(o, 0x87, 0xa1, 0x61)
+	o = append(o, 0x89, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.ObjectKind)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -7061,6 +6990,15 @@
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendBool(o, z.Fetch)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.RemovedAt)))
+	for za0005 := range z.RemovedAt {
+		o = msgp.AppendUint64(o, z.RemovedAt[za0005])
+	}
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.Position)
 	return
 }
 
@@ -7176,6 +7114,31 @@
 				err = msgp.WrapError(err, "Fetch")
 				return
 			}
+		case "h":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RemovedAt")
+				return
+			}
+			if cap(z.RemovedAt) >= int(zb0006) {
+				z.RemovedAt = (z.RemovedAt)[:zb0006]
+			} else {
+				z.RemovedAt = make([]uint64, zb0006)
+			}
+			for za0005 := range z.RemovedAt {
+				z.RemovedAt[za0005], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "RemovedAt", za0005)
+					return
+				}
+			}
+		case "i":
+			z.Position, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Position")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -7206,6 +7169,6 @@
 	for za0004 := range z.Patches {
 		s += z.Patches[za0004].Msgsize()
 	}
-	s += 2 + msgp.BoolSize
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.RemovedAt) * (msgp.Uint64Size)) + 2 + msgp.Uint64Size
 	return
 }
