Remove endpoints at once that leave while only this host has lost the store

What callers can see: requests are sent to a server for up to two seconds and a quarter after its entry was removed (DRAIN), if the host that follows the store had lost it until then.

Cause: entries of live servers expire while the store is down, so that for two seconds after an outage vanished entries are kept. A host that the store turns away alone counted this as such an outage.

Change: the dispatcher measures for how long neither it nor a relay reached the store. If that is shorter than the time after which entries expire, an entry that vanishes was removed, and counts at once. Without relays nothing changes.

TestRemovalInOwnOutage failed before for a relay that reaches the store all the time ("kept true, want false"); its other two cases hold the users' word that a lapsed entry comes back within two seconds.

--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -84,9 +84,10 @@
 	storeAnsweredAt time.Time            // time of the store's last answer to any call of the directory
 	pendingUpdates  []*wire.ViewUpdate   // changes to hand to the dispatcher with the next view
 	endpointChanges []endpointChange     // to be logged with the next view
-	outageEndedAt   time.Time            // end of the last outage of the store
-	seriesBegun     bool                 // a change was applied that others mostly follow at once
-	generation      uint64               // of the store, the highest one seen
+	outageEndedAt   time.Time            // end of the last outage of the store in which entries can have expired
+	storeGap        storeGap
+	seriesBegun     bool   // a change was applied that others mostly follow at once
+	generation      uint64 // of the store, the highest one seen
 }
 
 func newDirectory(h *Host) *directory {
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -395,6 +395,7 @@
 		d.state.SetLimit(now, *m)
 	case *wire.RelayBeat:
 		if d.relays.recordBeat(time.Now(), e.host, m.ViewCurrent) {
+			d.h.directory.recordReachedByRelay(time.Now())
 			d.askRelay(e.peer, m.Views)
 		}
 	case *wire.ViewUpdate:
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -247,6 +247,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answeredAt[kind], d.storeAnsweredAt = time.Now(), time.Now()
+	d.storeGap.recordReached(time.Now(), false)
+}
+
+// recordReachedByRelay records that a relay reaches the store.
+func (d *directory) recordReachedByRelay(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storeGap.recordReached(now, true)
 }
 
 // noteGeneration records the store's generation from the version of what it has answered, or what was passed on. After a change,
@@ -272,11 +280,17 @@
 	since, lost := d.outages[kind]
 	switch {
 	case err != nil && !errors.Is(err, objects.ErrExpired) && !lost:
+		if len(d.outages) == 0 {
+			d.storeGap.begin(d.storeAnsweredAt)
+		}
 		d.outages[kind] = time.Now()
 		d.log.Warn().Str("kind", kind).Err(err).Msg("Store lost.")
 	case err == nil && lost:
 		delete(d.outages, kind)
-		d.outageEndedAt = time.Now()
-		d.log.Info().Str("kind", kind).Int64("lostMs", time.Since(since).Milliseconds()).Msg("Store regained.")
+		kept := d.storeGap.entriesKept(time.Now())
+		if !kept {
+			d.outageEndedAt = time.Now()
+		}
+		d.log.Info().Str("kind", kind).Int64("lostMs", time.Since(since).Milliseconds()).Bool("entriesKept", kept).Msg("Store regained.")
 	}
 }
