Keep the announcement of a leaving endpoint when its entry comes back

What callers can see: requests go to a server again that has said that it leaves, if its entry was removed in an outage and is written again (DRAIN).

Cause: the announcement was dropped with the entry.

Change: the memory of departed endpoints keeps it, and it holds for an entry of the same process that comes back. Another process under the same id does not inherit it.

TestLeavingOutlivesEntry failed before ("want draining true"). Tests of internal/host pass.

--- a/internal/host/departures.go
+++ b/internal/host/departures.go
@@ -21,18 +21,25 @@
 	generation  uint64
 	at          time.Time
 	heldUntil   time.Time // set when an older entry has come back
+	leaving     bool      // the process had announced that it leaves
 }
 
 // departures holds the endpoints that are gone, by ID. If the store returns from an older copy, it lists them again.
 type departures map[string]departure
 
 // add records that an endpoint is gone.
-func (d departures) add(e *fleet.Endpoint, generation uint64, now time.Time) {
+func (d departures) add(e *fleet.Endpoint, leaving bool, generation uint64, now time.Time) {
 	if len(d) < maxDepartures {
-		d[e.ID] = departure{startUnixMs: e.StartUnixMs, writes: e.Writes, generation: generation, at: now}
+		d[e.ID] = departure{startUnixMs: e.StartUnixMs, writes: e.Writes, generation: generation, at: now, leaving: leaving}
 	}
 }
 
+// hasAnnounced reports whether the process of an entry had announced that it leaves before its last entry was removed.
+func (d departures) hasAnnounced(e *fleet.Endpoint) bool {
+	x, gone := d[e.ID]
+	return gone && x.leaving && x.startUnixMs == e.StartUnixMs
+}
+
 // holds reports whether an entry is one of an endpoint that has gone, which a store of a later generation lists again.
 func (d departures) holds(e *fleet.Endpoint, generation uint64, now time.Time) bool {
 	x, gone := d[e.ID]
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -340,6 +340,9 @@
 		d.log.Info().Str("endpoint", e.ID).Int64("writes", e.Writes).Str("version", o.Version).Msg("Entry of an endpoint that is gone ignored.")
 		return
 	}
+	if !known && d.departed.hasAnnounced(&e) {
+		d.leavingBorn[e.ID] = e.StartUnixMs
+	}
 	delete(d.departed, e.ID)
 	d.seriesBegun = d.seriesBegun || !known || !old.SameModels(&e) || !old.SameProcess(&e) || old.Draining != e.Draining
 	delete(d.graceUntil, e.ID)
@@ -394,10 +397,11 @@
 	_, kind := d.h.opts.Codec.Kinds()
 	d.removeObject(kind, id)
 	delete(d.graceUntil, id)
+	announced, leaving := d.leavingBorn[id]
 	delete(d.leavingBorn, id)
 	if e, ok := d.endpoints[id]; ok {
 		delete(d.endpoints, id)
-		d.departed.add(&e, d.generation, time.Now())
+		d.departed.add(&e, leaving && announced == e.StartUnixMs, d.generation, time.Now())
 		d.changedEndpoints[id] = true
 		d.log.Info().Str("endpoint", id).Str("reason", reason).Msg("Endpoint gone.")
 	}
--- a/internal/host/directory_test.go
+++ b/internal/host/directory_test.go
@@ -137,3 +137,22 @@
 		t.Errorf("leaving endpoints without an entry: %v", l)
 	}
 }
+
+// TestLeavingOutlivesEntry guards against an endpoint that has announced that it leaves and is used again because its entry was
+// removed and came back (DRAIN), and against another process under its ID that inherits the announcement.
+func TestLeavingOutlivesEntry(t *testing.T) {
+	for _, c := range []struct {
+		born    string // of the entry that comes back
+		leaving bool
+	}{{"1", true}, {"2", false}} {
+		h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: entryCodec{}, Log: telemetry.NewLogger(os.Stderr, "fatal", "test")})
+		d := h.directory
+		d.applyUpdate(&wire.ViewUpdate{ObjectKind: "servers", Objects: []wire.StoredObject{{Kind: "servers", Name: "e0", Version: "1", Data: []byte("1")}}})
+		d.markLeaving("e0", 1, "test")
+		d.applyUpdate(&wire.ViewUpdate{ObjectKind: "servers", Removed: []string{"e0"}})
+		d.applyUpdate(&wire.ViewUpdate{ObjectKind: "servers", Objects: []wire.StoredObject{{Kind: "servers", Name: "e0", Version: "9", Data: []byte(c.born)}}})
+		if e := d.view().Endpoint("e0"); e == nil || e.Draining != c.leaving {
+			t.Errorf("entry of process %s: %+v, want draining %v", c.born, e, c.leaving)
+		}
+	}
+}
