Refuse requests during a stop that may still run at its end

Cause: two constants decided for every plain request: accepted until 5 s after the signal, aborted at 7.3 s. Only streams were planned by their duration, and by its mean.

Change: answerTimes holds how long the latest answers of each route took, and how long those in progress have taken. During a stop a request is sent only if its own limit ends before the stop, or if the tail of its route leaves time for it; what is not known counts as long. The check is made on arrival, while it waits for a place, before each attempt, after an adapter was loaded, and before a failover. What remains at the end is answered 502 instead of being cut.

TestStopPlan states the new rule: steps in order, and time left for every answer; the mean of streams is gone from it.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -72,6 +72,8 @@
 	startBy time.Time // latest begin, zero for no limit
 	target  time.Time // an answer that begins after it is late
 	endBy   time.Time // latest end, zero for no limit
+	// latestStart returns the time until which the request may be sent once this host stops. It is nil if that does not matter.
+	latestStart func() time.Time
 }
 
 // link is the connection to one dispatcher, with its state. Its fields are guarded by the binder's lock.
@@ -578,10 +580,14 @@
 		case <-c.changed:
 		case <-stopBegun:
 			stopBegun = nil
-			startByPassed = time.After(time.Until(b.h.stopping.Load().startBy(c.ask.Model != "")))
+			if c.latestStart != nil {
+				if t := c.latestStart(); !t.IsZero() {
+					startByPassed = time.After(time.Until(t))
+				}
+			}
 			continue
 		case <-startByPassed:
-			if x, err, ok := b.withdrawUnbound(c, "the host is stopping"); ok {
+			if x, err, ok := b.withdrawStopping(c); ok {
 				return x, err
 			}
 			continue
@@ -654,15 +660,15 @@
 	return x, err, true
 }
 
-// withdrawUnbound withdraws a call that has no final answer yet. It returns false if the call has one.
-func (b *binder) withdrawUnbound(c *call, reason string) (*binding, error, bool) {
+// withdrawStopping withdraws a call that has no final answer yet, since this host stops. It returns false if the call has one.
+func (b *binder) withdrawStopping(c *call) (*binding, error, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c.state == callBound || c.state == callRefused {
 		return nil, nil, false // its signal is on the way
 	}
 	b.withdraw(c)
-	return nil, &refusal{reason, retryAfterStopping}, true
+	return nil, errStopping, true
 }
 
 // withdraw removes a call, and cancels it at the dispatcher. The caller holds the lock.
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -39,7 +39,10 @@
 	maxLoggedParts      = 8                       // parts of a prompt in a log line
 )
 
-var errSilent = errors.New("the endpoint was silent")
+var (
+	errSilent         = errors.New("the endpoint was silent")
+	errStopping error = &refusal{"the host is stopping", retryAfterStopping}
+)
 
 // exchange is one request of a caller and the state of all its attempts.
 type exchange struct {
@@ -59,6 +62,7 @@
 	nextBinding     *binding        // slot reserved for the next attempt, nil if there is none
 	lastErr         error
 	stream          *streamRelay
+	delivered       bool // an endpoint's answer was passed on whole
 }
 
 // bufferedAnswer is an answer that was read whole.
@@ -95,8 +99,16 @@
 			}
 		}
 		x.lastBinding = b
+		if !x.mayStart() {
+			b.release()
+			x.finishUnbound(ctx, errStopping)
+			return
+		}
+		if x.sends == 0 {
+			x.f.answerTimer.begin(x, time.Now())
+		}
 		r := x.try(ctx, b)
-		if r.delivered {
+		if x.delivered = r.delivered; x.delivered {
 			return
 		}
 		x.outcome = attempt.Combine(x.outcome, r.outcome)
@@ -146,16 +158,33 @@
 	if x.stream != nil && x.stream.headerSent {
 		by = x.q.ContinueBy(x.stream.lastSentAt)
 	}
-	if s := x.f.h.stopping.Load(); s != nil {
-		if t := s.startBy(x.q.Route.Kind == fleet.Stream); by.IsZero() || t.Before(by) {
-			return t
-		}
+	if t := x.latestStart(); !t.IsZero() && (by.IsZero() || t.Before(by)) {
+		return t
 	}
 	return by
 }
 
+// latestStart returns the time until which the request may be sent, since this host stops, or zero for no limit. A stream that
+// has begun has none: it would be cut at once.
+func (x *exchange) latestStart() time.Time {
+	s := x.f.h.stopping.Load()
+	if s == nil || x.stream != nil && x.stream.headerSent {
+		return time.Time{}
+	}
+	needed, known := x.f.answerTimer.needed(x.q.Route, time.Now())
+	return s.latestStart(needed, known, x.q.EndBy())
+}
+
+// mayStart reports whether the request may be sent now. While this host stops, a request that may still run at the end must not.
+func (x *exchange) mayStart() bool {
+	t := x.latestStart()
+	return t.IsZero() || !time.Now().After(t)
+}
+
 // bounds returns the times by which the answer has to begin and end.
-func (x *exchange) bounds() answerBounds { return answerBounds{x.startBy(), x.target(), x.q.EndBy()} }
+func (x *exchange) bounds() answerBounds {
+	return answerBounds{x.startBy(), x.target(), x.q.EndBy(), x.latestStart}
+}
 
 // target returns the time after which the begin of the answer counts as late.
 func (x *exchange) target() time.Time { return x.q.Arrived.Add(x.q.Route.TargetLatency) }
@@ -334,7 +363,15 @@
 // findReplacement asks for a slot that is free at once. Without one, it tries again later or, once the caller of a stream has
 // lost patience, cancels the attempt.
 func (m *failover) findReplacement(ctx context.Context) {
-	b, err := m.x.f.h.binder.bind(ctx, m.ask, answerBounds{time.Now(), m.x.target(), m.x.q.EndBy()})
+	if !m.x.mayStart() { // the attempt in progress is the last one
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if !m.stopped {
+			m.watchdog.restart(m.retryInterval)
+		}
+		return
+	}
+	b, err := m.x.f.h.binder.bind(ctx, m.ask, answerBounds{time.Now(), m.x.target(), m.x.q.EndBy(), nil})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
@@ -380,6 +417,9 @@
 			return attemptResult{outcome: attempt.NotSent, err: errTimeout}
 		}
 	}
+	if !x.mayStart() { // loading an adapter may have taken long
+		return attemptResult{outcome: attempt.NotSent, err: errStopping}
+	}
 	if !x.allowSend(b, e.ID) {
 		return attemptResult{outcome: attempt.NotSent, err: errors.New(sched.RetriesUsedReason)}
 	}
@@ -580,13 +620,15 @@
 	case x.stream != nil:
 		x.logEnd("stream broken", 0, x.lastErr)
 		panic(http.ErrAbortHandler)
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && context.Cause(ctx) != errStopped:
 		x.logEnd("caller left", 0, x.lastErr)
 		panic(http.ErrAbortHandler)
 	case x.fallback != nil:
 		x.writeAnswer(x.fallback)
-	case (x.outcome.NotExecuted() || x.outcome == 0) && ctx.Err() == nil:
+	case (x.outcome.NotExecuted() || x.outcome == 0) && (ctx.Err() == nil || context.Cause(ctx) == errStopped):
 		x.reject("no attempt reached an endpoint", retryAfterNotRun)
+	case context.Cause(ctx) == errStopped:
+		x.respondError(http.StatusBadGateway, "the host has stopped before the endpoint answered", 0)
 	case ctx.Err() != nil:
 		x.respondError(http.StatusGatewayTimeout, "the request's time is over", 0)
 	default:
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -47,8 +47,9 @@
 
 	http atomic.Pointer[http.Server] // nil until the first configuration is known
 
+	answerTimer *answerTimer
+
 	mu            sync.Mutex
-	streamTime    movingAverage // seconds from the sending of a stream's request to its end
 	idleConns     map[net.Conn]*idleConn
 	seriesByRoute map[string]*telemetry.Series
 }
@@ -59,7 +60,7 @@
 		mb = defaultMemoryMB
 	}
 	return &front{
-		h: h, log: h.log.Part("front"), idleConns: make(map[net.Conn]*idleConn),
+		h: h, log: h.log.Part("front"), idleConns: make(map[net.Conn]*idleConn), answerTimer: newAnswerTimer(),
 		maxInFlight: int64(mb) * requestsPerMB, maxBodyBytes: int64(bodyMemoryShare * float64(mb) * (1 << 20)),
 	}
 }
@@ -101,36 +102,6 @@
 	}
 }
 
-// movingAverage is an exponentially weighted moving average.
-type movingAverage struct {
-	value float64
-	known bool
-}
-
-const movingAverageWeight = 0.05 // weight of a new value
-
-func (m *movingAverage) add(v float64) {
-	if !m.known {
-		m.value, m.known = v, true
-		return
-	}
-	m.value += movingAverageWeight * (v - m.value)
-}
-
-// meanStreamTime returns the mean duration of streams once they have a slot, or 0 if no stream has ended yet.
-func (f *front) meanStreamTime() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return time.Duration(f.streamTime.value * float64(time.Second))
-}
-
-// observeStream adds the duration of an ended stream, counted from when it had a slot, to the mean.
-func (f *front) observeStream(took time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.streamTime.add(took.Seconds())
-}
-
 // limits returns the limits of the configuration in force, with defaults for those that it does not set.
 func (f *front) limits() fleet.Limits {
 	l := fleet.Limits{}
@@ -223,7 +194,7 @@
 		return
 	}
 	x.configVersion = cfg.Version
-	if q.Route.Kind == fleet.Stream && f.rejectStreams.Load() {
+	if q.Route.Kind == fleet.Stream && f.rejectStreams.Load() || !x.mayStart() {
 		x.reject("the host is stopping", retryAfterStopping)
 		return
 	}
@@ -243,6 +214,10 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, end, errTimeout)
 		defer cancel()
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(f.h.stopEnd, func() { cancel(errStopped) })()
+	defer func() { f.answerTimer.end(x, time.Now(), x.delivered || context.Cause(ctx) == errTimeout) }()
 	x.run(ctx)
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -106,8 +106,10 @@
 	quiet            quietPeriods // endpoints that asked this host to send nothing for a time
 	limits           rateLimits   // of endpoints in need
 	retries          *hostRetries
-	stopping         atomic.Pointer[stopProgress]     // set once a stop was requested; the readiness check then fails
-	stopStarted      chan struct{}                    // closed once stopping is set
+	stopping         atomic.Pointer[stopProgress] // set once a stop was requested; the readiness check then fails
+	stopStarted      chan struct{}                // closed once stopping is set
+	stopEnd          context.Context              // ends when requests in progress are aborted
+	endStop          context.CancelFunc
 	activeDeployment atomic.Pointer[fleet.Deployment] // settings in force
 }
 
@@ -115,6 +117,7 @@
 func New(o Options) *Host {
 	h := &Host{opts: o, log: o.Log, incarnation: uint64(time.Now().UnixNano()),
 		requestPool: upstream.NewPool(0), orderPool: upstream.NewPool(0), stopStarted: make(chan struct{})}
+	h.stopEnd, h.endStop = context.WithCancel(context.Background())
 	h.activeDeployment.Store(&o.Deployment)
 	h.directory = newDirectory(h)
 	h.retries = newHostRetries(h)
@@ -199,11 +202,10 @@
 // requests in progress.
 func (h *Host) stop() {
 	grace := h.deployment().StopTimeout
-	s := &stopProgress{plan: planStop(grace, h.front.meanStreamTime()), start: time.Now()}
+	s := &stopProgress{plan: planStop(grace), start: time.Now()}
 	h.stopping.Store(s)
 	close(h.stopStarted)
-	h.log.Info().Int64("inFlight", h.front.inFlight.Load()).Dur("streamsBeginWithin", s.plan.streamStartBy).
-		Dur("endsWithin", s.plan.end).Msg("Stopping.")
+	h.log.Info().Int64("inFlight", h.front.inFlight.Load()).Dur("endsWithin", s.plan.end).Msg("Stopping.")
 	ctx, cancel := context.WithTimeout(context.Background(), s.plan.end)
 	defer cancel()
 	go h.holder.releaseLease(ctx)
@@ -215,12 +217,21 @@
 	for h.front.inFlight.Load() > 0 && s.until(s.plan.end) > 0 {
 		clock.Sleep(ctx, stopPollInterval)
 	}
+	h.endRequests()
 	h.front.shutdown(max(min(shutdownTimeout, s.until(s.plan.end)), stopPollInterval))
 	if n := h.front.inFlight.Load(); n > 0 {
 		h.log.Error().Int64("inFlight", n).Msg("The time to stop is over with requests still in progress.")
 	}
 }
 
+// endRequests ends the requests that are in progress, and waits until those whose answer has not begun are answered.
+func (h *Host) endRequests() {
+	h.endStop()
+	for end := time.Now().Add(finalAnswerTime); h.front.inFlight.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(stopPollInterval)
+	}
+}
+
 // leaving reports whether a stop was requested.
 func (h *Host) leaving() bool { return h.stopping.Load() != nil }
 
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -146,7 +146,6 @@
 	if !x.stream.headerSent {
 		x.writeHeader(resp) // the stream had no events
 	}
-	x.f.observeStream(time.Since(start))
 	x.logEnd("answered", resp.StatusCode, nil)
 	return attemptResult{outcome: attempt.Answered, delivered: true}
 }
--- a/internal/host/stopping.go
+++ b/internal/host/stopping.go
@@ -1,46 +1,53 @@
 package host
 
-import "time"
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
 
 const (
-	streamAcceptTime = 2600 * time.Millisecond // after the signal, until two failed readiness checks redirect callers
-	plainAcceptTime  = 5 * time.Second         // the same for requests to plain services, which are short
-	exitMargin       = 700 * time.Millisecond  // of the grace time, reserved for the exit of the process
-	minAnswerTime    = 500 * time.Millisecond  // for an answer that begins as late as a stop allows
-	// answerTimeFactor times the mean is the time reserved for a stream that begins during a stop.
-	answerTimeFactor = 1.5
+	streamAcceptTime  = 2600 * time.Millisecond // after the signal, until two failed readiness checks redirect callers
+	plainAcceptTime   = 5 * time.Second         // the same for requests to plain services, if they end in time
+	exitMargin        = 700 * time.Millisecond  // of the grace time, reserved for the exit of the process
+	finalAnswerTime   = 300 * time.Millisecond  // of exitMargin, to answer requests that are still in progress
+	minAnswerTime     = 500 * time.Millisecond  // for an answer that begins as late as a stop allows
+	streamTailShare   = 0.9                     // share of a route's recent streams that end in the time that is reserved for a new one
+	plainTailShare    = 1.0                     // the same for other requests, which may not be lost
+	plainAnswerFactor = 1.5                     // times the tail is the time reserved for a request that is no stream
 )
 
-// stopPlan holds the steps of a planned stop, as times after the signal. It limits the wait for a slot: under load, callers
-// keep sending while all endpoints are busy, and requests would still be waiting when the grace time ends.
+var errStopped = errors.New("the host has stopped")
+
+// stopPlan holds the steps of a planned stop, as times after the signal. Load pattern: callers keep sending on the
+// connections that they have until these are closed, also requests that take long, and under load while all endpoints are busy.
+// A request that may still run at the end is rejected before it is sent, so that its caller can turn to another host.
 type stopPlan struct {
 	streamAcceptEnd time.Duration // end of accepting new streams
-	streamStartBy   time.Duration // latest start of a stream; one still waiting for a slot is rejected
 	plainAcceptEnd  time.Duration // end of accepting any request
-	plainStartBy    time.Duration // latest start of an answer of a plain service; a request still waiting for a slot is rejected
 	end             time.Duration // requests in progress are aborted
 }
 
-// planStop plans a stop within the grace time. The parameter answer is the mean duration of a stream once it has a slot, or
-// 0 if it is unknown.
-func planStop(grace, answer time.Duration) stopPlan {
-	p := stopPlan{end: max(grace-exitMargin, 0)}
-	p.streamAcceptEnd = min(streamAcceptTime, grace/3)
-	if answer <= 0 {
-		answer = grace / 3
+// planStop plans a stop within the grace time.
+func planStop(grace time.Duration) stopPlan {
+	return stopPlan{
+		end:             max(grace-exitMargin, 0),
+		streamAcceptEnd: min(streamAcceptTime, grace/3),
+		plainAcceptEnd:  min(plainAcceptTime, grace*5/8),
 	}
-	p.streamStartBy = max(p.end-max(time.Duration(answerTimeFactor*float64(answer)), minAnswerTime), p.streamAcceptEnd)
-	p.plainAcceptEnd = min(plainAcceptTime, grace*5/8)
-	p.plainStartBy = max(p.end-minAnswerTime, p.plainAcceptEnd)
-	return p
 }
 
-// startBy returns by when an answer has to begin, as time after the signal.
-func (p *stopPlan) startBy(stream bool) time.Duration {
-	if stream {
-		return p.streamStartBy
+// latestStart returns the time after the signal until which an answer may begin that needs the given time, and has to be
+// complete by endBy after the signal; 0 for no limit. A request whose time is over before the stop ends may begin until then. If
+// the needed time is not known, it may be as long as the request's own limit.
+func (p *stopPlan) latestStart(needed time.Duration, known bool, endBy time.Duration) time.Duration {
+	switch {
+	case endBy > 0 && endBy <= p.end:
+		return endBy
+	case !known:
+		return 0
 	}
-	return p.plainStartBy
+	return max(p.end-max(needed, minAnswerTime), 0)
 }
 
 // stopProgress is a stop in progress.
@@ -49,8 +56,15 @@
 	start time.Time
 }
 
-// startBy returns the time by which an answer has to begin.
-func (s *stopProgress) startBy(stream bool) time.Time { return s.start.Add(s.plan.startBy(stream)) }
+// latestStart returns the time until which a request may be sent that needs the given time and has to end by endBy, zero for no
+// limit.
+func (s *stopProgress) latestStart(needed time.Duration, known bool, endBy time.Time) time.Time {
+	var limit time.Duration
+	if !endBy.IsZero() {
+		limit = max(endBy.Sub(s.start), 1)
+	}
+	return s.start.Add(s.plan.latestStart(needed, known, limit))
+}
 
 // until returns the time left until a step of the plan, negative after it.
 func (s *stopProgress) until(step time.Duration) time.Duration { return time.Until(s.start.Add(step)) }
