End connections between processes on which nothing arrives

Cause: a call without a reply failed, but its connection stayed, and the next call used it. Only the link to the dispatcher had a time-out. The accepting side kept such connections too.

Change: both sides of a connection announce beats in their Hello, send one after a second without another message, and end a connection after four intervals without a byte. A call that waited 200 ms without a byte asks for a beat, and ends the connection if it gets neither. A client's connection that has ended is not handed out any more. This covers all users of internal/transport.

--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -25,10 +25,16 @@
 			}
 		},
 		OnDisconnected:    func(c *transport.Conn) { h.dispatcher.pushEvent(c.Remote().Host, c, nil) },
+		OnSilent:          h.logSilent,
 		OnHandshakeFailed: func(addr string, err error) { log.Debug().Str("peer", addr).Err(err).Msg("Handshake failed.") },
 	}
 }
 
+// logSilent logs that a connection to another host ends because nothing arrives on it.
+func (h *Host) logSilent(c *transport.Conn) {
+	h.log.Warn().Str("peer", c.Remote().Host).Str("address", c.RemoteAddr()).Msg("Connection is silent.")
+}
+
 // handlePeerMessage handles a message on a connection that another host has opened.
 func (h *Host) handlePeerMessage(c *transport.Conn, corr uint64, m wire.Message) {
 	switch m := m.(type) {
@@ -48,7 +54,7 @@
 
 // dialPeerWith opens a connection to another host with some options. A panic in the handler closes the connection.
 func (h *Host) dialPeerWith(ctx context.Context, addr string, o transport.Options) *transport.Client {
-	o.Hello = h.hello()
+	o.Hello, o.OnSilent = h.hello(), h.logSilent
 	handler := o.Handler
 	o.Handler = func(c *transport.Conn, corr uint64, m wire.Message) {
 		if catchPanic(h.log, "answer of a host", func() { handler(c, corr, m) }) != nil {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -35,6 +35,7 @@
 	mode   Mode
 	delay  time.Duration
 	conns  map[*net.TCPConn]bool
+	silent map[*net.TCPConn]bool // connections whose bytes are dropped, see SilenceOpen
 	closed bool
 }
 
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "proxy")
 	}
-	p := &Proxy{ln: ln, target: target, conns: make(map[*net.TCPConn]bool)}
+	p := &Proxy{ln: ln, target: target, conns: make(map[*net.TCPConn]bool), silent: make(map[*net.TCPConn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -85,6 +86,23 @@
 	}
 }
 
+// SilenceOpen makes the connections that are open go silent for good, while new ones work. Their bytes are acknowledged and
+// dropped, and neither side learns that the other one has closed. It returns their number.
+func (p *Proxy) SilenceOpen() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.silent[c] = true
+	}
+	return len(p.conns) / 2
+}
+
+func (p *Proxy) isSilent(c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[c]
+}
+
 func (p *Proxy) accept() {
 	for {
 		c, err := p.ln.Accept()
@@ -113,6 +131,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.conns, c)
+	delete(p.silent, c)
 }
 
 // serve connects a client to the target and forwards the bytes of both directions.
@@ -148,6 +167,12 @@
 	buf := make([]byte, proxyBufferSize)
 	for {
 		n, err := from.Read(buf)
+		if p.isSilent(from) {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if n > 0 {
 			if !p.waitWhileHeld(from, fromTarget) {
 				return
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -101,3 +101,30 @@
 		t.Error("the former target answers")
 	}
 }
+
+// TestProxySilenceOpen guards against silent connections that end or forward bytes, and against new ones that are silent too.
+func TestProxySilenceOpen(t *testing.T) {
+	p, c := dialProxy(t)
+	if !echoesWithin(c, time.Second) {
+		t.Fatal("the proxy does not forward bytes")
+	}
+	if n := p.SilenceOpen(); n != 1 {
+		t.Errorf("%d connections silenced", n)
+	}
+	if echoesWithin(c, 100*time.Millisecond) {
+		t.Error("a silent connection forwards bytes")
+	}
+	c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	var timeout net.Error
+	if _, err := c.Read(make([]byte, 1)); !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Errorf("a silent connection ends: %v", err)
+	}
+	other, err := net.Dial("tcp4", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if !echoesWithin(other, time.Second) {
+		t.Error("a new connection is silent too")
+	}
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -47,11 +47,16 @@
 func (c *Client) Addr() string { return c.addr }
 
 // Conn returns the current connection, or nil while there is none.
-func (c *Client) Conn() *Conn { return c.conn.Load() }
+func (c *Client) Conn() *Conn {
+	if conn := c.conn.Load(); conn != nil && conn.ctx.Err() == nil {
+		return conn
+	}
+	return nil
+}
 
 // Send queues a message on the current connection. It returns ErrClosed if there is none.
 func (c *Client) Send(m wire.Message) error {
-	if conn := c.conn.Load(); conn != nil {
+	if conn := c.Conn(); conn != nil {
 		return conn.Send(m)
 	}
 	return ErrClosed
@@ -59,7 +64,7 @@
 
 // Call sends a request on the current connection and waits for its reply. It returns ErrClosed if there is no connection.
 func (c *Client) Call(ctx context.Context, m wire.Message) (wire.Message, error) {
-	if conn := c.conn.Load(); conn != nil {
+	if conn := c.Conn(); conn != nil {
 		return conn.Call(ctx, m)
 	}
 	return nil, ErrClosed
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -65,6 +65,7 @@
 	OnDisconnected    func(*Conn)                  // called after the end of a connection that completed the handshake; may be nil
 	OnHandshakeFailed func(addr string, err error) // called after a failed handshake, for example with an untrusted certificate; may be nil
 	OnDialFailed      func(error)                  // called after a failed attempt to connect to the address; may be nil
+	OnSilent          func(*Conn)                  // called before a connection ends because nothing arrives on it; may be nil
 	TLS               *tls.Config                  // nil for plain TCP
 	Counters          *Counters                    // nil to disable counting
 	// SelectCounters replaces Counters if it is not nil. It returns the counters for a message of the given kind. The Hello
@@ -86,7 +87,7 @@
 
 // Conn is one established connection.
 type Conn struct {
-	nc       net.Conn
+	nc       *meteredConn
 	opts     *Options
 	remote   wire.Hello
 	outgoing *ring.Ring[frame]
@@ -100,7 +101,7 @@
 
 // newConn returns a connection that ends with ctx. Its run method serves it.
 func newConn(ctx context.Context, nc net.Conn, opts *Options) *Conn {
-	c := &Conn{nc: nc, opts: opts, outgoing: ring.New[frame](outgoingQueueSize), pendingCalls: make(map[uint64]chan wire.Message)}
+	c := &Conn{nc: &meteredConn{Conn: nc}, opts: opts, outgoing: ring.New[frame](outgoingQueueSize), pendingCalls: make(map[uint64]chan wire.Message)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	return c
 }
@@ -147,16 +148,23 @@
 		delete(c.pendingCalls, correlationID)
 		c.mu.Unlock()
 	}()
+	probe := c.startProbe()
+	defer probe.timer.Stop()
 	if err := c.Reply(correlationID, m); err != nil {
 		return nil, err
 	}
-	select {
-	case r := <-reply:
-		return r, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-c.ctx.Done():
-		return nil, ErrClosed
+	for {
+		select {
+		case r := <-reply:
+			return r, nil
+		case <-probe.timer.C:
+			probe.ask()
+		case <-ctx.Done():
+			probe.end()
+			return nil, ctx.Err()
+		case <-c.ctx.Done():
+			return nil, ErrClosed
+		}
 	}
 }
 
@@ -175,6 +183,7 @@
 func (c *Conn) handshake(r *bufio.Reader) error {
 	c.nc.SetDeadline(time.Now().Add(handshakeTimeout))
 	hello := c.opts.Hello
+	hello.Beats = true
 	if err := c.write(bufio.NewWriter(c.nc), frame{0, &hello}, true); err != nil {
 		return err
 	}
@@ -215,6 +224,9 @@
 		defer c.opts.OnDisconnected(c)
 	}
 	go c.writeLoop()
+	if c.remote.Beats {
+		go c.beat()
+	}
 	stop := context.AfterFunc(c.ctx, func() { c.nc.Close() })
 	defer stop()
 	for {
@@ -234,6 +246,10 @@
 			}
 			continue
 		}
+		if b, ok := m.(*wire.Beat); ok {
+			c.handleBeat(b)
+			continue
+		}
 		c.opts.Handler(c, correlationID, m)
 	}
 }
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -451,6 +451,58 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Beat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Answer)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Beat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Answer, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Answer")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Beat) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Cancel) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3766,9 +3818,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "a"
-	o = append(o, 0x85, 0xa1, 0x61)
+	o = append(o, 0x86, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Host)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -3782,6 +3834,9 @@
 	// string "e"
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendString(o, z.Zone)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Beats)
 	return
 }
 
@@ -3837,6 +3892,12 @@
 				err = msgp.WrapError(err, "Zone")
 				return
 			}
+		case "f":
+			z.Beats, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Beats")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3851,7 +3912,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hello) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Cell) + 2 + msgp.StringPrefixSize + len(z.Zone)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Cell) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize
 	return
 }
 
