Take back the crash of an engine that answers later requests

Cause: every connection that ended before its answer began counted as a crash of the engine and, under a trial, against the prompt part. Nothing took that back, although the same processes answered other requests a moment later.

Change: a process that answers a request sent to it later has not crashed; what was concluded from its crash is taken back. A block lasts 5 s until the ends of all processes that crashed under a trial are known, and then becomes the long one, at hosts and in the store as well. A trial without an answer delays the next one by 1 s, doubled up to 5 s, which goes to another endpoint if there is one.

The tests of the quarantine that expect a long block tell it now that the processes have ended; their bounds are unchanged.

--- a/internal/host/blockedparts.go
+++ b/internal/host/blockedparts.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/objects"
+	"sycamoredeal/internal/sched"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/wire"
 )
@@ -69,7 +70,7 @@
 	now := time.Now()
 	var current []storedBlock
 	for _, p := range list {
-		if p.BlockedMs > 0 {
+		if p.BlockedMs > 0 && p.Blocks > 0 { // those without a block only wait for the next trial
 			until := now.Add(time.Duration(p.BlockedMs) * time.Millisecond)
 			current = append(current, storedBlock{Part: strconv.FormatUint(p.Part, 16), UntilUnixMs: until.UnixMilli(), Blocks: p.Blocks})
 		}
@@ -203,17 +204,18 @@
 }
 
 // samePartBlocks reports whether two lists hold the same blocks. The end of a block is computed from the time that is left, so
-// it differs by some ms each time.
+// it differs by some ms each time; a short block that has become a long one differs by more.
 func samePartBlocks(a, b []storedBlock) bool {
 	if len(a) != len(b) {
 		return false
 	}
-	blocks := make(map[string]uint8, len(b))
+	blocks := make(map[string]storedBlock, len(b))
 	for _, p := range b {
-		blocks[p.Part] = p.Blocks
+		blocks[p.Part] = p
 	}
 	for _, p := range a {
-		if n, ok := blocks[p.Part]; !ok || n != p.Blocks {
+		o, ok := blocks[p.Part]
+		if d := time.Duration(p.UntilUnixMs-o.UntilUnixMs) * time.Millisecond; !ok || o.Blocks != p.Blocks || d.Abs() > sched.ShortBlock {
 			return false
 		}
 	}
--- a/internal/host/blockedparts_test.go
+++ b/internal/host/blockedparts_test.go
@@ -166,3 +166,17 @@
 		}
 	})
 }
+
+// TestLongerBlockIsStored guards against a stored block that stays short although the dispatcher has made it long, and against a
+// write each time that the time left is told.
+func TestLongerBlockIsStored(t *testing.T) {
+	short := []storedBlock{{Part: "a", UntilUnixMs: 5_000, Blocks: 1}}
+	for _, c := range []struct {
+		untilMs int64
+		same    bool
+	}{{5_040, true}, {600_000, false}} {
+		if got := samePartBlocks([]storedBlock{{Part: "a", UntilUnixMs: c.untilMs, Blocks: 1}}, short); got != c.same {
+			t.Errorf("block until %d ms: same %v, want %v", c.untilMs, got, c.same)
+		}
+	}
+}
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -15,16 +15,17 @@
 	// backlogShare limits the prefill backlog of an engine, as a share of the shortest target of the routes to its service.
 	// A request that waits in the queue instead can still be sent to another endpoint, and more urgent requests that
 	// arrive later can overtake it.
-	backlogShare       = 0.2
-	defaultBacklogMs   = 110.0  // for services without a target
-	loadPenaltyMs      = 40.0   // at full load; each step of a larger batch takes longer for all its requests
-	adapterPenaltyMs   = 15.0   // if the adapter has to be loaded first
-	jitterMs           = 4.0    // maximum; random, so that equal endpoints get equal shares of the requests
-	coldPenaltyMs      = 8.0    // if a connection has to be opened: round trips and work of the endpoint
-	trialLoadPenaltyMs = 1000.0 // at full load, for a request that may crash the engine and with it all requests there
-	plainColdPenalty   = 0.12   // the same for a plain service, without a unit
-	plainLoadPenalty   = 1.0    // at full load
-	plainJitter        = 0.05
+	backlogShare           = 0.2
+	defaultBacklogMs       = 110.0  // for services without a target
+	loadPenaltyMs          = 40.0   // at full load; each step of a larger batch takes longer for all its requests
+	adapterPenaltyMs       = 15.0   // if the adapter has to be loaded first
+	jitterMs               = 4.0    // maximum; random, so that equal endpoints get equal shares of the requests
+	coldPenaltyMs          = 8.0    // if a connection has to be opened: round trips and work of the endpoint
+	trialLoadPenaltyMs     = 1000.0 // at full load, for a request that may crash the engine and with it all requests there
+	repeatedTrialPenaltyMs = 500.0  // for such a request at an endpoint where one has just ended without an answer
+	plainColdPenalty       = 0.12   // the same for a plain service, without a unit
+	plainLoadPenalty       = 1.0    // at full load
+	plainJitter            = 0.05
 )
 
 // acceptsRequests reports whether an endpoint is listed, not draining, within its limit, and has a free slot and a short enough
@@ -114,6 +115,9 @@
 	}
 	if s.quarantine.Suspected(r.ask.PromptParts) {
 		v += trialLoadPenaltyMs * load
+		if s.quarantine.lostAt(e.id, r.ask.PromptParts) {
+			v += repeatedTrialPenaltyMs
+		}
 	}
 	return v
 }
--- a/internal/sched/quarantine.go
+++ b/internal/sched/quarantine.go
@@ -18,15 +18,22 @@
 // crashes them. From then on it is blocked, and its requests are refused at once. A block ends after some time; the next
 // request is a trial again.
 //
-// Engines that crash for other reasons, connections that are reset and hosts that are cut off make parts suspected, which
-// delays requests by one first token, but a block needs trials that fail at different processes one after the other.
+// Engines that crash for other reasons, connections that are reset, answers that are lost and hosts that are cut off make parts
+// suspected, which delays requests by one first token, but a block needs trials that fail at different processes one after the
+// other. A connection that ends says nothing about the process behind it: a process that answers a later request has not
+// crashed, which takes the suspicion and the block back. A block is short until the ends of all processes that crashed under a
+// trial are known, so that it costs one trial if it is wrong and nothing shows that.
 const (
 	trialCrashesToBlock = 2 // processes that crashed under a trial of the part
 	crashesOfKnownPart  = 3 // processes that crashed, until a part is suspected on which answers have begun
 	// crashSpacing is the time within which crashes under such a part count as one: in the loss of a zone or a reset of
 	// all connections, many processes have requests with a popular part.
-	crashSpacing   = 100 * time.Millisecond
-	firstBlock     = 10 * time.Minute // doubles with each further block
+	crashSpacing = 100 * time.Millisecond
+	firstBlock   = 10 * time.Minute // doubles with each further block
+	// ShortBlock is the length of a block while it is not known that the processes have ended, longer than it takes until their
+	// entries are gone. It doubles with each further block.
+	ShortBlock     = 5 * time.Second
+	firstTrialWait = time.Second // after a trial without an answer, doubles up to ShortBlock
 	maxBlock       = 4 * time.Hour
 	suspicionLife  = 30 * time.Minute // after the last crash or the end of the block
 	maxQuarantined = 1024             // suspected and blocked parts; bounds the memory
@@ -41,12 +48,23 @@
 	born     int64
 }
 
+// crash is a process that ended the connection of a request before its answer began.
+type crash struct {
+	engineProcess
+	at    time.Duration
+	trial bool // the request was on trial
+	ended bool // the process is known to have ended
+}
+
 // quarantinedPart is what is known of a part since an answer on it last began.
 type quarantinedPart struct {
-	crashed      []engineProcess // processes that crashed, at most crashesOfKnownPart
-	crashedAt    time.Duration   // when the last of them crashed
-	suspected    bool            // its requests are sent one at a time
+	crashed      []crash       // at most crashesOfKnownPart
+	crashedAt    time.Duration // when the last of them crashed
+	unconfirmed  bool          // the last block is short, since processes that crashed may not have ended
+	suspected    bool          // its requests are sent one at a time
 	trialCrashes int
+	failedTrials int    // trials without an answer, whether or not a process has crashed
+	lastEndpoint string // where the last request ended without an answer
 	trial        trial
 	blockedUntil time.Duration
 	blocks       int           // number of blocks so far
@@ -163,8 +181,9 @@
 // the trial for the suspected parts of its prompt.
 func (q *Quarantine) Crashed(now time.Duration, prompt []wire.PromptPart, endpoint string, born int64, onTrial bool) {
 	process := engineProcess{endpoint, born}
-	var worst *quarantinedPart
-	worstPart := uint64(0)
+	// Of parts that failed equally often, the last one is the most specific: sound requests share the parts before it.
+	var worst, failed *quarantinedPart
+	var worstPart, failedPart uint64
 	for _, p := range sharedParts(prompt) {
 		x := q.parts[p.ID]
 		if x == nil {
@@ -172,7 +191,14 @@
 				continue
 			}
 		}
-		if slices.Contains(x.crashed, process) {
+		x.lastEndpoint = endpoint
+		if x.suspected && onTrial {
+			x.failedTrials++
+			if failed == nil || x.failedTrials >= failed.failedTrials {
+				failed, failedPart = x, p.ID
+			}
+		}
+		if slices.ContainsFunc(x.crashed, func(c crash) bool { return c.engineProcess == process }) {
 			continue
 		}
 		wasSuspected, known := x.suspected, q.begun.has(p.ID)
@@ -180,7 +206,8 @@
 			continue
 		}
 		x.crashedAt = now
-		if x.crashed = append(x.crashed, process); len(x.crashed) > crashesOfKnownPart {
+		c := crash{engineProcess: process, at: now, trial: wasSuspected && onTrial}
+		if x.crashed = append(x.crashed, c); len(x.crashed) > crashesOfKnownPart {
 			x.crashed = x.crashed[1:]
 		}
 		x.expiresAt = max(x.expiresAt, now+suspicionLife)
@@ -193,24 +220,112 @@
 		}
 		x.trialCrashes++
 		q.version++
-		// Of parts that crashed equally often, the last one is the most specific: sound requests share the parts before it.
 		if worst == nil || x.trialCrashes >= worst.trialCrashes {
 			worst, worstPart = x, p.ID
 		}
 	}
+	if failed != nil {
+		q.delayTrial(now, failedPart, failed, endpoint)
+	}
 	if worst != nil && worst.trialCrashes >= trialCrashesToBlock {
 		q.block(now, worstPart, worst, endpoint)
 	}
 }
 
+// delayTrial blocks a part for a short time after a trial without an answer: the work of the next one might be lost as well.
+func (q *Quarantine) delayTrial(now time.Duration, part uint64, x *quarantinedPart, endpoint string) {
+	if until := now + trialWait(x.failedTrials); until > x.blockedUntil {
+		x.blockedUntil = until
+		q.note(part, x, PartBlocked, endpoint, until-now)
+	}
+}
+
+// trialWait returns the time between a failed trial and the next one.
+func trialWait(failed int) time.Duration { return min(firstTrialWait<<min(failed-1, 8), ShortBlock) }
+
+// lostAt reports whether the last request with a suspected part of the prompt ended without an answer at an endpoint, so that a
+// trial elsewhere shows more.
+func (q *Quarantine) lostAt(endpoint string, prompt []wire.PromptPart) bool {
+	return slices.ContainsFunc(sharedParts(prompt), func(p wire.PromptPart) bool {
+		x := q.parts[p.ID]
+		return x != nil && x.suspected && (x.lastEndpoint == endpoint || slices.ContainsFunc(x.crashed, func(c crash) bool { return c.endpoint == endpoint }))
+	})
+}
+
 // block blocks a part. After the block, one more crash under a trial blocks it again.
 func (q *Quarantine) block(now time.Duration, part uint64, x *quarantinedPart, endpoint string) {
-	length := min(firstBlock<<min(x.blocks, 8), maxBlock)
 	x.blocks++
+	q.setBlock(now, part, x, endpoint)
+	x.trialCrashes = trialCrashesToBlock - 1
+}
+
+// setBlock begins the last block of a part anew. It is short until all processes that crashed under a trial have ended.
+func (q *Quarantine) setBlock(now time.Duration, part uint64, x *quarantinedPart, endpoint string) {
+	x.unconfirmed = slices.ContainsFunc(x.crashed, func(c crash) bool { return c.trial && !c.ended })
+	length := min(firstBlock<<min(x.blocks-1, 8), maxBlock)
+	if x.unconfirmed {
+		length = min(ShortBlock<<min(x.blocks-1, 8), length)
+	}
 	x.blockedUntil = now + length
 	x.expiresAt = x.blockedUntil + suspicionLife
 	q.note(part, x, PartBlocked, endpoint, length)
-	x.trialCrashes = trialCrashesToBlock - 1
+}
+
+// Ended records that a process has ended. What crashed it may then be one of the parts that it had last.
+func (q *Quarantine) Ended(now time.Duration, endpoint string, born int64) {
+	for id, x := range q.parts {
+		changed := false
+		for i := range x.crashed {
+			if c := &x.crashed[i]; c.engineProcess == (engineProcess{endpoint, born}) && !c.ended {
+				c.ended, changed = true, true
+			}
+		}
+		if changed && x.unconfirmed && !slices.ContainsFunc(x.crashed, func(c crash) bool { return c.trial && !c.ended }) {
+			q.setBlock(now, id, x, endpoint)
+		}
+	}
+}
+
+// processes returns the processes that crashed and are not known to have ended.
+func (q *Quarantine) processes() []engineProcess {
+	var out []engineProcess
+	for _, x := range q.parts {
+		for _, c := range x.crashed {
+			if !c.ended && !slices.Contains(out, c.engineProcess) {
+				out = append(out, c.engineProcess)
+			}
+		}
+	}
+	return out
+}
+
+// Alive records that a process has answered a request that was sent to it at sentAt. It has not crashed before.
+func (q *Quarantine) Alive(now time.Duration, endpoint string, born int64, sentAt time.Duration) {
+	for id, x := range q.parts {
+		i := slices.IndexFunc(x.crashed, func(c crash) bool {
+			return c.engineProcess == (engineProcess{endpoint, born}) && c.at < sentAt
+		})
+		if i < 0 {
+			continue
+		}
+		wasTrial := x.crashed[i].trial
+		x.crashed = slices.Delete(x.crashed, i, i+1)
+		q.version++
+		if len(x.crashed) == 0 && !x.suspected {
+			delete(q.parts, id)
+			continue
+		}
+		// A suspected part stays on trial until an answer on it begins, since answers on it may still get lost.
+		if !wasTrial {
+			continue
+		}
+		x.trialCrashes = max(x.trialCrashes-1, 0)
+		if wait := x.crashedAt + trialWait(max(x.failedTrials, 1)); x.blocks > 0 && x.blockedUntil > max(now, wait) {
+			x.blockedUntil, x.unconfirmed = wait, false
+			x.blocks--
+			q.note(id, x, PartSuspected, endpoint, 0)
+		}
+	}
 }
 
 // add returns the new entry of a part, or nil if there is no room for it. A part that is blocked, on trial or has crashed more
@@ -300,8 +415,8 @@
 		x.suspected = true
 		x.trialCrashes = max(x.trialCrashes, int(m.TrialCrashes))
 		x.blocks = max(x.blocks, int(m.Blocks))
-		// A block that is known already is not prolonged by the time that its report took.
-		if until := now + ms(m.BlockedMs); m.BlockedMs > 0 && x.blockedUntil <= now {
+		// A block that is known already is not prolonged by the time that its report took, but by a longer one.
+		if until := now + ms(m.BlockedMs); m.BlockedMs > 0 && (x.blockedUntil <= now || until > x.blockedUntil+ShortBlock) {
 			x.blockedUntil = until
 		}
 		x.expiresAt = max(x.expiresAt, now+ms(m.ExpiresMs))
--- a/internal/sched/quarantine_test.go
+++ b/internal/sched/quarantine_test.go
@@ -17,10 +17,11 @@
 	return append(out, wire.PromptPart{ID: 1 << 50, Tokens: 40})
 }
 
-// blockPart blocks a part by a crash and as many trials as are needed.
+// blockPart blocks a part by a crash and as many trials as are needed. The processes are known to have ended.
 func blockPart(q *Quarantine, now time.Duration, id uint64) {
 	for i := range trialCrashesToBlock + 1 {
 		q.Crashed(now, prompt(id), fmt.Sprint("e", i), 1, i > 0)
+		q.Ended(now, fmt.Sprint("e", i), 1)
 	}
 }
 
@@ -236,6 +237,7 @@
 		t.Fatal("after the block, the part is not on trial")
 	}
 	q.Crashed(now, prompt(deadlyPart), "e9", 1, true)
+	q.Ended(now, "e9", 1)
 	if !isBlocked(q, now+firstBlock+time.Second, deadlyPart) {
 		t.Error("a crash after the block does not block the part for longer")
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -177,6 +177,7 @@
 	s.markLoadedCopies()
 	sort.Slice(s.sortedEndpoints, func(i, j int) bool { return s.sortedEndpoints[i].id < s.sortedEndpoints[j].id })
 	s.indexVersion++
+	s.observeEnds()
 	for id, e := range s.endpoints {
 		if !e.present && e.usedSlots == 0 {
 			delete(s.endpoints, id)
@@ -473,6 +474,7 @@
 	}
 	e := r.endpoint
 	s.quarantine.Began(r.ask.PromptParts)
+	s.quarantine.Alive(now, e.id, e.born, r.grantedAt)
 	s.endTrial(r)
 	s.settleRetry(r)
 	e.markPrefilled(r)
--- a/internal/sched/trials.go
+++ b/internal/sched/trials.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// observeEnds tells the quarantine which engines that crashed are not listed any more.
+func (s *State) observeEnds() {
+	for _, p := range s.quarantine.processes() {
+		if e := s.endpoints[p.endpoint]; e == nil || !e.present || e.born != p.born {
+			s.quarantine.Ended(s.now, p.endpoint, p.born)
+		}
+	}
+}
+
 // observeCrash updates the quarantine from the end of an attempt, which was a trial if onTrial is true.
 func (s *State) observeCrash(r *request, d *wire.Done, onTrial bool) {
 	e := r.endpoint
@@ -74,8 +83,12 @@
 	case e.engine == nil:
 	case d.Events > 0 || d.TotalMs > 0 && d.Fault == 0:
 		s.quarantine.Began(r.ask.PromptParts)
+		s.quarantine.Alive(s.now, e.id, e.born, r.grantedAt)
+	case Fault(d.Fault) == ConnectFailed:
+		s.quarantine.Ended(s.now, e.id, e.born)
 	case d.ConnectionLost:
 		s.quarantine.Crashed(s.now, r.ask.PromptParts, e.id, e.born, onTrial)
+		s.observeEnds()
 		s.refuseBlocked()
 	}
 }
