Don't count the loss of an answer under a trial against the endpoint

What callers can see: sound endpoints are paused one after the other because answers of requests on trial get lost there, which takes them from all other requests.

Cause: the fault of a request that is suspected to crash its engine was booked on the endpoint.

Change: under a trial, a lost connection updates the quarantine only. A process that has ended shows in its other connections and in those that follow.

TestTrialsPauseNoEndpoint failed before ("e1 is paused: broken answer").

--- a/internal/sched/lostanswers_test.go
+++ b/internal/sched/lostanswers_test.go
@@ -127,3 +127,26 @@
 		t.Error("the block at a host stays short")
 	}
 }
+
+// TestTrialsPauseNoEndpoint guards against a sound endpoint that is paused, and so taken from all other requests, because answers of
+// requests on trial were lost there.
+func TestTrialsPauseNoEndpoint(t *testing.T) {
+	s := New(0, testConfig(), testView(8, [][]string{{"m"}, {"m"}}, 0))
+	s.quarantine.Crashed(0, prompt(losePart), "x", 1, false)
+	for id := uint64(1); id <= 4; id++ {
+		now := time.Duration(id) * 500 * time.Millisecond
+		a := chat(id, "m")
+		a.PromptParts = prompt(losePart)
+		host := fmt.Sprint("h", id)
+		s.Ask(now, host, a)
+		if _, granted := answers(s)[id].(*wire.Grant); !granted {
+			break // blocked
+		}
+		s.Done(now+10*time.Millisecond, host, wire.Done{ID: id, Fault: uint8(BrokenResponse), Failed: true, ConnectionLost: true})
+	}
+	for _, c := range s.TakeHealthChanges() {
+		if c.Paused {
+			t.Errorf("%s is paused: %v", c.Endpoint, c.Fault)
+		}
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -523,6 +523,7 @@
 	}
 	fault := Fault(d.Fault)
 	switch {
+	case onTrial && d.ConnectionLost: // says more about the prompt than about the endpoint
 	case fault != NoFault:
 		if e.health.failure(now, host, fault, func() bool { return s.mayEject(e) }) {
 			s.recordHealthChange(e, true, fault)
