Add the missing shapes to the soak, and use the usual terms

The soak draws, in a stream of random numbers of its own: connections between hosts and of a host to the store that go silent for good, servers that lose all answers on one route, and plain servers that take 1 to 3 s while a host is stopped.

Tombstones and keep-alives have these names now.

--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -175,10 +175,10 @@
 	return true
 }
 
-// markAbsent records that the store lacked an object at a position, 0 if it is not known. It returns false if what is known of
+// markDeleted records that the store lacked an object at a position, 0 if it is not known. It returns false if what is known of
 // the object is newer. The caller holds the lock.
-func (d *directory) markAbsent(kind, name string, position uint64) bool {
-	if d.mirror.markAbsent(kind, name, position, time.Now()) {
+func (d *directory) markDeleted(kind, name string, position uint64) bool {
+	if d.mirror.markDeleted(kind, name, position, time.Now()) {
 		return true
 	}
 	d.log.Info().Str("kind", kind).Str("object", name).Uint64("position", position).Msg("Outdated removal ignored.")
@@ -304,7 +304,7 @@
 // lock.
 func (d *directory) removeConfig(name string, position uint64) {
 	config, _ := d.h.opts.Codec.Kinds()
-	if d.markAbsent(config, name, position) {
+	if d.markDeleted(config, name, position) {
 		d.removeObject(config, name)
 	}
 }
@@ -379,7 +379,7 @@
 // their servers are running, so until entryGrace after an outage the endpoint is kept, to give the entry time to come
 // back. The caller holds the lock.
 func (d *directory) removeEndpoint(id string, position uint64) {
-	if _, kind := d.h.opts.Codec.Kinds(); !d.markAbsent(kind, id, position) {
+	if _, kind := d.h.opts.Codec.Kinds(); !d.markDeleted(kind, id, position) {
 		return
 	}
 	if _, known := d.endpoints[id]; known && time.Now().Before(d.outageEndedAt.Add(entryGrace)) && !d.endpoints[id].Draining {
@@ -463,7 +463,7 @@
 		}
 	}
 	for _, k := range d.mirror {
-		k.absences.expire(now)
+		k.tombstones.expire(now)
 	}
 	if changed {
 		d.publishView()
@@ -494,7 +494,7 @@
 
 // removeHost removes a host. The own host object is then written again. The caller holds the lock.
 func (d *directory) removeHost(name string, position uint64) {
-	if !d.markAbsent(kindHosts, name, position) {
+	if !d.markDeleted(kindHosts, name, position) {
 		return
 	}
 	delete(d.hosts, name)
--- a/internal/host/feeds.go
+++ b/internal/host/feeds.go
@@ -223,7 +223,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	k := d.mirror[kind]
-	return k != nil && parseRevision(version) < k.absences.forgotten
+	return k != nil && parseRevision(version) < k.tombstones.forgotten
 }
 
 // isStoreLost reports whether calls for a kind are failing.
--- a/internal/host/mirror.go
+++ b/internal/host/mirror.go
@@ -25,8 +25,8 @@
 
 // mirroredKind holds the objects of one kind.
 type mirroredKind struct {
-	objects  map[string]mirroredObject
-	absences absences
+	objects    map[string]mirroredObject
+	tombstones tombstones
 	// position is the highest position up to which all changes are known, 0 if there is none.
 	position uint64
 }
@@ -45,7 +45,7 @@
 // the kind.
 func (m mirror) add(kind string) *mirroredKind {
 	if m[kind] == nil {
-		m[kind] = &mirroredKind{objects: make(map[string]mirroredObject), absences: newAbsences()}
+		m[kind] = &mirroredKind{objects: make(map[string]mirroredObject), tombstones: newTombstones()}
 	}
 	return m[kind]
 }
@@ -79,18 +79,18 @@
 	if exists && revision < known.revision {
 		return true
 	}
-	absentAt := k.absences.byName[name].position
+	deletedAt := k.tombstones.byName[name].position
 	if !exists {
-		absentAt = max(absentAt, k.absences.forgotten, k.position)
+		deletedAt = max(deletedAt, k.tombstones.forgotten, k.position)
 	}
-	return max(revision, shownAt) <= absentAt
+	return max(revision, shownAt) <= deletedAt
 }
 
 // put stores an object that the store showed at a position, and returns the update for other hosts, or nil if the mirror has
 // this version already.
 func (m mirror) put(o objects.Object, shownAt uint64) *wire.ViewUpdate {
 	k := m.add(o.Kind)
-	delete(k.absences.byName, o.Name)
+	delete(k.tombstones.byName, o.Name)
 	old, known := k.objects[o.Name]
 	if known && old.Version == o.Version {
 		return nil
@@ -105,15 +105,15 @@
 	return &wire.ViewUpdate{ObjectKind: o.Kind, Objects: []wire.StoredObject{toStoredObject(o)}}
 }
 
-// markAbsent records that the store lacked an object at a position; 0 stands for that of the known version. It returns false
+// markDeleted records that the store lacked an object at a position; 0 stands for that of the known version. It returns false
 // if what is known of the object is newer. The object stays until remove is called.
-func (m mirror) markAbsent(kind, name string, position uint64, now time.Time) bool {
+func (m mirror) markDeleted(kind, name string, position uint64, now time.Time) bool {
 	k := m.add(kind)
 	known, exists := k.objects[name]
 	if exists && position > 0 && known.revision > position {
 		return false
 	}
-	k.absences.record(name, max(position, known.revision), now)
+	k.tombstones.record(name, max(position, known.revision), now)
 	return true
 }
 
@@ -127,8 +127,8 @@
 	}
 	k := m[kind]
 	delete(k.objects, name)
-	k.absences.record(name, known.revision, now)
-	u := &wire.ViewUpdate{ObjectKind: kind, Removed: []string{name}, RemovedAt: []uint64{k.absences.byName[name].position}}
+	k.tombstones.record(name, known.revision, now)
+	u := &wire.ViewUpdate{ObjectKind: kind, Removed: []string{name}, RemovedAt: []uint64{k.tombstones.byName[name].position}}
 	m.advance(kind, 0)
 	return u
 }
@@ -137,9 +137,9 @@
 func (m mirror) advance(kind string, position uint64) {
 	k := m.add(kind)
 	k.position = max(k.position, position)
-	for name, a := range k.absences.byName {
+	for name, a := range k.tombstones.byName {
 		if _, kept := k.objects[name]; !kept && a.position <= k.position {
-			delete(k.absences.byName, name)
+			delete(k.tombstones.byName, name)
 		}
 	}
 }
@@ -238,7 +238,7 @@
 			u.Objects = append(u.Objects, toStoredObject(o.Object))
 		}
 	}
-	for name, a := range k.absences.byName {
+	for name, a := range k.tombstones.byName {
 		if _, kept := k.objects[name]; !kept {
 			u.Removed, u.RemovedAt = append(u.Removed, name), append(u.RemovedAt, a.position)
 		}
--- a/internal/host/mirror_test.go
+++ b/internal/host/mirror_test.go
@@ -34,7 +34,7 @@
 		m.put(o, u.Position)
 	}
 	for _, r := range removed {
-		if m.markAbsent(u.ObjectKind, r.name, r.position, time.Now()) {
+		if m.markDeleted(u.ObjectKind, r.name, r.position, time.Now()) {
 			m.remove(u.ObjectKind, r.name, time.Now())
 		}
 	}
--- a/internal/host/passedon.go
+++ b/internal/host/passedon.go
@@ -76,7 +76,7 @@
 // removeForwarded removes an endpoint that another host says is gone. That host has waited for entries that come back after an
 // outage of the store. The caller holds the lock.
 func (d *directory) removeForwarded(id string, position uint64) {
-	if _, kind := d.h.opts.Codec.Kinds(); d.markAbsent(kind, id, position) {
+	if _, kind := d.h.opts.Codec.Kinds(); d.markDeleted(kind, id, position) {
 		d.deleteEndpoint(id, "removed at the dispatcher")
 	}
 }
--- a/internal/host/absences_test.go
+++ b/internal/host/tombstones_test.go
@@ -108,7 +108,7 @@
 			}
 		}
 		remove := func(h int, name string, position uint64) {
-			if mirrors[h].markAbsent(kind, name, position, now) {
+			if mirrors[h].markDeleted(kind, name, position, now) {
 				send(mirrors[h].remove(kind, name, now))
 			}
 		}
@@ -184,31 +184,31 @@
 	})
 }
 
-// TestForgottenAbsencesStillCount guards against a memory for removed objects that grows without bound, and against an old
+// TestForgottenTombstonesStillCount guards against a memory for removed objects that grows without bound, and against an old
 // change that brings an object back once its removal is no longer kept by itself.
-func TestForgottenAbsencesStillCount(t *testing.T) {
+func TestForgottenTombstonesStillCount(t *testing.T) {
 	const kind = "k"
 	m, now := make(mirror), time.Now()
 	remove := func(i int) {
 		name := fmt.Sprint("n", i)
 		m.put(objects.Object{Kind: kind, Name: name, Version: fmt.Sprint(2*i + 1)}, 0)
-		m.markAbsent(kind, name, uint64(2*i+2), now)
+		m.markDeleted(kind, name, uint64(2*i+2), now)
 		m.remove(kind, name, now)
 	}
-	for i := range 2 * maxAbsences {
+	for i := range 2 * maxTombstones {
 		remove(i)
 	}
-	if n := len(m[kind].absences.byName); n > maxAbsences {
-		t.Errorf("%d removals kept, the bound is %d", n, maxAbsences)
+	if n := len(m[kind].tombstones.byName); n > maxTombstones {
+		t.Errorf("%d removals kept, the bound is %d", n, maxTombstones)
 	}
-	if !m.isOutdated(kind, "n5", "11", 0) || m.isOutdated(kind, "n5", fmt.Sprint(4*maxAbsences+1), 0) {
+	if !m.isOutdated(kind, "n5", "11", 0) || m.isOutdated(kind, "n5", fmt.Sprint(4*maxTombstones+1), 0) {
 		t.Error("an old version of a removed object counts as new, or a new one as old")
 	}
-	m[kind].absences.expire(now.Add(2 * absenceMemory))
-	if n := len(m[kind].absences.byName); n > 0 {
+	m[kind].tombstones.expire(now.Add(2 * tombstoneLife))
+	if n := len(m[kind].tombstones.byName); n > 0 {
 		t.Errorf("%d removals kept after their time", n)
 	}
-	if last := 2*maxAbsences - 1; !m.isOutdated(kind, fmt.Sprint("n", last), fmt.Sprint(2*last+1), 0) {
+	if last := 2*maxTombstones - 1; !m.isOutdated(kind, fmt.Sprint("n", last), fmt.Sprint(2*last+1), 0) {
 		t.Error("the last removed object comes back after its time")
 	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -118,7 +118,7 @@
 			s.DelayOrders(0, 0)
 		}
 	default:
-		f.audit.Report("SOAK", "event kind %q is not implemented", e.Kind)
+		f.runShape(e, s)
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -51,6 +51,14 @@
 // ServerLimits is neither: a server limits its requests, which excuses nothing.
 const ServerLimits Kind = "server limits its requests"
 
+// Shapes of sound and faulty behaviour that the platform's pages allow beside the usual ones; see drawShapes.
+const (
+	PeersSilentForGood Kind = "peer connections to host go silent for good"
+	StoreSilentForGood Kind = "host's store connections go silent for good"
+	AnswersOfRouteLost Kind = "server loses the answers of a route"
+	PlainServersSlow   Kind = "plain servers take seconds"
+)
+
 // Event is one fault or piece of planned work.
 type Event struct {
 	Kind     Kind
@@ -115,6 +123,7 @@
 		p.Planned = append(p.Planned, drawEvent(rng, plannedKinds, plannedPhase))
 	}
 	drawTroubles(&p)
+	drawShapes(&p)
 	sortByTime(p.Faults)
 	sortByTime(p.Planned)
 	return p
@@ -136,7 +145,7 @@
 // Unplanned reports whether an event excuses requests that end without an answer.
 func (k Kind) Unplanned() bool {
 	switch k {
-	case StopHost, ReloadHost, BadSettings, Configure, DrainServer, ServerLimits:
+	case StopHost, ReloadHost, BadSettings, Configure, DrainServer, ServerLimits, PlainServersSlow:
 		return false
 	}
 	return true
--- a/internal/transport/beats.go
+++ b/internal/transport/keepalive.go
@@ -9,11 +9,11 @@
 )
 
 // An open connection may go silent for good, without a reset, and whatever acknowledges its bytes hides that from the operating
-// system. Each side therefore sends a beat while it has nothing else to send, and ends a connection on which nothing arrives.
+// system. Each side therefore sends a keep-alive while it has nothing else to send, and ends a connection on which nothing arrives.
 const (
-	beatInterval   = time.Second // without another message
-	maxMissedBeats = 4           // intervals in which nothing arrived, more than a lossy link takes to repeat a segment
-	// callProbeDelay is the time without a byte after which a call that waits for its reply asks for a beat. A call that ends as
+	keepAliveInterval   = time.Second // without another message
+	maxMissedKeepAlives = 4           // intervals in which nothing arrived, more than a lossy link takes to repeat a segment
+	// callProbeDelay is the time without a byte after which a call that waits for its reply asks for a keep-alive. A call that ends as
 	// long after that, without a byte all the while, ends the connection: the next one needs another.
 	callProbeDelay = 200 * time.Millisecond
 )
@@ -38,10 +38,10 @@
 	return n, err
 }
 
-// beat sends a beat after each interval in which nothing was sent, and ends the connection if nothing arrives. It counts
+// keepAlive sends a keep-alive after each interval in which nothing was sent, and ends the connection if nothing arrives. It counts
 // intervals, since a process that was suspended finds several of them over at once.
-func (c *Conn) beat() {
-	t := time.NewTicker(beatInterval)
+func (c *Conn) keepAlive() {
+	t := time.NewTicker(keepAliveInterval)
 	defer t.Stop()
 	received, sent, missed := c.nc.received.Load(), c.nc.sent.Load(), 0
 	for {
@@ -52,19 +52,19 @@
 		}
 		if n := c.nc.received.Load(); n != received {
 			received, missed = n, 0
-		} else if missed++; missed >= maxMissedBeats {
+		} else if missed++; missed >= maxMissedKeepAlives {
 			c.endSilent()
 			return
 		}
 		if n := c.nc.sent.Load(); n == sent {
-			c.sendBeat(false)
+			c.sendKeepAlive(false)
 		}
 		sent = c.nc.sent.Load()
 	}
 }
 
-// sendBeat queues a beat. It needs no check: if the queue is full, messages are on their way that show the same.
-func (c *Conn) sendBeat(answer bool) { _ = c.Send(&wire.Beat{Answer: answer}) }
+// sendKeepAlive queues a keep-alive. It needs no check: if the queue is full, messages are on their way that show the same.
+func (c *Conn) sendKeepAlive(answer bool) { _ = c.Send(&wire.KeepAlive{Answer: answer}) }
 
 // endSilent ends a connection on which nothing arrives.
 func (c *Conn) endSilent() {
@@ -74,10 +74,10 @@
 	c.Close()
 }
 
-// handleBeat answers a beat if it asks for that.
-func (c *Conn) handleBeat(m *wire.Beat) {
+// handleKeepAlive answers a keep-alive if it asks for that.
+func (c *Conn) handleKeepAlive(m *wire.KeepAlive) {
 	if m.Answer {
-		c.sendBeat(false)
+		c.sendKeepAlive(false)
 	}
 }
 
@@ -86,27 +86,27 @@
 	c        *Conn
 	timer    *time.Timer
 	received uint64    // bytes when the call was sent
-	askedAt  time.Time // when a beat was asked for
+	askedAt  time.Time // when a keep-alive was asked for
 }
 
 // startProbe returns the probe of a call that is sent now.
 func (c *Conn) startProbe() *callProbe {
 	p := &callProbe{c: c, received: c.nc.received.Load(), timer: time.NewTimer(callProbeDelay)}
-	if !c.remote.Beats {
+	if !c.remote.KeepAlives {
 		p.timer.Stop()
 	}
 	return p
 }
 
-// ask asks for a beat if nothing has arrived since the call was sent.
+// ask asks for a keep-alive if nothing has arrived since the call was sent.
 func (p *callProbe) ask() {
 	if p.c.nc.received.Load() == p.received {
 		p.askedAt = time.Now()
-		p.c.sendBeat(true)
+		p.c.sendKeepAlive(true)
 	}
 }
 
-// end ends the probe of a call that has no reply. The connection ends if the other side had time for a beat and sent nothing.
+// end ends the probe of a call that has no reply. The connection ends if the other side had time for a keep-alive and sent nothing.
 func (p *callProbe) end() {
 	if !p.askedAt.IsZero() && time.Since(p.askedAt) >= callProbeDelay && p.c.nc.received.Load() == p.received {
 		p.c.endSilent()
--- a/internal/transport/beats_test.go
+++ b/internal/transport/keepalive_test.go
@@ -131,7 +131,7 @@
 						t.Errorf("the call after one on a silent connection: %v", err)
 					}
 				}
-				limit := (maxMissedBeats + 2) * beatInterval
+				limit := (maxMissedKeepAlives + 2) * keepAliveInterval
 				select {
 				case <-first.Done():
 				case <-time.After(limit):
@@ -163,6 +163,6 @@
 	select {
 	case <-first.Done():
 		t.Error("a sound connection was ended")
-	case <-time.After((maxMissedBeats + 2) * beatInterval):
+	case <-time.After((maxMissedKeepAlives + 2) * keepAliveInterval):
 	}
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -183,7 +183,7 @@
 func (c *Conn) handshake(r *bufio.Reader) error {
 	c.nc.SetDeadline(time.Now().Add(handshakeTimeout))
 	hello := c.opts.Hello
-	hello.Beats = true
+	hello.KeepAlives = true
 	if err := c.write(bufio.NewWriter(c.nc), frame{0, &hello}, true); err != nil {
 		return err
 	}
@@ -224,8 +224,8 @@
 		defer c.opts.OnDisconnected(c)
 	}
 	go c.writeLoop()
-	if c.remote.Beats {
-		go c.beat()
+	if c.remote.KeepAlives {
+		go c.keepAlive()
 	}
 	stop := context.AfterFunc(c.ctx, func() { c.nc.Close() })
 	defer stop()
@@ -246,8 +246,8 @@
 			}
 			continue
 		}
-		if b, ok := m.(*wire.Beat); ok {
-			c.handleBeat(b)
+		if b, ok := m.(*wire.KeepAlive); ok {
+			c.handleKeepAlive(b)
 			continue
 		}
 		c.opts.Handler(c, correlationID, m)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -23,12 +23,12 @@
 	Incarnation uint64 `msg:"c"` // identifies a run of the process; unique per host
 	Cell        string `msg:"d"`
 	Zone        string `msg:"e"` // availability zone
-	Beats       bool   `msg:"f"` // the sender sends beats while it has nothing else to send, and answers those that ask for it
+	KeepAlives  bool   `msg:"f"` // the sender sends keep-alives while it has nothing else to send, and answers those that ask for it
 }
 
-// Beat shows that a connection works. Each side sends one while it has nothing else to send.
-type Beat struct {
-	Answer bool `msg:"a"` // the receiver answers with a beat at once
+// KeepAlive shows that a connection works. Each side sends one while it has nothing else to send.
+type KeepAlive struct {
+	Answer bool `msg:"a"` // the receiver answers with one at once
 }
 
 // Heartbeat is sent once a second by every control process to every other control process of its cell.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -451,58 +451,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z Beat) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "a"
-	o = append(o, 0x81, 0xa1, 0x61)
-	o = msgp.AppendBool(o, z.Answer)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Beat) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Answer, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Answer")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Beat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Cancel) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3836,7 +3784,7 @@
 	o = msgp.AppendString(o, z.Zone)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendBool(o, z.Beats)
+	o = msgp.AppendBool(o, z.KeepAlives)
 	return
 }
 
@@ -3893,9 +3841,9 @@
 				return
 			}
 		case "f":
-			z.Beats, bts, err = msgp.ReadBoolBytes(bts)
+			z.KeepAlives, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Beats")
+				err = msgp.WrapError(err, "KeepAlives")
 				return
 			}
 		default:
@@ -4628,6 +4576,58 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z KeepAlive) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Answer)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeepAlive) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Answer, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Answer")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z KeepAlive) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -56,7 +56,7 @@
 	KindRelayBeat
 	KindEndpointLeaves
 	KindEndpointLimit
-	KindBeat
+	KindKeepAlive
 )
 
 // Message is implemented by every struct of this package that is sent in a frame of its own.
@@ -117,7 +117,7 @@
 	KindRelayBeat:       func() Message { return new(RelayBeat) },
 	KindEndpointLeaves:  func() Message { return new(EndpointLeaves) },
 	KindEndpointLimit:   func() Message { return new(EndpointLimit) },
-	KindBeat:            func() Message { return new(Beat) },
+	KindKeepAlive:       func() Message { return new(KeepAlive) },
 }
 
 func (*Hello) Kind() Kind           { return KindHello }
@@ -160,4 +160,4 @@
 func (*RelayBeat) Kind() Kind       { return KindRelayBeat }
 func (*EndpointLeaves) Kind() Kind  { return KindEndpointLeaves }
 func (*EndpointLimit) Kind() Kind   { return KindEndpointLimit }
-func (*Beat) Kind() Kind            { return KindBeat }
+func (*KeepAlive) Kind() Kind       { return KindKeepAlive }
