Refuse requests whose adapter nobody in reach can load

Cause: a request that found no reply from the holder asked again until its time was over.

Change: after 1.5 s without a reply of the holder, the request is refused as not run, with 1 s to come back. A reply, also a refusal of the holder, starts the time anew.

TestPlatformHolderOutOfReach failed before (no answer within the deadline of 6 s at two hosts).

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"syscall"
@@ -749,7 +750,7 @@
 	}
 	reply, err := x.b.h.holder.sendPrepare(ctx, holder, m)
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("%w: %v", errHolderUnreachable, err)
 	}
 	if !reply.OK {
 		return 0, errors.New(reply.Reason)
@@ -757,6 +758,9 @@
 	return time.Duration(reply.WaitMs) * time.Millisecond, nil
 }
 
+// errHolderUnreachable means that the holder of the placement lease gave no reply.
+var errHolderUnreachable = errors.New("the holder of the placement lease does not answer this host")
+
 // binderEnd is the binder's end of the connection to the dispatcher of the same process. Sending does not take the binder's
 // lock, which the sender may hold.
 type binderEnd struct {
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -35,6 +35,8 @@
 	maxLackingAttempts  = 3                       // attempts at one endpoint that lacks the model or adapter
 	lackingDelay        = 20 * time.Millisecond   // doubles while adapters can't be loaded, up to maxLackingDelay
 	maxLackingDelay     = 200 * time.Millisecond  // upper limit of lackingDelay
+	maxHolderSilence    = 1500 * time.Millisecond // for which the holder of the placement lease may be out of this host's reach
+	retryAfterNoHolder  = time.Second             // Retry-After of a request that needs it
 	retryAfterNotRun    = 200 * time.Millisecond  // Retry-After of a request that did not run
 	maxLoggedParts      = 8                       // parts of a prompt in a log line
 )
@@ -57,6 +59,7 @@
 	exclude         []string        // endpoints that get no further attempt
 	lackingAttempts map[string]int  // attempts by endpoint, where it lacked the model or adapter
 	adapterFailures int             // attempts that failed because the adapter could not be loaded
+	holderLostAt    time.Time       // when the holder that loads adapters first did not answer, zero if it has answered since
 	fallback        *bufferedAnswer // error answer of an endpoint, passed on if no later attempt does better
 	lastBinding     *binding        // slot of the latest attempt
 	nextBinding     *binding        // slot reserved for the next attempt, nil if there is none
@@ -113,6 +116,10 @@
 		}
 		x.outcome = attempt.Combine(x.outcome, r.outcome)
 		x.lastErr = r.err
+		if x.isHolderLost(r.err) {
+			x.finishUnbound(ctx, &refusal{errHolderUnreachable.Error(), retryAfterNoHolder})
+			return
+		}
 		x.excludeEndpoint(ctx, b, &r)
 		if r.answer != nil {
 			x.fallback = r.answer
@@ -129,6 +136,19 @@
 	}
 }
 
+// isHolderLost reports whether the holder that loads adapters has been out of this host's reach for maxHolderSilence. err is that of
+// the last attempt.
+func (x *exchange) isHolderLost(err error) bool {
+	if !errors.Is(err, errHolderUnreachable) {
+		x.holderLostAt = time.Time{}
+		return false
+	}
+	if x.holderLostAt.IsZero() {
+		x.holderLostAt = time.Now()
+	}
+	return time.Since(x.holderLostAt) >= maxHolderSilence
+}
+
 // excludeEndpoint excludes the endpoint of a failed attempt from further attempts, with two exceptions. An endpoint that lacks
 // the model or adapter stays eligible for maxLackingAttempts, because the dispatcher now knows what it lacks, and it may be
 // the only one that can serve the request. If the slot was taken without the dispatcher, nobody has the model or adapter
--- a/test/integration/silent_test.go
+++ b/test/integration/silent_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"sycamoredeal/internal/soak"
 	"sycamoredeal/platform/platformtest"
 )
 
@@ -36,3 +37,28 @@
 		}
 	}
 }
+
+// TestPlatformHolderOutOfReach cuts the other hosts off from the holder of the placement lease, which the dispatcher still hears. It
+// guards against requests for adapters that are not loaded and are held until their deadline (CONFIG), though nobody can load them.
+func TestPlatformHolderOutOfReach(t *testing.T) {
+	t.Parallel()
+	f := startPlatformFleet(t, 3, proxyPeers)
+	holder, dispatcher := f.holder(), f.dispatcher()
+	if holder == dispatcher {
+		t.Fatal("the dispatcher holds the lease, though there are other hosts")
+	}
+	f.hosts[holder].toPeers.SetMode(soak.Silent, 0)
+	for _, name := range f.hostsExcept(holder) {
+		o := platformtest.Do(f.ctx, f.hosts[name].front, chatCall("m0/a2"))
+		if o.Status != http.StatusServiceUnavailable || o.Duration > callLimit*3/4 || o.RetryAfterMs == 0 {
+			t.Errorf("%s: status %d after %v, Retry-After %d ms", name, o.Status, o.Duration, o.RetryAfterMs)
+		}
+	}
+	f.hosts[holder].toPeers.SetMode(soak.Pass, 0)
+	time.Sleep(time.Second)
+	for _, name := range f.hostsExcept(holder) {
+		if o := platformtest.Do(f.ctx, f.hosts[name].front, chatCall("m0/a2")); o.Status != http.StatusOK {
+			t.Errorf("%s, within reach again: status %d after %v", name, o.Status, o.Duration)
+		}
+	}
+}
