Count the bytes of every answer as progress

Shorter ones were fetched a second time.

Cause: the watchdog that looks for another endpoint heard of the events of streams only.

Change: each byte of a body counts. Bytes that arrive during the search for another endpoint end it, and an answer of which the caller has a part is not replaced any more.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -355,6 +355,7 @@
 	x             *exchange
 	ask           wire.Ask
 	retryInterval time.Duration // between two searches
+	silenceLimit  time.Duration // without activity, before another endpoint may take over
 	cancel        context.CancelCauseFunc
 	watchdog      *watchdog
 
@@ -366,7 +367,7 @@
 // startFailover starts the watchdog of an attempt. On its timeout, the attempt is cancelled or, if a failover is allowed,
 // another endpoint is searched for.
 func (x *exchange) startFailover(ctx context.Context, endpoint string, cancel context.CancelCauseFunc) *failover {
-	m := &failover{x: x, cancel: cancel, retryInterval: x.eventGapLimit()}
+	m := &failover{x: x, cancel: cancel, retryInterval: x.eventGapLimit(), silenceLimit: min(x.silenceLimit(), x.eventGapLimit())}
 	if !x.mayFailOver() {
 		m.watchdog = newWatchdog(x.silenceLimit(), func() { cancel(errSilent) })
 		return m
@@ -403,6 +404,11 @@
 	case err != nil:
 	case m.stopped:
 		b.release()
+	case m.watchdog.off.Load():
+		b.release()
+	case m.watchdog.silence() < m.silenceLimit: // bytes have arrived during the search
+		b.release()
+		m.watchdog.restart(m.silenceLimit)
 	default:
 		m.replacement = b
 		m.cancel(errSilent)
@@ -530,7 +536,8 @@
 		r.streamed = x.stream != nil
 		return r
 	}
-	return x.passOnWhole(ctx, b, resp, start)
+	resp.Body = &watchedBody{resp.Body, w, x.silenceLimit()}
+	return x.passOnWhole(ctx, b, resp, w)
 }
 
 // handleNotRun handles a response that states that the request did not run.
@@ -551,13 +558,14 @@
 }
 
 // passOnWhole reads an answer whole and passes it on, unless it is an error and the request may be repeated.
-func (x *exchange) passOnWhole(ctx context.Context, b *binding, resp *upstream.Response, start time.Time) attemptResult {
+func (x *exchange) passOnWhole(ctx context.Context, b *binding, resp *upstream.Response, w *watchdog) attemptResult {
 	body, more, err := resp.ReadAll(maxBufferedAnswer)
 	if err != nil {
 		resp.Close(false)
 		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, connLost: isConnectionEnd(err), err: err}
 	}
 	if more {
+		w.disable()
 		return x.passOnLong(ctx, resp, body)
 	}
 	resp.Close(true)
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -60,11 +60,28 @@
 	d.Events, d.StreamMs = uint32(s.received), uint32(s.lastReceivedAt.Sub(s.firstReceivedAt).Milliseconds())
 }
 
+// watchedBody is the body of an answer, whose bytes are activity of the endpoint.
+type watchedBody struct {
+	io.ReadCloser
+	w       *watchdog
+	timeout time.Duration
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 && !b.w.off.Load() {
+		b.w.recordActivity(b.timeout)
+	}
+	return n, err
+}
+
 // watchdog calls a function after a time without activity.
 type watchdog struct {
 	timer *time.Timer
 	start time.Time
 	last  atomic.Int64 // time of the last activity, in nanoseconds since start
+	off   atomic.Bool  // the attempt can't be replaced any more
 }
 
 // newWatchdog starts a watchdog that calls expired after d. If d is 0, it never does.
@@ -92,6 +109,12 @@
 // silence returns the time since the last activity.
 func (w *watchdog) silence() time.Duration { return time.Since(w.start) - time.Duration(w.last.Load()) }
 
+// disable stops the watchdog of an answer that the caller has got a part of.
+func (w *watchdog) disable() {
+	w.off.Store(true)
+	w.stop()
+}
+
 func (w *watchdog) stop() {
 	if w.timer != nil {
 		w.timer.Stop()
