End a stop as early as before

Cause, as far as it is known: the time to answer what is in progress at the end had been added to a stop, which left 0.3 s to the end of the grace time instead of 0.6 s.

Change: requests in progress get their final answer 1 s before the end of the grace time instead of 0.7 s, and the process ends as early as before. Requests are accepted by the same rule.

--- a/internal/host/stopping.go
+++ b/internal/host/stopping.go
@@ -10,7 +10,7 @@
 	streamAcceptTime = 2600 * time.Millisecond // after the signal, until two failed readiness checks redirect callers
 	plainAcceptTime  = 5 * time.Second         // the same for requests to plain services, if they end in time
 	exitMargin       = 700 * time.Millisecond  // of the grace time, reserved for the exit of the process
-	finalAnswerTime  = 300 * time.Millisecond  // of exitMargin, to answer requests that are still in progress
+	finalAnswerTime  = 300 * time.Millisecond  // before exitMargin, to answer requests that are still in progress
 	minAnswerTime    = 500 * time.Millisecond  // for an answer that begins as late as a stop allows
 	streamTailShare  = 0.9                     // share of a route's recent streams that end in the time that is reserved for a new one
 	plainTailShare   = 1.0                     // the same for other requests, which may not be lost
@@ -32,7 +32,7 @@
 // planStop plans a stop within the grace time.
 func planStop(grace time.Duration) stopPlan {
 	return stopPlan{
-		end:             max(grace-exitMargin, 0),
+		end:             max(grace-exitMargin-finalAnswerTime, 0),
 		streamAcceptEnd: min(streamAcceptTime, grace/3),
 		plainAcceptEnd:  min(plainAcceptTime, grace*5/8),
 	}
