Add the types, settings and messages for client accounts and quotas

Two deployments state client accounts with keys and quotas, which no part of the program knows. This commit adds what its parts share: fleet.Accounts, the fields of wire.Ask and wire.Refuse, the settings of the quota's window, and status 429. Nothing sets them yet, so behaviour is unchanged; go test ./internal/sched ./internal/host ./internal/fleet ./platform passes.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -44,6 +44,7 @@
 	Services           []WeightedService // services that the requests are divided among
 	MaxAttempts        int               // largest number of endpoints that one request is sent to
 	Resumable          bool              // a broken stream may be continued at another endpoint
+	Public             bool              // callers need no key
 }
 
 // WeightedService is a service and its weight among the services of a route.
@@ -126,6 +127,7 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   Limits
+	Accounts *Accounts // nil if callers have no accounts
 
 	byHost map[string][]*Route // routes by host, longest prefix first
 }
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -22,6 +22,9 @@
 	RetryRatio      float64       // retries allowed per request to a service
 	RetryExtra      float64       // retries allowed in a window beyond the ratio
 	RetryWindow     time.Duration // window over which retries are counted
+	QuotaWindow     time.Duration // window over which the quotas of accounts are checked, 0 if the deployment has none
+	QuotaTolerance  float64       // share by which a quota may be exceeded in a window
+	QuotaSlack      float64       // units by which it may be exceeded in addition
 	LoadWindow      time.Duration // window over which loads from the weight store are counted
 	LoadRateFactor  float64       // factor on the rate of loads that a window allows
 }
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -16,10 +16,14 @@
 	Adapter        string // name within the model, empty for none
 	PromptTokens   uint32
 	MaxTokens      uint32
+	SizeStated     bool   // the caller stated PromptTokens and MaxTokens
 	ExpectedTokens uint32 // caller's estimate of the output, 0 if unknown
 	PromptParts    []wire.PromptPart
 	Arrived        time.Time
 	Deadline       time.Time // time at which the caller stops waiting, zero for none
+	Keys           []string  // as the caller sent them
+	Account        *Account  // holder of the caller's key, nil if there is none
+	Authenticated  bool      // the configuration has accounts: the key is not passed on, and the endpoint is told the account
 
 	Method string
 	Target string // path and query as the caller sent them
@@ -81,3 +85,24 @@
 	RateLimit  float64       // requests per second that the endpoint takes from all hosts together
 	RetryAfter time.Duration // time in which the endpoint wants no requests from this host, 0 if not stated
 }
+
+// Cost returns the units of its account's quota that the request uses, 0 if it is not limited.
+func (q *Request) Cost() float64 {
+	switch {
+	case q.Account == nil || q.Route.Public || !q.Account.Limit.Limited():
+		return 0
+	case !q.Account.Limit.ByTokens:
+		return 1
+	case q.SizeStated:
+		return float64(q.PromptTokens) + float64(q.MaxTokens)
+	}
+	return q.Account.Limit.PlainCost
+}
+
+// Rank returns the request's rank: that of its account, or that of its route if the account has none.
+func (q *Request) Rank() int {
+	if q.Account != nil && q.Account.Ranked {
+		return q.Account.Rank
+	}
+	return q.Route.Rank
+}
--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -39,6 +39,7 @@
 type refusal struct {
 	reason     string
 	retryAfter time.Duration
+	overLimit  bool // the request exceeds the quota of its account
 }
 
 // Error implements error.
@@ -616,7 +617,7 @@
 	case callBound:
 		return b.newBinding(c), nil, true
 	case callRefused:
-		return nil, &refusal{c.refuse.Reason, time.Duration(c.refuse.RetryAfterMs) * time.Millisecond}, true
+		return nil, &refusal{reason: c.refuse.Reason, retryAfter: time.Duration(c.refuse.RetryAfterMs) * time.Millisecond, overLimit: c.refuse.OverLimit}, true
 	}
 	return nil, nil, false
 }
@@ -647,7 +648,7 @@
 		if b.link != nil && !b.link.closed {
 			if !c.startBy.IsZero() && time.Now().After(c.startBy.Add(askTimeout)) {
 				b.withdraw(c)
-				return nil, &refusal{"the dispatcher did not decide in time", localRetryAfter}, true
+				return nil, &refusal{reason: "the dispatcher did not decide in time", retryAfter: localRetryAfter}, true
 			}
 			return nil, nil, false
 		}
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -43,7 +43,7 @@
 
 var (
 	errSilent         = errors.New("the endpoint was silent")
-	errStopping error = &refusal{"the host is stopping", retryAfterStopping}
+	errStopping error = &refusal{reason: "the host is stopping", retryAfter: retryAfterStopping}
 )
 
 // exchange is one request of a caller and the state of all its attempts.
@@ -117,7 +117,7 @@
 		x.outcome = attempt.Combine(x.outcome, r.outcome)
 		x.lastErr = r.err
 		if x.isHolderLost(r.err) {
-			x.finishUnbound(ctx, &refusal{errHolderUnreachable.Error(), retryAfterNoHolder})
+			x.finishUnbound(ctx, &refusal{reason: errHolderUnreachable.Error(), retryAfter: retryAfterNoHolder})
 			return
 		}
 		x.excludeEndpoint(ctx, b, &r)
@@ -212,13 +212,21 @@
 // newAsk returns the message that asks the dispatcher for a slot.
 func (x *exchange) newAsk() wire.Ask {
 	q := x.q
-	return wire.Ask{
+	a := wire.Ask{
 		Caller: q.Route.Name, Service: q.Service, Model: q.Model, Adapter: q.Adapter, PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens,
-		ExpectedTokens: q.ExpectedTokens, PromptParts: q.PromptParts, Priority: uint8(min(max(q.Route.Rank, 0), 255)), Request: q.ID,
+		ExpectedTokens: q.ExpectedTokens, PromptParts: q.PromptParts, Priority: clampRank(q.Rank()), RouteRank: clampRank(q.Route.Rank), Request: q.ID,
 		Exclude: x.exclude, Retry: x.sends > 0, Resumed: x.stream != nil, WarmEndpoints: x.warmEndpoints(),
+		Cost: q.Cost(), Charged: x.possibleRuns > 0,
 	}
+	if q.Account != nil {
+		a.Account = q.Account.Name
+	}
+	return a
 }
 
+// clampRank returns a rank as it is sent in messages.
+func clampRank(rank int) uint8 { return uint8(min(max(rank, 0), 255)) }
+
 // warmEndpoints returns the endpoints that can serve the request and to which an idle connection is open.
 func (x *exchange) warmEndpoints() []string {
 	connected := x.f.h.requestPool.IdleAddresses(time.Now())
@@ -635,7 +643,11 @@
 func (x *exchange) finishUnbound(ctx context.Context, err error) {
 	var ref *refusal
 	if errors.As(err, &ref) && x.outcome != attempt.Unknown && x.fallback == nil && x.stream == nil {
-		x.reject(ref.reason, ref.retryAfter)
+		status := http.StatusServiceUnavailable
+		if ref.overLimit {
+			status = http.StatusTooManyRequests
+		}
+		x.respondError(status, ref.reason, ref.retryAfter)
 		return
 	}
 	x.lastErr = err
--- a/internal/host/localdecisions.go
+++ b/internal/host/localdecisions.go
@@ -64,7 +64,7 @@
 	c.state = callWithdrawn
 	b.log.Info().Str("request", c.ask.Request).Str("model", c.ask.Model).Str("reason", reason).Int64("retryMs", retryAfter.Milliseconds()).
 		Msg("Refused without the dispatcher.")
-	return nil, &refusal{reason, retryAfter}
+	return nil, &refusal{reason: reason, retryAfter: retryAfter}
 }
 
 // releaseLocalSlot uncounts a slot that the dispatcher did not know of. The caller holds the lock.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -236,6 +236,12 @@
 	WarmEndpoints  []string     `msg:"u"` // endpoints to which the host has an idle connection
 	EndMs          uint32       `msg:"v"` // time left until the complete answer must have arrived, 0 if there is no limit
 	SharedRetry    bool         `msg:"w"` // the host may not send this retry by itself; the dispatcher has to lend it
+
+	RouteRank   uint8   `msg:"x"` // rank of the route; orders requests of the same Priority
+	Account     string  `msg:"y"` // client account of the request, empty if it has none
+	Cost        float64 `msg:"z"` // units of the account's quota that the request uses, 0 if it is not limited
+	Charged     bool    `msg:"1"` // an attempt that may have run has used the units already
+	Speculative bool    `msg:"2"` // another attempt of the request is in progress; grant only a slot that nothing else needs
 }
 
 // PromptPart is a part of a prompt that several requests may have in common.
@@ -278,6 +284,7 @@
 	ID           uint64 `msg:"a"`
 	Reason       string `msg:"b"`
 	RetryAfterMs uint32 `msg:"c"`
+	OverLimit    bool   `msg:"d"` // the request exceeds the quota of its account
 }
 
 // Done reports the end of an attempt and releases the slot of the granted request.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -130,9 +130,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Ask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 23
+	// map header, size 28
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x17, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x1c, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -212,6 +212,21 @@
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendBool(o, z.SharedRetry)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendUint8(o, z.RouteRank)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o = msgp.AppendString(o, z.Account)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendFloat64(o, z.Cost)
+	// string "1"
+	o = append(o, 0xa1, 0x31)
+	o = msgp.AppendBool(o, z.Charged)
+	// string "2"
+	o = append(o, 0xa1, 0x32)
+	o = msgp.AppendBool(o, z.Speculative)
 	return
 }
 
@@ -425,6 +440,36 @@
 				err = msgp.WrapError(err, "SharedRetry")
 				return
 			}
+		case "x":
+			z.RouteRank, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RouteRank")
+				return
+			}
+		case "y":
+			z.Account, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Account")
+				return
+			}
+		case "z":
+			z.Cost, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cost")
+				return
+			}
+		case "1":
+			z.Charged, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Charged")
+				return
+			}
+		case "2":
+			z.Speculative, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Speculative")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -447,7 +492,7 @@
 	for za0003 := range z.WarmEndpoints {
 		s += msgp.StringPrefixSize + len(z.WarmEndpoints[za0003])
 	}
-	s += 2 + msgp.Uint32Size + 2 + msgp.BoolSize
+	s += 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Account) + 2 + msgp.Float64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -5950,11 +5995,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Refuse) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Refuse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "a"
-	o = append(o, 0x83, 0xa1, 0x61)
+	o = append(o, 0x84, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -5962,6 +6007,9 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint32(o, z.RetryAfterMs)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.OverLimit)
 	return
 }
 
@@ -6001,6 +6049,12 @@
 				err = msgp.WrapError(err, "RetryAfterMs")
 				return
 			}
+		case "d":
+			z.OverLimit, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OverLimit")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -6014,8 +6068,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Refuse) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Uint32Size
+func (z *Refuse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Uint32Size + 2 + msgp.BoolSize
 	return
 }
 
