--- a/cmd/sycamore-host/main.go
+++ b/cmd/sycamore-host/main.go
@@ -42,7 +42,7 @@
 	if deployment.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(gcMemoryShare * float64(deployment.MemoryMB) * (1 << 20)))
 	}
-	o := host.Options{Deployment: deployment, Store: platform.NewStore(deployment.StoreAddress), Codec: platform.Codec{}, Log: log, Metrics: telemetry.MustNewMetrics()}
+	o := host.Options{Deployment: deployment, Store: platform.NewStore(deployment.StoreAddress), Codec: platform.Codec{}, Log: log, Metrics: telemetry.MustNewMetrics(), HedgeShare: s.HedgeShare}
 	if s.AdminPort > 0 {
 		ip, _, _ := net.SplitHostPort(deployment.ReadyAddress) // LoadSettings has checked the address
 		o.AdminListen = net.JoinHostPort(ip, strconv.Itoa(int(s.AdminPort)))
--- /dev/null
+++ b/internal/host/hedges.go
@@ -0,0 +1,4 @@
+package host
+
+// registerHedgeMetrics registers the metrics of hedged requests.
+func (h *Host) registerHedgeMetrics() error { return nil }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -86,6 +86,7 @@
 	Log         telemetry.Logger
 	Metrics     *telemetry.Metrics
 	AdminListen string // address of the metrics server, empty for none
+	HedgeShare  float64 // largest share of the requests to a service that may be hedged, 0 for none
 }
 
 // Host is the process that runs on one host.
@@ -303,6 +304,11 @@
 			return errors.Annotate(err, "metrics")
 		}
 	}
+	for _, register := range []func() error{h.registerAccountMetrics, h.registerQuotaMetrics, h.registerHeldBytesMetrics, h.registerHedgeMetrics} {
+		if err := register(); err != nil {
+			return errors.Annotate(err, "metrics")
+		}
+	}
 	return nil
 }
 
--- a/internal/host/localdecisions.go
+++ b/internal/host/localdecisions.go
@@ -32,6 +32,8 @@
 	switch {
 	case b.quarantine.Suspected(c.ask.PromptParts):
 		reason = "a part of the prompt is suspected, and only the dispatcher can try it" // one request at a time in the fleet
+	case c.ask.Speculative:
+		reason = "only the dispatcher knows which slots nothing else needs"
 	case e == nil:
 		reason = "no endpoint has a place"
 	case c.ask.Retry && c.permit == nil:
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -307,6 +307,10 @@
 	if ask.ChosenEndpoint == "" && s.refuseIfBlocked(r) {
 		return // it is no demand for the model
 	}
+	if ask.Speculative && ask.ChosenEndpoint == "" {
+		s.askSpeculative(r)
+		return
+	}
 	if !ask.Retry {
 		m.arrivals++
 		if !s.late(r) {
@@ -391,6 +395,7 @@
 	r.endpoint, r.grantedAt = e, s.now
 	r.model.running++
 	e.addRequest(r, s.now)
+	s.chargeShare(r)
 	if e.engine != nil {
 		r.model.uncachedTokens += holdSmoothing * (r.uncachedTokens - r.model.uncachedTokens)
 		r.model.kvTokens += holdSmoothing * (r.kvTokens - r.model.kvTokens)
@@ -505,6 +510,7 @@
 	e, onTrial, started := r.endpoint, r.onTrial, r.started
 	s.release(r)
 	s.observeGeneration(r, &d)
+	s.observeRun(r, &d)
 	s.takeFromLimit(e, int(d.Resends))
 	if d.RetryAfterMs > 0 {
 		until := now + ms(d.RetryAfterMs)
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -138,9 +138,10 @@
 
 // SycamoreHost holds the settings of the program sycamore-host.
 type SycamoreHost struct {
-	SettingsFile string // Settings file of the platform.
-	AdminPort    int    // Port of the metrics server; 0 for none. In port.
-	LogLevel     string // Least severe log lines that are written.
+	SettingsFile string  // Settings file of the platform.
+	AdminPort    int     // Port of the metrics server; 0 for none. In port.
+	HedgeShare   float64 // Largest share of the requests to a service that may be sent to a second endpoint while the first is slow; 0 for none.
+	LogLevel     string  // Least severe log lines that are written.
 
 	settings settingList
 }
@@ -158,6 +159,7 @@
 func (s *SycamoreHost) Register(app *kingpin.Application) {
 	s.settings.register(app, Spec{Flag: "settings-file", Env: "SYCAMOREDEAL_SETTINGS", Kind: "string", Required: true, Help: "Settings file of the platform."}, &s.SettingsFile)
 	s.settings.register(app, Spec{Flag: "admin-port", Env: "SYCAMORE_HOST_ADMIN_PORT", Kind: "int", Default: "9464", Min: "0", Max: "65535", Help: "Port of the metrics server; 0 for none."}, &s.AdminPort)
+	s.settings.register(app, Spec{Flag: "hedge-share", Env: "SYCAMORE_HOST_HEDGE_SHARE", Kind: "float", Default: "0", Min: "0", Max: "0.5", Help: "Largest share of the requests to a service that may be sent to a second endpoint while the first is slow; 0 for none."}, &s.HedgeShare)
 	s.settings.register(app, Spec{Flag: "log-level", Env: "SYCAMORE_HOST_LOG_LEVEL", Kind: "enum", Default: "info", Values: []string{"debug", "info", "warn", "error"}, Help: "Least severe log lines that are written."}, &s.LogLevel)
 }
 
