--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -85,7 +85,7 @@
 	Codec       Codec
 	Log         telemetry.Logger
 	Metrics     *telemetry.Metrics
-	AdminListen string // address of the metrics server, empty for none
+	AdminListen string  // address of the metrics server, empty for none
 	HedgeShare  float64 // largest share of the requests to a service that may be hedged, 0 for none
 }
 
