Admit requests to plain services by the end of their run

Cause: a request to a plain service counted as on time if it could start before its target. An overloaded queue serves requests at that bound, so that their answers came one run too late.

Change: sched learns the run times of each plain service in a decaying histogram. A request is on time if a slot becomes free a margin before its target. A request with less time to its deadline than a median run is refused at once. Before 30 answers are known, the rule is as before.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -48,7 +48,7 @@
 	}
 	if e.engine == nil {
 		// Without a configuration, engines can't be distinguished from plain services.
-		return a.Model == "" && s.service(e.service) != nil
+		return a.Model == "" && s.service(e.service) != nil && s.endsInTime(e, r)
 	}
 	if !e.models[a.Model] || s.closingCopies[wire.ModelCopy{Endpoint: e.id, Model: a.Model}] {
 		return false
@@ -139,10 +139,11 @@
 	return a.target < b.target
 }
 
-// idleFirstToken predicts the time to the first token of a request at an idle endpoint without cached prompt parts.
+// idleFirstToken predicts the time to the first token of a request at an idle endpoint without cached prompt parts. For a
+// plain service, it is the time that a request needs before its start deadline.
 func (s *State) idleFirstToken(r *request) time.Duration {
 	if r.ask.Model == "" {
-		return 0
+		return s.timeToStartDeadline(r)
 	}
 	first, perToken := s.prefillEstimateOf(r.ask.Service).fit()
 	return seconds((first + float64(r.ask.PromptTokens)*perToken) / 1000)
@@ -194,7 +195,7 @@
 		bestLate := false
 		for _, m := range s.waitingFor(e) {
 			for _, r := range m.waiting {
-				late := r.target < s.now+e.firstTokenTime(r, s.now)
+				late := r.target < s.now+s.timeToTargetAt(e, r)
 				if (best == nil || goesBefore(r, best, late, bestLate)) && s.canServe(e, r) {
 					best, bestLate = r, late
 				}
@@ -275,7 +276,7 @@
 	if c.tokensPerMs > 0 {
 		wait = max(wait, work.tokens/c.tokensPerMs/1000)
 	}
-	if s.now+seconds(wait)+s.idleFirstToken(r) <= r.target {
+	if s.now+seconds(wait)+s.timeToTarget(r) <= r.target {
 		return seconds(wait)
 	}
 	left := c.requestsPerSec - r.model.onTimePerSec
@@ -294,8 +295,9 @@
 
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 
-// late reports whether a request would miss its target even at an idle endpoint.
-func (s *State) late(r *request) bool { return r.target < s.now+s.idleFirstToken(r) }
+// late reports whether a request would miss its target even at an idle endpoint. At a plain service, its answer has to be
+// complete by then.
+func (s *State) late(r *request) bool { return r.target < s.now+s.timeToTarget(r) }
 
 // acceptsAgainAt returns the earliest time at which an endpoint of the request's model accepts requests from its host
 // again. It is 0 if an endpoint accepts them now or if no endpoint serves the model.
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -216,12 +216,12 @@
 	return e.backlogMs(now) + first*e.slowness + e.prefillMs(e.uncachedTokens(&r.ask))
 }
 
-// firstTokenTime predicts the time to the first token of a request that is sent now. It is 0 for a plain service.
-func (e *endpoint) firstTokenTime(r *request, now time.Duration) time.Duration {
+// timeToTargetAt predicts how long before its target a request must be sent to an endpoint to be on time.
+func (s *State) timeToTargetAt(e *endpoint, r *request) time.Duration {
 	if e.engine == nil {
-		return 0
+		return s.timeToTarget(r)
 	}
-	return seconds(e.firstTokenMs(r, now) / 1000)
+	return seconds(e.firstTokenMs(r, s.now) / 1000)
 }
 
 // addRequest counts a request that is granted at now.
--- a/internal/sched/generation.go
+++ b/internal/sched/generation.go
@@ -7,8 +7,9 @@
 // time of several prompt chunks for each event. A long answer that starts there reaches its deadline unfinished and wastes
 // engine time that other requests need.
 type generationEstimate struct {
-	tokens, events float64 // sums over finished answers, with exponential decay
-	eventMs        float64 // mean time per event over all endpoints, 0 if unknown
+	tokens, events float64     // sums over finished answers, with exponential decay
+	eventMs        float64     // mean time per event over all endpoints, 0 if unknown
+	runs           runEstimate // of a plain service
 }
 
 const (
@@ -75,6 +76,9 @@
 
 // endsInTime reports whether a request's answer can be expected to be complete in time at an endpoint.
 func (s *State) endsInTime(e *endpoint, r *request) bool {
+	if e.engine == nil {
+		return r.endBy == 0 || r.ask.Resumed || s.now+s.typicalRun(r) <= r.endBy
+	}
 	if r.endBy == 0 || r.ask.Resumed || r.ask.ExpectedTokens == 0 {
 		return true
 	}
@@ -84,7 +88,7 @@
 // noEndpointEndsInTime reports whether the request's model has endpoints, none of which can be expected to complete the
 // answer in time.
 func (s *State) noEndpointEndsInTime(r *request) bool {
-	if r.endBy == 0 || r.ask.Model == "" {
+	if r.endBy == 0 {
 		return false
 	}
 	known := false
--- /dev/null
+++ b/internal/sched/plainflood_test.go
@@ -0,0 +1,294 @@
+package sched
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sycamoredeal/internal/fleet"
+	"sycamoredeal/internal/wire"
+)
+
+// plainFlood describes callers of a plain service with three servers of four slots. They send requests in clumps of three, and
+// come back once when they are refused. The last one asks a deadline before the end of the run.
+type plainFlood struct {
+	rate      func(now time.Duration) float64 // requests per second
+	length    time.Duration
+	objective time.Duration
+	deadline  time.Duration
+	lossFrom  time.Duration // from here to lossTo, one of the servers is not listed; 0 if all are all the time
+	lossTo    time.Duration
+	seed      uint64
+	startRule bool // the rule before run times were known: a request is on time if it starts before its target
+}
+
+// plainFloodResult counts callers by how they ended. Times count from a caller's first attempt to the end of the answer.
+type plainFloodResult struct {
+	callers, onTime, late, unserved int
+	refusals, refusedCallers        int
+}
+
+func (r *plainFloodResult) add(o plainFloodResult) {
+	r.callers += o.callers
+	r.onTime += o.onTime
+	r.late += o.late
+	r.unserved += o.unserved
+	r.refusals += o.refusals
+	r.refusedCallers += o.refusedCallers
+}
+
+// worth returns the mean worth of a caller's answer, of which one in time counts 1 and a late one 0.3.
+func (r *plainFloodResult) worth() float64 {
+	return (float64(r.onTime) + 0.3*float64(r.late)) / float64(r.callers)
+}
+
+func (r *plainFloodResult) log(t *testing.T, name string) {
+	t.Helper()
+	share := func(n int) float64 { return 100 * float64(n) / float64(r.callers) }
+	t.Logf("%-44s of %d callers %.1f%% on time, %.1f%% late, %.1f%% refused, %.2f refusals per request never served, %.2f per refused caller; worth %.3f",
+		name, r.callers, share(r.onTime), share(r.late), share(r.unserved), float64(r.refusals)/float64(max(r.unserved, 1)),
+		float64(r.refusals)/float64(max(r.refusedCallers, 1)), r.worth())
+}
+
+const (
+	plainMedian = 54 * time.Millisecond
+	// plainMean is the mean of plainRun.
+	plainMean  = 56.16 // ms
+	plainSlots = 12
+	callerTrip = 3 * time.Millisecond // one way between caller and host
+)
+
+// plainCapacity is the number of requests per second that the slots can serve.
+const plainCapacity = plainSlots / plainMean * 1000
+
+// plainRun returns a run time: half to one and a half times the median, and of 1% of the requests five times as long.
+func plainRun(rng *rand.Rand) time.Duration {
+	run := time.Duration((0.5 + rng.Float64()) * float64(plainMedian))
+	if rng.Float64() < 0.01 {
+		run *= 5
+	}
+	return run
+}
+
+// timedEvents is a heap of functions by the times at which they are due.
+type timedEvents []timedEvent
+
+type timedEvent struct {
+	at  time.Duration
+	seq int
+	do  func(now time.Duration)
+}
+
+func (h timedEvents) Len() int { return len(h) }
+func (h timedEvents) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h timedEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timedEvents) Push(x any)   { *h = append(*h, x.(timedEvent)) }
+func (h *timedEvents) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// plainCaller is a simulated caller.
+type plainCaller struct {
+	first   time.Duration // time of its first attempt
+	ask     wire.Ask
+	refused int
+}
+
+// run plays a flood.
+func (f plainFlood) run(t *testing.T) plainFloodResult {
+	t.Helper()
+	full, reduced := testView(4, nil, 3), testView(4, nil, 2)
+	for _, v := range []*fleet.View{full, reduced} {
+		v.Config.Routes = []fleet.Route{{Name: "r", TargetLatency: f.objective, Services: []fleet.WeightedService{{Service: plainService, Weight: 1}}}}
+	}
+	s := New(0, testConfig(), full)
+	arrivals, rng := rand.New(rand.NewPCG(f.seed, 13)), rand.New(rand.NewPCG(f.seed, 17))
+	var res plainFloodResult
+	var events timedEvents
+	seq := 0
+	at := func(when time.Duration, do func(now time.Duration)) {
+		seq++
+		heap.Push(&events, timedEvent{when, seq, do})
+	}
+	byID := make(map[uint64]*plainCaller)
+	runs := make(map[uint64]time.Duration)
+	id := uint64(0)
+	attempt := func(now time.Duration, c *plainCaller) {
+		id++
+		byID[id], runs[id] = c, plainRun(rng)
+		left := c.first + f.deadline - now
+		a := c.ask
+		a.ID, a.TargetMs, a.DeadlineMs, a.EndMs = id, uint32(f.objective.Milliseconds()), uint32(left.Milliseconds()), uint32(left.Milliseconds())
+		s.Ask(now, "h", a)
+	}
+	var arrive func(now time.Duration)
+	arrive = func(now time.Duration) {
+		if now >= f.length-f.deadline {
+			return
+		}
+		for range 3 {
+			res.callers++
+			attempt(now, &plainCaller{first: now - callerTrip, ask: wire.Ask{Service: plainService}})
+		}
+		at(now+seconds(3*arrivals.ExpFloat64()/f.rate(now)), arrive)
+	}
+	at(0, arrive)
+	var tick func(now time.Duration)
+	tick = func(now time.Duration) {
+		s.Tick(now)
+		at(now+15*time.Millisecond, tick)
+	}
+	at(0, tick)
+	if f.lossTo > 0 {
+		at(f.lossFrom, func(now time.Duration) { s.SetView(now, reduced) })
+		at(f.lossTo, func(now time.Duration) { s.SetView(now, full) })
+	}
+	for events[0].at < f.length {
+		x := heap.Pop(&events).(timedEvent)
+		x.do(x.at)
+		if f.startRule {
+			s.generationEstimateOf(plainService).runs = runEstimate{}
+		}
+		now := x.at
+		for _, o := range s.TakeOutputs() {
+			switch m := o.Message.(type) {
+			case *wire.Grant:
+				c, run := byID[m.ID], runs[m.ID]
+				at(now+run, func(now time.Duration) {
+					s.Done(now, "h", wire.Done{ID: m.ID, TotalMs: uint32(run.Milliseconds())})
+					if now+callerTrip-c.first <= f.objective {
+						res.onTime++
+					} else {
+						res.late++
+					}
+				})
+			case *wire.Refuse:
+				c := byID[m.ID]
+				if res.refusals++; c.refused == 0 {
+					res.refusedCallers++
+				}
+				if c.refused++; c.refused == 2 {
+					res.unserved++
+					continue
+				}
+				back := min(ms(m.RetryAfterMs), (c.first+f.deadline-now)/3)
+				at(now+back+2*callerTrip, func(now time.Duration) { attempt(now, c) })
+			}
+		}
+	}
+	if n := res.onTime + res.late + res.unserved; n != res.callers {
+		t.Errorf("%d of %d callers got an answer or a second refusal", n, res.callers)
+	}
+	return res
+}
+
+// TestPlainFloodServesOnTime guards against starting requests of a plain service so late that their answers miss the target:
+// under the start rule, 31% of the callers at 222 requests per second got a late answer.
+func TestPlainFloodServesOnTime(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		rate         float64
+		serversLost  bool
+		onTime, gain float64 // least share of callers on time, and least gain in worth over the start rule
+	}{
+		{"222 per second", 222, false, 0.80, 0.12},
+		{"0.7 of the capacity", 0.7 * plainCapacity, false, 0.99, 0},
+		{"the capacity", plainCapacity, false, 0.85, 0.05},
+		{"1.3 of the capacity", 1.3 * plainCapacity, false, 0.55, 0.2},
+		{"twice the capacity", 2 * plainCapacity, false, 0.28, 0.15},
+		{"0.7 of the capacity, a third lost", 0.7 * plainCapacity, true, 0.91, 0.01},
+		{"the capacity, a third lost", plainCapacity, true, 0.7, 0.15},
+		{"1.3 of the capacity, a third lost", 1.3 * plainCapacity, true, 0.45, 0.15},
+	} {
+		var before, after plainFloodResult
+		for seed := uint64(1); seed <= 3; seed++ {
+			f := plainFlood{
+				rate: func(time.Duration) float64 { return test.rate }, length: 24 * time.Second,
+				objective: 300 * time.Millisecond, deadline: 4 * time.Second, seed: seed,
+			}
+			if test.serversLost {
+				f.lossFrom, f.lossTo = 7*time.Second, 13*time.Second
+			}
+			after.add(f.run(t))
+			f.startRule = true
+			before.add(f.run(t))
+		}
+		before.log(t, test.name+", start rule:")
+		after.log(t, test.name+":")
+		if share := float64(after.onTime) / float64(after.callers); share < test.onTime {
+			t.Errorf("%s: %.3f on time, want %.3f", test.name, share, test.onTime)
+		}
+		if gain := after.worth() - before.worth(); gain < test.gain {
+			t.Errorf("%s: worth %.3f, %.3f under the start rule", test.name, after.worth(), before.worth())
+		}
+	}
+}
+
+// TestFailuresLeaveRunTimes guards against run times learned from attempts that failed, which end early, or that were sent
+// again in the same slot.
+func TestFailuresLeaveRunTimes(t *testing.T) {
+	s := New(0, testConfig(), testView(1, nil, 1))
+	now := time.Duration(0)
+	run := func(id uint64, took time.Duration, d wire.Done) {
+		s.Ask(now, "h", wire.Ask{ID: id, Service: plainService, DeadlineMs: 9000, TargetMs: 9000})
+		if _, ok := answers(s)[id].(*wire.Grant); !ok {
+			t.Fatalf("request %d is not granted", id)
+		}
+		now += took
+		d.ID = id
+		s.Done(now, "h", d)
+		now += time.Second
+		s.Tick(now)
+	}
+	runs := &s.generationEstimateOf(plainService).runs
+	for id := uint64(1); id <= 2*minRuns; id++ {
+		if id <= minRuns && runs.known() {
+			t.Fatalf("the run times are known after %d answers", id-1)
+		}
+		run(id, 100*time.Millisecond, wire.Done{TotalMs: 100})
+	}
+	want := runs.quantile(typicalRun)
+	if want < 100*time.Millisecond || want > 110*time.Millisecond {
+		t.Fatalf("typical run %v after runs of 100 ms", want)
+	}
+	for id := uint64(1000); id < 1200; id++ {
+		switch id % 3 {
+		case 0:
+			run(id, time.Millisecond, wire.Done{TotalMs: 1, Fault: uint8(ErrorStatus)})
+		case 1:
+			run(id, time.Millisecond, wire.Done{})
+		case 2:
+			run(id, 2*time.Second, wire.Done{TotalMs: 2000, Resends: 2})
+		}
+	}
+	if got := runs.quantile(typicalRun); got != want || runs.quantile(0.999) != want {
+		t.Errorf("typical run %v after failures, %v before", got, want)
+	}
+}
+
+// TestNoTimeForRun guards against sending a request to a plain service that can't answer it before its deadline. The caller
+// has left by then, and the run takes capacity from others.
+func TestNoTimeForRun(t *testing.T) {
+	s := New(0, testConfig(), testView(1, nil, 1))
+	for id := uint64(1); id <= 2*minRuns; id++ {
+		now := time.Duration(id) * time.Second
+		s.Ask(now, "h", wire.Ask{ID: id, Service: plainService, DeadlineMs: 900, TargetMs: 300, EndMs: 900})
+		s.Done(now+100*time.Millisecond, "h", wire.Done{ID: id, TotalMs: 100})
+	}
+	now := time.Hour
+	answers(s)
+	s.Ask(now, "h", wire.Ask{ID: 1000, Service: plainService, DeadlineMs: 60, TargetMs: 60, EndMs: 60})
+	if m, ok := answers(s)[1000].(*wire.Refuse); !ok {
+		t.Errorf("a request with 60 ms left for a run of 100 ms is not refused: %#v", m)
+	}
+	s.Ask(now, "h", wire.Ask{ID: 1001, Service: plainService, DeadlineMs: 1, TargetMs: 300, EndMs: 900})
+	if m, ok := answers(s)[1001].(*wire.Grant); !ok {
+		t.Errorf("a request that has to start at once, but not to end, is not granted: %#v", m)
+	}
+}
