Authenticate callers by the keys of client accounts

Cause: with accounts in the configuration, a host passed every key on to the endpoints and ran requests without one.

A host looks the key up once, after the route is known and before the body is read, and responds with 401 to a request without a valid one.

--- a/internal/fleet/accounts.go
+++ b/internal/fleet/accounts.go
@@ -53,8 +53,9 @@
 
 // ByKey returns the account that holds a key, or nil.
 func (a *Accounts) ByKey(key string) *Account {
-	k := a.byKey[sha256.Sum256([]byte(key))]
-	if k == nil || subtle.ConstantTimeCompare(k.key, []byte(key)) != 1 {
+	sent := []byte(key)
+	k := a.byKey[sha256.Sum256(sent)]
+	if k == nil || subtle.ConstantTimeCompare(k.key, sent) != 1 {
 		return nil
 	}
 	return k.account
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -47,7 +47,8 @@
 
 	http atomic.Pointer[http.Server] // nil until the first configuration is known
 
-	answerTimer *answerTimer
+	answerTimer   *answerTimer
+	accountCounts accountCounts
 
 	mu            sync.Mutex
 	idleConns     map[net.Conn]*idleConn
@@ -175,7 +176,8 @@
 	}
 	q := &fleet.Request{Arrived: arrived, Method: r.Method, Target: r.RequestURI, Host: r.Host}
 	f.h.opts.Codec.Request(r.Header, q)
-	x := &exchange{f: f, w: w, q: q}
+	sw := &statusWriter{ResponseWriter: w}
+	x := &exchange{f: f, w: sw, q: q}
 	cfg := f.h.directory.view().Config
 	switch {
 	case f.rejectAll.Load():
@@ -194,13 +196,22 @@
 		return
 	}
 	x.configVersion = cfg.Version
+	if !authenticate(q, cfg) {
+		f.rejectKey(x, r)
+		return
+	}
+	if q.Account != nil {
+		defer func() {
+			f.accountCounts.add(q.Account.Name, accountOutcomeOf(sw.status, x.delivered, r.Context().Err() != nil))
+		}()
+	}
 	if q.Route.Kind == fleet.Stream && f.rejectStreams.Load() || !x.mayStart() {
 		x.reject("the host is stopping", retryAfterStopping)
 		return
 	}
 	q.Service = q.Route.PickService(q.ID)
 	f.h.retries.addRequest(q.Service)
-	if !f.readBody(x, r) {
+	if !f.readBody(x, w, r) {
 		return
 	}
 	defer f.bodyBytes.Add(-int64(len(q.Body)))
@@ -257,8 +268,9 @@
 func (b *bodyReservation) release() { b.f.bodyBytes.Add(-b.reserved) }
 
 // readBody reads the whole request body, because it may have to be sent more than once. If that fails, readBody answers the
-// caller and returns false.
-func (f *front) readBody(x *exchange, r *http.Request) bool {
+// caller and returns false. w is the writer of the HTTP server, which http.MaxBytesReader tells to close the connection after
+// a body that is too long.
+func (f *front) readBody(x *exchange, w http.ResponseWriter, r *http.Request) bool {
 	if r.Body == nil || r.Body == http.NoBody {
 		return true
 	}
@@ -267,7 +279,7 @@
 		x.respondError(http.StatusRequestEntityTooLarge, "body is too long", 0)
 		return false
 	}
-	b := &bodyReservation{f: f, source: http.MaxBytesReader(x.w, r.Body, limit)}
+	b := &bodyReservation{f: f, source: http.MaxBytesReader(w, r.Body, limit)}
 	if !b.reserve(max(r.ContentLength, 0)) {
 		x.reject(errNoBodyMemory.Error(), retryAfterFull)
 		return false
