Reject requests while a host has no configuration

Cause: a host without a configuration accepted connections and left their requests without a response until it had one, which may take as long as the store is out of reach. The rule for accounts is a 503.

Change: after one second without a configuration, which covers the first response of the store and of the seeds, a host rejects requests with 503 and closes their connections. Once a configuration is known, it serves with the limits of that one.

--- a/internal/host/accounts_test.go
+++ b/internal/host/accounts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,7 +11,10 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"sycamoredeal/internal/fleet"
+	"sycamoredeal/internal/testbed"
 )
 
 // keyCodec is a testCodec whose callers send keys.
@@ -176,3 +180,57 @@
 		}
 	}
 }
+
+// TestNoConfiguration guards against requests that get no response, or 401, while no configuration is known, and against a host
+// that does not serve once one is.
+func TestNoConfiguration(t *testing.T) {
+	s := newScriptedServer(t, func(_ int64, id string, w io.Writer) bool {
+		io.WriteString(w, wholeAnswer(id, "ok"))
+		return true
+	})
+	h, _ := newScriptedHost(t, s)
+	h.opts.Codec = keyCodec{}
+	setAccounts(h, "k1")
+	v := h.directory.view()
+	h.directory.currentView.Store(&fleet.View{})
+	d := *h.deployment()
+	d.CallerAddress = testbed.FreeAddr()
+	h.activeDeployment.Store(&d)
+	ctx, cancel := context.WithCancel(t.Context())
+	g, ctx := errgroup.WithContext(ctx)
+	defer func() {
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	}()
+	if err := h.front.listen(ctx, g); err != nil {
+		t.Fatal(err)
+	}
+	get := func() int {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.CallerAddress+idempotentRoute, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Key", "k1")
+		req.Header.Set("X-Deadline", "4000")
+		req.Header.Set("X-Id", "r")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode
+	}
+	for range 2 {
+		if status := get(); status != http.StatusServiceUnavailable {
+			t.Errorf("without a configuration: status %d", status)
+		}
+	}
+	h.directory.currentView.Store(v)
+	for range 3 {
+		if status := get(); status != http.StatusOK {
+			t.Errorf("with a configuration: status %d", status)
+		}
+	}
+}
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 
 const (
 	configPollInterval    = 20 * time.Millisecond
+	firstConfigWait       = time.Second      // at the start, for the store's first response or that of the seeds, which takes 0.7 s
 	defaultHeaderTimeout  = 10 * time.Second // this and the next three limits apply if the configuration sets none
 	defaultIdleTimeout    = 60 * time.Second
 	defaultMaxHeaderBytes = 64 << 10
@@ -67,7 +69,7 @@
 }
 
 // listen opens the callers' address at once, so that connections are accepted, and starts to serve them when the first
-// configuration, which sets the limits, is known.
+// configuration, which sets the limits, is known. If that takes longer than firstConfigWait, requests are rejected meanwhile.
 func (f *front) listen(ctx context.Context, g *errgroup.Group) error {
 	ln, err := net.Listen("tcp4", f.h.deployment().CallerAddress)
 	if err != nil {
@@ -75,9 +77,12 @@
 	}
 	context.AfterFunc(ctx, func() { ln.Close() })
 	g.Go(func() error {
-		for ctx.Err() == nil && f.h.directory.view().Config == nil {
+		for begin := time.Now(); ctx.Err() == nil && !f.configured() && time.Since(begin) < firstConfigWait; {
 			clock.Sleep(ctx, configPollInterval)
 		}
+		if !f.configured() {
+			f.serveUnconfigured(ctx, ln.(*net.TCPListener))
+		}
 		s := f.newServer()
 		f.http.Store(s)
 		context.AfterFunc(ctx, func() { s.Close() })
@@ -89,6 +94,49 @@
 	return nil
 }
 
+// configured reports whether a configuration is known.
+func (f *front) configured() bool { return f.h.directory.view().Config != nil }
+
+// serveUnconfigured serves callers until a configuration is known or ctx ends. It closes each connection after a response, so
+// that the next request is served with the limits of the configuration.
+func (f *front) serveUnconfigured(ctx context.Context, ln *net.TCPListener) {
+	f.log.Warn().Msg("No configuration is known, requests are rejected.")
+	s := f.newServer()
+	s.SetKeepAlivesEnabled(false)
+	f.http.Store(s)
+	context.AfterFunc(ctx, func() { s.Close() })
+	_ = s.Serve(&unconfiguredListener{ln, f}) // it ends with errConfigured or with that of the listener, which the caller finds too
+	if err := ln.SetDeadline(time.Time{}); err != nil {
+		f.log.Debug().Err(err).Msg("Clearing the deadline of the callers' address failed.")
+	}
+}
+
+// errConfigured ends the server that rejects requests without a configuration.
+var errConfigured = errors.New("a configuration is known")
+
+// unconfiguredListener accepts connections until a configuration is known.
+type unconfiguredListener struct {
+	*net.TCPListener
+	f *front
+}
+
+// Accept implements net.Listener.
+func (l *unconfiguredListener) Accept() (net.Conn, error) {
+	for !l.f.configured() {
+		if err := l.SetDeadline(time.Now().Add(configPollInterval)); err != nil {
+			return nil, err
+		}
+		c, err := l.TCPListener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c, err
+		}
+	}
+	return nil, errConfigured
+}
+
+// Close does nothing: the address stays open for the server that follows.
+func (l *unconfiguredListener) Close() error { return nil }
+
 // shutdown stops accepting connections, closes idle ones, and waits for requests that have just arrived, at most for the
 // given time.
 func (f *front) shutdown(within time.Duration) {
