--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 
 const (
 	configPollInterval    = 20 * time.Millisecond
+	firstConfigWait       = time.Second      // at the start, for the store's first response or that of the seeds, which takes 0.7 s
 	defaultHeaderTimeout  = 10 * time.Second // this and the next three limits apply if the configuration sets none
 	defaultIdleTimeout    = 60 * time.Second
 	defaultMaxHeaderBytes = 64 << 10
@@ -47,7 +49,8 @@
 
 	http atomic.Pointer[http.Server] // nil until the first configuration is known
 
-	answerTimer *answerTimer
+	answerTimer   *answerTimer
+	accountCounts accountCounts
 
 	mu            sync.Mutex
 	idleConns     map[net.Conn]*idleConn
@@ -66,7 +69,7 @@
 }
 
 // listen opens the callers' address at once, so that connections are accepted, and starts to serve them when the first
-// configuration, which sets the limits, is known.
+// configuration, which sets the limits, is known. If that takes longer than firstConfigWait, requests are rejected meanwhile.
 func (f *front) listen(ctx context.Context, g *errgroup.Group) error {
 	ln, err := net.Listen("tcp4", f.h.deployment().CallerAddress)
 	if err != nil {
@@ -74,9 +77,12 @@
 	}
 	context.AfterFunc(ctx, func() { ln.Close() })
 	g.Go(func() error {
-		for ctx.Err() == nil && f.h.directory.view().Config == nil {
+		for begin := time.Now(); ctx.Err() == nil && !f.configured() && time.Since(begin) < firstConfigWait; {
 			clock.Sleep(ctx, configPollInterval)
 		}
+		if !f.configured() {
+			f.serveUnconfigured(ctx, ln.(*net.TCPListener))
+		}
 		s := f.newServer()
 		f.http.Store(s)
 		context.AfterFunc(ctx, func() { s.Close() })
@@ -88,6 +94,49 @@
 	return nil
 }
 
+// configured reports whether a configuration is known.
+func (f *front) configured() bool { return f.h.directory.view().Config != nil }
+
+// serveUnconfigured serves callers until a configuration is known or ctx ends. It closes each connection after a response, so
+// that the next request is served with the limits of the configuration.
+func (f *front) serveUnconfigured(ctx context.Context, ln *net.TCPListener) {
+	f.log.Warn().Msg("No configuration is known, requests are rejected.")
+	s := f.newServer()
+	s.SetKeepAlivesEnabled(false)
+	f.http.Store(s)
+	context.AfterFunc(ctx, func() { s.Close() })
+	_ = s.Serve(&unconfiguredListener{ln, f}) // it ends with errConfigured or with that of the listener, which the caller finds too
+	if err := ln.SetDeadline(time.Time{}); err != nil {
+		f.log.Debug().Err(err).Msg("Clearing the deadline of the callers' address failed.")
+	}
+}
+
+// errConfigured ends the server that rejects requests without a configuration.
+var errConfigured = errors.New("a configuration is known")
+
+// unconfiguredListener accepts connections until a configuration is known.
+type unconfiguredListener struct {
+	*net.TCPListener
+	f *front
+}
+
+// Accept implements net.Listener.
+func (l *unconfiguredListener) Accept() (net.Conn, error) {
+	for !l.f.configured() {
+		if err := l.SetDeadline(time.Now().Add(configPollInterval)); err != nil {
+			return nil, err
+		}
+		c, err := l.TCPListener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c, err
+		}
+	}
+	return nil, errConfigured
+}
+
+// Close does nothing: the address stays open for the server that follows.
+func (l *unconfiguredListener) Close() error { return nil }
+
 // shutdown stops accepting connections, closes idle ones, and waits for requests that have just arrived, at most for the
 // given time.
 func (f *front) shutdown(within time.Duration) {
@@ -175,7 +224,8 @@
 	}
 	q := &fleet.Request{Arrived: arrived, Method: r.Method, Target: r.RequestURI, Host: r.Host}
 	f.h.opts.Codec.Request(r.Header, q)
-	x := &exchange{f: f, w: w, q: q}
+	sw := &statusWriter{ResponseWriter: w}
+	x := &exchange{f: f, w: sw, q: q}
 	cfg := f.h.directory.view().Config
 	switch {
 	case f.rejectAll.Load():
@@ -194,13 +244,22 @@
 		return
 	}
 	x.configVersion = cfg.Version
+	if !authenticate(q, cfg) {
+		f.rejectKey(x, r)
+		return
+	}
+	if q.Account != nil {
+		defer func() {
+			f.accountCounts.add(q.Account.Name, accountOutcomeOf(sw.status, x.delivered, r.Context().Err() != nil))
+		}()
+	}
 	if q.Route.Kind == fleet.Stream && f.rejectStreams.Load() || !x.mayStart() {
 		x.reject("the host is stopping", retryAfterStopping)
 		return
 	}
 	q.Service = q.Route.PickService(q.ID)
 	f.h.retries.addRequest(q.Service)
-	if !f.readBody(x, r) {
+	if !f.readBody(x, w, r) {
 		return
 	}
 	defer f.bodyBytes.Add(-int64(len(q.Body)))
@@ -257,8 +316,9 @@
 func (b *bodyReservation) release() { b.f.bodyBytes.Add(-b.reserved) }
 
 // readBody reads the whole request body, because it may have to be sent more than once. If that fails, readBody answers the
-// caller and returns false.
-func (f *front) readBody(x *exchange, r *http.Request) bool {
+// caller and returns false. w is the writer of the HTTP server, which http.MaxBytesReader tells to close the connection after
+// a body that is too long.
+func (f *front) readBody(x *exchange, w http.ResponseWriter, r *http.Request) bool {
 	if r.Body == nil || r.Body == http.NoBody {
 		return true
 	}
@@ -267,7 +327,7 @@
 		x.respondError(http.StatusRequestEntityTooLarge, "body is too long", 0)
 		return false
 	}
-	b := &bodyReservation{f: f, source: http.MaxBytesReader(x.w, r.Body, limit)}
+	b := &bodyReservation{f: f, source: http.MaxBytesReader(w, r.Body, limit)}
 	if !b.reserve(max(r.ContentLength, 0)) {
 		x.reject(errNoBodyMemory.Error(), retryAfterFull)
 		return false
