Enforce the quotas of client accounts across all hosts

Cause: a request of an account with a limit was served whatever the account had used; Ask.Account and Ask.Cost were not read.

Change: the dispatcher charges a request's first ask to a token bucket of its account and refuses those over the limit with the time at which the bucket holds their units. The bucket is refilled by the messages of hosts, each for its own part, so that dispatchers that act at the same time never refill at more than the rate together. A host without a dispatcher uses its own part, from its last message of a dispatcher on, and otherwise lets the request wait for a dispatcher for up to a second. limits.Bucket replaces the two token buckets of the endpoint limits and the view answers.

--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -66,6 +66,8 @@
 	refuse    wire.Refuse
 	askedAt   time.Time
 	permit    *retryPermit // of a retry that this host may send by itself, nil if it may not or this is none
+	sentOn    *link        // to the dispatcher that was last asked, nil if none was
+	quota     localCharge
 	answerBounds
 }
 
@@ -87,6 +89,7 @@
 	conn         peer              // nil until the connection is established and after it ended
 	openedAt     time.Time
 	lastHeard    time.Time
+	lastSent     time.Time
 	unresponsive bool // did not answer in time; gets no asks until its next message
 	closed       bool
 }
@@ -110,6 +113,7 @@
 	localSlots     map[string]int       // slots in use that the dispatcher does not know of, by endpoint
 	avoidUntil     map[string]time.Time // time until which local decisions avoid an endpoint that failed
 	quarantine     *sched.Quarantine    // prompt parts that crash engines, by the dispatcher and by what this host saw without one
+	quotas         *sched.HostQuotas    // this host's parts of the quotas, for local decisions
 	startedAt      time.Time
 	nextCheck      time.Time  // when the dispatcher is due to be checked again
 	preferred      fleet.Host // comes before the dispatcher in use, zero if none does
@@ -120,7 +124,7 @@
 	return &binder{
 		h: h, log: h.log.Part("binder"), startedAt: time.Now(), wake: make(chan struct{}, 1), calls: make(map[uint64]*call),
 		suspects: make(suspects), localSlots: make(map[string]int), avoidUntil: make(map[string]time.Time),
-		quarantine: sched.NewQuarantine(),
+		quarantine: sched.NewQuarantine(), quotas: sched.NewHostQuotas(),
 	}
 }
 
@@ -335,6 +339,7 @@
 		case callAsking, callQueued:
 			b.reserveRetry(c)
 			r.Waiting = append(r.Waiting, *c.currentAsk())
+			c.sentOn = b.link
 		}
 	}
 	b.sendLocked(r)
@@ -351,6 +356,16 @@
 		b.link.conn.Close()
 		return false
 	}
+	b.link.lastSent = time.Now()
+	return true
+}
+
+// sendAsk asks the dispatcher for a call's slot, and reports whether that was possible. The caller holds the lock.
+func (b *binder) sendAsk(c *call) bool {
+	if b.link == nil || b.link.unresponsive || !b.sendLocked(c.currentAsk()) {
+		return false
+	}
+	c.sentOn = b.link
 	return true
 }
 
@@ -453,6 +468,7 @@
 			b.h.holder.notifyLeaseVacant()
 		}
 		b.state.Endpoints = loads
+		b.sendQuotaBeat()
 		delete(b.suspects, l.host.Name)
 		if m.QuarantineListed {
 			b.replaceQuarantine(m.Quarantine)
@@ -568,12 +584,15 @@
 	b.lastID++
 	c.ask.ID = b.lastID
 	b.calls[c.ask.ID] = c
-	if b.link == nil || b.link.unresponsive || !b.sendLocked(c.currentAsk()) {
-		defer b.mu.Unlock()
-		return b.bindLocally(c)
+	if !b.sendAsk(c) {
+		if x, err, ok := b.decideAlone(c); ok {
+			b.mu.Unlock()
+			return x, err
+		}
 	}
+	overdueIn := c.overdueIn(time.Now())
 	b.mu.Unlock()
-	t := time.NewTimer(askTimeout)
+	t := time.NewTimer(overdueIn)
 	defer t.Stop()
 	stopBegun := b.h.stopStarted
 	var startByPassed <-chan time.Time
@@ -594,10 +613,11 @@
 			}
 			continue
 		case <-t.C:
-			if x, err, ok := b.handleOverdue(c); ok {
+			x, err, again := b.handleOverdue(c)
+			if again == 0 {
 				return x, err
 			}
-			t.Reset(askTimeout)
+			t.Reset(again)
 			continue
 		case <-ctx.Done():
 			b.abandon(c)
@@ -636,30 +656,32 @@
 	return x
 }
 
-// handleOverdue decides a call locally if the dispatcher has not answered it in time, or queued it and is now gone. It returns
-// false if the call goes on waiting.
-func (b *binder) handleOverdue(c *call) (*binding, error, bool) {
+// handleOverdue decides a call locally if the dispatcher has not answered it in time, or queued it and is now gone. If the call goes
+// on waiting, it returns after which time to check it again.
+func (b *binder) handleOverdue(c *call) (x *binding, err error, again time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch c.state {
 	case callBound, callRefused:
-		return nil, nil, false // its signal is on the way
+		return nil, nil, askTimeout // its signal is on the way
 	case callQueued:
 		if b.link != nil && !b.link.closed {
 			if !c.startBy.IsZero() && time.Now().After(c.startBy.Add(askTimeout)) {
 				b.withdraw(c)
-				return nil, &refusal{reason: "the dispatcher did not decide in time", retryAfter: localRetryAfter}, true
+				return nil, &refusal{reason: "the dispatcher did not decide in time", retryAfter: localRetryAfter}, 0
 			}
-			return nil, nil, false
+			return nil, nil, askTimeout
 		}
 	case callAsking:
 		if b.link != nil && b.link.lastHeard.Before(c.askedAt) {
 			b.link.unresponsive = true
 		}
 	}
-	b.sendLocked(&wire.Cancel{ID: c.ask.ID})
-	x, err := b.bindLocally(c)
-	return x, err, true
+	x, err, ok := b.decideAlone(c)
+	if !ok {
+		again = c.overdueIn(time.Now())
+	}
+	return x, err, again
 }
 
 // withdrawStopping withdraws a call that has no final answer yet, since this host stops. It returns false if the call has one.
@@ -712,6 +734,9 @@
 	if x.c.untracked {
 		b.releaseLocalSlot(x.endpoint)
 	}
+	if attempt.Outcome(d.Outcome).NotExecuted() {
+		b.refundLocally(x.c)
+	}
 	if d.Fault != 0 {
 		b.avoidUntil[x.endpoint] = time.Now().Add(avoidTime)
 	}
--- a/internal/host/broadcast.go
+++ b/internal/host/broadcast.go
@@ -160,8 +160,9 @@
 		d.log.Info().Str("endpoint", c.Endpoint).Float64("perSec", c.PerSec).Bool("ended", c.Ended).Msg("Endpoint's limit changed.")
 		d.announce()
 	}
+	d.quotaRefusals.log(d.log, d.now(), d.quotaUnits.record(d.state.TakeQuotaDecisions()))
 	for _, o := range d.state.TakeOutputs() {
-		if m, ok := o.Message.(*wire.Refuse); ok {
+		if m, ok := o.Message.(*wire.Refuse); ok && !m.OverLimit {
 			d.log.Info().Str("request", o.RequestID).Str("host", o.To).Str("reason", o.Reason).Int64("waitMs", o.WaitMs).
 				Int("waiting", o.Waiting).Uint32("retryMs", m.RetryAfterMs).Msg("Refused.")
 		}
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"sycamoredeal/internal/limits"
 	"sycamoredeal/internal/ring"
 	"sycamoredeal/internal/sched"
 	"sycamoredeal/internal/telemetry"
@@ -55,6 +56,7 @@
 	announceWake   chan struct{}                // signals a change that hosts have to know before the next broadcast
 	clients        sync.Map                     // names of the hosts that use this dispatcher
 	start          time.Time
+	quotaUnits     quotaUnits
 
 	state               *sched.State    // nil while no host is connected
 	peers               map[string]peer // by host name
@@ -72,6 +74,7 @@
 	round               uint64             // number of broadcasts so far
 	answerBucket        tokenBucket        // limits the answers to ViewAsk
 	batch               []*wire.ViewUpdate // changes that are collected to be sent together
+	quotaRefusals       quotaRefusals
 }
 
 func newDispatcher(h *Host) *dispatcher {
@@ -260,21 +263,18 @@
 	return u
 }
 
-// tokenBucket limits a rate.
-type tokenBucket struct {
-	used      float64       // tokens taken and not yet refilled
-	updatedAt time.Duration // time of the last call of allow
-}
+// tokenBucket limits a rate. The level of its bucket counts from a full one: the tokens taken and not yet refilled, as a negative
+// number.
+type tokenBucket struct{ fromFull limits.Bucket }
 
 // allow takes n tokens from the bucket, which is refilled at rate tokens per second up to capacity, and returns whether there
 // were enough. A full bucket allows any n, so that a message longer than the capacity can be sent.
 func (b *tokenBucket) allow(now time.Duration, n, rate, capacity float64) bool {
-	b.used = max(b.used-rate*(now-b.updatedAt).Seconds(), 0)
-	b.updatedAt = now
-	if b.used > 0 && b.used+n > capacity {
+	b.fromFull.Refill(now, rate, 0)
+	if used := -b.fromFull.Level; used > 0 && used+n > capacity {
 		return false
 	}
-	b.used += n
+	b.fromFull.Level -= n
 	return true
 }
 
@@ -446,7 +446,7 @@
 func (d *dispatcher) hostConnected(e dispatcherEvent) {
 	if d.state == nil {
 		d.state = sched.New(d.now(), sched.Config{
-			Seed: d.h.incarnation, Retries: d.h.retries.limits(), RebuildDuration: rebuildDuration,
+			Seed: d.h.incarnation, Retries: d.h.retries.limits(), Quotas: d.h.quotaSettings(), RebuildDuration: rebuildDuration,
 		}, d.h.directory.view())
 		d.log.Info().Str("first", e.host).Msg("Serving as dispatcher.")
 		d.h.blocked.setActive(true)
--- a/internal/host/localdecisions.go
+++ b/internal/host/localdecisions.go
@@ -13,7 +13,8 @@
 )
 
 // A host decides alone while no dispatcher answers it. All hosts may do so in the same second, so each one stays within its
-// share of what the fleet may use: slots and rate limits of endpoints. Retries have their own bound, see sched.HostRetries.
+// share of what the fleet may use: slots and rate limits of endpoints. Retries and the quotas of accounts have their own bounds, see
+// sched.HostRetries and sched.HostQuotas.
 const (
 	localShare      = 1.5 // times the even share of an endpoint's slots
 	localRetryAfter = 300 * time.Millisecond
--- a/internal/sched/ratelimit.go
+++ b/internal/sched/ratelimit.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"sycamoredeal/internal/limits"
 	"sycamoredeal/internal/wire"
 )
 
@@ -28,8 +29,7 @@
 // rateLimit is the limit of one endpoint, with the allowance that it leaves.
 type rateLimit struct {
 	perSec     float64       // as the endpoint states it
-	allowance  float64       // requests that may be sent now; below 0 after orders and local decisions beyond the allowance
-	countedAt  time.Duration // up to which the allowance has grown
+	allowance  limits.Bucket // requests that may be sent now; below 0 after orders and local decisions beyond the allowance
 	endReports int           // consecutive reports that the limit has ended
 	listedAt   time.Duration // when the endpoint was last seen in the list
 }
@@ -56,7 +56,7 @@
 	case l == nil && len(s.limits) >= maxLimited:
 		return
 	case l == nil:
-		l = &rateLimit{perSec: m.PerSec, countedAt: now, listedAt: now}
+		l = &rateLimit{perSec: m.PerSec, allowance: limits.Bucket{At: now}, listedAt: now}
 		s.limits[m.Endpoint] = l
 	default:
 		if l.endReports = 0; l.perSec == m.PerSec {
@@ -86,8 +86,7 @@
 	if listed := len(s.view.Hosts); 2*up < listed {
 		rate *= float64(up) / float64(listed)
 	}
-	l.allowance = min(l.allowance+rate*(s.now-l.countedAt).Seconds(), max(rate*limitBurst.Seconds(), 1))
-	l.countedAt = s.now
+	l.allowance.Refill(s.now, rate, max(rate*limitBurst.Seconds(), 1))
 }
 
 // limitReached reports whether an endpoint's limit allows no request now.
@@ -96,14 +95,14 @@
 		return false
 	}
 	s.growAllowance(e.limit)
-	return e.limit.allowance < 1
+	return e.limit.allowance.Level < 1
 }
 
 // takeFromLimit counts n requests to an endpoint, orders included.
 func (s *State) takeFromLimit(e *endpoint, n int) {
 	if e.limit != nil {
 		s.growAllowance(e.limit)
-		e.limit.allowance -= float64(n)
+		e.limit.allowance.Level -= float64(n)
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -17,6 +17,7 @@
 	"sort"
 	"time"
 
+	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/copies"
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/wire"
@@ -26,6 +27,7 @@
 type Config struct {
 	Seed            uint64
 	Retries         RetryLimits
+	Quotas          QuotaSettings
 	RebuildDuration time.Duration // time after the start during which requests of some hosts may still be unknown
 }
 
@@ -71,6 +73,7 @@
 	onTrial         bool    // its prompt has suspected parts, and its answer has not begun
 	kvTokens        float64 // KV cache tokens reserved at the endpoint
 	lent            bool    // it is a retry of the shared part, see retryLoans
+	charge          quotaCharge
 }
 
 type modelKey struct{ service, model string }
@@ -100,6 +103,8 @@
 	up             bool
 	connectedAt    time.Duration
 	heardAt        time.Duration // of its last message
+	countedAt      time.Duration // up to which quotas have been refilled for it
+	active         bool          // it is counted in quotas.active
 	disconnectedAt time.Duration
 }
 
@@ -138,6 +143,7 @@
 	limits              map[string]*rateLimit // by endpoint, also of endpoints that are not listed
 	limitVersion        uint64
 	limitChanges        []LimitChange
+	quotas              quotas
 	refusedTargets      map[returnKey]time.Duration // targets of refused requests whose callers may come back
 }
 
@@ -151,6 +157,7 @@
 		generationEstimates: make(map[string]*generationEstimate), refusedTargets: make(map[returnKey]time.Duration),
 		quarantine: NewQuarantine(), limits: make(map[string]*rateLimit),
 		retries: retryLoans{limits: cfg.Retries, ledgers: make(map[string]*retryLedger)},
+		quotas:  quotas{byAccount: make(map[string]*quota), credited: make(map[string]struct{}), advancedAt: now},
 	}
 	s.SetView(now, view)
 	return s
@@ -166,6 +173,8 @@
 // SetView applies a new endpoint list and configuration. Requests keep their slots and their positions in the queue.
 func (s *State) SetView(now time.Duration, v *fleet.View) {
 	s.now, s.view = now, v
+	s.advanceQuotas(now)
+	s.forgetQuotas()
 	s.backlogLimits = deriveBacklogLimits(v.Config)
 	for _, e := range s.endpoints {
 		e.present = false
@@ -311,6 +320,18 @@
 		s.askSpeculative(r)
 		return
 	}
+	if !s.chargeQuota(r) {
+		return // an account over its limit is no demand for the model either
+	}
+	s.admit(r)
+	if s.requests[k] != r && ask.ChosenEndpoint == "" {
+		s.refundQuota(r) // it was refused
+	}
+}
+
+// admit grants, queues or refuses a request within its account's quota.
+func (s *State) admit(r *request) {
+	ask, m := &r.ask, r.model
 	if !ask.Retry {
 		m.arrivals++
 		if !s.late(r) {
@@ -331,12 +352,12 @@
 	}
 	switch {
 	case e == nil && s.acceptsAgainAt(r) > r.startBy:
-		s.refuse(r, "its endpoints want nothing from the host for longer", s.acceptsAgainAt(r)-now)
+		s.refuse(r, "its endpoints want nothing from the host for longer", s.acceptsAgainAt(r)-s.now)
 		return
 	case e == nil && s.noEndpointEndsInTime(r):
 		s.refuse(r, "can't end in time", wait)
 		return
-	case e == nil && now+wait+s.idleFirstToken(r) > r.startBy:
+	case e == nil && s.now+wait+s.idleFirstToken(r) > r.startBy:
 		s.refuse(r, "can't start in time", wait)
 		return
 	case e == nil && s.waiting >= maxQueuedRequests:
@@ -349,7 +370,7 @@
 		s.grant(r, e)
 		return
 	}
-	s.requests[k] = r
+	s.requests[r.requestKey] = r
 	r.model.waiting = append(r.model.waiting, r)
 	s.waiting++
 	s.emit(r, &wire.Queued{ID: ask.ID}, "", 0)
@@ -441,6 +462,7 @@
 func (s *State) dequeue(r *request) {
 	s.unqueue(r)
 	s.releaseRetry(r)
+	s.refundQuota(r)
 }
 
 // unqueue removes a request from the queue.
@@ -455,6 +477,9 @@
 func (s *State) Cancel(now time.Duration, host string, id uint64) {
 	s.hear(now, host)
 	if r := s.requests[requestKey{host, id}]; r != nil {
+		if !r.started {
+			s.refundQuota(r)
+		}
 		s.removeRequest(r)
 	}
 }
@@ -509,6 +534,9 @@
 	}
 	e, onTrial, started := r.endpoint, r.onTrial, r.started
 	s.release(r)
+	if attempt.Outcome(d.Outcome).NotExecuted() {
+		s.refundQuota(r)
+	}
 	s.observeGeneration(r, &d)
 	s.observeRun(r, &d)
 	s.takeFromLimit(e, int(d.Resends))
@@ -573,6 +601,8 @@
 // It is called every few tens of milliseconds.
 func (s *State) Tick(now time.Duration) {
 	s.now = now
+	s.advanceQuotas(now)
+	s.countQuotaHosts()
 	for _, m := range s.modelOrder {
 		s.refuseExpired(m)
 	}
@@ -611,13 +641,18 @@
 // HostUp records that a host connected. The host sends a Resync next.
 func (s *State) HostUp(now time.Duration, host string) {
 	s.now = now
-	s.hosts[host] = &hostState{up: true, connectedAt: now, heardAt: now}
+	s.advanceQuotas(now)
+	s.hosts[host] = &hostState{up: true, connectedAt: now, heardAt: now, countedAt: now}
+	s.creditQuotas(host)
+	s.countQuotaHosts()
 }
 
 // hear records the time of a message from a host.
 func (s *State) hear(now time.Duration, host string) {
 	s.now = now
+	s.advanceQuotas(now)
 	if h := s.hosts[host]; h != nil {
+		s.refillQuotas(h)
 		h.heardAt = now
 	}
 }
@@ -626,9 +661,11 @@
 // another dispatcher.
 func (s *State) HostDown(now time.Duration, host string) {
 	s.now = now
+	s.advanceQuotas(now)
 	if h := s.hosts[host]; h != nil {
 		h.up, h.disconnectedAt = false, now
 	}
+	s.countQuotaHosts()
 	for _, r := range s.requestsOf(host) {
 		if r.endpoint == nil {
 			s.dequeue(r)
@@ -639,17 +676,19 @@
 // Resync replaces all known requests of a host by those in the message.
 func (s *State) Resync(now time.Duration, host string, m wire.Resync) {
 	s.hear(now, host)
+	charges := make(map[uint64]quotaCharge)
 	for _, r := range s.requestsOf(host) {
 		if r.endpoint == nil {
 			s.dequeue(r)
 		} else {
 			s.release(r)
+			charges[r.id] = r.charge
 		}
 	}
 	for _, x := range m.Running {
 		k := requestKey{host, x.Ask.ID}
 		if e := s.endpoints[x.Endpoint]; e != nil && s.requests[k] == nil {
-			s.assign(&request{requestKey: k, ask: x.Ask, model: s.modelOf(&x.Ask), askedAt: now}, e)
+			s.assign(&request{requestKey: k, ask: x.Ask, model: s.modelOf(&x.Ask), askedAt: now, charge: charges[x.Ask.ID]}, e)
 		}
 	}
 	s.MergeQuarantine(now, m.Quarantine)
