--- a/internal/host/binder.go
+++ b/internal/host/binder.go
@@ -613,7 +613,7 @@
 			}
 			continue
 		case <-t.C:
-			x, err, again := b.handleOverdue(c)
+			x, again, err := b.handleOverdue(c)
 			if again == 0 {
 				return x, err
 			}
@@ -658,19 +658,19 @@
 
 // handleOverdue decides a call locally if the dispatcher has not answered it in time, or queued it and is now gone. If the call goes
 // on waiting, it returns after which time to check it again.
-func (b *binder) handleOverdue(c *call) (x *binding, err error, again time.Duration) {
+func (b *binder) handleOverdue(c *call) (x *binding, again time.Duration, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch c.state {
 	case callBound, callRefused:
-		return nil, nil, askTimeout // its signal is on the way
+		return nil, askTimeout, nil // its signal is on the way
 	case callQueued:
 		if b.link != nil && !b.link.closed {
 			if !c.startBy.IsZero() && time.Now().After(c.startBy.Add(askTimeout)) {
 				b.withdraw(c)
-				return nil, &refusal{reason: "the dispatcher did not decide in time", retryAfter: localRetryAfter}, 0
+				return nil, 0, &refusal{reason: "the dispatcher did not decide in time", retryAfter: localRetryAfter}
 			}
-			return nil, nil, askTimeout
+			return nil, askTimeout, nil
 		}
 	case callAsking:
 		if b.link != nil && b.link.lastHeard.Before(c.askedAt) {
@@ -681,7 +681,7 @@
 	if !ok {
 		again = c.overdueIn(time.Now())
 	}
-	return x, err, again
+	return x, again, err
 }
 
 // withdrawStopping withdraws a call that has no final answer yet, since this host stops. It returns false if the call has one.
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -20,7 +20,8 @@
 //   - at the dispatcher that the host uses, up to the host's last message. Buckets are not refilled by the clock: each message of
 //     a host refills them for the time since its message before. A dispatcher that is cut off without noticing, or resumes after
 //     a freeze, is not refilled for hosts that may have turned to another one. For the time since its last message, which the host
-//     may use for itself, its part of the capacity is reduced by its part of the rate.
+//     may use for itself, its part of the capacity is reduced by its part of the rate. When a host leaves, the units in its part of
+//     the capacity are lost; after a freeze those of all hosts are.
 //   - at the host itself while it decides alone, from the last message that it got from a dispatcher, see HostQuotas.
 //
 // The levels of all buckets together therefore never exceed the capacity, and grow at most at the rate. The tolerance covers
@@ -28,25 +29,28 @@
 //
 //   - quotaBankShare: the capacity beyond the burst, counted once as the parts add up to one bucket;
 //   - quotaCreditShare for each State that starts in a window, as a State starts with empty buckets plus this credit. Three
-//     changes of dispatcher take 0.45;
+//     changes of dispatcher take 0.36;
 //   - quotaOverdraftShare for a request that costs more than a whole bucket, at each of two dispatchers, which takes 0.1.
 //
-// The remaining 0.1 is 80 ms of the rate with a tolerance of 0.1 and a window of 8 s. It covers the time between the arrival of a
-// request and its charge.
+// The remaining 0.24 is 190 ms of the rate with a tolerance of 0.1 and a window of 8 s. It covers the time between the arrival of a
+// request and its charge, or two more changes of dispatcher.
 //
 // Load pattern: accounts that send 5 to 12 times their usual rate, from few hosts, while dispatchers change.
 const (
-	quotaBankShare      = 0.35
-	quotaCreditShare    = 0.15
+	quotaBankShare      = 0.3
+	quotaCreditShare    = 0.12
 	quotaOverdraftShare = 0.05
 
 	// QuotaBeatInterval is the time in which a host has to send its dispatcher a message while accounts have quotas.
 	QuotaBeatInterval = 400 * time.Millisecond
 	// quotaSilence is the silence after which a host takes no part in the refill: two messages of a host and some delay.
 	quotaSilence = time.Second
-	// quotaStall is the time between two events after which this process was stalled. Ticks are 100 ms apart, and a processor
-	// quota causes pauses of up to 75 ms. Hosts turn to another dispatcher after 600 ms.
-	quotaStall = 250 * time.Millisecond
+	// quotaStall is the time between two events after which hosts may have turned to another dispatcher, which they do after 600 ms
+	// without a message: 150 ms may have passed since the last one. Ticks are 100 ms apart.
+	quotaStall = 400 * time.Millisecond
+	// maxQuotaCuts is the number of cuts to remember; bounds the memory. Accounts that have not been used for longer lose the
+	// units from before.
+	maxQuotaCuts = 64
 	// maxQuotaDelay limits the retry time of a refusal, and with it the units promised to refused requests.
 	maxQuotaDelay = time.Minute
 
@@ -87,6 +91,7 @@
 type quota struct {
 	limits.Bucket               // refilled by the time of quotas.served
 	credit        float64       // share of the initial credit that has been added
+	cuts          int           // number of quotas.cuts that have been applied
 	lost          float64       // units that the bucket could not hold so far
 	promised      float64       // units that refused requests are to find when they return
 	promisedAt    time.Duration // time up to which promised is drained
@@ -102,11 +107,20 @@
 	hosts      float64             // listed hosts, or connected ones if these are more
 	active     float64             // hosts that were heard within quotaSilence
 	heardSum   float64             // sum of the times at which they were heard, in seconds
+	share      float64             // of the capacity, by the last cut or the hosts that have come since
+	cuts       []quotaCut          // the latest reductions of share
+	cutsBefore int                 // number of cuts before those
 	credit     float64             // share of the hosts that have brought their part of the initial credit
 	credited   map[string]struct{} // these hosts, by name
 	decisions  []QuotaDecision
 }
 
+// quotaCut is a reduction of the share of the capacity, because hosts have left. Buckets apply it when they are next used.
+type quotaCut struct {
+	served time.Duration // quotas.served at that time
+	share  float64
+}
+
 // quotaCharge is what a request has taken from its account's quota. Its zero value has taken nothing.
 type quotaCharge struct {
 	units float64
@@ -151,6 +165,7 @@
 	if !stalled {
 		return
 	}
+	q.cut(0)
 	for _, h := range s.hosts {
 		h.countedAt = now
 	}
@@ -173,6 +188,40 @@
 		}
 	}
 	q.hosts = float64(max(len(s.view.Hosts), up, 1))
+	q.updateShare()
+}
+
+// updateShare sets the share of the capacity to that of the active hosts.
+func (q *quotas) updateShare() {
+	switch share := q.active / q.hosts; {
+	case share < q.share:
+		q.cut(share)
+	default:
+		q.share = share
+	}
+}
+
+// cut reduces the share of the capacity.
+func (q *quotas) cut(share float64) {
+	q.share = share
+	if len(q.cuts) == maxQuotaCuts {
+		q.cutsBefore++
+		q.cuts = append(q.cuts[:0], q.cuts[1:]...)
+	}
+	q.cuts = append(q.cuts, quotaCut{q.served, share})
+}
+
+// applyCuts refills a bucket up to each cut since its last use, and reduces its level. The capacity is that of all hosts.
+func (q *quotas) applyCuts(b *quota, perSec, capacity float64) {
+	for i := max(b.cuts-q.cutsBefore, 0); i < len(q.cuts); i++ {
+		c := &q.cuts[i]
+		share := c.share
+		if b.cuts < q.cutsBefore {
+			share = 0 // cuts have been forgotten
+		}
+		b.lost += b.Refill(max(c.served, b.At), perSec, capacity*share)
+		b.cuts = q.cutsBefore + i + 1
+	}
 }
 
 // refillQuotas counts the time since a host's last message as served, when another one arrives.
@@ -189,6 +238,7 @@
 	} else {
 		q.active++
 		q.heardSum += s.now.Seconds()
+		q.updateShare()
 	}
 	h.active, h.countedAt = true, s.now
 }
@@ -245,11 +295,13 @@
 		b = &quota{}
 		q.byAccount[account] = b
 	}
+	capacity = s.cfg.Quotas.capacity(l)
+	q.applyCuts(b, l.PerSec, capacity)
 	if b.credit < q.credit {
 		b.Level += (q.credit - b.credit) * quotaCreditShare * s.cfg.Quotas.tolerance(l)
 		b.credit = q.credit
 	}
-	capacity = max((s.cfg.Quotas.capacity(l)*q.active-l.PerSec*q.silence(s.now))/q.hosts, 0)
+	capacity = max((capacity*q.active-l.PerSec*q.silence(s.now))/q.hosts, 0)
 	b.lost += b.Refill(q.served, l.PerSec, capacity)
 	return b, capacity
 }
