--- a/internal/host/quotas.go
+++ b/internal/host/quotas.go
@@ -18,7 +18,6 @@
 	quotaWait = time.Second
 	// maxQuotaSeries limits the accounts with their own metrics; the others are summed up as otherAccounts.
 	maxQuotaSeries   = 64
-	otherAccounts    = "other"
 	quotaLogInterval = time.Second // between two log lines about the same account
 	maxQuotaLogs     = 1024        // accounts in the log at a time; bounds the memory
 
