Recognize the returns of callers refused at plain services

Cause: a caller who came back to a plain service counted as a new request with a new target. It could only be late, and was served in place of requests that could be on time.

Change: sched remembers when refused callers of plain services were told to come back, and gives a request with the same route, account, rank and end of the deadline at that time the target of the first attempt. Each refused caller is matched once; the number remembered is bounded.

--- a/internal/sched/generation.go
+++ b/internal/sched/generation.go
@@ -7,9 +7,10 @@
 // time of several prompt chunks for each event. A long answer that starts there reaches its deadline unfinished and wastes
 // engine time that other requests need.
 type generationEstimate struct {
-	tokens, events float64     // sums over finished answers, with exponential decay
-	eventMs        float64     // mean time per event over all endpoints, 0 if unknown
-	runs           runEstimate // of a plain service
+	tokens, events float64         // sums over finished answers, with exponential decay
+	eventMs        float64         // mean time per event over all endpoints, 0 if unknown
+	runs           runEstimate     // of a plain service
+	returns        expectedReturns // to a plain service
 }
 
 const (
--- a/internal/sched/plainflood_test.go
+++ b/internal/sched/plainflood_test.go
@@ -16,7 +16,8 @@
 	rate      func(now time.Duration) float64 // requests per second
 	length    time.Duration
 	objective time.Duration
-	deadline  time.Duration
+	deadline  time.Duration // the longest of a caller
+	varied    bool          // callers state deadlines from a quarter of the longest on
 	lossFrom  time.Duration // from here to lossTo, one of the servers is not listed; 0 if all are all the time
 	lossTo    time.Duration
 	seed      uint64
@@ -96,6 +97,7 @@
 // plainCaller is a simulated caller.
 type plainCaller struct {
 	first   time.Duration // time of its first attempt
+	end     time.Duration // of its deadline
 	ask     wire.Ask
 	refused int
 }
@@ -122,7 +124,7 @@
 	attempt := func(now time.Duration, c *plainCaller) {
 		id++
 		byID[id], runs[id] = c, plainRun(rng)
-		left := c.first + f.deadline - now
+		left := c.end - now
 		a := c.ask
 		a.ID, a.TargetMs, a.DeadlineMs, a.EndMs = id, uint32(f.objective.Milliseconds()), uint32(left.Milliseconds()), uint32(left.Milliseconds())
 		s.Ask(now, "h", a)
@@ -134,7 +136,11 @@
 		}
 		for range 3 {
 			res.callers++
-			attempt(now, &plainCaller{first: now - callerTrip, ask: wire.Ask{Service: plainService}})
+			deadline := f.deadline
+			if f.varied {
+				deadline -= time.Duration(0.75 * arrivals.Float64() * float64(f.deadline))
+			}
+			attempt(now, &plainCaller{first: now - callerTrip, end: now - callerTrip + deadline, ask: wire.Ask{Service: plainService}})
 		}
 		at(now+seconds(3*arrivals.ExpFloat64()/f.rate(now)), arrive)
 	}
@@ -153,7 +159,8 @@
 		x := heap.Pop(&events).(timedEvent)
 		x.do(x.at)
 		if f.startRule {
-			s.generationEstimateOf(plainService).runs = runEstimate{}
+			g := s.generationEstimateOf(plainService)
+			g.runs, g.returns = runEstimate{}, expectedReturns{}
 		}
 		now := x.at
 		for _, o := range s.TakeOutputs() {
@@ -177,7 +184,7 @@
 					res.unserved++
 					continue
 				}
-				back := min(ms(m.RetryAfterMs), (c.first+f.deadline-now)/3)
+				back := min(ms(m.RetryAfterMs), (c.end-now)/3)
 				at(now+back+2*callerTrip, func(now time.Duration) { attempt(now, c) })
 			}
 		}
@@ -195,22 +202,25 @@
 		name         string
 		rate         float64
 		serversLost  bool
+		varied       bool
 		onTime, gain float64 // least share of callers on time, and least gain in worth over the start rule
 	}{
-		{"222 per second", 222, false, 0.80, 0.12},
-		{"0.7 of the capacity", 0.7 * plainCapacity, false, 0.99, 0},
-		{"the capacity", plainCapacity, false, 0.85, 0.05},
-		{"1.3 of the capacity", 1.3 * plainCapacity, false, 0.55, 0.2},
-		{"twice the capacity", 2 * plainCapacity, false, 0.28, 0.15},
-		{"0.7 of the capacity, a third lost", 0.7 * plainCapacity, true, 0.91, 0.01},
-		{"the capacity, a third lost", plainCapacity, true, 0.7, 0.15},
-		{"1.3 of the capacity, a third lost", 1.3 * plainCapacity, true, 0.45, 0.15},
+		{"222 per second", 222, false, false, 0.92, 0.15},
+		{"0.7 of the capacity", 0.7 * plainCapacity, false, false, 0.99, 0},
+		{"the capacity", plainCapacity, false, false, 0.94, 0.06},
+		{"1.3 of the capacity", 1.3 * plainCapacity, false, false, 0.74, 0.35},
+		{"1.3 of the capacity, varied deadlines", 1.3 * plainCapacity, false, true, 0.7, 0.3},
+		{"twice the capacity", 2 * plainCapacity, false, false, 0.48, 0.27},
+		{"twice the capacity, varied deadlines", 2 * plainCapacity, false, true, 0.4, 0.2},
+		{"0.7 of the capacity, a third lost", 0.7 * plainCapacity, true, false, 0.96, 0.01},
+		{"the capacity, a third lost", plainCapacity, true, false, 0.85, 0.2},
+		{"1.3 of the capacity, a third lost", 1.3 * plainCapacity, true, false, 0.67, 0.3},
 	} {
 		var before, after plainFloodResult
 		for seed := uint64(1); seed <= 3; seed++ {
 			f := plainFlood{
 				rate: func(time.Duration) float64 { return test.rate }, length: 24 * time.Second,
-				objective: 300 * time.Millisecond, deadline: 4 * time.Second, seed: seed,
+				objective: 300 * time.Millisecond, deadline: 4 * time.Second, varied: test.varied, seed: seed,
 			}
 			if test.serversLost {
 				f.lossFrom, f.lossTo = 7*time.Second, 13*time.Second
--- a/internal/sched/refusal.go
+++ b/internal/sched/refusal.go
@@ -46,7 +46,13 @@
 
 // restoreTarget gives the return of a refused request the target of the caller's first attempt.
 func (s *State) restoreTarget(r *request) {
-	if r.endBy == 0 || r.ask.Model == "" {
+	if r.endBy == 0 {
+		return
+	}
+	if r.ask.Model == "" {
+		if target, ok := s.generationEstimateOf(r.ask.Service).returns.take(s.now, r); ok {
+			r.target = min(r.target, target)
+		}
 		return
 	}
 	k := returnKeyOf(r)
@@ -76,13 +82,25 @@
 			delete(s.refusedTargets, k)
 		}
 	}
+	for _, g := range s.generationEstimates {
+		g.returns.forget(s.now)
+	}
 }
 
 // refuse rejects a request. The retry delays have random jitter, so that callers don't all retry at the same time.
 func (s *State) refuse(r *request, reason string, wait time.Duration) {
 	s.keepTarget(r)
-	retryAfter := time.Duration(float64(max(wait, minRetryDelay)) * (0.7 + 0.6*s.rng.Float64()))
-	s.emit(r, &wire.Refuse{ID: r.id, Reason: reason, RetryAfterMs: uint32(min(retryAfter, maxRetryDelay).Milliseconds())}, reason, wait)
+	retryAfter := min(time.Duration(float64(max(wait, minRetryDelay))*(0.7+0.6*s.rng.Float64())), maxRetryDelay)
+	if s.expectsReturn(r) {
+		s.generationEstimateOf(r.ask.Service).returns.add(s.now, r, retryAfter)
+	}
+	s.emit(r, &wire.Refuse{ID: r.id, Reason: reason, RetryAfterMs: uint32(retryAfter.Milliseconds())}, reason, wait)
+}
+
+// expectsReturn reports whether the caller of a refused request for a plain service may come back. The refusal of a second
+// attempt beside another, and of a request that only takes a slot that is free at once, doesn't reach a caller.
+func (s *State) expectsReturn(r *request) bool {
+	return r.ask.Model == "" && r.endBy > s.now && !r.ask.Speculative && r.startBy-r.askedAt > returnSlack
 }
 
 // refuseExpired refuses waiting requests whose start deadline has passed, and late ones that are predicted to miss it.
