Share slots between accounts by their quotas

Cause: requests of one rank were served by target alone, so that an account with many requests took the slots from the others.

Change: among waiting requests of one service, rank and rank of the route that can still be on time, or among those that can't, the next slot goes to the account with the least use in proportion to its quota (start-time fair queueing). The predicted wait counts what the other accounts get served meanwhile. Without accounts the order is as before, but requests of a more urgent route go first within a rank.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -122,23 +122,73 @@
 	return v
 }
 
-// servedBefore reports whether waiting request a is served before b. Requests that can still meet their target come first,
-// ordered by rank and then by target. Late requests follow, ordered by rank and then by start deadline.
-func (s *State) servedBefore(a, b *request) bool { return goesBefore(a, b, s.late(a), s.late(b)) }
+// queued is a waiting request with what decides its place in the order.
+type queued struct {
+	*request
+	late bool
+	at   float64 // virtual time of its account when it is served, see shareRank
+}
 
-// goesBefore implements servedBefore, given whether a and b are late.
-func goesBefore(a, b *request, aLate, bLate bool) bool {
+// before reports whether waiting request a is served before b. Requests that can still meet their target come first, ordered by
+// rank, by rank of the route, by the share of their account, and then by target. Late requests follow, ordered likewise and
+// then by start deadline.
+func (a queued) before(b queued) bool {
 	switch {
-	case aLate != bLate:
-		return bLate
+	case a.late != b.late:
+		return b.late
 	case a.ask.Priority != b.ask.Priority:
 		return a.ask.Priority < b.ask.Priority
-	case aLate:
+	case a.ask.RouteRank != b.ask.RouteRank:
+		return a.ask.RouteRank < b.ask.RouteRank
+	case a.at != b.at:
+		return a.at < b.at
+	case a.late:
 		return a.startBy < b.startBy
 	}
 	return a.target < b.target
 }
 
+// sameClass reports whether a and b have the same rank, and are both late or both not.
+func (a queued) sameClass(b queued) bool {
+	return a.late == b.late && a.ask.Priority == b.ask.Priority && a.ask.RouteRank == b.ask.RouteRank
+}
+
+// servingOrder returns waiting requests of a model in the order in which they are served.
+func (s *State) servingOrder(waiting []*request) []queued {
+	queue := make([]queued, len(waiting))
+	for i, r := range waiting {
+		queue[i] = queued{request: r, late: s.late(r)}
+	}
+	compare := func(a, b queued) int {
+		switch {
+		case a.before(b):
+			return -1
+		case b.before(a):
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(queue, compare)
+	if len(s.generationEstimateOf(waiting[0].ask.Service).shares) == 0 {
+		return queue
+	}
+	type flow struct {
+		shareKey
+		account string
+		late    bool
+	}
+	ahead := make(map[flow]float64) // requests of the account that are served before
+	for i := range queue {
+		q := &queue[i]
+		f := flow{shareKey{q.ask.Priority, q.ask.RouteRank}, q.ask.Account, q.late}
+		at, step := s.share(q.request)
+		q.at = at + ahead[f]*step
+		ahead[f]++
+	}
+	slices.SortStableFunc(queue, compare)
+	return queue
+}
+
 // idleFirstToken predicts the time to the first token of a request at an idle endpoint without cached prompt parts. For a
 // plain service, it is the time that a request needs before its start deadline.
 func (s *State) idleFirstToken(r *request) time.Duration {
@@ -191,21 +241,21 @@
 // fill grants the free slots of an endpoint to waiting requests.
 func (s *State) fill(e *endpoint) {
 	for s.waiting > 0 && s.acceptsRequests(e) {
-		var best *request
-		bestLate := false
+		var best queued
 		for _, m := range s.waitingFor(e) {
 			for _, r := range m.waiting {
-				late := r.target < s.now+s.timeToTargetAt(e, r)
-				if (best == nil || goesBefore(r, best, late, bestLate)) && s.canServe(e, r) {
-					best, bestLate = r, late
+				at, _ := s.share(r)
+				q := queued{r, r.target < s.now+s.timeToTargetAt(e, r), at}
+				if (best.request == nil || q.before(best)) && s.canServe(e, r) {
+					best = q
 				}
 			}
 		}
-		if best == nil {
+		if best.request == nil {
 			return
 		}
-		s.unqueue(best)
-		s.grant(best, e)
+		s.unqueue(best.request)
+		s.grant(best.request, e)
 	}
 }
 
@@ -243,14 +293,58 @@
 // be loaded first; the wait can't be predicted and 0 is returned.
 func (s *State) predictWait(r *request) time.Duration {
 	var work queuedWork
+	var others []accountWork // of the same class, if accounts share the slots
+	own := 0.0
+	self := queued{request: r, late: s.late(r)}
+	shared := s.shareRankOf(r) != nil
+	var index map[string]int // of others by account
+	if shared {
+		index = make(map[string]int)
+	}
 	for _, w := range r.model.waiting {
-		if late := s.late(w); w != r && (late || s.servedBefore(w, r)) {
-			work.add(w, late)
+		q := queued{request: w, late: s.late(w)}
+		switch {
+		case w == r:
+		case q.late:
+			work.add(w, true)
+		case shared && q.sameClass(self) && w.ask.Account != r.ask.Account:
+			i, ok := index[w.ask.Account]
+			if !ok {
+				i, index[w.ask.Account] = len(others), len(others)
+				others = append(others, accountWork{first: w})
+			}
+			others[i].add(w, false)
+		case q.before(self):
+			work.add(w, false)
+			if q.sameClass(self) {
+				own++
+			}
+		}
+	}
+	if len(others) > 0 {
+		at, step := s.share(r)
+		for _, a := range others {
+			work.addUntil(a.queuedWork, s.requestsUntil(a.first, at+own*step))
 		}
 	}
 	return s.waitBehind(r, work)
 }
 
+// requestsUntil returns how many waiting requests of a request's account are served until the given virtual time.
+func (s *State) requestsUntil(r *request, until float64) float64 {
+	at, step := s.share(r)
+	if at > until {
+		return 0
+	}
+	return math.Floor((until-at)/step) + 1
+}
+
+// accountWork sums up the waiting requests of an account that are in one class.
+type accountWork struct {
+	queuedWork
+	first *request
+}
+
 // queuedWork sums up the requests that are served before a waiting request.
 type queuedWork struct {
 	requests, tokens float64 // requests that can still be on time, and their prompt tokens
@@ -266,6 +360,13 @@
 	q.tokens += float64(r.ask.PromptTokens)
 }
 
+// addUntil adds the first n requests of other, which can all still be on time.
+func (q *queuedWork) addUntil(other queuedWork, n float64) {
+	n = min(n, other.requests)
+	q.requests += n
+	q.tokens += other.tokens * n / other.requests
+}
+
 // waitBehind estimates how long a request waits behind the given work; see predictWait.
 func (s *State) waitBehind(r *request, work queuedWork) time.Duration {
 	c := s.capacity(r.model)
--- a/internal/sched/generation.go
+++ b/internal/sched/generation.go
@@ -11,6 +11,7 @@
 	eventMs        float64         // mean time per event over all endpoints, 0 if unknown
 	runs           runEstimate     // of a plain service
 	returns        expectedReturns // to a plain service
+	shares         map[shareKey]*shareRank
 }
 
 const (
--- a/internal/sched/plainflood_test.go
+++ b/internal/sched/plainflood_test.go
@@ -14,6 +14,7 @@
 // come back once when they are refused. The last one asks a deadline before the end of the run.
 type plainFlood struct {
 	rate      func(now time.Duration) float64 // requests per second
+	accounts  []floodAccount                  // instead of rate
 	length    time.Duration
 	objective time.Duration
 	deadline  time.Duration // the longest of a caller
@@ -21,13 +22,23 @@
 	lossFrom  time.Duration // from here to lossTo, one of the servers is not listed; 0 if all are all the time
 	lossTo    time.Duration
 	seed      uint64
+	unshared  bool // requests don't state their accounts
 	startRule bool // the rule before run times were known: a request is on time if it starts before its target
 }
 
+// floodAccount is a client account whose callers take part in a flood.
+type floodAccount struct {
+	name   string
+	perSec float64 // of its quota
+	rate   func(now time.Duration) float64
+}
+
 // plainFloodResult counts callers by how they ended. Times count from a caller's first attempt to the end of the answer.
 type plainFloodResult struct {
 	callers, onTime, late, unserved int
 	refusals, refusedCallers        int
+	totalMs                         float64 // sum of the times of the answered callers
+	byAccount                       map[string]*plainFloodResult
 }
 
 func (r *plainFloodResult) add(o plainFloodResult) {
@@ -37,6 +48,16 @@
 	r.unserved += o.unserved
 	r.refusals += o.refusals
 	r.refusedCallers += o.refusedCallers
+	r.totalMs += o.totalMs
+	for name, x := range o.byAccount {
+		if r.byAccount == nil {
+			r.byAccount = make(map[string]*plainFloodResult)
+		}
+		if r.byAccount[name] == nil {
+			r.byAccount[name] = &plainFloodResult{}
+		}
+		r.byAccount[name].add(*x)
+	}
 }
 
 // worth returns the mean worth of a caller's answer, of which one in time counts 1 and a late one 0.3.
@@ -99,19 +120,31 @@
 	first   time.Duration // time of its first attempt
 	end     time.Duration // of its deadline
 	ask     wire.Ask
+	run     time.Duration // run time of its request
+	results []*plainFloodResult
 	refused int
 }
 
+// count applies a change to the results of all callers and of those of its account.
+func (c *plainCaller) count(change func(r *plainFloodResult)) {
+	for _, r := range c.results {
+		change(r)
+	}
+}
+
 // run plays a flood.
 func (f plainFlood) run(t *testing.T) plainFloodResult {
 	t.Helper()
 	full, reduced := testView(4, nil, 3), testView(4, nil, 2)
 	for _, v := range []*fleet.View{full, reduced} {
+		v.Config.Accounts = fleet.NewAccounts()
+		for _, a := range f.accounts {
+			v.Config.Accounts.Add(fleet.Account{Name: a.name, Limit: fleet.AccountLimit{PerSec: a.perSec, Burst: a.perSec}}, nil)
+		}
 		v.Config.Routes = []fleet.Route{{Name: "r", TargetLatency: f.objective, Services: []fleet.WeightedService{{Service: plainService, Weight: 1}}}}
 	}
 	s := New(0, testConfig(), full)
-	arrivals, rng := rand.New(rand.NewPCG(f.seed, 13)), rand.New(rand.NewPCG(f.seed, 17))
-	var res plainFloodResult
+	res := plainFloodResult{byAccount: make(map[string]*plainFloodResult)}
 	var events timedEvents
 	seq := 0
 	at := func(when time.Duration, do func(now time.Duration)) {
@@ -119,32 +152,47 @@
 		heap.Push(&events, timedEvent{when, seq, do})
 	}
 	byID := make(map[uint64]*plainCaller)
-	runs := make(map[uint64]time.Duration)
 	id := uint64(0)
 	attempt := func(now time.Duration, c *plainCaller) {
 		id++
-		byID[id], runs[id] = c, plainRun(rng)
+		byID[id] = c
 		left := c.end - now
 		a := c.ask
 		a.ID, a.TargetMs, a.DeadlineMs, a.EndMs = id, uint32(f.objective.Milliseconds()), uint32(left.Milliseconds()), uint32(left.Milliseconds())
 		s.Ask(now, "h", a)
 	}
-	var arrive func(now time.Duration)
-	arrive = func(now time.Duration) {
-		if now >= f.length-f.deadline {
-			return
-		}
-		for range 3 {
-			res.callers++
-			deadline := f.deadline
-			if f.varied {
-				deadline -= time.Duration(0.75 * arrivals.Float64() * float64(f.deadline))
+	accounts := f.accounts
+	if accounts == nil {
+		accounts = []floodAccount{{rate: f.rate}}
+	}
+	for i, account := range accounts {
+		arrivals, rng := rand.New(rand.NewPCG(f.seed, uint64(13+8*i))), rand.New(rand.NewPCG(f.seed, uint64(17+8*i)))
+		own := &plainFloodResult{}
+		res.byAccount[account.name] = own
+		var arrive func(now time.Duration)
+		arrive = func(now time.Duration) {
+			if now >= f.length-f.deadline {
+				return
+			}
+			for range 3 {
+				deadline := f.deadline
+				if f.varied {
+					deadline -= time.Duration(0.75 * arrivals.Float64() * float64(f.deadline))
+				}
+				c := &plainCaller{
+					first: now - callerTrip, end: now - callerTrip + deadline, run: plainRun(rng), results: []*plainFloodResult{&res, own},
+					ask: wire.Ask{Service: plainService},
+				}
+				if account.name != "" && !f.unshared {
+					c.ask.Account, c.ask.Cost = account.name, 1
+				}
+				c.count(func(r *plainFloodResult) { r.callers++ })
+				attempt(now, c)
 			}
-			attempt(now, &plainCaller{first: now - callerTrip, end: now - callerTrip + deadline, ask: wire.Ask{Service: plainService}})
+			at(now+seconds(3*arrivals.ExpFloat64()/account.rate(now)), arrive)
 		}
-		at(now+seconds(3*arrivals.ExpFloat64()/f.rate(now)), arrive)
+		at(seconds(3*arrivals.ExpFloat64()/account.rate(0)), arrive)
 	}
-	at(0, arrive)
 	var tick func(now time.Duration)
 	tick = func(now time.Duration) {
 		s.Tick(now)
@@ -166,22 +214,32 @@
 		for _, o := range s.TakeOutputs() {
 			switch m := o.Message.(type) {
 			case *wire.Grant:
-				c, run := byID[m.ID], runs[m.ID]
-				at(now+run, func(now time.Duration) {
-					s.Done(now, "h", wire.Done{ID: m.ID, TotalMs: uint32(run.Milliseconds())})
-					if now+callerTrip-c.first <= f.objective {
-						res.onTime++
-					} else {
-						res.late++
-					}
+				c := byID[m.ID]
+				at(now+c.run, func(now time.Duration) {
+					s.Done(now, "h", wire.Done{ID: m.ID, TotalMs: uint32(c.run.Milliseconds())})
+					total := now + callerTrip - c.first
+					c.count(func(r *plainFloodResult) {
+						r.totalMs += total.Seconds() * 1000
+						if total <= f.objective {
+							r.onTime++
+						} else {
+							r.late++
+						}
+					})
 				})
 			case *wire.Refuse:
 				c := byID[m.ID]
-				if res.refusals++; c.refused == 0 {
-					res.refusedCallers++
-				}
-				if c.refused++; c.refused == 2 {
-					res.unserved++
+				c.refused++
+				c.count(func(r *plainFloodResult) {
+					r.refusals++
+					switch c.refused {
+					case 1:
+						r.refusedCallers++
+					case 2:
+						r.unserved++
+					}
+				})
+				if c.refused == 2 {
 					continue
 				}
 				back := min(ms(m.RetryAfterMs), (c.end-now)/3)
--- a/internal/sched/refusal.go
+++ b/internal/sched/refusal.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"slices"
 	"time"
 
 	"sycamoredeal/internal/wire"
@@ -84,6 +83,7 @@
 	}
 	for _, g := range s.generationEstimates {
 		g.returns.forget(s.now)
+		g.forgetShares(s.now)
 	}
 }
 
@@ -108,19 +108,9 @@
 	if len(m.waiting) == 0 {
 		return
 	}
-	queue := slices.Clone(m.waiting)
-	slices.SortStableFunc(queue, func(a, b *request) int {
-		switch {
-		case s.servedBefore(a, b):
-			return -1
-		case s.servedBefore(b, a):
-			return 1
-		}
-		return 0
-	})
 	var work queuedWork
-	for _, r := range queue {
-		late := s.late(r)
+	for _, q := range s.servingOrder(m.waiting) {
+		r, late := q.request, q.late
 		wait := s.waitBehind(r, work)
 		reason := ""
 		switch {
