Let late requests to plain services wait for the end of a spike

Cause: a late request waits for what arrivals leave of the capacity. The rate of arrivals is that of the last second, so that in a spike all late requests were refused at once and again when they came back, with capacity free soon after.

Change: for plain services, the rate of arrivals that can be on time is the present one or its mean over about 8 s, whichever is less.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -380,13 +380,39 @@
 	if s.now+seconds(wait)+s.timeToTarget(r) <= r.target {
 		return seconds(wait)
 	}
-	left := c.requestsPerSec - r.model.onTimePerSec
+	left := c.requestsPerSec - s.onTimeRate(r.model)
 	if left <= minSpareShare*c.requestsPerSec {
 		return maxPredictedWait
 	}
 	return min(seconds((work.requests+work.late)/left), maxPredictedWait)
 }
 
+// onTimeRate returns the rate of arrivals that can be on time, as late requests should expect it while they wait. At plain
+// services, they have the rest of their deadline to wait for the end of a spike. The rate is therefore the present one or
+// the mean over some spikes, whichever is less.
+func (s *State) onTimeRate(m *model) float64 {
+	if m.key.model != "" {
+		return m.onTimePerSec
+	}
+	if mean := s.generationEstimateOf(m.key.service).onTimePerSec; mean > 0 {
+		return min(m.onTimePerSec, mean)
+	}
+	return m.onTimePerSec
+}
+
+// observeOnTimeRates updates the mean rates of arrivals at plain services that can be on time. It is called every measureEvery.
+func (s *State) observeOnTimeRates() {
+	for _, m := range s.modelOrder {
+		if m.key.model == "" {
+			g := s.generationEstimateOf(m.key.service)
+			g.onTimePerSec = smoothed(g.onTimePerSec, m.onTimePerSec, spikeSmoothing)
+		}
+	}
+}
+
+// spikeSmoothing is the weight of a measurement in the mean rate of arrivals, which covers about 8 s: spikes last 6 to 11 s.
+const spikeSmoothing = 0.06
+
 const (
 	// minSpareShare is the share of the capacity that arrivals must leave over. With less, late requests are not
 	// expected to be served.
--- a/internal/sched/generation.go
+++ b/internal/sched/generation.go
@@ -10,6 +10,7 @@
 	tokens, events float64         // sums over finished answers, with exponential decay
 	eventMs        float64         // mean time per event over all endpoints, 0 if unknown
 	runs           runEstimate     // of a plain service
+	onTimePerSec   float64         // mean rate of arrivals at a plain service that can be on time, 0 if unknown
 	returns        expectedReturns // to a plain service
 	shares         map[shareKey]*shareRank
 }
--- a/internal/sched/refusal.go
+++ b/internal/sched/refusal.go
@@ -74,8 +74,9 @@
 	}
 }
 
-// forgetTargets drops the targets of refused requests whose deadline has passed.
+// forgetTargets drops the targets of refused requests whose deadline has passed. It is called every measureEvery.
 func (s *State) forgetTargets() {
+	s.observeOnTimeRates()
 	for k := range s.refusedTargets {
 		if time.Duration(k.end+1)*endTolerance < s.now {
 			delete(s.refusedTargets, k)
