--- a/internal/sched/fairshare_test.go
+++ b/internal/sched/fairshare_test.go
@@ -120,7 +120,7 @@
 	for i := range uint64(600) {
 		id := i + 2
 		accounts[id] = []string{"a", "b", "c"}[i%3]
-		s.Ask(0, "h", wire.Ask{ID: id, Service: plainService, DeadlineMs: 60000, TargetMs: 60000, Account: accounts[id], Cost: 1})
+		s.Ask(0, "h", wire.Ask{ID: id, Service: plainService, DeadlineMs: 60000, TargetMs: 60000, Account: accounts[id], Cost: 1, Charged: true})
 	}
 	served := make(map[string]float64)
 	running := uint64(1)
@@ -141,7 +141,7 @@
 	s := shareState(map[string]float64{"a": 10, "b": 10})
 	ask := func(id uint64, account string, priority, routeRank uint8, targetMs uint32) {
 		s.Ask(0, "h", wire.Ask{
-			ID: id, Service: plainService, DeadlineMs: 60000, TargetMs: targetMs, Account: account, Cost: 1, Priority: priority, RouteRank: routeRank,
+			ID: id, Service: plainService, DeadlineMs: 60000, TargetMs: targetMs, Account: account, Cost: 1, Charged: true, Priority: priority, RouteRank: routeRank,
 		})
 	}
 	ask(10, "b", 1, 0, 30000)
--- a/internal/sched/plainflood_test.go
+++ b/internal/sched/plainflood_test.go
@@ -191,7 +191,7 @@
 					ask: wire.Ask{Service: plainService},
 				}
 				if account.name != "" && !f.unshared {
-					c.ask.Account, c.ask.Cost = account.name, 1
+					c.ask.Account, c.ask.Cost, c.ask.Charged = account.name, 1, true // within its quota, so that only the shares decide
 				}
 				c.count(func(r *plainFloodResult) { r.callers++ })
 				attempt(now, c)
