Forward two distant changes of an object as a short patch

Cause: a host sends the others a change of an object as the bytes between the common start and end. A configuration has its version at the start and its accounts at the end, so the patch for a removed key was nearly the whole object; that is too long for the hosts' links, and every host read the configuration from the store. Change: the bytes in between are aligned again at unchanged blocks, and the patch lists the edits.

--- a/internal/host/mirror.go
+++ b/internal/host/mirror.go
@@ -97,7 +97,7 @@
 	}
 	k.objects[o.Name] = mirroredObject{o, parseRevision(o.Version), xxhash.Sum64String(o.Name + " " + o.Version)}
 	if known {
-		if p := makePatch(old.Data, o.Data); float64(len(p.Middle)) < maxPatchShare*float64(len(o.Data)) {
+		if p := makePatch(old.Data, o.Data); float64(patchSize(&p)) < maxPatchShare*float64(len(o.Data)) {
 			p.Name, p.From, p.Version = o.Name, old.Version, o.Version
 			return &wire.ViewUpdate{ObjectKind: o.Kind, Patches: []wire.ObjectPatch{p}}
 		}
@@ -172,32 +172,6 @@
 	return out
 }
 
-// makePatch returns the change between two versions of an object's data: the bytes between their common prefix and
-// their common suffix.
-func makePatch(before, after []byte) wire.ObjectPatch {
-	shorter := min(len(before), len(after))
-	prefix := 0
-	for prefix < shorter && before[prefix] == after[prefix] {
-		prefix++
-	}
-	suffix := 0
-	for suffix < shorter-prefix && before[len(before)-1-suffix] == after[len(after)-1-suffix] {
-		suffix++
-	}
-	return wire.ObjectPatch{Prefix: uint32(prefix), Suffix: uint32(suffix), Middle: after[prefix : len(after)-suffix]}
-}
-
-// applyPatch applies a patch from makePatch. ok is false if the patch does not fit the data.
-func applyPatch(before []byte, p *wire.ObjectPatch) (after []byte, ok bool) {
-	if uint64(p.Prefix)+uint64(p.Suffix) > uint64(len(before)) {
-		return nil, false
-	}
-	after = make([]byte, 0, int(p.Prefix)+len(p.Middle)+int(p.Suffix))
-	after = append(after, before[:p.Prefix]...)
-	after = append(after, p.Middle...)
-	return append(after, before[len(before)-int(p.Suffix):]...), true
-}
-
 // summary returns the digest of a kind and its highest revision.
 func (m mirror) summary(kind string) wire.ViewSummary {
 	s := wire.ViewSummary{Of: kind}
@@ -362,7 +336,7 @@
 		n += len(u.Objects[i].Data) + len(u.Objects[i].Name)
 	}
 	for i := range u.Patches {
-		n += len(u.Patches[i].Middle) + len(u.Patches[i].Name)
+		n += patchSize(&u.Patches[i]) + len(u.Patches[i].Name)
 	}
 	for _, name := range u.Names {
 		n += len(name)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -613,6 +613,16 @@
 	Prefix  uint32 // length in bytes of the unchanged start
 	Suffix  uint32 // length in bytes of the unchanged end
 	Middle  []byte // new bytes in between
+	// Edits replace Middle if there are any. They make the bytes in between from the old ones, in their order; what is left of
+	// the old ones after the last edit is kept.
+	Edits []PatchEdit
+}
+
+// PatchEdit keeps and then replaces a part of an object's old bytes.
+type PatchEdit struct {
+	Keep   uint32 // old bytes that are kept
+	Skip   uint32 // old bytes that follow and are dropped
+	Insert []byte // new bytes in their place
 }
 
 // ViewSummary identifies the set of objects of a kind that a host has, so that two hosts can compare theirs.
--- a/internal/wire/messages_gen.go
+++ b/internal/wire/messages_gen.go
@@ -5261,9 +5261,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ObjectPatch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "Name"
-	o = append(o, 0x86, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+	o = append(o, 0x87, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.Name)
 	// string "From"
 	o = append(o, 0xa4, 0x46, 0x72, 0x6f, 0x6d)
@@ -5280,6 +5280,21 @@
 	// string "Middle"
 	o = append(o, 0xa6, 0x4d, 0x69, 0x64, 0x64, 0x6c, 0x65)
 	o = msgp.AppendBytes(o, z.Middle)
+	// string "Edits"
+	o = append(o, 0xa5, 0x45, 0x64, 0x69, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Edits)))
+	for za0001 := range z.Edits {
+		// map header, size 3
+		// string "Keep"
+		o = append(o, 0x83, 0xa4, 0x4b, 0x65, 0x65, 0x70)
+		o = msgp.AppendUint32(o, z.Edits[za0001].Keep)
+		// string "Skip"
+		o = append(o, 0xa4, 0x53, 0x6b, 0x69, 0x70)
+		o = msgp.AppendUint32(o, z.Edits[za0001].Skip)
+		// string "Insert"
+		o = append(o, 0xa6, 0x49, 0x6e, 0x73, 0x65, 0x72, 0x74)
+		o = msgp.AppendBytes(o, z.Edits[za0001].Insert)
+	}
 	return
 }
 
@@ -5337,6 +5352,60 @@
 				err = msgp.WrapError(err, "Middle")
 				return
 			}
+		case "Edits":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Edits")
+				return
+			}
+			if cap(z.Edits) >= int(zb0002) {
+				z.Edits = (z.Edits)[:zb0002]
+			} else {
+				z.Edits = make([]PatchEdit, zb0002)
+			}
+			for za0001 := range z.Edits {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Edits", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Edits", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Keep":
+						z.Edits[za0001].Keep, bts, err = msgp.ReadUint32Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Edits", za0001, "Keep")
+							return
+						}
+					case "Skip":
+						z.Edits[za0001].Skip, bts, err = msgp.ReadUint32Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Edits", za0001, "Skip")
+							return
+						}
+					case "Insert":
+						z.Edits[za0001].Insert, bts, err = msgp.ReadBytesBytes(bts, z.Edits[za0001].Insert)
+						if err != nil {
+							err = msgp.WrapError(err, "Edits", za0001, "Insert")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Edits", za0001)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5351,7 +5420,80 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ObjectPatch) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.StringPrefixSize + len(z.From) + 8 + msgp.StringPrefixSize + len(z.Version) + 7 + msgp.Uint32Size + 7 + msgp.Uint32Size + 7 + msgp.BytesPrefixSize + len(z.Middle)
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.StringPrefixSize + len(z.From) + 8 + msgp.StringPrefixSize + len(z.Version) + 7 + msgp.Uint32Size + 7 + msgp.Uint32Size + 7 + msgp.BytesPrefixSize + len(z.Middle) + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Edits {
+		s += 1 + 5 + msgp.Uint32Size + 5 + msgp.Uint32Size + 7 + msgp.BytesPrefixSize + len(z.Edits[za0001].Insert)
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PatchEdit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "Keep"
+	o = append(o, 0x83, 0xa4, 0x4b, 0x65, 0x65, 0x70)
+	o = msgp.AppendUint32(o, z.Keep)
+	// string "Skip"
+	o = append(o, 0xa4, 0x53, 0x6b, 0x69, 0x70)
+	o = msgp.AppendUint32(o, z.Skip)
+	// string "Insert"
+	o = append(o, 0xa6, 0x49, 0x6e, 0x73, 0x65, 0x72, 0x74)
+	o = msgp.AppendBytes(o, z.Insert)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PatchEdit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Keep":
+			z.Keep, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Keep")
+				return
+			}
+		case "Skip":
+			z.Skip, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Skip")
+				return
+			}
+		case "Insert":
+			z.Insert, bts, err = msgp.ReadBytesBytes(bts, z.Insert)
+			if err != nil {
+				err = msgp.WrapError(err, "Insert")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PatchEdit) Msgsize() (s int) {
+	s = 1 + 5 + msgp.Uint32Size + 5 + msgp.Uint32Size + 7 + msgp.BytesPrefixSize + len(z.Insert)
 	return
 }
 
