Soak: callers with keys, changing keys and a hot account

Cause: the soak ran configurations without accounts only, so that no fault met a change of keys.

Callers send lasting, rotating, removed, unknown, repeated or no keys and forge the account header; one account's callers send without pauses beside planned work. The audit checks that no key reaches a server (KEY), that servers are told the right account (ACCOUNT), that nothing runs without a valid key or with one that was removed more than 2 s before (KEY), and that no request is rejected for a key that is in force (DENIED).

--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -94,6 +94,7 @@
 	overdueRuns       int                    // of those, requests that exceeded cancelLimit
 	statuses          map[int]int            // number of answers by status; 0 stands for no answer
 	configs           configAudit
+	accounts          bool        // the configurations have client accounts
 	partCrashes       []time.Time // engines that a prompt has crashed
 	deadlyArrivals    int         // of requests with the part, when all hosts should know it
 }
@@ -201,6 +202,7 @@
 	a.arrivalsByService[x.Service] = append(a.arrivalsByService[x.Service], arrival{x.ArrivedAt, r.arrived})
 	r.arrived = true
 	a.checkDeadlyArrival(r, x)
+	a.checkKeyLocked(r, &x)
 	if d := a.draining[x.Server]; d != nil && x.ArrivedAt.Sub(d.since) > drainLimit && a.faultFreeLocked(d.since, x.ArrivedAt) {
 		if d.lateRequests++; d.lateRequests == 1 {
 			a.reportLocked("DRAIN", "request %s reached server %s %v after the server was listed as draining", x.ID, x.Server, x.ArrivedAt.Sub(d.since))
@@ -267,6 +269,8 @@
 		if r.refused = true; r.runs > 0 {
 			a.reportLocked("REFUSED", "request %s %s was refused as not run with status %d, but it ran", o.ID, r.call.Path, o.Status)
 		}
+	case o.Status == http.StatusUnauthorized && a.accounts:
+		a.checkRejectedKeyLocked(&o, r)
 	case o.Status < 500:
 		a.reportLocked("DENIED", "request %s %s: status %d %.80s", o.ID, r.call.Path, o.Status, o.Body)
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -85,12 +85,13 @@
 }
 
 // runCaller sends requests until ctx ends. It reuses a connection for several calls, even when the host is no longer ready.
-func (f *fleet) runCaller(ctx context.Context, rng *rand.Rand) {
+// keyRng draws the keys, so that a seed's other calls stay as they are.
+func (f *fleet) runCaller(ctx context.Context, rng, keyRng *rand.Rand) {
 	for ctx.Err() == nil {
 		h := f.pickHost(rng)
 		client := platformtest.NewClient(h.frontAddr)
 		for range 1 + rng.IntN(maxCallsPerConn) {
-			c := f.withDeadlyPart(rng, drawCall(rng))
+			c := f.withKey(keyRng, f.withDeadlyPart(rng, drawCall(rng)))
 			if rng.Float64() < cancelShare {
 				f.callAndCancel(client, c, time.Duration(rng.Int64N(int64(maxCancelDelay))))
 			} else if o := f.call(f.ctx, client, c); o.Status == 0 {
@@ -139,7 +140,7 @@
 		h := f.pickHost(rng)
 		version := max(f.audit.NewestVersion()-rng.IntN(maxProbedAge+1), 1)
 		_, process := h.process()
-		c := plainCall(idempotent, versionPath(version), http.MethodGet, "")
+		c := f.withLastingKey(plainCall(idempotent, versionPath(version), http.MethodGet, ""))
 		id := f.newRequest(c)
 		client := platformtest.NewClient(h.frontAddr)
 		o := client.DoWithID(f.ctx, id, c.call)
@@ -156,7 +157,9 @@
 	ctx, cancel := context.WithCancel(f.ctx)
 	var wg sync.WaitGroup
 	for i := range n {
-		wg.Go(func() { f.runCaller(ctx, rand.New(rand.NewPCG(seed, uint64(i)+1))) })
+		wg.Go(func() {
+			f.runCaller(ctx, rand.New(rand.NewPCG(seed, uint64(i)+1)), rand.New(rand.NewPCG(seed, accountStream+uint64(i)+1)))
+		})
 	}
 	wg.Go(func() { f.runProbe(ctx, rand.New(rand.NewPCG(seed, 0))) })
 	return func() {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -65,6 +65,8 @@
 		f.drainServer(e.Target)
 	case ServerLimits:
 		f.limitServer(e)
+	case HotAccount:
+		f.runHotAccount(e)
 	default:
 		f.runConnectionEvent(e, h)
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -48,6 +48,8 @@
 	hosts  []*hostProcess
 	deadly atomic.Bool // callers send some requests with a part that crashes engines
 
+	accounts bool // the configurations have client accounts
+
 	mu            sync.Mutex
 	servers       []*server
 	lastServer    int  // number of the server that was added last
@@ -107,8 +109,8 @@
 }
 
 // startFleet starts the store, the servers and the host processes of a run.
-func startFleet(ctx context.Context, bed *testbed.Testbed, dir string, hosts int, audit *Audit) (*fleet, error) {
-	f := &fleet{ctx: ctx, bed: bed, dir: dir, audit: audit, store: platformtest.NewStore()}
+func startFleet(ctx context.Context, bed *testbed.Testbed, dir string, p *Plan, audit *Audit) (*fleet, error) {
+	f := &fleet{ctx: ctx, bed: bed, dir: dir, audit: audit, store: platformtest.NewStore(), accounts: p.Accounts}
 	f.store.SetRewrite(f.advertiseProxy)
 	f.storeNextConfig()
 	for i := range engines {
@@ -125,7 +127,7 @@
 			return nil, err
 		}
 	}
-	for i := range hosts {
+	for i := range p.Hosts {
 		h, err := f.newHost(fmt.Sprintf("h%02d", i))
 		if err != nil {
 			return nil, err
@@ -387,7 +389,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configVersion++
-	f.store.Put("config", "main", configuration(f.configVersion))
+	f.store.Put("config", "main", f.configuration(f.configVersion))
 	f.audit.RecordVersion(f.configVersion)
 }
 
@@ -407,6 +409,7 @@
 	problem := ""
 	var wg sync.WaitGroup
 	for i, c := range f.allCalls() {
+		c = f.withLastingKey(c)
 		wg.Go(func() {
 			h := f.hosts[i%len(f.hosts)]
 			if o := f.call(ctx, platformtest.NewClient(h.frontAddr), c); o.Status != http.StatusOK {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -84,6 +84,7 @@
 	Planned []Event // their times count from the end of the pause
 	// CrashingPart adds a last phase in which some requests have a prompt part that crashes engines.
 	CrashingPart bool
+	Accounts     bool // the configurations have client accounts
 }
 
 const (
@@ -124,6 +125,7 @@
 	}
 	drawTroubles(&p)
 	drawShapes(&p)
+	drawAccounts(&p)
 	sortByTime(p.Faults)
 	sortByTime(p.Planned)
 	return p
@@ -145,7 +147,7 @@
 // Unplanned reports whether an event excuses requests that end without an answer.
 func (k Kind) Unplanned() bool {
 	switch k {
-	case StopHost, ReloadHost, BadSettings, Configure, DrainServer, ServerLimits, PlainServersSlow:
+	case StopHost, ReloadHost, BadSettings, Configure, DrainServer, ServerLimits, PlainServersSlow, HotAccount:
 		return false
 	}
 	return true
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -79,8 +79,11 @@
 	bed := o.Bed.WithSamePrograms()
 	defer bed.Close()
 	audit := NewAudit()
+	if p.Accounts {
+		audit.SetAccounts()
+	}
 	r := Result{Plan: p}
-	f, err := startFleet(ctx, bed, dir, p.Hosts, audit)
+	f, err := startFleet(ctx, bed, dir, &p, audit)
 	if err != nil {
 		return r, err
 	}
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -58,7 +58,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.store.Restore(older)
-	f.store.Put("config", "main", configuration(f.configVersion))
+	f.store.Put("config", "main", f.configuration(f.configVersion))
 	for _, s := range f.servers {
 		f.writeEntry(s)
 	}
