--- a/internal/host/accounts_test.go
+++ b/internal/host/accounts_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sycamoredeal/internal/fleet"
+	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/testbed"
 )
 
@@ -164,6 +167,23 @@
 	}
 }
 
+// TestAccountMetrics guards against metrics that operators can't read under their documented names.
+func TestAccountMetrics(t *testing.T) {
+	h := New(Options{Log: telemetry.NewLogger(os.Stderr, "fatal", "test"), Metrics: telemetry.MustNewMetrics()})
+	if err := h.registerAccountMetrics(); err != nil {
+		t.Fatal(err)
+	}
+	h.front.accountCounts.add("acme", accountOverLimit)
+	h.front.accountCounts.rejectKey(5)
+	w := httptest.NewRecorder()
+	h.opts.Metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, want := range []string{`sycamore_account_requests_total{account="acme",outcome="over limit"} 1`, `sycamore_keys_rejected_total{key="repeated"} 1`} {
+		if !strings.Contains(w.Body.String(), want) {
+			t.Errorf("no %s in the metrics:\n%s", want, w.Body)
+		}
+	}
+}
+
 // TestAccountOutcomes guards against requests that operators see with the wrong outcome.
 func TestAccountOutcomes(t *testing.T) {
 	for _, tc := range []struct {
