Keep the platform's header name out of the integration test

Cause: platform.TestPlatformNamesStayInFolder failed on the name of the key header in test/integration.

--- a/test/integration/accounts_test.go
+++ b/test/integration/accounts_test.go
@@ -104,7 +104,7 @@
 	})
 	time.Sleep(200 * time.Millisecond)
 	f.checkKey("key-a", http.StatusUnauthorized, put("key-b", "key-c"))
-	if o := open.Do(f.ctx, keyCall("key-a")); o.Status != http.StatusUnauthorized || !strings.Contains(o.Body, "Api-Key") {
+	if o := open.Do(f.ctx, keyCall("key-a")); o.Status != http.StatusUnauthorized || !strings.Contains(o.Body, platformtest.KeyHeader) {
 		t.Errorf("removed key on an open connection: status %d %q", o.Status, o.Body)
 	}
 	if o := open.Do(f.ctx, keyCall("key-b")); o.Status != http.StatusOK {
