Let a host of the quota model decide without a dispatcher

Cause: a host that was cut off used its own dispatcher at once, so that the model hardly exercised the local parts of quotas.

--- a/internal/sched/quotamodel_test.go
+++ b/internal/sched/quotamodel_test.go
@@ -25,7 +25,8 @@
 	modelAsk1             // host 1 does
 	modelAskAll           // all hosts do
 	modelRestart          // the process of the dispatcher that host 1 uses is killed and starts again
-	modelPartition        // host 0 is cut off, or connected again
+	modelPartition        // host 0 is cut off and uses its own dispatcher, or connected again
+	modelAlone            // host 2 is cut off and decides without a dispatcher, or connected again
 	modelFreeze           // host 0 is frozen, or resumes
 	modelLower            // the limits are halved
 	modelWait
@@ -60,6 +61,7 @@
 	now       time.Duration
 	hosts     [modelHosts]modelHost
 	cut       bool // host 0 reaches no other
+	alone     bool // host 2 reaches none, and doesn't use its own dispatcher
 	limits    [modelAccounts]fleet.AccountLimit
 	view      *fleet.View
 	loweredAt time.Duration
@@ -82,7 +84,12 @@
 	return m
 }
 
-func (m *quotaModel) reaches(a, b int) bool { return a == b || !m.cut || a != 0 && b != 0 }
+func (m *quotaModel) reaches(a, b int) bool {
+	if m.alone && (a == 2 || b == 2) {
+		return false
+	}
+	return a == b || !m.cut || a != 0 && b != 0
+}
 
 // hear passes a message to a dispatcher, which reads it once it isn't frozen.
 func (m *quotaModel) hear(d int, f func(s *State, now time.Duration)) {
@@ -248,6 +255,8 @@
 		m.hosts[d].quotas.SetHosts(modelHosts)
 	case modelPartition:
 		m.cut = !m.cut
+	case modelAlone:
+		m.alone = !m.alone
 	case modelFreeze:
 		x := &m.hosts[0]
 		x.frozen = !x.frozen
