--- a/internal/host/quotas.go
+++ b/internal/host/quotas.go
@@ -21,6 +21,8 @@
 	otherAccounts    = "other"
 	quotaLogInterval = time.Second // between two log lines about the same account
 	maxQuotaLogs     = 1024        // accounts in the log at a time; bounds the memory
+	// quotaLogCheck is the time between two searches for due log lines, which look at all accounts with refusals.
+	quotaLogCheck = 100 * time.Millisecond
 
 	noDispatcherReason = "no dispatcher decides on the account's limit"
 )
@@ -189,6 +191,7 @@
 // quotaRefusals collects the refusals over limits for the log, which has at most one line for each account and second.
 type quotaRefusals struct {
 	byAccount map[string]*refusedUnits
+	checkedAt time.Duration
 }
 
 // refusedUnits sums up the refusals of an account since its last log line.
@@ -245,6 +248,10 @@
 // log adds decisions, and writes the log lines that are due.
 func (q *quotaRefusals) log(l telemetry.Logger, now time.Duration, decisions []sched.QuotaDecision) {
 	q.add(now, decisions)
+	if now-q.checkedAt < quotaLogCheck {
+		return
+	}
+	q.checkedAt = now
 	for account, r := range q.take(now) {
 		l.Info().Str("account", account).Str("host", r.host).Float64("units", r.units).Int("requests", r.requests).Msg("Refused over the limit.")
 	}
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -305,3 +305,25 @@
 		t.Error("the capacity is not a quarter of the burst")
 	}
 }
+
+// TestManyDepartures guards against an account that keeps the units of hosts that left while the account was not used, also when
+// more hosts left than are remembered.
+func TestManyDepartures(t *testing.T) {
+	const hosts = maxQuotaCuts + 20
+	for _, left := range []int{1, hosts - 1} {
+		s := quotaState(0, quotaView(hosts, tokens(1000, 4000)), QuotaSettings{}, hosts)
+		beat(s, 5*time.Second, hosts)
+		if l := level(s); l < 3900 {
+			t.Fatalf("level %v before, want a full bucket", l)
+		}
+		for i := range left {
+			s.HostDown(s.now, fmt.Sprint("h", hosts-1-i))
+		}
+		for i := range left {
+			s.HostUp(s.now, fmt.Sprint("h", hosts-1-i))
+		}
+		if l, most := level(s), 4000*float64(hosts-left)/hosts; l > most+1e-6 || left == 1 && l < 0.9*most {
+			t.Errorf("level %v after %d of %d hosts had left, want at most %v", l, left, hosts, most)
+		}
+	}
+}
