--- a/internal/host/quotas_test.go
+++ b/internal/host/quotas_test.go
@@ -247,3 +247,33 @@
 		t.Errorf("%d lines with %v units, %d accounts left", lines, units, len(q.byAccount))
 	}
 }
+
+// TestDispatcherEnforcesQuota guards against a dispatcher whose queue doesn't get the settings or decisions of quotas: a host has to
+// get the refusal over the limit, and the metrics and the log its units.
+func TestDispatcherEnforcesQuota(t *testing.T) {
+	h := quotaHost()
+	d, other := h.dispatcher, &fakePeer{}
+	h.activeDeployment.Store(&fleet.Deployment{Host: "h0", QuotaWindow: 8 * time.Second, QuotaTolerance: 0.1, QuotaSlack: 17000})
+	d.handle(dispatcherEvent{"h1", other, &wire.Resync{}})
+	d.handle(dispatcherEvent{"h1", other, &wire.Ask{ID: 1, Service: "app", DeadlineMs: 1000, TargetMs: 300, Account: "a0", Cost: 9000}})
+	d.flush()
+	r, ok := other.sent[len(other.sent)-1].(*wire.Refuse)
+	if !ok || !r.OverLimit || r.RetryAfterMs == 0 {
+		t.Fatalf("%#v, want a refusal over the limit", other.sent[len(other.sent)-1])
+	}
+	refused := uint64(0)
+	for _, c := range d.quotaUnits.series() {
+		if c.Attributes["account"] == "a0" && c.Attributes["event"] == sched.QuotaRefused.String() {
+			refused = c.Count
+		}
+	}
+	if refused != 9000 {
+		t.Errorf("%d units in the metrics, want 9000", refused)
+	}
+	// A quarter of the initial credit is there at once: 0.12 of the tolerance of 0.1 x (8 x 4000 + 4000) + 17000.
+	d.handle(dispatcherEvent{"h1", other, &wire.Ask{ID: 2, Service: "app", DeadlineMs: 1000, TargetMs: 300, Account: "a0", Cost: 600}})
+	d.flush()
+	if r, ok := other.sent[len(other.sent)-1].(*wire.Refuse); ok && r.OverLimit {
+		t.Error("the initial credit is missing")
+	}
+}
