Count callers told to return in the times that refusals state

Cause: all callers who were refused in a spike were told the same time, 4 s at most. They came back into the spike, or together after it, and were refused again.

Change: the time that a refusal states is the predicted wait plus the number of callers of the same model and at least the same rank who were told a time to come, divided by the capacity that arrivals leave. It is limited to a third of the caller's remaining time, up to which callers honour it, instead of 4 s.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -394,19 +394,20 @@
 	if m.key.model != "" {
 		return m.onTimePerSec
 	}
-	if mean := s.generationEstimateOf(m.key.service).onTimePerSec; mean > 0 {
+	if mean := s.generationEstimateOf(m.key.service).onTimePerSec[m.key.model]; mean > 0 {
 		return min(m.onTimePerSec, mean)
 	}
 	return m.onTimePerSec
 }
 
-// observeOnTimeRates updates the mean rates of arrivals at plain services that can be on time. It is called every measureEvery.
+// observeOnTimeRates updates the mean rates of arrivals that can be on time. It is called every measureEvery.
 func (s *State) observeOnTimeRates() {
 	for _, m := range s.modelOrder {
-		if m.key.model == "" {
-			g := s.generationEstimateOf(m.key.service)
-			g.onTimePerSec = smoothed(g.onTimePerSec, m.onTimePerSec, spikeSmoothing)
+		g := s.generationEstimateOf(m.key.service)
+		if g.onTimePerSec == nil {
+			g.onTimePerSec = make(map[string]float64)
 		}
+		g.onTimePerSec[m.key.model] = smoothed(g.onTimePerSec[m.key.model], m.onTimePerSec, spikeSmoothing)
 	}
 }
 
--- a/internal/sched/plainflood_test.go
+++ b/internal/sched/plainflood_test.go
@@ -23,8 +23,10 @@
 	lossFrom  time.Duration // from here to lossTo, one of the servers is not listed; 0 if all are all the time
 	lossTo    time.Duration
 	seed      uint64
-	unshared  bool // requests don't state their accounts
-	startRule bool // the rule before run times were known: a request is on time if it starts before its target
+	patience  time.Duration // if set, the servers are engines, and answers are streams whose first event must come within it
+	untold    bool          // the callers told to come back don't count for the times that refusals state
+	unshared  bool          // requests don't state their accounts
+	startRule bool          // the rule before run times were known: a request is on time if it starts before its target
 }
 
 // floodAccount is a client account whose callers take part in a flood.
@@ -143,6 +145,9 @@
 func (f plainFlood) run(t *testing.T) plainFloodResult {
 	t.Helper()
 	full, reduced := testView(4, nil, 3), testView(4, nil, 2)
+	if f.patience > 0 {
+		full = testView(4, [][]string{{"m"}, {"m"}, {"m"}}, 0)
+	}
 	for _, v := range []*fleet.View{full, reduced} {
 		v.Config.Accounts = fleet.NewAccounts()
 		for _, a := range f.accounts {
@@ -166,6 +171,11 @@
 		left := c.end - now
 		a := c.ask
 		a.ID, a.TargetMs, a.DeadlineMs, a.EndMs = id, uint32(f.objective.Milliseconds()), uint32(left.Milliseconds()), uint32(left.Milliseconds())
+		if f.patience > 0 {
+			a.Service, a.Model, a.PromptTokens, a.MaxTokens = engineService, "m", 50, 20
+			a.PromptParts = []wire.PromptPart{{ID: uint64(c.run), Tokens: 50}}
+			a.DeadlineMs = min(a.DeadlineMs, uint32(f.patience.Milliseconds()))
+		}
 		s.Ask(now, "h", a)
 	}
 	accounts := f.accounts
@@ -213,17 +223,27 @@
 	for events[0].at < f.length {
 		x := heap.Pop(&events).(timedEvent)
 		x.do(x.at)
+		if f.untold {
+			s.generationEstimateOf(engineService).toldTimes = nil
+		}
 		if f.startRule {
 			g := s.generationEstimateOf(plainService)
-			g.runs, g.returns, g.onTimePerSec = runEstimate{}, expectedReturns{}, 0
+			g.runs, g.returns, g.onTimePerSec = runEstimate{}, expectedReturns{}, nil
 		}
 		now := x.at
 		for _, o := range s.TakeOutputs() {
 			switch m := o.Message.(type) {
 			case *wire.Grant:
 				c := byID[m.ID]
+				answered := c.run
+				if f.patience > 0 {
+					answered = 14 * time.Millisecond
+				}
 				at(now+c.run, func(now time.Duration) {
 					s.Done(now, "h", wire.Done{ID: m.ID, TotalMs: uint32(c.run.Milliseconds())})
+				})
+				at(now+answered, func(now time.Duration) {
+					s.Started(now, "h", wire.Started{ID: m.ID, FirstMs: uint32(answered.Milliseconds())})
 					total := now + callerTrip - c.first
 					c.count(func(r *plainFloodResult) {
 						r.times = append(r.times, total)
--- a/internal/sched/refusal.go
+++ b/internal/sched/refusal.go
@@ -91,17 +91,39 @@
 // refuse rejects a request. The retry delays have random jitter, so that callers don't all retry at the same time.
 func (s *State) refuse(r *request, reason string, wait time.Duration) {
 	s.keepTarget(r)
-	retryAfter := min(time.Duration(float64(max(wait, minRetryDelay))*(0.7+0.6*s.rng.Float64())), maxRetryDelay)
+	retryAfter := s.returnTime(r, wait)
 	if s.expectsReturn(r) {
-		s.generationEstimateOf(r.ask.Service).returns.add(s.now, r, retryAfter)
+		g := s.generationEstimateOf(r.ask.Service)
+		if r.ask.Model == "" {
+			g.returns.add(s.now, r, retryAfter)
+		}
+		g.addTold(s.now, r, retryAfter)
 	}
 	s.emit(r, &wire.Refuse{ID: r.id, Reason: reason, RetryAfterMs: uint32(retryAfter.Milliseconds())}, reason, wait)
 }
 
-// expectsReturn reports whether the caller of a refused request for a plain service may come back. The refusal of a second
+// returnTime returns the time after which the caller of a refused request is told to come back: when the requests that wait now
+// and the callers who have been told to come back before are expected to have been served. Callers come back after a third
+// of their remaining time at the latest.
+func (s *State) returnTime(r *request, wait time.Duration) time.Duration {
+	limit := maxRetryDelay
+	if r.endBy > 0 {
+		limit = time.Duration(returnShare * float64(max(r.endBy-s.now, 0)))
+	}
+	after := min(max(wait, minRetryDelay), maxRetryDelay)
+	after = time.Duration(float64(after) * (0.7 + 0.6*s.rng.Float64()))
+	if c := s.capacity(r.model).requestsPerSec; c > 0 {
+		g := s.generationEstimateOf(r.ask.Service)
+		left := max(c-min(r.model.onTimePerSec, g.onTimePerSec[r.ask.Model]), minSpareShare*c)
+		after += seconds(g.told(s.now, r) / left)
+	}
+	return min(after, max(limit, minRetryDelay))
+}
+
+// expectsReturn reports whether the caller of a refused request may come back. The refusal of a second
 // attempt beside another, and of a request that only takes a slot that is free at once, doesn't reach a caller.
 func (s *State) expectsReturn(r *request) bool {
-	return r.ask.Model == "" && r.endBy > s.now && !r.ask.Speculative && r.startBy-r.askedAt > returnSlack
+	return r.endBy > s.now && !r.ask.Speculative && r.startBy-r.askedAt > returnSlack
 }
 
 // refuseExpired refuses waiting requests whose start deadline has passed, and late ones that are predicted to miss it.
--- a/internal/sched/returns.go
+++ b/internal/sched/returns.go
@@ -91,3 +91,59 @@
 		}
 	}
 }
+
+const (
+	toldStep  = 250 * time.Millisecond // resolution of the times that callers were told
+	toldSteps = 64
+)
+
+// toldKey identifies the requests whose callers are counted together.
+type toldKey struct {
+	model    string
+	priority uint8
+}
+
+// toldTimes counts the callers who were told to come back, by time in units of toldStep.
+type toldTimes struct {
+	counts [toldSteps]float64
+	step   int64 // the counts hold this step and those after it
+}
+
+// advance drops the counts of the past.
+func (x *toldTimes) advance(now time.Duration) {
+	to := int64(now / toldStep)
+	for x.step = max(x.step, to-toldSteps); x.step < to; x.step++ {
+		x.counts[x.step%toldSteps] = 0
+	}
+}
+
+// addTold counts the caller of a refused request who is told to come back after the given time.
+func (g *generationEstimate) addTold(now time.Duration, r *request, after time.Duration) {
+	k := toldKey{r.ask.Model, r.ask.Priority}
+	x := g.toldTimes[k]
+	if x == nil {
+		if g.toldTimes == nil {
+			g.toldTimes = make(map[toldKey]*toldTimes)
+		}
+		x = &toldTimes{}
+		g.toldTimes[k] = x
+	}
+	x.advance(now)
+	x.counts[min(int64((now+after)/toldStep), x.step+toldSteps-1)%toldSteps]++
+}
+
+// told returns how many callers of requests for the same model, and at least as urgent as r, have been told to come back
+// at a time to come.
+func (g *generationEstimate) told(now time.Duration, r *request) float64 {
+	sum := 0.0
+	for k, x := range g.toldTimes {
+		if k.model != r.ask.Model || k.priority > r.ask.Priority {
+			continue
+		}
+		x.advance(now)
+		for _, n := range x.counts {
+			sum += n // whole numbers, so that the order doesn't matter
+		}
+	}
+	return sum
+}
--- a/internal/sched/returns_test.go
+++ b/internal/sched/returns_test.go
@@ -95,3 +95,65 @@
 		t.Errorf("%d returns are remembered", x.count)
 	}
 }
+
+// TestReturnsFindSlots guards against telling all callers who are refused in a spike the same time to come back, at which there
+// is capacity for few of them.
+func TestReturnsFindSlots(t *testing.T) {
+	for _, test := range []struct {
+		name               string
+		base, peak         float64 // of the capacity
+		lasts, patience    time.Duration
+		unserved, refusals float64 // most callers refused twice, and most refusals per refused caller
+	}{
+		{"3 times the capacity for 2 s", 0.6, 3, 2 * time.Second, 3600 * time.Millisecond, 0.03, 1.15},
+		{"3 times the capacity for 2 s, impatient callers", 0.6, 3, 2 * time.Second, 900 * time.Millisecond, 0.08, 1.4},
+		{"twice the capacity for 4 s", 0.6, 2, 4 * time.Second, 3600 * time.Millisecond, 0.06, 1.35},
+		{"twice the capacity for 4 s, on a base of 0.8", 0.8, 2, 4 * time.Second, 3600 * time.Millisecond, 0.1, 1.6},
+		{"twice the capacity for 8 s", 0.6, 2, 8 * time.Second, 3600 * time.Millisecond, 0.16, 1.55},
+	} {
+		var before, after plainFloodResult
+		for seed := uint64(1); seed <= 4; seed++ {
+			f := plainFlood{rate: func(now time.Duration) float64 {
+				if now > 6*time.Second && now < 6*time.Second+test.lasts {
+					return test.peak * plainCapacity
+				}
+				return test.base * plainCapacity
+			}, length: 54 * time.Second, objective: 300 * time.Millisecond, deadline: 30 * time.Second, patience: test.patience, seed: seed}
+			after.add(f.run(t))
+			f.untold = true
+			before.add(f.run(t))
+		}
+		before.log(t, test.name+", times not summed up:")
+		after.log(t, test.name+":")
+		unserved, refusals := float64(after.unserved)/float64(after.callers), float64(after.refusals)/float64(after.refusedCallers)
+		if unserved > test.unserved || refusals > test.refusals || after.unserved > before.unserved || after.worth() < before.worth() {
+			t.Errorf("%s: %.3f refused twice, %.2f refusals per refused caller", test.name, unserved, refusals)
+		}
+	}
+}
+
+// TestToldTimes guards against counting callers whose time to come back has passed, or who are less urgent, and against losing
+// those who were told a time beyond the largest that is counted.
+func TestToldTimes(t *testing.T) {
+	g := &generationEstimate{}
+	request := func(model string, priority uint8) *request {
+		return &request{ask: wire.Ask{Model: model, Priority: priority}}
+	}
+	for i := range 10 {
+		g.addTold(0, request("m", 1), time.Duration(i)*time.Second)
+	}
+	g.addTold(0, request("m", 2), 9*time.Second)
+	g.addTold(0, request("n", 0), 9*time.Second)
+	g.addTold(0, request("m", 0), time.Hour)
+	for _, test := range []struct {
+		now      time.Duration
+		priority uint8
+		want     float64
+	}{
+		{0, 0, 1}, {0, 1, 11}, {0, 2, 12}, {5 * time.Second, 1, 6}, {9500 * time.Millisecond, 2, 1}, {time.Hour, 2, 0},
+	} {
+		if got := g.told(test.now, request("m", test.priority)); got != test.want {
+			t.Errorf("rank %d after %v: %v callers, want %v", test.priority, test.now, got, test.want)
+		}
+	}
+}
