Send a hedge when an answer is slow to begin

Cause: with one slow endpoint of many, the requests there wait until the failover on silence, at twice the target. After the learned tail of its route the host asks the dispatcher for a slot that nothing else needs, and sends the request there as well. The first answer that begins is passed on; the other attempt is cancelled and its slot freed. With 0 the send is the one of before. The end of a request is logged with its account.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -86,6 +86,7 @@
 	connLost  bool // the endpoint ended the connection before the answer was complete
 	delivered bool // the answer was passed on to the caller
 	streamed  bool // the attempt was part of a stream
+	sentAt    time.Time
 	err       error
 }
 
@@ -111,6 +112,7 @@
 			x.f.answerTimer.begin(x, time.Now())
 		}
 		r := x.try(ctx, b)
+		b = x.lastBinding // that of the hedge if the result is the hedge's
 		if x.delivered = r.delivered; x.delivered {
 			return
 		}
@@ -283,12 +285,19 @@
 		clock.Sleep(ctx, adapterRetryDelay<<resent)
 		resent++
 	}
+	x.report(ctx, x.lastBinding, &r, resent)
+	return r
+}
+
+// report frees the slot of an attempt, and reports the attempt's result to the dispatcher. The request was sent resent more times
+// on the slot.
+func (x *exchange) report(ctx context.Context, b *binding, r *attemptResult, resent int) {
 	d := wire.Done{RetryAfterMs: ceilMilliseconds(r.quiet), Resends: uint8(resent), Outcome: uint8(r.outcome), Fault: uint8(r.fault), Missing: r.missing, Failed: r.fault != sched.NoFault, ConnectionLost: r.connLost}
 	if r.streamed {
 		x.stream.addPace(&d)
 	}
 	if r.outcome == attempt.Answered && r.fault == sched.NoFault {
-		d.TotalMs = uint32(max(time.Since(start).Milliseconds(), 1))
+		d.TotalMs = uint32(max(time.Since(r.sentAt).Milliseconds(), 1))
 	}
 	if ctx.Err() != nil && errors.Cause(r.err) != errSilent && r.fault != sched.NoFault {
 		d.Fault, d.Failed, d.ConnectionLost = 0, false, false // the caller left or the request timed out, which is no fault of the endpoint
@@ -297,7 +306,6 @@
 		x.reportMissingAdapter(b)
 	}
 	b.done(d)
-	return r
 }
 
 // loadAdapter has the request's adapter loaded and waits until it can be used. If that fails, loadAdapter frees the slot and
@@ -433,12 +441,14 @@
 }
 
 // send sends the request to an endpoint once and handles the response. A slot found by a failover becomes that of the next
-// attempt.
-func (x *exchange) send(ctx context.Context, b *binding, e *fleet.Endpoint, start time.Time) attemptResult {
-	ctx, cancel := context.WithCancelCause(ctx)
+// attempt. The request may be hedged; if the result is the hedge's, lastBinding is the hedge's slot.
+func (x *exchange) send(parent context.Context, b *binding, e *fleet.Endpoint, start time.Time) (r attemptResult) {
+	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
+	a := &sentAttempt{b: b, e: e, ctx: ctx, cancel: cancel, sentAt: start}
 	m := x.startFailover(ctx, b.endpoint, cancel)
 	defer func() {
+		r.sentAt = a.sentAt
 		if b := m.stop(); b != nil {
 			x.nextBinding.release()
 			x.nextBinding = b
@@ -457,15 +467,28 @@
 	if !x.allowSend(b, e.ID) {
 		return attemptResult{outcome: attempt.NotSent, err: errors.New(sched.RetriesUsedReason)}
 	}
+	var hedged *hedgedSend
+	if x.sends == 0 && x.f.h.opts.HedgeShare > 0 {
+		hedged = newHedgedSend(x, parent, a, m)
+	}
 	x.sends++
-	resp, err := x.f.h.requestPool.RoundTrip(ctx, x.f.h.opts.Codec.Outgoing(x.q, e, left, x.resumeAfter()))
-	if err != nil {
-		return x.classifyFailure(ctx, err)
+	a.request = x.f.h.opts.Codec.Outgoing(x.q, e, left, x.resumeAfter())
+	if hedged != nil {
+		defer hedged.end()
+		a, m = hedged.run()
+	} else {
+		a.resp, a.err = x.f.h.requestPool.RoundTrip(ctx, a.request)
+	}
+	if a.err != nil {
+		return x.classifyFailure(a.ctx, a.err)
 	}
-	r := x.handleResponse(ctx, b, e, resp, start, m.watchdog)
-	if r.err != nil && context.Cause(ctx) == errSilent {
+	r = x.handleResponse(a.ctx, a.b, a.e, a.resp, a.sentAt, m.watchdog)
+	if r.err != nil && context.Cause(a.ctx) == errSilent {
 		r.fault, r.err = sched.TimedOut, errSilent
 	}
+	if hedged != nil && hedged.second != nil {
+		r.retrySame = false // the endpoint that was asked first is no longer the one to wait for
+	}
 	return r
 }
 
@@ -706,6 +729,9 @@
 	if q.Route != nil {
 		l = l.Str("route", q.Route.Name).Str("kind", q.Route.Kind.String()).Int("rank", q.Route.Rank).Str("service", q.Service)
 	}
+	if q.Account != nil {
+		l = l.Str("account", q.Account.Name)
+	}
 	if q.Model != "" {
 		l = l.Str("model", q.Model).Str("adapter", q.Adapter).Uint32("prompt", q.PromptTokens).Str("parts", formatParts(q.PromptParts))
 	}
