Estimate the slowness of endpoints from attempts that a hedge replaces

Change: the dispatcher takes twice the silence of the first attempt for its time when it grants the hedge.

--- a/internal/sched/hedge.go
+++ b/internal/sched/hedge.go
@@ -12,6 +12,9 @@
 	maxHedgeServiceLoad = 0.7 // of the slots of all usable endpoints of the model
 	maxHedgeSlowness    = 1.5 // slowness above which an endpoint counts as slow
 	maxSlowShare        = 0.5 // of the usable endpoints; if more are slow, the service is, and not single endpoints
+	// silenceFactor is the expected time of an attempt, in times of its silence so far. Only a lower bound is known when a hedge is
+	// granted; without an estimate, an endpoint whose attempts are all cancelled would count as fast again.
+	silenceFactor = 2.0
 )
 
 // Reasons of refused hedges.
@@ -40,9 +43,38 @@
 		s.emit(r, &wire.Refuse{ID: r.id, Reason: reason}, reason, 0)
 		return
 	}
+	s.observeSilence(r)
 	s.grant(r, e)
 }
 
+// observeSilence updates the slowness of the endpoint at which the first attempt of a hedged request is silent. The attempt is
+// measured no more if the hedge answers before.
+func (s *State) observeSilence(r *request) {
+	if r.ask.Request == "" || len(r.ask.Exclude) == 0 {
+		return
+	}
+	var first *request
+	at := r.ask.Exclude[len(r.ask.Exclude)-1]
+	for _, o := range s.requests {
+		if o.host == r.host && o.ask.Request == r.ask.Request && o.endpoint != nil && o.endpoint.id == at && !o.started && (first == nil || o.id > first.id) {
+			first = o
+		}
+	}
+	if first == nil {
+		return
+	}
+	silence := silenceFactor * (s.now - first.grantedAt).Seconds()
+	expected := first.predictedMs / 1000
+	if first.endpoint.engine == nil {
+		// The mean has to contain it as well: all endpoints would be slower than the mean otherwise.
+		r.model.holdSec += holdSmoothing * (silence - r.model.holdSec)
+		expected = r.model.holdSec
+	}
+	if ratio := silence / max(expected, minHoldSec); ratio > 1 {
+		first.endpoint.updateSlowness(s.now, ratio)
+	}
+}
+
 // hedgeRefusal returns the reason for which the model of a request gets no hedges now, or an empty string.
 func (s *State) hedgeRefusal(r *request) string {
 	switch {
