Order the attempts of the hedge tests by events

Cause: in a whole run with the race detector on a busy machine (load about 30 on 7 processors), TestHedgeAnswers failed: the first attempt answered after 250 ms, before the hedge was sent. Change: the first endpoint answers once the second one has got the request; the failover of these tests comes after 2 s. Result: go test -race of the hedge tests passes at a load of 31. Trial: the other tests of internal/host pass with hedges on.

--- a/internal/host/hedgedsend_test.go
+++ b/internal/host/hedgedsend_test.go
@@ -133,7 +133,7 @@
 	c.Routes = slices.Clone(c.Routes)
 	for i := range c.Routes {
 		c.Routes[i].MaxAttempts = maxAttempts
-		c.Routes[i].TargetLatency = 300 * time.Millisecond // a failover after 600 ms
+		c.Routes[i].TargetLatency = time.Second // a failover after 2 s
 	}
 	c.Index()
 	v.Config = &c
@@ -179,9 +179,9 @@
 	return s, closed
 }
 
-// awaitTrue waits until a condition holds, at most for the time that a failover takes.
+// awaitTrue waits until a condition holds, for less than the time after which a failover takes over.
 func awaitTrue(condition func() bool) {
-	for end := time.Now().Add(500 * time.Millisecond); !condition() && time.Now().Before(end); {
+	for end := time.Now().Add(1800 * time.Millisecond); !condition() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -227,12 +227,15 @@
 			won, lost     uint64
 		}{
 			{"hedge wins", slowAnswer, 0, "e1", "e0", 1, 0},
-			{"first wins", 250 * time.Millisecond, slowAnswer, "e0", "e1", 0, 1},
+			{"first wins", 0, slowAnswer, "e0", "e1", 0, 1},
 		} {
 			t.Run(c.name+path, func(t *testing.T) {
 				t.Parallel()
-				s0, closed0 := newAnsweringServer(t, c.first, answersAs("e0"))
 				s1, closed1 := newAnsweringServer(t, c.second, answersAs("e1"))
+				s0, closed0 := newAnsweringServer(t, c.first, func(id string) string {
+					awaitTrue(func() bool { return s1.requests.Load() > 0 })
+					return answerFrom("e0", id)
+				})
 				d, url := newHedgingHost(t, 2, s0, s1)
 				req, err := http.NewRequest("GET", url+path, nil)
 				if err != nil {
@@ -431,11 +434,11 @@
 	} {
 		t.Run(fmt.Sprint(c.path, c.maxAttempts), func(t *testing.T) {
 			t.Parallel()
-			s0, closed := newAnsweringServer(t, 5*time.Second, answersAs("e0"))
-			s1, _ := newAnsweringServer(t, 1500*time.Millisecond, answersAs("e1"))
+			s0, closed := newAnsweringServer(t, 20*time.Second, answersAs("e0"))
+			s1, _ := newAnsweringServer(t, 2800*time.Millisecond, answersAs("e1"))
 			s2, _ := newAnsweringServer(t, 0, answersAs("e2"))
 			d, url := newHedgingHost(t, c.maxAttempts, s0, s1, s2)
-			g := sendRequest(url, c.path, "r", 4*time.Second)
+			g := sendRequest(url, c.path, "r", 12*time.Second)
 			if g.status != c.status || !strings.Contains(g.body, c.want) {
 				t.Errorf("status %d, %q after %v", g.status, g.body, g.elapsed)
 			}
@@ -454,7 +457,7 @@
 
 // TestSilentStreamsEnd guards against a stream that waits for two silent endpoints for longer than its caller does.
 func TestSilentStreamsEnd(t *testing.T) {
-	const patience = 2 * time.Second // of the routes of newScriptedHost
+	const patience = 4 * time.Second // of the routes of newHedgingHost
 	s0, closed0 := newAnsweringServer(t, 20*time.Second, answersAs("e0"))
 	s1, closed1 := newAnsweringServer(t, 20*time.Second, answersAs("e1"))
 	d, url := newHedgingHost(t, 2, s0, s1)
@@ -468,7 +471,7 @@
 
 // TestCallerLeavesDuringHedge guards against attempts that go on, or start, after their caller has left.
 func TestCallerLeavesDuringHedge(t *testing.T) {
-	for name, leaves := range map[string]time.Duration{"before the hedge": hedgeTestDelay / 4, "during the hedge": 4 * hedgeTestDelay} {
+	for name, leaves := range map[string]time.Duration{"before the hedge": hedgeTestDelay / 4, "during the hedge": 8 * hedgeTestDelay} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s0, closed0 := newAnsweringServer(t, 5*time.Second, answersAs("e0"))
@@ -554,13 +557,13 @@
 // events of the other: a header and comments are no begin, since the endpoint may never send an event.
 func TestHedgedStream(t *testing.T) {
 	chunk := func(w io.Writer, s string) { fmt.Fprintf(w, "%x\r\n%s\r\n", len(s), s) }
-	stream := func(name string, comments int, first, gap time.Duration) *scriptedServer {
+	stream := func(name string, comments int, begin func(), gap time.Duration) *scriptedServer {
 		return newScriptedServer(t, func(_ int64, id string, w io.Writer) bool {
 			fmt.Fprintf(w, "%s%s\r\nX-Server: %s\r\nTransfer-Encoding: chunked\r\n\r\n", answerHead, id, name)
 			for range comments {
 				chunk(w, ": wait\n\n")
 			}
-			time.Sleep(first)
+			begin()
 			for i := range 4 {
 				chunk(w, fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, name))
 				time.Sleep(gap)
@@ -569,15 +572,18 @@
 			return err == nil
 		})
 	}
+	atOnce, late := func() {}, func() { time.Sleep(5 * time.Second) }
+	hedge := stream("e1", 1, late, 0)
+	whenHedged := func() { awaitTrue(func() bool { return hedge.requests.Load() > 0 }) }
 	for _, c := range []struct {
 		name          string
 		first, second *scriptedServer
 		winner        string
 		hedges        uint64
 	}{
-		{"comments without events", stream("e0", 3, 2*time.Second, 0), stream("e1", 1, 0, 10*time.Millisecond), "e1", 1},
-		{"begun before the delay", stream("e0", 0, 0, 2*hedgeTestDelay), stream("e1", 0, 0, 0), "e0", 0},
-		{"first event before that of the hedge", stream("e0", 1, 3*hedgeTestDelay, hedgeTestDelay), stream("e1", 1, 2*time.Second, 0), "e0", 1},
+		{"comments without events", stream("e0", 3, late, 0), stream("e1", 1, atOnce, 10*time.Millisecond), "e1", 1},
+		{"begun before the delay", stream("e0", 0, atOnce, 2*hedgeTestDelay), stream("e1", 0, atOnce, 0), "e0", 0},
+		{"first event before that of the hedge", stream("e0", 1, whenHedged, hedgeTestDelay), hedge, "e0", 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -630,7 +636,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			s0, _ := newAnsweringServer(t, 3*hedgeTestDelay, answersAs("e0"))
+			s0, _ := newAnsweringServer(t, 8*hedgeTestDelay, answersAs("e0"))
 			s1, _ := newAnsweringServer(t, 0, answersAs("e1"))
 			d, url := newHedgingHost(t, 2, s0, s1)
 			c.prepare(d)
