--- a/internal/sched/hedge_test.go
+++ b/internal/sched/hedge_test.go
@@ -63,7 +63,7 @@
 			s.endpoints["p2"].health.pause(now)
 		}},
 		{"limited", HedgeNoRoomReason, func(s *State) {
-			s.endpoints["p1"].limit, s.endpoints["p2"].limit = &rateLimit{perSec: 100, allowance: 50}, &rateLimit{perSec: 100, allowance: 50}
+			s.endpoints["p1"].limit, s.endpoints["p2"].limit = &rateLimit{perSec: 100, allowance: limits.Bucket{Level: 50}}, &rateLimit{perSec: 100, allowance: limits.Bucket{Level: 50}}
 		}},
 		{"first endpoint slow", "", func(s *State) { s.endpoints["p0"].slowness = 5 }},
 		{"most endpoints slow", HedgeSlowReason, func(s *State) { s.endpoints["p0"].slowness, s.endpoints["p1"].slowness = 5, 5 }},
