--- a/internal/sched/hedge_test.go
+++ b/internal/sched/hedge_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"sycamoredeal/internal/limits"
 	"sycamoredeal/internal/wire"
 )
 
