--- a/internal/sched/plainflood_test.go
+++ b/internal/sched/plainflood_test.go
@@ -22,6 +22,7 @@
 	varied    bool          // callers state deadlines from a quarter of the longest on
 	lossFrom  time.Duration // from here to lossTo, one of the servers is not listed; 0 if all are all the time
 	lossTo    time.Duration
+	failing   bool // that server is listed, and answers each request with an error after 2 ms
 	seed      uint64
 	patience  time.Duration // if set, the servers are engines, and answers are streams whose first event must come within it
 	untold    bool          // the callers told to come back don't count for the times that refusals state
@@ -128,6 +129,7 @@
 type plainCaller struct {
 	first   time.Duration // time of its first attempt
 	end     time.Duration // of its deadline
+	target  time.Duration // of its present attempt, as the host knows it
 	ask     wire.Ask
 	run     time.Duration // run time of its request
 	results []*plainFloodResult
@@ -167,7 +169,7 @@
 	id := uint64(0)
 	attempt := func(now time.Duration, c *plainCaller) {
 		id++
-		byID[id] = c
+		byID[id], c.target = c, now+f.objective
 		left := c.end - now
 		a := c.ask
 		a.ID, a.TargetMs, a.DeadlineMs, a.EndMs = id, uint32(f.objective.Milliseconds()), uint32(left.Milliseconds()), uint32(left.Milliseconds())
@@ -216,7 +218,7 @@
 		at(now+15*time.Millisecond, tick)
 	}
 	at(0, tick)
-	if f.lossTo > 0 {
+	if f.lossTo > 0 && !f.failing {
 		at(f.lossFrom, func(now time.Duration) { s.SetView(now, reduced) })
 		at(f.lossTo, func(now time.Duration) { s.SetView(now, full) })
 	}
@@ -235,6 +237,18 @@
 			switch m := o.Message.(type) {
 			case *wire.Grant:
 				c := byID[m.ID]
+				if f.failing && m.Endpoint == "p2" && now >= f.lossFrom && now < f.lossTo {
+					at(now+2*time.Millisecond, func(now time.Duration) {
+						s.Done(now, "h", wire.Done{ID: m.ID, Fault: uint8(ErrorStatus)})
+						id++
+						byID[id] = c
+						a, left := c.ask, c.end-now
+						a.ID, a.TargetMs, a.DeadlineMs, a.EndMs = id, uint32(max(c.target-now, 0).Milliseconds()), uint32(left.Milliseconds()), uint32(left.Milliseconds())
+						a.Retry, a.Exclude = true, []string{"p2"}
+						s.Ask(now, "h", a)
+					})
+					continue
+				}
 				answered := c.run
 				if f.patience > 0 {
 					answered = 14 * time.Millisecond
@@ -288,24 +302,27 @@
 		rate         float64
 		serversLost  bool
 		varied       bool
+		failing      bool
 		onTime, gain float64 // least share of callers on time, and least gain in worth over the start rule
 	}{
-		{"222 per second", 222, false, false, 0.92, 0.15},
-		{"0.7 of the capacity", 0.7 * plainCapacity, false, false, 0.99, 0},
-		{"the capacity", plainCapacity, false, false, 0.94, 0.06},
-		{"1.3 of the capacity", 1.3 * plainCapacity, false, false, 0.74, 0.35},
-		{"1.3 of the capacity, varied deadlines", 1.3 * plainCapacity, false, true, 0.7, 0.3},
-		{"twice the capacity", 2 * plainCapacity, false, false, 0.48, 0.27},
-		{"twice the capacity, varied deadlines", 2 * plainCapacity, false, true, 0.4, 0.2},
-		{"0.7 of the capacity, a third lost", 0.7 * plainCapacity, true, false, 0.96, 0.01},
-		{"the capacity, a third lost", plainCapacity, true, false, 0.85, 0.2},
-		{"1.3 of the capacity, a third lost", 1.3 * plainCapacity, true, false, 0.67, 0.3},
+		{"222 per second", 222, false, false, false, 0.92, 0.15},
+		{"0.7 of the capacity", 0.7 * plainCapacity, false, false, false, 0.99, 0},
+		{"the capacity", plainCapacity, false, false, false, 0.94, 0.06},
+		{"1.3 of the capacity", 1.3 * plainCapacity, false, false, false, 0.74, 0.35},
+		{"1.3 of the capacity, varied deadlines", 1.3 * plainCapacity, false, true, false, 0.7, 0.3},
+		{"twice the capacity", 2 * plainCapacity, false, false, false, 0.48, 0.27},
+		{"twice the capacity, varied deadlines", 2 * plainCapacity, false, true, false, 0.4, 0.2},
+		{"0.7 of the capacity, a third lost", 0.7 * plainCapacity, true, false, false, 0.96, 0.01},
+		{"the capacity, a third lost", plainCapacity, true, false, false, 0.85, 0.2},
+		{"0.6 of the capacity, a third failing", 0.6 * plainCapacity, true, false, true, 0.97, 0},
+		{"the capacity, a third failing", plainCapacity, true, false, true, 0.8, 0.1},
+		{"1.3 of the capacity, a third lost", 1.3 * plainCapacity, true, false, false, 0.67, 0.3},
 	} {
 		var before, after plainFloodResult
 		for seed := uint64(1); seed <= 3; seed++ {
 			f := plainFlood{
 				rate: func(time.Duration) float64 { return test.rate }, length: 24 * time.Second,
-				objective: 300 * time.Millisecond, deadline: 4 * time.Second, varied: test.varied, seed: seed,
+				objective: 300 * time.Millisecond, deadline: 4 * time.Second, varied: test.varied, failing: test.failing, seed: seed,
 			}
 			if test.serversLost {
 				f.lossFrom, f.lossTo = 7*time.Second, 13*time.Second
