Don't charge a request twice that another endpoint takes over

The ask of a failover stated that its request was not charged yet, so an account paid twice for a request whose endpoint was silent.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -391,6 +391,7 @@
 	m.ask = x.newAsk()
 	m.ask.Exclude = append(slices.Clone(x.exclude), endpoint)
 	m.ask.Retry, m.ask.Resumed = true, x.q.Route.Kind == fleet.Stream
+	m.ask.Charged = true // by the attempt in progress
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.watchdog = newWatchdog(x.silenceLimit(), func() { m.findReplacement(ctx) })
