Count the bytes held for slow readers and bound them

Cause: an answer of up to 1 MB is read whole for each request, and up to 6 requests per MB of memory may be in progress, so that slow callers of such answers could take 816 MB on a host of 136 MB. Sockets took up to 7.5 MB of an answer that its caller did not read.

ReadAllWithin takes its buffer from that before it allocates it. Connections to endpoints have limited receive buffers and segments.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,7 +27,11 @@
 	defaultIdleTimeout = 5 * time.Second
 )
 
-const sockoptTCPUserTimeout = 0x12 // TCP_USER_TIMEOUT on Linux
+// Socket options on Linux that package syscall does not name.
+const (
+	sockoptTCPUserTimeout  = 0x12 // TCP_USER_TIMEOUT
+	sockoptTCPNotSentLowat = 0x19 // TCP_NOTSENT_LOWAT
+)
 
 // conn is a connection to an endpoint with a buffered reader and the times that decide how long it stays in the pool.
 type conn struct {
@@ -77,6 +81,52 @@
 	}
 }
 
+// receiveBufferBytes is the size of the receive buffer of a connection to an endpoint, of which the kernel uses about half for
+// data. Without a limit the buffer grows to several MB (7.5 MB of an unread answer were seen between endpoint and caller), and
+// the endpoint of a slow reader sees progress only in lumps of a share of it.
+const receiveBufferBytes = 64 << 10
+
+// maxSegmentBytes limits the segments of a connection to an endpoint to those of jumbo frames. The kernel sizes a send buffer by
+// the segments that it may hold: on the loopback device, whose segments have 64 KB, an endpoint's is 2.6 MB, and the endpoint sees
+// progress only when a third of it is free, which took 4.2 s for a caller at 400 KB/s.
+const maxSegmentBytes = 8960
+
+// newRequestDialer returns a dialer like NewDialer whose connections leave little data of a slow reader's answer in sockets.
+func newRequestDialer() *net.Dialer {
+	d := NewDialer()
+	control := d.Control
+	d.Control = func(network, address string, rawConn syscall.RawConn) error {
+		if err := control(network, address, rawConn); err != nil {
+			return err
+		}
+		// The sizes are no requirement: a system that refuses them keeps its own.
+		return rawConn.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, maxSegmentBytes)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+		})
+	}
+	return d
+}
+
+// LimitUnsent limits the bytes that a socket holds before they are sent, and so what a peer that does not read leaves in this
+// machine's memory. Bytes on their way to a peer that reads are not limited.
+func LimitUnsent(c net.Conn, bytes int) error {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	rawConn, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if controlErr := rawConn.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, sockoptTCPNotSentLowat, bytes)
+	}); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // openWithoutData reports whether an idle connection is open and has no bytes to read. Bytes that arrive between two
 // requests belong to neither, so a connection with such bytes can't be reused.
 func (c *conn) openWithoutData() bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -76,8 +76,13 @@
 	openCounts map[string]int     // connections in use or idle, by address
 	dials      uint64
 	reuses     uint64
+
+	held Held
 }
 
+// Held returns the count of the bytes that are held for the requests that use the pool.
+func (p *Pool) Held() *Held { return &p.held }
+
 // NewPool returns a pool that opens at most perEndpoint connections to one address, or any number if perEndpoint is 0.
 func NewPool(perEndpoint int) *Pool {
 	return &Pool{maxPerEndpoint: perEndpoint, idleConns: make(map[string][]*conn), openCounts: make(map[string]int)}
@@ -159,7 +164,7 @@
 	p.openCounts[addr]++
 	p.dials++
 	p.mu.Unlock()
-	nc, err := NewDialer().DialContext(ctx, "tcp4", addr)
+	nc, err := newRequestDialer().DialContext(ctx, "tcp4", addr)
 	if err != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -344,6 +349,16 @@
 	})
 }
 
+// Pending reports whether bytes have arrived that were not read, or the end of the connection has.
+func (r *Response) Pending() bool {
+	c := r.exchange.conn
+	if c.reader.Buffered() > 0 {
+		return true
+	}
+	open, pending := Peek(c.Conn)
+	return pending || !open
+}
+
 // ReadAll reads the rest of the body. If it is longer than maxBytes, ReadAll returns the first maxBytes+1 bytes and true
 // for tooLong.
 func (r *Response) ReadAll(maxBytes int) (body []byte, tooLong bool, err error) {
@@ -354,6 +369,46 @@
 	return body, false, err
 }
 
+// firstReadBytes is the size of the first buffer of ReadAllWithin. It holds most answers of plain services.
+const firstReadBytes = 2 << 10
+
+// ReadAllWithin reads the rest of the body into a buffer that it takes from g before it is allocated. If the body is longer than
+// maxBytes, or g does not admit a larger buffer, it returns what was read so far and true for more. A report is returned if the
+// bound is reached.
+func (r *Response) ReadAllWithin(maxBytes int, g *Holding) (body []byte, more bool, report *HeldReport, err error) {
+	limit := maxBytes + 1
+	if r.ContentLength >= 0 && r.ContentLength < int64(maxBytes) {
+		limit = int(r.ContentLength) + 1 // a further byte, so that the end of the body is seen
+	}
+	for {
+		if len(body) == cap(body) {
+			size := min(max(2*cap(body), firstReadBytes), limit)
+			// The old buffer is counted as well until it is copied.
+			d, rep := g.Grow(int64(size))
+			if d != HeldAdmit && len(body) > 0 {
+				return body, true, rep, nil
+			}
+			if d != HeldAdmit { // the smallest buffer is always there
+				size = min(size, firstReadBytes)
+				g.Charge(int64(size))
+			}
+			old := cap(body)
+			body = append(make([]byte, 0, size), body...)
+			g.Shrink(int64(old))
+		}
+		n, err := r.Body.Read(body[len(body):min(cap(body), limit)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxBytes:
+			return body, true, nil, nil
+		case err == io.EOF:
+			return body, false, nil, nil
+		case err != nil:
+			return body, false, nil, err
+		}
+	}
+}
+
 // IsTimeout reports whether a request failed because a network timeout or a context deadline passed.
 func IsTimeout(err error) bool {
 	var netErr net.Error
