Let slow callers slow down the reading of their answers

Cause: a write to a caller that does not read lasted 10 s, also when the request had a deadline of 1 s (10.03 s), so that it held its slot. A write that blocks for longer than the silence limit let the watchdog take the endpoint for silent. The first MB of a long answer was written whole before more was read, so that an endpoint with a caller at 100 KB/s sees no progress for 10 s (calculated, not measured).

The watchdog waits while a write is in progress. An endpoint that ends an answer that stayed unread for 1 s is not at fault. Event buffers count as held and are freed after a long event.

--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -23,6 +23,7 @@
 const (
 	maxEventBytes      = 1 << 20          // limit for one event of a stream
 	initialEventBuffer = 4 << 10          // bytes; the buffer doubles up to maxEventBytes
+	keptEventBuffer    = 64 << 10         // a larger buffer is freed after its event
 	callerWriteTimeout = 10 * time.Second // a caller that accepts no data for so long counts as gone
 )
 
@@ -37,9 +38,10 @@
 	longestPause time.Duration // longest time between two events of one attempt
 
 	// These fields describe the current attempt.
-	received        int       // events that arrived, counted as above
-	firstReceivedAt time.Time // when the first event arrived
-	lastReceivedAt  time.Time // when the last event arrived
+	received        int           // events that arrived, counted as above
+	firstReceivedAt time.Time     // when the first event arrived
+	lastReceivedAt  time.Time     // when the last event arrived
+	blocked         time.Duration // how long the last write to the caller took
 }
 
 // recordEvent counts an event, or several read together, that arrived from the endpoint, and updates the longest pause.
@@ -82,17 +84,37 @@
 	start time.Time
 	last  atomic.Int64 // time of the last activity, in nanoseconds since start
 	off   atomic.Bool  // the attempt can't be replaced any more
+
+	// callerBlocks is set while data is written to the caller: the endpoint is not read then, so it is not silent.
+	callerBlocks atomic.Bool
 }
 
 // newWatchdog starts a watchdog that calls expired after d. If d is 0, it never does.
 func newWatchdog(d time.Duration, expired func()) *watchdog {
 	w := &watchdog{start: time.Now()}
 	if d > 0 {
-		w.timer = time.AfterFunc(d, expired)
+		w.timer = time.AfterFunc(d, func() {
+			if w.callerBlocks.Load() {
+				w.timer.Reset(d)
+				return
+			}
+			expired()
+		})
 	}
 	return w
 }
 
+// writing calls write, which passes data on to the caller. If the caller holds it up, the endpoint's time begins anew after it.
+func (w *watchdog) writing(timeout time.Duration, write func() (time.Duration, error)) error {
+	w.callerBlocks.Store(true)
+	took, err := write()
+	w.callerBlocks.Store(false)
+	if took >= callerBlockedTime {
+		w.recordActivity(timeout)
+	}
+	return err
+}
+
 // recordActivity records activity now, and restarts the timer with a new timeout.
 func (w *watchdog) recordActivity(d time.Duration) {
 	w.last.Store(int64(time.Since(w.start)))
@@ -131,8 +153,10 @@
 	}
 	first := true
 	resumedAfter := x.resumeAfter()
-	x.stream.received = 0
-	err := splitEvents(resp.Body, func(event []byte) error {
+	x.stream.received, x.stream.blocked = 0, 0
+	mem := &eventMemory{Holding: x.f.h.newHolding(upstream.HeldEvents, x.q), x: x, ctx: ctx}
+	defer mem.Release()
+	err := splitEvents(resp.Body, mem, func(event []byte) error {
 		if hasContent(event) {
 			if first {
 				if !continues(resumedAfter, eventIDs(event)) {
@@ -144,7 +168,10 @@
 			x.stream.recordEvent(time.Now())
 			w.recordActivity(x.eventGapLimit())
 		}
-		return x.writeEvent(resp, event)
+		return w.writing(x.eventGapLimit(), func() (time.Duration, error) {
+			err := x.writeEvent(resp, event)
+			return x.stream.blocked, err
+		})
 	})
 	if err == nil && first && !resp.Framed() {
 		err = errNoEvent
@@ -163,6 +190,9 @@
 		if !x.stream.headerSent {
 			x.stream = nil // nothing went to the caller yet
 		}
+		if errors.Is(err, errNoEventMemory) || x.stream != nil && x.stream.blocked >= unreadByEndpointTime {
+			return attemptResult{outcome: attempt.Unknown, err: err} // no fault of the endpoint
+		}
 		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, connLost: isConnectionEnd(err), err: err}
 	}
 	resp.Close(true)
@@ -194,18 +224,16 @@
 		x.writeHeader(resp)
 		s.timeToFirst = time.Since(x.q.Arrived)
 	}
-	rc := http.NewResponseController(x.w)
-	if err := rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
-		return &callerError{err}
+	start := time.Now()
+	if _, err := (callerWriter{x.w}).writeFrom(start, event); err != nil {
+		return err
 	}
-	if _, err := x.w.Write(event); err != nil {
-		return &callerError{err}
-	}
-	if err := rc.Flush(); err != nil {
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return &callerError{err}
 	}
 	s.events++
 	s.lastSentAt = time.Now()
+	s.blocked = s.lastSentAt.Sub(start)
 	if id := eventID(event); id != "" {
 		s.lastEventID = id
 	}
@@ -219,15 +247,21 @@
 var errEndsWithinEvent = fmt.Errorf("the stream ends within an event: %w", io.ErrUnexpectedEOF)
 
 // splitEvents reads a stream and calls fn with each whole event, including the empty line that ends it. Events that are read
-// together go into one call. It returns an error if the stream ends within an event.
-func splitEvents(r io.Reader, fn func(event []byte) error) error {
+// together go into one call. It returns an error if the stream ends within an event. The buffer counts in mem, which may be nil.
+func splitEvents(r io.Reader, mem *eventMemory, fn func(event []byte) error) error {
 	buf := make([]byte, 0, initialEventBuffer)
+	mem.charge(cap(buf))
 	for {
 		if len(buf) == cap(buf) {
 			if len(buf) >= maxEventBytes {
 				return errors.Errorf("an event is longer than %d bytes", maxEventBytes)
 			}
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+			old := cap(buf)
+			if err := mem.grow(2 * old); err != nil {
+				return err
+			}
+			buf = append(make([]byte, 0, 2*old), buf...)
+			mem.shrink(old)
 		}
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		// Bytes are searched only once, because a long event would take quadratic time otherwise.
@@ -240,6 +274,10 @@
 				return fnErr
 			}
 			buf = buf[:copy(buf, buf[end:])]
+			if cap(buf) > keptEventBuffer && len(buf) < initialEventBuffer {
+				mem.shrink(cap(buf) - initialEventBuffer)
+				buf = append(make([]byte, 0, initialEventBuffer), buf...)
+			}
 		}
 		switch {
 		case err == io.EOF && len(bytes.TrimSpace(buf)) > 0:
@@ -310,18 +348,46 @@
 	return next > last
 }
 
-// copyBody copies the rest of a response body to w. A body without a stated length fails when limit bytes were copied.
-func copyBody(w io.Writer, resp *upstream.Response, limit int64) (int64, error) {
+// copyBody copies the rest of a response body to w. A body without a stated length fails when limit bytes were copied. It reads
+// no further while the caller does not read.
+func copyBody(w callerWriter, resp *upstream.Response, limit int64) (int64, error) {
+	buf, free := w.copyBuffer()
+	defer free()
 	if resp.ContentLength >= 0 {
-		return io.Copy(w, resp.Body)
+		return copyPieces(w, resp.Body, buf)
 	}
-	n, err := io.Copy(w, io.LimitReader(resp.Body, limit))
+	n, err := copyPieces(w, io.LimitReader(resp.Body, limit), buf)
 	if err == nil && n == limit {
 		return n, errors.Errorf("a body without a length is longer than %d bytes", limit)
 	}
 	return n, err
 }
 
+// copyPieces copies r to w through buf. If reading fails after the caller held up the last piece for unreadByEndpointTime, the
+// error counts as one of the caller, because the endpoint has ended an answer that stayed unread.
+func copyPieces(w callerWriter, r io.Reader, buf []byte) (total int64, err error) {
+	blocked := time.Duration(0)
+	for {
+		n, readErr := r.Read(buf)
+		if n > 0 {
+			start := time.Now()
+			written, err := w.writeFrom(start, buf[:n])
+			if total += int64(written); err != nil {
+				return total, err
+			}
+			blocked = time.Since(start)
+		}
+		switch {
+		case readErr == io.EOF:
+			return total, nil
+		case readErr != nil && blocked >= unreadByEndpointTime:
+			return total, &callerError{errors.Annotate(readErr, "the endpoint ended an unread answer")}
+		case readErr != nil:
+			return total, readErr
+		}
+	}
+}
+
 // series returns the metrics of a route's requests, creating them for its first request.
 func (f *front) series(r *fleet.Route) *telemetry.Series {
 	f.mu.Lock()
