--- a/internal/host/heldbytes_test.go
+++ b/internal/host/heldbytes_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -218,3 +220,22 @@
 		t.Errorf("%d bytes were taken, error %v", n, err)
 	}
 }
+
+// TestHeldBytesMetrics guards against metrics that can't be registered or lack a kind.
+func TestHeldBytesMetrics(t *testing.T) {
+	m := telemetry.MustNewMetrics()
+	h := New(Options{Deployment: fleet.Deployment{Host: "h0"}, Codec: testCodec{}, Log: telemetry.Discard(), Metrics: m})
+	if err := h.registerHeldBytesMetrics(); err != nil {
+		t.Fatal(err)
+	}
+	g := h.newHolding(upstream.HeldEvents, &fleet.Request{})
+	g.Charge(initialEventBuffer)
+	r := httptest.NewRecorder()
+	m.Handler().ServeHTTP(r, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{`sycamore_held_bytes{kind="events"} 4096`, `sycamore_held_bytes{kind="body"} 0`, `sycamore_held_decisions_total{decision="refuse"} 0`,
+		"sycamore_answers_unread_total 0"} {
+		if !strings.Contains(r.Body.String(), want) {
+			t.Errorf("%s is missing in\n%s", want, r.Body)
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -41,6 +42,8 @@
 	idleSince   time.Time
 	idleTimeout time.Duration // from the last response
 	reused      bool          // has carried an earlier request
+
+	unreadTolerated atomic.Bool // TCP_USER_TIMEOUT is unreadBodyTimeout
 }
 
 // Read returns errHeaderTooLong once readLimit bytes have been read. http.ReadResponse doesn't limit the size of a
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -258,6 +258,7 @@
 		}
 		// A server may respond before it has read a long body and read the rest afterwards, so the write goes on after the
 		// response.
+		defer x.conn.watchUnreadBody()()
 		go func() {
 			_, err := x.conn.Write(req.Body)
 			x.writeResult <- err
@@ -329,7 +330,7 @@
 	default:
 		return false
 	}
-	return isFramed(x.resp) && idleTimeoutAfter(x.resp) > 0 && x.conn.reader.Buffered() == 0
+	return x.conn.expectPrompt() && isFramed(x.resp) && idleTimeoutAfter(x.resp) > 0 && x.conn.reader.Buffered() == 0
 }
 
 // isFramed reports whether the body of a response has a length or chunks. Any other body ends when the endpoint closes the
