Start with a buffer of the stated length for short answers

Cause: reading a short answer whole began with 2 KB and doubled, though its length is stated.

Change: an answer with a stated length starts with up to 64 KB.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -370,20 +370,21 @@
 	return body, false, err
 }
 
-// firstReadBytes is the size of the first buffer of ReadAllWithin. It holds most answers of plain services.
+// firstReadBytes is the size of the first buffer of ReadAllWithin for a body without a stated length.
 const firstReadBytes = 2 << 10
 
 // ReadAllWithin reads the rest of the body into a buffer that it takes from g before it is allocated. If the body is longer than
 // maxBytes, or g does not admit a larger buffer, it returns what was read so far and true for more. A report is returned if the
 // bound is reached.
 func (r *Response) ReadAllWithin(maxBytes int, g *Holding) (body []byte, more bool, report *HeldReport, err error) {
-	limit := maxBytes + 1
+	limit, first := maxBytes+1, firstReadBytes
 	if r.ContentLength >= 0 && r.ContentLength < int64(maxBytes) {
 		limit = int(r.ContentLength) + 1 // a further byte, so that the end of the body is seen
+		first = smallAnswerBytes
 	}
 	for {
 		if len(body) == cap(body) {
-			size := min(max(2*cap(body), firstReadBytes), limit)
+			size := min(max(2*cap(body), first), limit)
 			// The old buffer is counted as well until it is copied.
 			d, rep := g.Grow(int64(size))
 			if d != HeldAdmit && len(body) > 0 {
