Use the bounds for slow readers in the request path

Cause: the bounds on held bytes and on unread answers (docs/design/slow-readers.md) were built beside the changes of the request path. Change: request bodies and buffered answers take their memory from the host's bound, a long answer is read while its first part is written, and a caller that takes nothing for 4 s while its endpoint sends is disconnected.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -66,6 +66,7 @@
 	lastErr         error
 	stream          *streamRelay
 	delivered       bool // an endpoint's answer was passed on whole
+	bodyHeld        upstream.Holding
 }
 
 // bufferedAnswer is an answer that was read whole.
@@ -591,7 +592,7 @@
 
 // passOnWhole reads an answer whole and passes it on, unless it is an error and the request may be repeated.
 func (x *exchange) passOnWhole(ctx context.Context, b *binding, resp *upstream.Response, w *watchdog) attemptResult {
-	body, more, err := resp.ReadAll(maxBufferedAnswer)
+	body, more, err := x.readAnswer(resp)
 	if err != nil {
 		resp.Close(false)
 		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, connLost: isConnectionEnd(err), err: err}
@@ -610,6 +611,7 @@
 			return attemptResult{outcome: attempt.Unknown, fault: fault, answer: ans, err: errors.Errorf("endpoint answered %d", resp.StatusCode)}
 		}
 	}
+	x.endRun(b, w, ans.status)
 	x.writeAnswer(ans)
 	return attemptResult{outcome: attempt.Answered, fault: fault, delivered: true}
 }
@@ -621,11 +623,7 @@
 	x.copyHeader(resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
 	w := callerWriter{x.w}
-	_, err := w.Write(begun)
-	n := int64(0)
-	if err == nil {
-		n, err = copyBody(w, resp, maxUnsizedAnswer)
-	}
+	n, err := x.copyLong(w, resp, begun)
 	resp.Close(err == nil)
 	x.logEnd("answered", resp.StatusCode, err)
 	if err != nil {
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -190,6 +190,9 @@
 		x.timer.Stop()
 		delete(f.idleConns, c)
 	}
+	if s == http.StateNew {
+		f.limitCallerSocket(c)
+	}
 	if s == http.StateIdle {
 		x := &idleConn{}
 		x.timer = time.AfterFunc(f.limits().IdleTimeout, func() { f.closeIdle(c, x) })
@@ -262,7 +265,10 @@
 	if !f.readBody(x, w, r) {
 		return
 	}
-	defer f.bodyBytes.Add(-int64(len(q.Body)))
+	defer func() {
+		f.bodyBytes.Add(-int64(len(q.Body)))
+		x.bodyHeld.Release()
+	}()
 	ctx := r.Context()
 	end := q.EndBy()
 	if end.IsZero() && q.Route.Kind != fleet.Stream {
@@ -277,6 +283,7 @@
 	defer cancel(nil)
 	defer context.AfterFunc(f.h.stopEnd, func() { cancel(errStopped) })()
 	defer func() { f.answerTimer.end(x, time.Now(), x.delivered || context.Cause(ctx) == errTimeout) }()
+	defer x.guardWrites(ctx)()
 	x.run(ctx)
 }
 
@@ -290,6 +297,7 @@
 	f        *front
 	source   io.Reader
 	reserved int64 // bytes reserved in front.bodyBytes
+	held     upstream.Holding
 	read     int64
 }
 
@@ -299,6 +307,11 @@
 		b.f.bodyBytes.Add(-n)
 		return false
 	}
+	d, report := b.held.Grow(n)
+	if b.f.h.logHeld(report); d != upstream.HeldAdmit {
+		b.f.bodyBytes.Add(-n)
+		return false
+	}
 	b.reserved += n
 	return true
 }
@@ -313,7 +326,10 @@
 }
 
 // release frees what was reserved.
-func (b *bodyReservation) release() { b.f.bodyBytes.Add(-b.reserved) }
+func (b *bodyReservation) release() {
+	b.f.bodyBytes.Add(-b.reserved)
+	b.held.Release()
+}
 
 // readBody reads the whole request body, because it may have to be sent more than once. If that fails, readBody answers the
 // caller and returns false. w is the writer of the HTTP server, which http.MaxBytesReader tells to close the connection after
@@ -327,7 +343,7 @@
 		x.respondError(http.StatusRequestEntityTooLarge, "body is too long", 0)
 		return false
 	}
-	b := &bodyReservation{f: f, source: http.MaxBytesReader(w, r.Body, limit)}
+	b := &bodyReservation{f: f, source: http.MaxBytesReader(w, r.Body, limit), held: f.h.newHolding(upstream.HeldBody, x.q)}
 	if !b.reserve(max(r.ContentLength, 0)) {
 		x.reject(errNoBodyMemory.Error(), retryAfterFull)
 		return false
@@ -358,6 +374,6 @@
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
 		f.log.Debug().Err(err).Msg("Clearing the read deadline for the request body failed.")
 	}
-	x.q.Body, keep = body, true
+	x.q.Body, x.bodyHeld, keep = body, b.held, true
 	return true
 }
--- a/internal/host/heldbytes.go
+++ b/internal/host/heldbytes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -10,10 +11,12 @@
 
 	"github.com/juju/errors"
 
+	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/clock"
 	"sycamoredeal/internal/fleet"
 	"sycamoredeal/internal/telemetry"
 	"sycamoredeal/internal/upstream"
+	"sycamoredeal/internal/wire"
 )
 
 // callerUnsentBytes limits the bytes in a caller's socket that the caller's machine has not taken. Without a limit, one that
@@ -72,6 +75,13 @@
 		Msg("The bound on bytes held for slow readers is near or reached.")
 }
 
+// limitCallerSocket limits what a new connection's socket holds for its caller.
+func (f *front) limitCallerSocket(c net.Conn) {
+	if err := upstream.LimitUnsent(c, callerUnsentBytes); err != nil {
+		f.log.Debug().Err(err).Msg("Limiting a caller's socket failed.")
+	}
+}
+
 // callerResponse is the response to a caller whose writes end with the request: by its time, when its caller has left, or with a
 // stop. It ends writes of which the caller takes nothing for unreadTime.
 type callerResponse struct {
@@ -202,6 +212,15 @@
 	return body, more, err
 }
 
+// endRun ends the search for another endpoint and frees the slot, before an answer that was read whole is written: a caller that
+// reads slowly keeps neither. A request that was sent more than once reports its outcome with the number of sends later.
+func (x *exchange) endRun(b *binding, w *watchdog, status int) {
+	w.disable()
+	if status < http.StatusInternalServerError && x.sends == 1 {
+		b.done(wire.Done{Outcome: uint8(attempt.Answered), TotalMs: uint32(max(time.Since(w.start).Milliseconds(), 1))})
+	}
+}
+
 // eventMemory is the memory for the events of a stream.
 type eventMemory struct {
 	upstream.Holding
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -348,6 +348,16 @@
 	return next > last
 }
 
+// copyLong passes on a long answer, of which begun was read before. It returns the number of bytes read after that.
+func (x *exchange) copyLong(w callerWriter, resp *upstream.Response, begun []byte) (int64, error) {
+	n, err := w.writeBegun(resp, begun, maxUnsizedAnswer-1)
+	if err != nil {
+		return n, err
+	}
+	rest, err := copyBody(w, resp, maxUnsizedAnswer-n)
+	return n + rest, err
+}
+
 // copyBody copies the rest of a response body to w. A body without a stated length fails when limit bytes were copied. It reads
 // no further while the caller does not read.
 func copyBody(w callerWriter, resp *upstream.Response, limit int64) (int64, error) {
