--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -423,16 +423,9 @@
 
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 
-// late reports whether a request would miss its target even if it were sent now. At a plain service, its answer has to be
-// complete by then. At engines, its first token follows the shortest backlog of prompts; waitBehind doesn't add that to the
-// predicted wait, which made it refuse requests that could be on time at loads near the capacity.
-func (s *State) late(r *request) bool {
-	needed := s.timeToTarget(r)
-	if r.ask.Model != "" {
-		needed += seconds(s.capacity(r.model).backlogMs / 1000)
-	}
-	return r.target < s.now+needed
-}
+// late reports whether a request would miss its target even at an idle endpoint. At a plain service, its answer has to be
+// complete by then.
+func (s *State) late(r *request) bool { return r.target < s.now+s.timeToTarget(r) }
 
 // acceptsAgainAt returns the earliest time at which an endpoint of the request's model accepts requests from its host
 // again. It is 0 if an endpoint accepts them now or if no endpoint serves the model.
@@ -456,11 +449,10 @@
 	return first
 }
 
-// capacity holds the rates at which the endpoints of a model together can serve it, and how long a prompt waits there.
+// capacity holds the rates at which the endpoints of a model together can serve it.
 type capacity struct {
 	requestsPerSec float64 // requests that can start per second
 	tokensPerMs    float64 // prompt tokens processed per ms
-	backlogMs      float64 // shortest prefill backlog of the engines
 	valid          bool
 	computedAt     time.Duration
 }
@@ -475,7 +467,6 @@
 		return m.capacity
 	}
 	c := capacity{valid: true, computedAt: s.now}
-	first := true
 	for _, e := range endpoints {
 		if e.draining || e.health.down(s.now) {
 			continue
@@ -484,9 +475,6 @@
 		c.requestsPerSec += share * e.startsPerSec(m)
 		if e.engine != nil {
 			c.tokensPerMs += share / max(e.prefillMs(1), minPrefillMsPerToken)
-			if backlog := e.backlogMs(s.now); first || backlog < c.backlogMs {
-				c.backlogMs, first = backlog, false
-			}
 		}
 	}
 	m.capacity = c
