Name the estimates of a service for what they hold, and keep hedges at the host

The hedges hung on the timer of answers, because the host's file belonged to another part while they were built. No behaviour changes; go test ./internal/host ./internal/sched passes.

--- a/internal/host/answertimes.go
+++ b/internal/host/answertimes.go
@@ -60,11 +60,10 @@
 	mu      sync.Mutex
 	routes  map[string]*answerTimes
 	streams *answerTimes // of all routes
-	hedges  *hedges      // has its own lock
 }
 
 func newAnswerTimer() *answerTimer {
-	return &answerTimer{routes: make(map[string]*answerTimes), streams: newAnswerTimes(), hedges: newHedges()}
+	return &answerTimer{routes: make(map[string]*answerTimes), streams: newAnswerTimes()}
 }
 
 // of returns the times that a request counts for. The caller holds the lock.
--- a/internal/host/hedgedsend.go
+++ b/internal/host/hedgedsend.go
@@ -127,7 +127,7 @@
 // newHedgedSend counts the first send of a request, and returns the hedgedSend for it, or nil if the request must not be sent to two
 // endpoints.
 func newHedgedSend(x *exchange, parent context.Context, a *sentAttempt, m *failover) *hedgedSend {
-	delay := x.f.answerTimer.hedges.delay(x.q.Service, x.q.Route, time.Duration(a.b.c.grant.FirstMs)*time.Millisecond)
+	delay := x.f.h.hedges.delay(x.q.Service, x.q.Route, time.Duration(a.b.c.grant.FirstMs)*time.Millisecond)
 	if x.stream != nil || !x.mayFailOver() {
 		return nil
 	}
@@ -155,8 +155,8 @@
 			s.granted = nil
 			s.cancelAsk()
 			if why := s.sendSecond(g); why != hedgeAllowed {
-				s.x.f.answerTimer.hedges.release(s.reservation, why)
-				s.x.f.answerTimer.hedges.countRefusal(why)
+				s.x.f.h.hedges.release(s.reservation, why)
+				s.x.f.h.hedges.countRefusal(why)
 			}
 		case a := <-s.fetched:
 			s.fetching--
@@ -188,7 +188,7 @@
 // ask asks for the slot of the hedge, if this host may send one.
 func (s *hedgedSend) ask() {
 	x := s.x
-	hedges := x.f.answerTimer.hedges
+	hedges := x.f.h.hedges
 	why := hedgeStopping
 	if s.parent.Err() != nil {
 		return
@@ -222,7 +222,7 @@
 	s.cancelAsk()
 	granted := s.granted
 	s.granted = nil
-	s.x.f.answerTimer.hedges.release(s.reservation, hedgeAllowed)
+	s.x.f.h.hedges.release(s.reservation, hedgeAllowed)
 	go func() { (<-granted).b.release() }()
 }
 
@@ -262,7 +262,7 @@
 	x.sends++
 	x.possibleRuns++ // of the attempt that ends first; run counts the other
 	x.exclude = append(x.exclude, s.first.e.ID)
-	x.f.answerTimer.hedges.sent.Add(1)
+	x.f.h.hedges.sent.Add(1)
 	x.f.log.Info().Str("request", x.q.ID).Str("first", s.first.e.ID).Str("second", e.ID).Int64("afterMs", time.Since(s.first.sentAt).Milliseconds()).
 		Msg("Request hedged.")
 	s.fetch(s.second)
@@ -319,7 +319,7 @@
 	case begun:
 		result = hedgeLost
 	}
-	x.f.answerTimer.hedges.results[result].Add(1)
+	x.f.h.hedges.results[result].Add(1)
 	s.learn(a, begun)
 	x.lastBinding = a.b
 	if s.m.stop() != nil {
@@ -331,7 +331,7 @@
 // learn records the time that the request has waited for its answer to begin, if it began or the wait was given up.
 func (s *hedgedSend) learn(a *sentAttempt, begun bool) {
 	if begun || context.Cause(a.ctx) == errSilent || upstream.IsTimeout(a.err) {
-		s.x.f.answerTimer.hedges.addBegin(s.x.q.Route, time.Since(s.first.sentAt))
+		s.x.f.h.hedges.addBegin(s.x.q.Route, time.Since(s.first.sentAt))
 	}
 }
 
--- a/internal/host/hedgedsend_test.go
+++ b/internal/host/hedgedsend_test.go
@@ -138,7 +138,7 @@
 	c.Index()
 	v.Config = &c
 	h.directory.currentView.Store(&v)
-	g := h.front.answerTimer.hedges
+	g := h.hedges
 	for _, route := range []string{nonIdempotentRoute, idempotentRoute, streamRoute, resumeRoute} {
 		for range minHedgeSamples {
 			g.policy.addBegin(route, hedgeTestDelay/2)
@@ -272,7 +272,7 @@
 				if len(d.hedges) != 1 || !d.hedges[0].Retry || !d.hedges[0].Charged || !slices.Equal(d.hedges[0].Exclude, []string{"e0"}) {
 					t.Errorf("asks for hedges: %+v", d.hedges)
 				}
-				g := d.h.front.answerTimer.hedges
+				g := d.h.hedges
 				if g.sent.Load() != 1 || g.results[hedgeWon].Load() != c.won || g.results[hedgeLost].Load() != c.lost {
 					t.Errorf("%d sent, %d won, %d lost", g.sent.Load(), g.results[hedgeWon].Load(), g.results[hedgeLost].Load())
 				}
@@ -412,7 +412,7 @@
 				t.Errorf("sent %d, %d, %d times", s0.requests.Load(), s1.requests.Load(), s2.requests.Load())
 			}
 			d.awaitFree(t)
-			if n := d.h.front.answerTimer.hedges.results[hedgeFailed].Load(); n != 1 {
+			if n := d.h.hedges.results[hedgeFailed].Load(); n != 1 {
 				t.Errorf("%d hedges counted as failed", n)
 			}
 		})
@@ -540,7 +540,7 @@
 	}
 	wg.Wait()
 	d.awaitFree(t)
-	g := d.h.front.answerTimer.hedges
+	g := d.h.hedges
 	t.Logf("%d hedges, %d won, %d lost, %d failed", g.sent.Load(), g.results[hedgeWon].Load(), g.results[hedgeLost].Load(), g.results[hedgeFailed].Load())
 	if g.results[hedgeWon].Load() == 0 || g.results[hedgeLost].Load() == 0 || g.results[hedgeFailed].Load() != 0 {
 		t.Error("the hedges did not end in both ways")
@@ -592,7 +592,7 @@
 			if g.status != http.StatusOK || !g.whole || strings.Count(g.body, "data: "+c.winner) != 4 || strings.Count(g.body, "data:") != 4 {
 				t.Errorf("status %d, whole %v, %q", g.status, g.whole, g.body)
 			}
-			if n := d.h.front.answerTimer.hedges.sent.Load(); n != c.hedges {
+			if n := d.h.hedges.sent.Load(); n != c.hedges {
 				t.Errorf("%d hedges", n)
 			}
 			d.awaitFree(t)
@@ -616,8 +616,8 @@
 		{"off", idempotentRoute, func(d *orderedDispatcher) { d.h.opts.HedgeShare = 0 }, hedgeAllowed, false},
 		{"not repeatable", nonIdempotentRoute, func(*orderedDispatcher) {}, hedgeAllowed, false},
 		{"stream that can't be resumed", streamRoute, func(*orderedDispatcher) {}, hedgeAllowed, false},
-		{"route not known", idempotentRoute, func(d *orderedDispatcher) { clear(d.h.front.answerTimer.hedges.policy.routes) }, hedgeAllowed, false},
-		{"limit", idempotentRoute, func(d *orderedDispatcher) { clear(d.h.front.answerTimer.hedges.policy.services) }, hedgeLimitReached, false},
+		{"route not known", idempotentRoute, func(d *orderedDispatcher) { clear(d.h.hedges.policy.routes) }, hedgeAllowed, false},
+		{"limit", idempotentRoute, func(d *orderedDispatcher) { clear(d.h.hedges.policy.services) }, hedgeLimitReached, false},
 		{"requests wait", idempotentRoute, func(d *orderedDispatcher) { d.refuseHedges = sched.HedgeWaitingReason }, hedgeWaiting, true},
 		{"load", idempotentRoute, func(d *orderedDispatcher) { d.refuseHedges = sched.HedgeLoadReason }, hedgeLoad, true},
 		{"slow service", idempotentRoute, func(d *orderedDispatcher) { d.refuseHedges = sched.HedgeSlowReason }, hedgeSlow, true},
@@ -651,7 +651,7 @@
 			if asked := len(d.hedges) > 0; asked != c.asked {
 				t.Errorf("asked for a hedge: %v", asked)
 			}
-			g := d.h.front.answerTimer.hedges
+			g := d.h.hedges
 			for why := hedgeAllowed + 1; why < hedgeRefusals; why++ {
 				if n := g.refused[why].Load(); n != 0 && why != c.refused || n != 1 && why == c.refused {
 					t.Errorf("%d hedges refused for %v", n, why)
@@ -673,7 +673,7 @@
 		}
 	}
 	d.awaitFree(t)
-	g := d.h.front.answerTimer.hedges
+	g := d.h.hedges
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	counted := uint64(0)
--- a/internal/host/hedges.go
+++ b/internal/host/hedges.go
@@ -141,7 +141,7 @@
 
 // registerHedgeMetrics registers the metrics of hedged requests.
 func (h *Host) registerHedgeMetrics() error {
-	m, g := h.opts.Metrics, h.front.answerTimer.hedges
+	m, g := h.opts.Metrics, h.hedges
 	for _, err := range []error{
 		m.Counter("sycamore.hedges.sent", "Second attempts sent while the first one was slow to begin its answer.", g.sent.Load),
 		m.AttributedCounter("sycamore.hedges.results", "Second attempts, by whether they gave the answer.", g.resultSeries),
--- a/internal/host/hedges_test.go
+++ b/internal/host/hedges_test.go
@@ -18,7 +18,7 @@
 	if err := h.registerHedgeMetrics(); err != nil {
 		t.Fatal(err)
 	}
-	g := h.front.answerTimer.hedges
+	g := h.hedges
 	g.sent.Add(9)
 	for i := range g.results {
 		g.results[i].Add(uint64(2 + i))
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -107,6 +107,7 @@
 	quiet            quietPeriods // endpoints that asked this host to send nothing for a time
 	limits           rateLimits   // of endpoints in need
 	retries          *hostRetries
+	hedges           *hedges
 	stopping         atomic.Pointer[stopProgress] // set once a stop was requested; the readiness check then fails
 	stopStarted      chan struct{}                // closed once stopping is set
 	stopEnd          context.Context              // ends when requests in progress are aborted
@@ -117,7 +118,7 @@
 // New returns a host. Run starts it.
 func New(o Options) *Host {
 	h := &Host{opts: o, log: o.Log, incarnation: uint64(time.Now().UnixNano()),
-		requestPool: upstream.NewPool(0), orderPool: upstream.NewPool(0), stopStarted: make(chan struct{})}
+		requestPool: upstream.NewPool(0), orderPool: upstream.NewPool(0), stopStarted: make(chan struct{}), hedges: newHedges()}
 	h.stopEnd, h.endStop = context.WithCancel(context.Background())
 	h.activeDeployment.Store(&o.Deployment)
 	h.directory = newDirectory(h)
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -169,7 +169,7 @@
 		return 0
 	}
 	slices.SortStableFunc(queue, compare)
-	if len(s.generationEstimateOf(waiting[0].ask.Service).shares) == 0 {
+	if len(s.serviceEstimateOf(waiting[0].ask.Service).shares) == 0 {
 		return queue
 	}
 	type flow struct {
@@ -394,7 +394,7 @@
 	if m.key.model != "" {
 		return m.onTimePerSec
 	}
-	if mean := s.generationEstimateOf(m.key.service).onTimePerSec[m.key.model]; mean > 0 {
+	if mean := s.serviceEstimateOf(m.key.service).onTimePerSec[m.key.model]; mean > 0 {
 		return min(m.onTimePerSec, mean)
 	}
 	return m.onTimePerSec
@@ -403,7 +403,7 @@
 // observeOnTimeRates updates the mean rates of arrivals that can be on time. It is called every measureEvery.
 func (s *State) observeOnTimeRates() {
 	for _, m := range s.modelOrder {
-		g := s.generationEstimateOf(m.key.service)
+		g := s.serviceEstimateOf(m.key.service)
 		if g.onTimePerSec == nil {
 			g.onTimePerSec = make(map[string]float64)
 		}
--- a/internal/sched/completion.go
+++ b/internal/sched/completion.go
@@ -12,5 +12,5 @@
 	}
 	total := ms(d.TotalMs)
 	run := min(max(s.now-r.grantedAt, total), total+maxHostPath)
-	s.generationEstimateOf(r.ask.Service).runs.observe(run - min(ms(d.StreamMs), total))
+	s.serviceEstimateOf(r.ask.Service).runs.observe(run - min(ms(d.StreamMs), total))
 }
--- a/internal/sched/fairshare.go
+++ b/internal/sched/fairshare.go
@@ -57,7 +57,7 @@
 
 // shareRankOf returns the virtual times for the rank of a request, or nil if no request of the rank had an account.
 func (s *State) shareRankOf(r *request) *shareRank {
-	return s.generationEstimateOf(r.ask.Service).shares[shareKey{r.ask.Priority, r.ask.RouteRank}]
+	return s.serviceEstimateOf(r.ask.Service).shares[shareKey{r.ask.Priority, r.ask.RouteRank}]
 }
 
 // charge returns the seconds of its account's quota that a request uses, and how far the account may be behind the rank.
@@ -99,7 +99,7 @@
 
 // chargeShare counts a granted request towards the share of its account.
 func (s *State) chargeShare(r *request) {
-	g := s.generationEstimateOf(r.ask.Service)
+	g := s.serviceEstimateOf(r.ask.Service)
 	key := shareKey{r.ask.Priority, r.ask.RouteRank}
 	k := g.shares[key]
 	if k == nil {
@@ -131,7 +131,7 @@
 
 // forgetShares drops the accounts that are as far behind their rank as idle ones or have been idle, and the ranks without
 // accounts.
-func (g *generationEstimate) forgetShares(now time.Duration) {
+func (g *serviceEstimate) forgetShares(now time.Duration) {
 	for key, k := range g.shares {
 		for name, f := range k.flows {
 			if f.used <= k.virtual-f.lag || now-f.grantedAt > shareLife {
--- a/internal/sched/fairshare_test.go
+++ b/internal/sched/fairshare_test.go
@@ -192,7 +192,7 @@
 		}
 		s.Done(0, "h", wire.Done{ID: id})
 	}
-	g := s.generationEstimateOf(plainService)
+	g := s.serviceEstimateOf(plainService)
 	if n := len(g.shares[shareKey{}].flows); n > maxShareFlows+1 {
 		t.Errorf("the use of %d accounts is remembered", n)
 	}
--- a/internal/sched/generation.go
+++ b/internal/sched/generation.go
@@ -2,21 +2,6 @@
 
 import "time"
 
-// generationEstimate holds what is known of a service beyond its endpoints. Its first part estimates how long engines of the
-// service take to generate an answer: the number of events for the output tokens that the caller expects, and the time per
-// event. An engine that continuously processes prompts needs the time of several prompt chunks for each event. A long answer
-// that starts there reaches its deadline unfinished and wastes engine time that other requests need.
-type generationEstimate struct {
-	tokens, events float64 // sums over finished answers, with exponential decay
-	eventMs        float64 // mean time per event over all endpoints, 0 if unknown
-
-	runs         runEstimate             // of a plain service
-	onTimePerSec map[string]float64      // mean rate of arrivals that can be on time, by model
-	returns      expectedReturns         // of callers refused at a plain service
-	toldTimes    map[toldKey]*toldTimes  // of refused callers
-	shares       map[shareKey]*shareRank // of the accounts in the slots; without an entry, no request of the rank had one
-}
-
 const (
 	generationDecay      = 1.0 / 200       // decay of the sums per finished answer
 	eventSmoothing       = 0.15            // weight of an answer that has as many events as the sample sizes below
@@ -30,13 +15,13 @@
 )
 
 // observe adds the length of a finished answer.
-func (g *generationEstimate) observe(tokens, events float64) {
+func (g *serviceEstimate) observe(tokens, events float64) {
 	g.tokens += tokens - generationDecay*g.tokens
 	g.events += events - generationDecay*g.events
 }
 
 // expectedEvents returns the expected number of events of an answer with the given number of tokens, 0 if unknown.
-func (g *generationEstimate) expectedEvents(tokens float64) float64 {
+func (g *serviceEstimate) expectedEvents(tokens float64) float64 {
 	if g.tokens <= 0 {
 		return 0
 	}
@@ -53,7 +38,7 @@
 
 // observeEventMs updates the mean event times of the endpoint and its service with the number of events of an answer and
 // their mean time.
-func (e *endpoint) observeEventMs(now time.Duration, g *generationEstimate, events, ms float64) {
+func (e *endpoint) observeEventMs(now time.Duration, g *serviceEstimate, events, ms float64) {
 	e.eventMs = smoothed(e.eventMs, ms, eventSmoothing*events/endpointSampleEvents)
 	e.eventMsAt = now
 	g.eventMs = smoothed(g.eventMs, ms, eventSmoothing*events/serviceSampleEvents)
@@ -61,7 +46,7 @@
 
 // generationMs predicts the time from the first to the last event of a request's answer at an endpoint, 0 if unknown.
 func (s *State) generationMs(e *endpoint, r *request) float64 {
-	g := s.generationEstimateOf(e.service)
+	g := s.serviceEstimateOf(e.service)
 	eventMs := e.eventMs
 	if eventMs == 0 || s.now-e.eventMsAt > eventMsMaxAge {
 		eventMs = g.eventMs
@@ -69,16 +54,6 @@
 	return max(g.expectedEvents(outputTokens(&r.ask))-1, 0) * eventMs
 }
 
-// generationEstimateOf returns the estimate of the generation time for a service.
-func (s *State) generationEstimateOf(service string) *generationEstimate {
-	g := s.generationEstimates[service]
-	if g == nil {
-		g = &generationEstimate{}
-		s.generationEstimates[service] = g
-	}
-	return g
-}
-
 // endsInTime reports whether a request's answer can be expected to be complete in time at an endpoint.
 func (s *State) endsInTime(e *endpoint, r *request) bool {
 	if e.engine == nil {
--- a/internal/sched/plainflood_test.go
+++ b/internal/sched/plainflood_test.go
@@ -226,10 +226,10 @@
 		x := heap.Pop(&events).(timedEvent)
 		x.do(x.at)
 		if f.untold {
-			s.generationEstimateOf(engineService).toldTimes = nil
+			s.serviceEstimateOf(engineService).toldTimes = nil
 		}
 		if f.startRule {
-			g := s.generationEstimateOf(plainService)
+			g := s.serviceEstimateOf(plainService)
 			g.runs, g.returns, g.onTimePerSec = runEstimate{}, expectedReturns{}, nil
 		}
 		now := x.at
@@ -389,7 +389,7 @@
 		now += time.Second
 		s.Tick(now)
 	}
-	runs := &s.generationEstimateOf(plainService).runs
+	runs := &s.serviceEstimateOf(plainService).runs
 	for id := uint64(1); id <= 2*minRuns; id++ {
 		if id <= minRuns && runs.known() {
 			t.Fatalf("the run times are known after %d answers", id-1)
--- a/internal/sched/refusal.go
+++ b/internal/sched/refusal.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if r.ask.Model == "" {
-		if target, ok := s.generationEstimateOf(r.ask.Service).returns.take(s.now, r); ok {
+		if target, ok := s.serviceEstimateOf(r.ask.Service).returns.take(s.now, r); ok {
 			r.target = min(r.target, target)
 		}
 		return
@@ -82,7 +82,7 @@
 			delete(s.refusedTargets, k)
 		}
 	}
-	for _, g := range s.generationEstimates {
+	for _, g := range s.serviceEstimates {
 		g.returns.forget(s.now)
 		g.forgetShares(s.now)
 	}
@@ -93,7 +93,7 @@
 	s.keepTarget(r)
 	retryAfter := s.returnTime(r, wait)
 	if s.expectsReturn(r) {
-		g := s.generationEstimateOf(r.ask.Service)
+		g := s.serviceEstimateOf(r.ask.Service)
 		if r.ask.Model == "" {
 			g.returns.add(s.now, r, retryAfter)
 		}
@@ -113,7 +113,7 @@
 	after := min(max(wait, minRetryDelay), maxRetryDelay)
 	after = time.Duration(float64(after) * (0.7 + 0.6*s.rng.Float64()))
 	if c := s.capacity(r.model).requestsPerSec; c > 0 {
-		g := s.generationEstimateOf(r.ask.Service)
+		g := s.serviceEstimateOf(r.ask.Service)
 		left := max(c-min(r.model.onTimePerSec, g.onTimePerSec[r.ask.Model]), minSpareShare*c)
 		after += seconds(g.told(s.now, r) / left)
 	}
--- a/internal/sched/returns.go
+++ b/internal/sched/returns.go
@@ -118,7 +118,7 @@
 }
 
 // addTold counts the caller of a refused request who is told to come back after the given time.
-func (g *generationEstimate) addTold(now time.Duration, r *request, after time.Duration) {
+func (g *serviceEstimate) addTold(now time.Duration, r *request, after time.Duration) {
 	k := toldKey{r.ask.Model, r.ask.Priority}
 	x := g.toldTimes[k]
 	if x == nil {
@@ -134,7 +134,7 @@
 
 // told returns how many callers of requests for the same model, and at least as urgent as r, have been told to come back
 // at a time to come.
-func (g *generationEstimate) told(now time.Duration, r *request) float64 {
+func (g *serviceEstimate) told(now time.Duration, r *request) float64 {
 	sum := 0.0
 	for k, x := range g.toldTimes {
 		if k.model != r.ask.Model || k.priority > r.ask.Priority {
--- a/internal/sched/returns_test.go
+++ b/internal/sched/returns_test.go
@@ -74,7 +74,7 @@
 // TestExpectedReturnsAreForgotten guards against memory that grows with the number of refusals.
 func TestExpectedReturnsAreForgotten(t *testing.T) {
 	s, ask, told := refusePlain(t)
-	x := &s.generationEstimateOf(plainService).returns
+	x := &s.serviceEstimateOf(plainService).returns
 	if x.count != 1 {
 		t.Fatalf("%d returns are expected after a refusal", x.count)
 	}
@@ -135,7 +135,7 @@
 // TestToldTimes guards against counting callers whose time to come back has passed, or who are less urgent, and against losing
 // those who were told a time beyond the largest that is counted.
 func TestToldTimes(t *testing.T) {
-	g := &generationEstimate{}
+	g := &serviceEstimate{}
 	request := func(model string, priority uint8) *request {
 		return &request{ask: wire.Ask{Model: model, Priority: priority}}
 	}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -112,7 +112,7 @@
 	if r.ask.Model != "" {
 		return s.idleFirstToken(r)
 	}
-	runs := &s.generationEstimateOf(r.ask.Service).runs
+	runs := &s.serviceEstimateOf(r.ask.Service).runs
 	if !runs.known() {
 		return 0
 	}
@@ -132,7 +132,7 @@
 // typicalRun returns the median time from the grant of a request for a plain service until its caller has the answer, 0 if it
 // is not known.
 func (s *State) typicalRun(r *request) time.Duration {
-	runs := &s.generationEstimateOf(r.ask.Service).runs
+	runs := &s.serviceEstimateOf(r.ask.Service).runs
 	if !runs.known() {
 		return 0
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -110,41 +110,41 @@
 
 // State holds the queue and what the dispatcher knows of hosts and endpoints. It is not safe for concurrent use.
 type State struct {
-	cfg                 Config
-	rng                 *rand.Rand
-	now                 time.Duration
-	startedAt           time.Duration
-	view                *fleet.View
-	endpoints           map[string]*endpoint
-	sortedEndpoints     []*endpoint // endpoints of the current view, sorted by id
-	indexVersion        uint64      // incremented when the models held by endpoints change
-	models              map[modelKey]*model
-	modelOrder          []*model // the same models in the order of their creation, so that decisions don't depend on a map's
-	requests            map[requestKey]*request
-	hosts               map[string]*hostState
-	retries             retryLoans
-	closingCopies       map[wire.ModelCopy]bool
-	loadedCopies        []wire.ModelCopy
-	changingEndpoints   map[string]bool // endpoints that accept no order to load an adapter
-	holder              string          // host that can load adapters, empty if none
-	holderReportedAt    time.Duration   // time of the last report of a holder
-	waiting             int
-	scratch             []*model  // buffer reused by waitingFor
-	shares              []float64 // buffer reused by workShare
-	measuredAt          time.Duration
-	prefillEstimates    map[string]*prefillEstimate    // by service
-	generationEstimates map[string]*generationEstimate // by service
-	backlogLimits       map[string]float64             // maximum prefill backlog of an endpoint in ms, by service
-	latestQuietEnd      time.Duration                  // latest time in any health.quietUntil
-	out                 []Output
-	healthChanges       []HealthChange
-	lostRequests        []LostRequest
-	quarantine          *Quarantine
-	limits              map[string]*rateLimit // by endpoint, also of endpoints that are not listed
-	limitVersion        uint64
-	limitChanges        []LimitChange
-	quotas              quotas
-	refusedTargets      map[returnKey]time.Duration // targets of refused requests whose callers may come back
+	cfg               Config
+	rng               *rand.Rand
+	now               time.Duration
+	startedAt         time.Duration
+	view              *fleet.View
+	endpoints         map[string]*endpoint
+	sortedEndpoints   []*endpoint // endpoints of the current view, sorted by id
+	indexVersion      uint64      // incremented when the models held by endpoints change
+	models            map[modelKey]*model
+	modelOrder        []*model // the same models in the order of their creation, so that decisions don't depend on a map's
+	requests          map[requestKey]*request
+	hosts             map[string]*hostState
+	retries           retryLoans
+	closingCopies     map[wire.ModelCopy]bool
+	loadedCopies      []wire.ModelCopy
+	changingEndpoints map[string]bool // endpoints that accept no order to load an adapter
+	holder            string          // host that can load adapters, empty if none
+	holderReportedAt  time.Duration   // time of the last report of a holder
+	waiting           int
+	scratch           []*model  // buffer reused by waitingFor
+	shares            []float64 // buffer reused by workShare
+	measuredAt        time.Duration
+	prefillEstimates  map[string]*prefillEstimate // by service
+	serviceEstimates  map[string]*serviceEstimate // by service
+	backlogLimits     map[string]float64          // maximum prefill backlog of an endpoint in ms, by service
+	latestQuietEnd    time.Duration               // latest time in any health.quietUntil
+	out               []Output
+	healthChanges     []HealthChange
+	lostRequests      []LostRequest
+	quarantine        *Quarantine
+	limits            map[string]*rateLimit // by endpoint, also of endpoints that are not listed
+	limitVersion      uint64
+	limitChanges      []LimitChange
+	quotas            quotas
+	refusedTargets    map[returnKey]time.Duration // targets of refused requests whose callers may come back
 }
 
 // New returns a State without any requests. Requests in flight are added by Resync.
@@ -154,7 +154,7 @@
 		endpoints: make(map[string]*endpoint), models: make(map[modelKey]*model), requests: make(map[requestKey]*request),
 		hosts: make(map[string]*hostState), closingCopies: make(map[wire.ModelCopy]bool),
 		changingEndpoints: make(map[string]bool), prefillEstimates: make(map[string]*prefillEstimate),
-		generationEstimates: make(map[string]*generationEstimate), refusedTargets: make(map[returnKey]time.Duration),
+		serviceEstimates: make(map[string]*serviceEstimate), refusedTargets: make(map[returnKey]time.Duration),
 		quarantine: NewQuarantine(), limits: make(map[string]*rateLimit),
 		retries: retryLoans{limits: cfg.Retries, ledgers: make(map[string]*retryLedger)},
 		quotas:  quotas{byAccount: make(map[string]*quota), credited: make(map[string]struct{}), advancedAt: now},
@@ -590,7 +590,7 @@
 	if d.Events < 2 || r.ask.Resumed {
 		return
 	}
-	g := s.generationEstimateOf(r.ask.Service)
+	g := s.serviceEstimateOf(r.ask.Service)
 	if d.TotalMs > 0 && r.ask.ExpectedTokens > 0 {
 		g.observe(outputTokens(&r.ask), float64(d.Events))
 	}
