--- a/internal/host/hedgepolicy.go
+++ b/internal/host/hedgepolicy.go
@@ -11,9 +11,11 @@
 //
 // Load pattern: one endpoint of many answers slowly, or answers are slow now and then, while most begin in about the same time.
 const (
-	hedgeSamples      = 256 // latest answers of a route that count
-	minHedgeSamples   = 64  // with fewer, the tail is not known
-	hedgeRefreshEvery = 16  // answers after which the delay of a route is computed again
+	hedgeSamples = 256 // latest answers of a route that count
+	// minHedgeSamples is the least number of answers from which a tail is known. A host of a large fleet gets one or two requests
+	// of a route a second, so that with 64 its first hedges came after half a minute or more.
+	minHedgeSamples   = 20
+	hedgeRefreshEvery = 16 // answers after which the delay of a route is computed again
 	// hedgeQuantile is the share of the answers that begin before a hedge is due. It is lower than the percentiles that hedges
 	// improve: if one of 20 endpoints is slow, the 95th percentile is already a slow answer and a hedge would come too late.
 	hedgeQuantile = 0.9
