Look up an account's quota and count by account in one place

Three places looked up an account with a quota, in the dispatcher, in the hosts' local decisions and for the shares; they call fleet.Config.LimitedAccount now. The metrics of accounts and of quotas each had a map with a bound on its accounts; both use accountValue. No behaviour changes.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -144,6 +144,18 @@
 	}
 }
 
+// LimitedAccount returns the account with a name, or nil if it has no quota or the configuration has no such account. A nil
+// receiver has no accounts.
+func (c *Config) LimitedAccount(name string) *Account {
+	if c == nil {
+		return nil
+	}
+	if a := c.Accounts.ByName(name); a != nil && a.Limit.Limited() {
+		return a
+	}
+	return nil
+}
+
 // Match returns the route of a host with the longest prefix that the path starts with, or nil. A port in the host is
 // ignored.
 func (c *Config) Match(host, path string) *Route {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -99,6 +99,14 @@
 	return q.Account.Limit.PlainCost
 }
 
+// AccountName returns the name of the request's account, empty if it has none.
+func (q *Request) AccountName() string {
+	if q.Account == nil {
+		return ""
+	}
+	return q.Account.Name
+}
+
 // Rank returns the request's rank: that of its account, or that of its route if the account has none.
 func (q *Request) Rank() int {
 	if q.Account != nil && q.Account.Ranked {
--- a/internal/host/accounts.go
+++ b/internal/host/accounts.go
@@ -106,6 +106,24 @@
 // keyProblems are the reasons for a response with status 401, by the number of keys in the request.
 var keyProblems = [...]string{"missing", "unknown", "repeated"}
 
+// accountValue returns the value of an account in a map of values for the metrics. The first most accounts have values of their
+// own, the others share that of otherAccounts.
+func accountValue[V any](byAccount *map[string]*V, account string, most int) *V {
+	v := (*byAccount)[account]
+	if v == nil && len(*byAccount) >= most {
+		account = otherAccounts
+		v = (*byAccount)[account]
+	}
+	if v == nil {
+		if *byAccount == nil {
+			*byAccount = make(map[string]*V)
+		}
+		v = new(V)
+		(*byAccount)[account] = v
+	}
+	return v
+}
+
 // accountCounts counts requests by account and outcome, and those without a valid key.
 type accountCounts struct {
 	mu        sync.Mutex
@@ -117,20 +135,7 @@
 func (c *accountCounts) add(account string, o accountOutcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := c.byAccount[account]
-	if n == nil {
-		if c.byAccount == nil {
-			c.byAccount = make(map[string]*[numAccountOutcomes]uint64)
-		}
-		if len(c.byAccount) >= maxAccountSeries {
-			account = otherAccounts
-		}
-		if n = c.byAccount[account]; n == nil {
-			n = new([numAccountOutcomes]uint64)
-			c.byAccount[account] = n
-		}
-	}
-	n[o]++
+	accountValue(&c.byAccount, account, maxAccountSeries)[o]++
 }
 
 // rejectKey counts a response with status 401 to a request with the given number of keys.
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -215,16 +215,12 @@
 // newAsk returns the message that asks the dispatcher for a slot.
 func (x *exchange) newAsk() wire.Ask {
 	q := x.q
-	a := wire.Ask{
+	return wire.Ask{
 		Caller: q.Route.Name, Service: q.Service, Model: q.Model, Adapter: q.Adapter, PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens,
 		ExpectedTokens: q.ExpectedTokens, PromptParts: q.PromptParts, Priority: clampRank(q.Rank()), RouteRank: clampRank(q.Route.Rank), Request: q.ID,
 		Exclude: x.exclude, Retry: x.sends > 0, Resumed: x.stream != nil, WarmEndpoints: x.warmEndpoints(),
-		Cost: q.Cost(), Charged: x.possibleRuns > 0,
+		Account: q.AccountName(), Cost: q.Cost(), Charged: x.possibleRuns > 0,
 	}
-	if q.Account != nil {
-		a.Account = q.Account.Name
-	}
-	return a
 }
 
 // clampRank returns a rank as it is sent in messages.
--- a/internal/host/heldbytes.go
+++ b/internal/host/heldbytes.go
@@ -57,11 +57,7 @@
 
 // newHolding returns the count of the bytes that a request holds of a kind.
 func (h *Host) newHolding(kind upstream.HeldKind, q *fleet.Request) upstream.Holding {
-	account := ""
-	if q.Account != nil {
-		account = q.Account.Name
-	}
-	return h.requestPool.Held().New(kind, account, h.memoryBytes())
+	return h.requestPool.Held().New(kind, q.AccountName(), h.memoryBytes())
 }
 
 // logHeld logs that the bound on held bytes was reached, if there is a report, which is so at most once a second.
@@ -188,11 +184,7 @@
 		return
 	}
 	c.x.f.h.requestPool.Held().AddUnread()
-	account := ""
-	if a := c.x.q.Account; a != nil {
-		account = a.Name
-	}
-	c.x.f.log.Warn().Str("request", c.x.q.ID).Str("account", account).Int64("unreadMs", c.unread.Milliseconds()).Bool("whole", c.whole.Load()).
+	c.x.f.log.Warn().Str("request", c.x.q.ID).Str("account", c.x.q.AccountName()).Int64("unreadMs", c.unread.Milliseconds()).Bool("whole", c.whole.Load()).
 		Msg("The caller reads nothing, its answer is ended.")
 }
 
--- a/internal/host/quotas.go
+++ b/internal/host/quotas.go
@@ -44,15 +44,7 @@
 	if !(c.ask.Cost > 0) || c.ask.Charged || c.ask.Speculative {
 		return nil
 	}
-	v := b.h.directory.view()
-	if v.Config == nil {
-		return nil
-	}
-	a := v.Config.Accounts.ByName(c.ask.Account)
-	if a == nil || !a.Limit.Limited() {
-		return nil
-	}
-	return a
+	return b.h.directory.view().Config.LimitedAccount(c.ask.Account)
 }
 
 // decideAlone decides a call that the dispatcher has not answered. It returns false if the call waits for a dispatcher, because
@@ -144,19 +136,7 @@
 }
 
 func (u *quotaUnits) addLocked(account string, e sched.QuotaEvent, units float64) {
-	n := u.byAccount[account]
-	if n == nil && len(u.byAccount) >= maxQuotaSeries {
-		account = otherAccounts
-		n = u.byAccount[account]
-	}
-	if n == nil {
-		if u.byAccount == nil {
-			u.byAccount = make(map[string]*[sched.QuotaEvents]float64)
-		}
-		n = new([sched.QuotaEvents]float64)
-		u.byAccount[account] = n
-	}
-	n[e] += units
+	accountValue(&u.byAccount, account, maxQuotaSeries)[e] += units
 }
 
 // record counts the units of decisions, and returns the decisions.
--- a/internal/sched/fairshare.go
+++ b/internal/sched/fairshare.go
@@ -62,19 +62,16 @@
 
 // charge returns the seconds of its account's quota that a request uses, and how far the account may be behind the rank.
 func (s *State) charge(k *shareRank, r *request) (cost, lag float64) {
-	if s.view.Config != nil {
-		if a := s.view.Config.Accounts.ByName(r.ask.Account); a != nil && a.Limit.Limited() {
-			l := &a.Limit
-			units := r.ask.Cost
-			if units <= 0 {
-				units = 1
-				if l.ByTokens {
-					units = max(l.PlainCost, 1)
-				}
+	if l := s.limitOf(r.ask.Account); l != nil {
+		units := r.ask.Cost
+		if units <= 0 {
+			units = 1
+			if l.ByTokens {
+				units = max(l.PlainCost, 1)
 			}
-			burst := max(min(l.Burst, maxBurstTime*l.PerSec), clump*units)
-			return units / l.PerSec, lagBursts * burst / l.PerSec
 		}
+		burst := max(min(l.Burst, maxBurstTime*l.PerSec), clump*units)
+		return units / l.PerSec, lagBursts * burst / l.PerSec
 	}
 	rate := 1.0
 	if k != nil && k.meanRate > 0 {
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -277,14 +277,10 @@
 // limitOf returns the limit of an account, or nil if the account is not limited. An account that is missing from this host's
 // configuration has no known limit, so it is not limited until the host has the configuration that adds it.
 func (s *State) limitOf(account string) *fleet.AccountLimit {
-	if s.view.Config == nil {
-		return nil
+	if a := s.view.Config.LimitedAccount(account); a != nil {
+		return &a.Limit
 	}
-	a := s.view.Config.Accounts.ByName(account)
-	if a == nil || !a.Limit.Limited() {
-		return nil
-	}
-	return &a.Limit
+	return nil
 }
 
 // quotaOf returns an account's refilled quota and the capacity of its bucket.
