Keep the return times and the mean rate of a model at the model

Both hung on the estimates of the service, keyed by model, because the file of the model belonged to another part while they were built; told searched all models for each refusal. forgetTargets also updated rates and forgot returns and shares, which have calls of their own now.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -380,7 +380,7 @@
 	if s.now+seconds(wait)+s.timeToTarget(r) <= r.target {
 		return seconds(wait)
 	}
-	left := c.requestsPerSec - s.onTimeRate(r.model)
+	left := c.requestsPerSec - r.model.onTimeRate()
 	if left <= minSpareShare*c.requestsPerSec {
 		return maxPredictedWait
 	}
@@ -390,25 +390,11 @@
 // onTimeRate returns the rate of arrivals that can be on time, as late requests should expect it while they wait. At plain
 // services, they have the rest of their deadline to wait for the end of a spike. The rate is therefore the present one or
 // the mean over some spikes, whichever is less.
-func (s *State) onTimeRate(m *model) float64 {
-	if m.key.model != "" {
+func (m *model) onTimeRate() float64 {
+	if m.key.model != "" || m.meanOnTime == 0 {
 		return m.onTimePerSec
 	}
-	if mean := s.serviceEstimateOf(m.key.service).onTimePerSec[m.key.model]; mean > 0 {
-		return min(m.onTimePerSec, mean)
-	}
-	return m.onTimePerSec
-}
-
-// observeOnTimeRates updates the mean rates of arrivals that can be on time. It is called every measureEvery.
-func (s *State) observeOnTimeRates() {
-	for _, m := range s.modelOrder {
-		g := s.serviceEstimateOf(m.key.service)
-		if g.onTimePerSec == nil {
-			g.onTimePerSec = make(map[string]float64)
-		}
-		g.onTimePerSec[m.key.model] = smoothed(g.onTimePerSec[m.key.model], m.onTimePerSec, spikeSmoothing)
-	}
+	return min(m.onTimePerSec, m.meanOnTime)
 }
 
 // spikeSmoothing is the weight of a measurement in the mean rate of arrivals, which covers about 8 s: spikes last 6 to 11 s.
--- a/internal/sched/plainflood_test.go
+++ b/internal/sched/plainflood_test.go
@@ -226,11 +226,18 @@
 		x := heap.Pop(&events).(timedEvent)
 		x.do(x.at)
 		if f.untold {
-			s.serviceEstimateOf(engineService).toldTimes = nil
+			for _, m := range s.modelOrder {
+				if m.key.service == engineService {
+					m.told = nil
+				}
+			}
 		}
 		if f.startRule {
 			g := s.serviceEstimateOf(plainService)
-			g.runs, g.returns, g.onTimePerSec = runEstimate{}, expectedReturns{}, nil
+			g.runs, g.returns = runEstimate{}, expectedReturns{}
+			if m := s.models[modelKey{service: plainService}]; m != nil {
+				m.meanOnTime = 0
+			}
 		}
 		now := x.at
 		for _, o := range s.TakeOutputs() {
--- a/internal/sched/refusal.go
+++ b/internal/sched/refusal.go
@@ -74,18 +74,13 @@
 	}
 }
 
-// forgetTargets drops the targets of refused requests whose deadline has passed. It is called every measureEvery.
+// forgetTargets drops the targets of refused requests whose deadline has passed.
 func (s *State) forgetTargets() {
-	s.observeOnTimeRates()
 	for k := range s.refusedTargets {
 		if time.Duration(k.end+1)*endTolerance < s.now {
 			delete(s.refusedTargets, k)
 		}
 	}
-	for _, g := range s.serviceEstimates {
-		g.returns.forget(s.now)
-		g.forgetShares(s.now)
-	}
 }
 
 // refuse rejects a request. The retry delays have random jitter, so that callers don't all retry at the same time.
@@ -93,11 +88,10 @@
 	s.keepTarget(r)
 	retryAfter := s.returnTime(r, wait)
 	if s.expectsReturn(r) {
-		g := s.serviceEstimateOf(r.ask.Service)
 		if r.ask.Model == "" {
-			g.returns.add(s.now, r, retryAfter)
+			s.serviceEstimateOf(r.ask.Service).returns.add(s.now, r, retryAfter)
 		}
-		g.addTold(s.now, r, retryAfter)
+		r.model.addTold(s.now, r.ask.Priority, retryAfter)
 	}
 	s.emit(r, &wire.Refuse{ID: r.id, Reason: reason, RetryAfterMs: uint32(retryAfter.Milliseconds())}, reason, wait)
 }
@@ -113,9 +107,8 @@
 	after := min(max(wait, minRetryDelay), maxRetryDelay)
 	after = time.Duration(float64(after) * (0.7 + 0.6*s.rng.Float64()))
 	if c := s.capacity(r.model).requestsPerSec; c > 0 {
-		g := s.serviceEstimateOf(r.ask.Service)
-		left := max(c-min(r.model.onTimePerSec, g.onTimePerSec[r.ask.Model]), minSpareShare*c)
-		after += seconds(g.told(s.now, r) / left)
+		left := max(c-min(r.model.onTimePerSec, r.model.meanOnTime), minSpareShare*c)
+		after += seconds(r.model.toldToReturn(s.now, r.ask.Priority) / left)
 	}
 	return min(after, max(limit, minRetryDelay))
 }
--- a/internal/sched/returns.go
+++ b/internal/sched/returns.go
@@ -97,12 +97,6 @@
 	toldSteps = 64
 )
 
-// toldKey identifies the requests whose callers are counted together.
-type toldKey struct {
-	model    string
-	priority uint8
-}
-
 // toldTimes counts the callers who were told to come back, by time in units of toldStep.
 type toldTimes struct {
 	counts [toldSteps]float64
@@ -117,27 +111,26 @@
 	}
 }
 
-// addTold counts the caller of a refused request who is told to come back after the given time.
-func (g *serviceEstimate) addTold(now time.Duration, r *request, after time.Duration) {
-	k := toldKey{r.ask.Model, r.ask.Priority}
-	x := g.toldTimes[k]
+// addTold counts the caller of a refused request of a rank who is told to come back after the given time.
+func (m *model) addTold(now time.Duration, priority uint8, after time.Duration) {
+	x := m.told[priority]
 	if x == nil {
-		if g.toldTimes == nil {
-			g.toldTimes = make(map[toldKey]*toldTimes)
+		if m.told == nil {
+			m.told = make(map[uint8]*toldTimes)
 		}
 		x = &toldTimes{}
-		g.toldTimes[k] = x
+		m.told[priority] = x
 	}
 	x.advance(now)
 	x.counts[min(int64((now+after)/toldStep), x.step+toldSteps-1)%toldSteps]++
 }
 
-// told returns how many callers of requests for the same model, and at least as urgent as r, have been told to come back
-// at a time to come.
-func (g *serviceEstimate) told(now time.Duration, r *request) float64 {
+// toldToReturn returns how many callers of the model's requests, at least as urgent as the rank, have been told to come back at a
+// time to come.
+func (m *model) toldToReturn(now time.Duration, priority uint8) float64 {
 	sum := 0.0
-	for k, x := range g.toldTimes {
-		if k.model != r.ask.Model || k.priority > r.ask.Priority {
+	for p, x := range m.told {
+		if p > priority {
 			continue
 		}
 		x.advance(now)
--- a/internal/sched/returns_test.go
+++ b/internal/sched/returns_test.go
@@ -135,16 +135,13 @@
 // TestToldTimes guards against counting callers whose time to come back has passed, or who are less urgent, and against losing
 // those who were told a time beyond the largest that is counted.
 func TestToldTimes(t *testing.T) {
-	g := &serviceEstimate{}
-	request := func(model string, priority uint8) *request {
-		return &request{ask: wire.Ask{Model: model, Priority: priority}}
-	}
+	m, n := &model{}, &model{}
 	for i := range 10 {
-		g.addTold(0, request("m", 1), time.Duration(i)*time.Second)
+		m.addTold(0, 1, time.Duration(i)*time.Second)
 	}
-	g.addTold(0, request("m", 2), 9*time.Second)
-	g.addTold(0, request("n", 0), 9*time.Second)
-	g.addTold(0, request("m", 0), time.Hour)
+	m.addTold(0, 2, 9*time.Second)
+	n.addTold(0, 0, 9*time.Second)
+	m.addTold(0, 0, time.Hour)
 	for _, test := range []struct {
 		now      time.Duration
 		priority uint8
@@ -152,7 +149,7 @@
 	}{
 		{0, 0, 1}, {0, 1, 11}, {0, 2, 12}, {5 * time.Second, 1, 6}, {9500 * time.Millisecond, 2, 1}, {time.Hour, 2, 0},
 	} {
-		if got := g.told(test.now, request("m", test.priority)); got != test.want {
+		if got := m.toldToReturn(test.now, test.priority); got != test.want {
 			t.Errorf("rank %d after %v: %v callers, want %v", test.priority, test.now, got, test.want)
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -93,9 +93,11 @@
 	arrivalsPerSec float64
 	onTime         float64 // arrivals since the last measurement that could meet their target
 	onTimePerSec   float64
-	holdSec        float64 // mean seconds that a request occupies its slot
-	uncachedTokens float64 // mean uncached prompt tokens per request
-	kvTokens       float64 // mean KV cache tokens per request
+	meanOnTime     float64              // mean of onTimePerSec over some spikes
+	told           map[uint8]*toldTimes // when refused callers were told to come back, by rank
+	holdSec        float64              // mean seconds that a request occupies its slot
+	uncachedTokens float64              // mean uncached prompt tokens per request
+	kvTokens       float64              // mean KV cache tokens per request
 }
 
 // hostState records whether a host is connected.
@@ -626,10 +628,12 @@
 	}
 	s.measuredAt = s.now
 	s.forgetTargets()
+	s.forgetServiceEstimates()
 	s.quarantine.forget(s.now)
 	s.forgetLimits()
 	for _, m := range s.modelOrder {
 		m.arrivalsPerSec += arrivalSmoothing * (m.arrivals/dt - m.arrivalsPerSec)
+		m.meanOnTime = smoothed(m.meanOnTime, m.onTimePerSec, spikeSmoothing)
 		m.onTimePerSec += arrivalSmoothing * (m.onTime/dt - m.onTimePerSec)
 		m.arrivals, m.onTime = 0, 0
 	}
--- a/internal/sched/service.go
+++ b/internal/sched/service.go
@@ -9,11 +9,9 @@
 	tokens, events float64 // sums over finished answers, with exponential decay
 	eventMs        float64 // mean time per event over all endpoints, 0 if unknown
 
-	runs         runEstimate             // of a plain service
-	onTimePerSec map[string]float64      // mean rate of arrivals that can be on time, by model
-	returns      expectedReturns         // of callers refused at a plain service
-	toldTimes    map[toldKey]*toldTimes  // of refused callers
-	shares       map[shareKey]*shareRank // of the accounts in the slots; without an entry, no request of the rank had one
+	runs    runEstimate             // of a plain service
+	returns expectedReturns         // of callers refused at a plain service
+	shares  map[shareKey]*shareRank // of the accounts in the slots; without an entry, no request of the rank had one
 }
 
 // serviceEstimateOf returns the estimates of a service.
@@ -25,3 +23,11 @@
 	}
 	return g
 }
+
+// forgetServiceEstimates drops the callers who should have come back and the accounts that have been idle.
+func (s *State) forgetServiceEstimates() {
+	for _, g := range s.serviceEstimates {
+		g.returns.forget(s.now)
+		g.forgetShares(s.now)
+	}
+}
