Call the existing pieces for streams, responses, sockets and timed routes

- readFirstEvent had its own loop over the events of a stream; it uses splitEvents.
- Whether a response belongs to the request was checked in two places; both call checkOwner.
- Three functions reached for a connection's socket; they use controlSocket.
- The entries of routes and services with a bound were kept by three equal loops; they call timed.
- The text of a 401 came through an optional interface; KeyHint is a method of Codec.
- The memory limit was derived twice.

--- a/internal/host/accounts.go
+++ b/internal/host/accounts.go
@@ -24,13 +24,6 @@
 	unreadBodyTime = 500 * time.Millisecond
 )
 
-// KeyHinter is implemented by a Codec whose callers send keys.
-type KeyHinter interface {
-	// KeyHint sets the header of a response with status 401 and returns its body, which says what to do. sent is the number of
-	// keys in the request.
-	KeyHint(h http.Header, sent int) string
-}
-
 // authenticate determines the account of a request by the configuration in force at its arrival. It returns false if the
 // request needs a valid key and has none.
 func authenticate(q *fleet.Request, cfg *fleet.Config) bool {
@@ -47,11 +40,8 @@
 // rejectKey responds with status 401 to a request without a valid key. It must not keep the connection open if the request has
 // a body: net/http would read the body before it sends the response, and wait for a caller that doesn't send it.
 func (f *front) rejectKey(x *exchange, r *http.Request) {
-	reason := "the request has no valid key"
 	header := x.w.Header()
-	if c, ok := f.h.opts.Codec.(KeyHinter); ok {
-		reason = c.KeyHint(header, len(x.q.Keys))
-	}
+	reason := f.h.opts.Codec.KeyHint(header, len(x.q.Keys))
 	f.accountCounts.rejectKey(len(x.q.Keys))
 	hasBody := r.Body != nil && r.Body != http.NoBody
 	if hasBody {
--- a/internal/host/accounts_test.go
+++ b/internal/host/accounts_test.go
@@ -28,7 +28,6 @@
 	q.Keys = h["X-Key"]
 }
 
-// KeyHint implements KeyHinter.
 func (keyCodec) KeyHint(_ http.Header, sent int) string { return fmt.Sprint("send a key, not ", sent) }
 
 // setAccounts puts a configuration with accounts in force: the name of each account is that of its key in upper case. The
--- a/internal/host/answertimes.go
+++ b/internal/host/answertimes.go
@@ -14,6 +14,19 @@
 	maxTimedRoutes       = 4096 // routes whose answers are timed; configurations add and remove routes
 )
 
+// timed returns the entry of a route or service, and creates it if needed. Entries are dropped together if there are too many.
+func timed[V any](entries map[string]*V, name string, create func() *V) *V {
+	v := entries[name]
+	if v == nil {
+		if len(entries) >= maxTimedRoutes {
+			clear(entries)
+		}
+		v = create()
+		entries[name] = v
+	}
+	return v
+}
+
 // answerTimes holds how long the latest requests of a route took from their first slot to their end, and how long those in
 // progress have taken so far.
 type answerTimes struct {
@@ -68,14 +81,7 @@
 
 // of returns the times that a request counts for. The caller holds the lock.
 func (t *answerTimer) of(r *fleet.Route) []*answerTimes {
-	a := t.routes[r.Name]
-	if a == nil {
-		if len(t.routes) >= maxTimedRoutes {
-			clear(t.routes)
-		}
-		a = newAnswerTimes()
-		t.routes[r.Name] = a
-	}
+	a := timed(t.routes, r.Name, newAnswerTimes)
 	if r.Kind == fleet.Stream {
 		return []*answerTimes{a, t.streams}
 	}
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -545,13 +545,11 @@
 		sentAt = time.Time{} // the answer may be an older one
 	}
 	x.f.h.applySignals(e, sentAt, &a)
-	switch {
-	case a.RequestID != "" && a.RequestID != x.q.ID:
-		resp.Close(false)
-		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, err: errors.Errorf("response belongs to request %s", a.RequestID)}
-	case a.RequestID == "" && x.q.ID != "" && resp.Reused:
+	if err := x.checkOwner(resp, &a); err != nil {
 		resp.Close(false)
-		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, err: errors.New("response names no request, on a connection that was used before")}
+		return attemptResult{outcome: attempt.Unknown, fault: sched.BrokenResponse, err: err}
+	}
+	switch {
 	case a.NotRun:
 		return x.handleNotRun(e, resp, &a)
 	case resp.StatusCode < 300 && !a.Sealed:
@@ -569,6 +567,18 @@
 	return x.passOnWhole(ctx, b, resp, w)
 }
 
+// checkOwner returns an error unless a response belongs to the request. One that names no request does if its connection carried
+// no earlier one.
+func (x *exchange) checkOwner(resp *upstream.Response, a *fleet.Answer) error {
+	switch {
+	case a.RequestID != "" && a.RequestID != x.q.ID:
+		return errors.Errorf("response belongs to request %s", a.RequestID)
+	case a.RequestID == "" && x.q.ID != "" && resp.Reused:
+		return errors.New("response names no request, on a connection that was used before")
+	}
+	return nil
+}
+
 // handleNotRun handles a response that states that the request did not run.
 func (x *exchange) handleNotRun(e *fleet.Endpoint, resp *upstream.Response, a *fleet.Answer) attemptResult {
 	_, more, err := resp.ReadAll(maxReportBytes)
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -58,13 +58,9 @@
 }
 
 func newFront(h *Host) *front {
-	mb := h.deployment().MemoryMB
-	if mb <= 0 {
-		mb = defaultMemoryMB
-	}
 	return &front{
 		h: h, log: h.log.Part("front"), idleConns: make(map[net.Conn]*idleConn), answerTimer: newAnswerTimer(),
-		maxInFlight: int64(mb) * requestsPerMB, maxBodyBytes: int64(bodyMemoryShare * float64(mb) * (1 << 20)),
+		maxInFlight: requestsPerMB * (h.memoryBytes() >> 20), maxBodyBytes: int64(bodyMemoryShare * float64(h.memoryBytes())),
 	}
 }
 
--- a/internal/host/hedgedsend.go
+++ b/internal/host/hedgedsend.go
@@ -74,31 +74,28 @@
 // Read implements io.Reader.
 func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
 
+// errFirstEvent ends the reading of a stream at its first event.
+var errFirstEvent = errors.New("the first event has arrived")
+
 // readFirstEvent reads a stream until a whole event with content has arrived, and returns what it has read. The error is io.EOF if
 // the stream ends before.
 func readFirstEvent(r io.Reader) ([]byte, error) {
-	buf := make([]byte, 0, initialEventBuffer)
-	checked := 0 // bytes of whole events without content
-	for {
-		if len(buf) == cap(buf) {
-			if len(buf) >= maxEventBytes {
-				return buf, errors.Errorf("no event in %d bytes", maxEventBytes)
-			}
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
-		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		searched := max(len(buf)-len("\r\n\r\n")+1, checked)
-		buf = buf[:len(buf)+n]
-		if end := lastEventEnd(buf[searched:]); end > 0 {
-			if end += searched; hasContent(buf[checked:end]) {
-				return buf, nil // an error comes again at the next read
-			}
-			checked = end
-		}
-		if err != nil {
-			return buf, err
+	var begin bytes.Buffer
+	err := splitEvents(io.TeeReader(io.LimitReader(r, maxEventBytes), &begin), nil, func(event []byte) error {
+		if hasContent(event) {
+			return errFirstEvent
 		}
+		return nil
+	})
+	switch {
+	case err == errFirstEvent:
+		err = nil
+	case begin.Len() == maxEventBytes:
+		err = errors.Errorf("no event in %d bytes", maxEventBytes)
+	case err == nil || err == errEndsWithinEvent:
+		err = io.EOF
 	}
+	return begin.Bytes(), err
 }
 
 // hedgeGrant is the result of asking for the slot of a hedge.
@@ -350,15 +347,7 @@
 	}
 	status := a.resp.StatusCode
 	ans := x.f.h.opts.Codec.Answer(status, a.resp.Header)
-	return x.belongs(a.resp, &ans) && !ans.NotRun && status < 500 && (status >= 300 || ans.Sealed)
-}
-
-// belongs reports whether a response names the request, or may leave that out.
-func (x *exchange) belongs(resp *upstream.Response, a *fleet.Answer) bool {
-	if a.RequestID == "" {
-		return x.q.ID == "" || !resp.Reused
-	}
-	return a.RequestID == x.q.ID
+	return x.checkOwner(a.resp, &ans) == nil && !ans.NotRun && status < 500 && (status >= 300 || ans.Sealed)
 }
 
 // failedResult returns the result of an attempt for which begins is false. It passes nothing on to the caller.
@@ -375,7 +364,7 @@
 			r.fault, r.err = sched.TimedOut, errSilent
 		}
 		return r
-	case a.resp.StatusCode >= http.StatusInternalServerError && !ans.NotRun && x.belongs(a.resp, &ans):
+	case a.resp.StatusCode >= http.StatusInternalServerError && !ans.NotRun && x.checkOwner(a.resp, &ans) == nil:
 		x.f.h.applySignals(a.e, a.sentAt, &ans)
 		r := attemptResult{outcome: attempt.Unknown, fault: sched.ErrorStatus, err: errors.Errorf("endpoint answered %d", a.resp.StatusCode)}
 		body, more, err := a.resp.ReadAll(maxBufferedAnswer)
--- a/internal/host/hedgepolicy.go
+++ b/internal/host/hedgepolicy.go
@@ -118,15 +118,7 @@
 }
 
 func (p *hedgePolicy) counts(service string) *hedgeCounts {
-	c := p.services[service]
-	if c == nil {
-		if len(p.services) >= maxTimedRoutes {
-			clear(p.services)
-		}
-		c = &hedgeCounts{}
-		p.services[service] = c
-	}
-	return c
+	return timed(p.services, service, func() *hedgeCounts { return &hedgeCounts{} })
 }
 
 // addRequest counts a request that is sent to a service for the first time.
@@ -138,15 +130,7 @@
 
 // addBegin records that the answer to a request of a route began after d.
 func (p *hedgePolicy) addBegin(route string, d time.Duration) {
-	b := p.routes[route]
-	if b == nil {
-		if len(p.routes) >= maxTimedRoutes {
-			clear(p.routes)
-		}
-		b = &beginTimes{}
-		p.routes[route] = b
-	}
-	b.add(d)
+	timed(p.routes, route, func() *beginTimes { return &beginTimes{} }).add(d)
 }
 
 // delay returns the time after which a request of a route may be hedged, and false if that is not known. The answer of the first
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -68,6 +68,9 @@
 	PassOn(h http.Header)
 	// OwnAnswer sets the headers of a response that the host generates itself.
 	OwnAnswer(h http.Header, requestID string, retryAfter time.Duration)
+	// KeyHint sets the header of a response with status 401 and returns its body, which says what to do. sent is the number of
+	// keys in the request.
+	KeyHint(h http.Header, sent int) string
 	// Order returns the request that sends an order to an endpoint.
 	Order(e *fleet.Endpoint, o *fleet.Order) (*upstream.Request, error)
 	// OrderResult decodes the status of the response to an order.
--- a/internal/host/troubled_test.go
+++ b/internal/host/troubled_test.go
@@ -48,6 +48,8 @@
 
 func (testCodec) OwnAnswer(http.Header, string, time.Duration) {}
 
+func (testCodec) KeyHint(http.Header, int) string { return "the request has no valid key" }
+
 // scriptedServer is a server whose test writes the raw bytes of its answers.
 type scriptedServer struct {
 	address  string
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -113,21 +113,28 @@
 
 // LimitUnsent limits the bytes that a socket holds before they are sent, and so what a peer that does not read leaves in this
 // machine's memory. Bytes on their way to a peer that reads are not limited.
-func LimitUnsent(c net.Conn, bytes int) error {
+func LimitUnsent(c net.Conn, bytes int) (err error) {
+	_, controlErr := controlSocket(c, func(fd int) {
+		err = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, sockoptTCPNotSentLowat, bytes)
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// controlSocket calls fn with the descriptor of a connection's socket. It returns false if the connection has none, and an error if
+// it is closed.
+func controlSocket(c net.Conn, fn func(fd int)) (hasSocket bool, err error) {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
-		return nil
+		return false, nil
 	}
 	rawConn, err := socket.SyscallConn()
 	if err != nil {
-		return err
-	}
-	if controlErr := rawConn.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, sockoptTCPNotSentLowat, bytes)
-	}); controlErr != nil {
-		return controlErr
+		return true, err
 	}
-	return err
+	return true, rawConn.Control(func(fd uintptr) { fn(int(fd)) })
 }
 
 // openWithoutData reports whether an idle connection is open and has no bytes to read. Bytes that arrive between two
@@ -144,21 +151,16 @@
 // block while another goroutine reads from the connection. A connection that isn't a socket is reported as open without
 // unread bytes.
 func Peek(c net.Conn) (open, pending bool) {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return true, false
-	}
-	rawConn, err := socket.SyscallConn()
-	if err != nil {
-		return false, false
-	}
-	err = rawConn.Control(func(fd uintptr) {
+	hasSocket, err := controlSocket(c, func(fd int) {
 		var b [1]byte
-		n, _, recvErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, recvErr := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		pending = recvErr == nil && n > 0
 		open = pending || recvErr == syscall.EAGAIN || recvErr == syscall.EINTR
 	})
-	if err != nil {
+	switch {
+	case !hasSocket:
+		return true, false
+	case err != nil:
 		return false, false
 	}
 	return open, pending
--- a/internal/upstream/unreadbody.go
+++ b/internal/upstream/unreadbody.go
@@ -43,15 +43,7 @@
 }
 
 // control calls fn with the descriptor of the socket, unless the connection is closed or has none.
-func (c *conn) control(fn func(fd int)) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	if rawConn, err := socket.SyscallConn(); err == nil {
-		_ = rawConn.Control(func(fd uintptr) { fn(int(fd)) }) // fails only for a connection that is closed
-	}
-}
+func (c *conn) control(fn func(fd int)) { _, _ = controlSocket(c.Conn, fn) }
 
 func setUserTimeout(fd int, d time.Duration) error {
 	return syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, sockoptTCPUserTimeout, int(d.Milliseconds()))
