Reject answers whose status is not a final one

What callers saw: an answer with the status 000. A host of the users' platform waited for another answer, until the silence limit or the deadline (504 after 2 s), or passed the bytes behind it on as the answer. An entry passed it on as a 200 with the body. The clients of the store and of the object API counted it as a confirmed write or an empty list.

Cause: http.ReadResponse accepts every status of three characters that is a number, and readers compared it from one side only. The connection layer of the host took everything below 200 for an interim answer, the entry and the clients of the stores everything below 300 for a success.

Change: httphead decides in one place which status is interim and which is final. The host's connection layer uses it directly, the readers that use http.Transport through httphead.Transport. Anything else is an error after sending: the work may have run, so only what may be repeated is sent again, and the caller gets 502 at once otherwise. httphead.Transport also closes idle connections then, since the connection of an answer without a body is kept before its head can be checked.

Why it works: all readers of answers over HTTP get them from these two places.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"sycamoredeal/internal/httphead"
 )
 
 // Orders to an engine.
@@ -89,7 +91,7 @@
 // NewClient returns a client whose calls end after timeout.
 func NewClient(timeout time.Duration) *Client {
 	return &Client{
-		http:  &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+		http:  &http.Client{Timeout: timeout, Transport: httphead.NewTransport(&http.Transport{MaxIdleConnsPerHost: 2})},
 		known: make(map[string]tagged),
 	}
 }
--- a/internal/entry/outbound.go
+++ b/internal/entry/outbound.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"sycamoredeal/internal/attempt"
+	"sycamoredeal/internal/httphead"
 )
 
 const connectTimeout = time.Second
@@ -19,15 +20,15 @@
 // outbound sends requests to endpoints. It uses transports directly, because http.Client would follow a redirect and
 // thereby send a request a second time.
 type outbound struct {
-	kept  *http.Transport // for engines; reuses connections
-	fresh *http.Transport // for services; one connection for each request, which net/http never sends twice
+	kept  *httphead.Transport // for engines; reuses connections
+	fresh *httphead.Transport // for services; one connection for each request, which net/http never sends twice
 }
 
 func newOutbound() outbound {
 	dial := attempt.WrapDial((&net.Dialer{Timeout: connectTimeout}).DialContext)
 	return outbound{
-		kept:  &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true},
-		fresh: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+		kept:  httphead.NewTransport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}),
+		fresh: httphead.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}),
 	}
 }
 
--- /dev/null
+++ b/internal/httphead/transport.go
@@ -0,0 +1,26 @@
+package httphead
+
+import "net/http"
+
+// Transport is an http.RoundTripper that returns an error instead of a response with a malformed head.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a transport that sends requests through base.
+func NewTransport(base *http.Transport) *Transport { return &Transport{base} }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.base.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(resp); err != nil {
+		resp.Body.Close()
+		t.base.CloseIdleConnections() // a connection whose response has no body is idle already
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"sycamoredeal/internal/httphead"
 )
 
 const (
@@ -71,13 +73,13 @@
 // NewClient returns a client of the object API at baseURL, for example "http://127.0.0.1:7000". An empty token means that
 // no Authorization header is sent.
 func NewClient(baseURL, token string) *Client {
-	return &Client{baseURL: baseURL, token: token, httpClient: &http.Client{Transport: &http.Transport{
+	return &Client{baseURL: baseURL, token: token, httpClient: &http.Client{Transport: httphead.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
 		MaxIdleConnsPerHost: 8,
 		// The platform sends the header of a watch at once, so this timeout detects a hanging platform long before the
 		// deadline of the watch.
 		ResponseHeaderTimeout: callTimeout,
-	}}}
+	})}}
 }
 
 // Calls returns the number of calls that were made. A watch counts as one call.
--- a/internal/testbed/serve.go
+++ b/internal/testbed/serve.go
@@ -1,7 +1,10 @@
 package testbed
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
 
 	"github.com/juju/errors"
 )
@@ -27,3 +30,22 @@
 	}()
 	return ln.Addr().String(), func() { ln.Close() }, nil
 }
+
+// ServeAnswers starts a server that calls answer for each request that it has read whole, and writes the bytes that answer returns. It
+// returns the server's address.
+func ServeAnswers(answer func(r *http.Request) string) (address string, closeListener func(), err error) {
+	return Serve(func(c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, answer(req)); err != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"sycamoredeal/internal/httphead"
 )
 
 var (
@@ -271,21 +273,22 @@
 	return resp, nil
 }
 
-// readResponse reads the header of the final response. It skips interim responses (1xx) and rejects a protocol switch.
+// readResponse reads the header of the final response. It skips interim responses and rejects malformed ones.
 func (x *exchange) readResponse(req *Request) (*Response, error) {
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 200 {
-			x.conn.readLimit = 1 << 62 // the code that reads the body limits its size
-			x.resp = resp
-			return &Response{Response: resp, Reused: x.conn.reused, exchange: x}, nil
+		if httphead.IsInterim(resp.StatusCode) {
+			continue
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("unexpected status %d", resp.StatusCode)
+		if err := httphead.Check(resp); err != nil {
+			return nil, err
 		}
+		x.conn.readLimit = 1 << 62 // the code that reads the body limits its size
+		x.resp = resp
+		return &Response{Response: resp, Reused: x.conn.reused, exchange: x}, nil
 	}
 }
 
