Reject response heads with a line that begins with a blank

What callers saw: a field whose name begins with a blank or a tab came as a part of the value of the field before it. The seal of an answer was then another one than the server's, and with " Content-Length: 3" or a tab before "Transfer-Encoding: chunked" the body was read to the end of the connection. A refusal with such a line was passed on as one.

Cause: net/http takes a line that begins with a blank for the obsolete folding of a long value, joins both with a blank and does not report it, so that a check of the parsed head can't find it.

Change: while a head is read, the connection records where a line begins with a blank (upstream/head.go). The head is rejected if that is inside it. RFC 9112, section 5.2, allows a gateway to reject a folded line, and senders must not fold. Fields of interim answers are checked like those of final ones.

Why it works: the place counts from the begin of the exchange, and what follows the head is known from the buffer, so bodies that begin with a blank and heads that arrive in pieces are told apart.

Not changed: readers that use http.Transport (the product's own entry, engine and store clients) still join such lines, as the RFC also allows.

--- a/internal/host/malformedhead_test.go
+++ b/internal/host/malformedhead_test.go
@@ -22,6 +22,7 @@
 	answers := map[string]string{
 		"status 000 without a body":   testbed.Sized("HTTP/1.1 000 Unknown\r\n"+fields, ""),
 		"status 000 before an answer": "HTTP/1.1 000 Unknown\r\n\r\n" + testbed.Sized("HTTP/1.1 200 OK\r\n"+fields, malformedBody),
+		"interim answer with a blank": "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\n" + testbed.Sized("HTTP/1.1 200 OK\r\n"+fields, malformedBody),
 		"status 000 of a refusal":     testbed.Sized("HTTP/1.1 000 Unknown\r\nX-Not-Run: 1\r\nX-Id: %s", ""),
 	}
 	for _, head := range testbed.MalformedHeads() {
@@ -32,6 +33,10 @@
 		answers["refusal with "+f] = testbed.Sized(refusal+f, "")
 		answers["error with "+f] = testbed.Sized("HTTP/1.1 500 Internal Server Error\r\n"+fields+"\r\n"+f, "broken")
 	}
+	for _, f := range testbed.FoldedFields {
+		answers["success with "+f] = testbed.Sized("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n"+f, malformedBody)
+		answers["refusal with "+f] = testbed.Sized("HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\n"+f, "")
+	}
 	const chunks = "14\r\n" + malformedBody + "\r\n0\r\n\r\n"
 	answers["chunks with a blank before the colon"] = "HTTP/1.1 200 OK\r\n" + fields + "\r\nTransfer-Encoding : chunked\r\n\r\n" + chunks
 	answers["length with a blank before the colon"] = "HTTP/1.1 200 OK\r\n" + fields + "\r\nContent-Length : 20\r\n\r\n" + malformedBody
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -16,13 +16,18 @@
 	return status >= http.StatusContinue && status < minFinalStatus && status != http.StatusSwitchingProtocols
 }
 
-// Check returns an error unless the head of a response has a final status and valid field names. net/http accepts names with blanks,
-// but does not read the body by a Content-Length or Transfer-Encoding that is written so.
+// Check returns an error unless the head of a response has a final status and valid field names.
 func Check(resp *http.Response) error {
 	if resp.StatusCode < minFinalStatus {
 		return errors.Errorf("status %q is not that of a final response", resp.Status)
 	}
-	for name := range resp.Header {
+	return CheckFields(resp.Header)
+}
+
+// CheckFields returns an error unless the names of all fields are tokens. net/http accepts names with blanks, but does not read the
+// body by a Content-Length or Transfer-Encoding that is written so.
+func CheckFields(h http.Header) error {
+	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return errors.Errorf("field name %q is not a token", name)
 		}
--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -2,7 +2,8 @@
 
 import "net/http"
 
-// Transport is an http.RoundTripper that returns an error instead of a response with a malformed head.
+// Transport is an http.RoundTripper that returns an error instead of a final response with a malformed head. Heads of interim
+// responses don't get out of http.Transport.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a transport that sends requests through base.
--- a/internal/testbed/malformed.go
+++ b/internal/testbed/malformed.go
@@ -16,6 +16,9 @@
 	"X\rBad: x", "X\x7fBad: x",
 }
 
+// FoldedFields are lines of a head that begin with a blank, so that they continue the value before by the obsolete line folding.
+var FoldedFields = []string{" X-Bad: x", "\tX-Bad: x", " Content-Length: 3", "\tTransfer-Encoding: chunked"}
+
 // MalformedHeads returns the begins of answers that no reader may take for a success.
 func MalformedHeads() []string {
 	heads := slices.Clone(MalformedStatusLines)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -39,6 +39,7 @@
 	net.Conn
 	reader      *bufio.Reader
 	readLimit   int64 // bytes that may still be read from the connection
+	head        headReads
 	idleSince   time.Time
 	idleTimeout time.Duration // from the last response
 	reused      bool          // has carried an earlier request
@@ -57,6 +58,9 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.readLimit -= int64(n)
+	if c.head.active {
+		c.head.add(p[:n])
+	}
 	return n, err
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 
 var (
 	errHeaderTooLong = errors.New("response header is too long")
+	errFoldedField   = errors.New("a line of the response header begins with a blank")
 	errTooManyConns  = errors.New("connection limit of the endpoint is reached")
 )
 
@@ -245,7 +246,7 @@
 // roundTrip writes the request and reads the header of the response. A long body is written in another goroutine.
 func (x *exchange) roundTrip(req *Request) (*Response, error) {
 	head := encodeHead(req)
-	x.conn.readLimit = maxHeaderBytes
+	x.conn.readLimit, x.conn.head = maxHeaderBytes, newHeadReads()
 	if len(head)+len(req.Body) <= maxInlineRequestBytes {
 		n, err := x.conn.Write(append(head, req.Body...))
 		x.writeResult <- err
@@ -280,13 +281,20 @@
 		if err != nil {
 			return nil, err
 		}
+		// A sound server folds no lines (RFC 9112, section 5.2), so the blank is a part of a malformed name.
+		if x.conn.head.folded(x.conn.reader.Buffered()) {
+			return nil, errFoldedField
+		}
 		if httphead.IsInterim(resp.StatusCode) {
+			if err := httphead.CheckFields(resp.Header); err != nil {
+				return nil, err
+			}
 			continue
 		}
 		if err := httphead.Check(resp); err != nil {
 			return nil, err
 		}
-		x.conn.readLimit = 1 << 62 // the code that reads the body limits its size
+		x.conn.readLimit, x.conn.head.active = 1<<62, false // the code that reads the body limits its size
 		x.resp = resp
 		return &Response{Response: resp, Reused: x.conn.reused, exchange: x}, nil
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -250,6 +250,29 @@
 	}
 }
 
+// TestFoldedField guards against a field whose name begins with a blank and that becomes a part of the value before it, wherever the
+// reads from the connection are split, and against a body or an interim response that is taken for such a field.
+func TestFoldedField(t *testing.T) {
+	const folded, sound = "HTTP/1.1 200 OK\r\nX-First: 1\r\n Content-Length: 3\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n x"
+	const interim = "HTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\n"
+	for _, c := range []struct {
+		response string
+		ok       bool
+	}{{folded, false}, {strings.ReplaceAll(folded, "\n ", "\n\t"), false}, {strings.ReplaceAll(folded, "\r", ""), false}, {interim + folded, false}, {sound, true}, {interim + sound, true}} {
+		for split := range len(c.response) {
+			addr := startServer(t, func(_ int32, conn net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				io.WriteString(conn, c.response[:split])
+				time.Sleep(2 * time.Millisecond)
+				io.WriteString(conn, c.response[split:])
+			})
+			if body, err := do(t, NewPool(0), &Request{Address: addr, Method: "GET", Target: "/"}); (err == nil) != c.ok || c.ok && body != " x" {
+				t.Errorf("%q split after %d bytes: body %q, error %v", c.response, split, body, err)
+			}
+		}
+	}
+}
+
 // FuzzResponse looks for responses that make the reader panic or block, and for connections that are returned to the pool
 // with unread data.
 func FuzzResponse(f *testing.F) {
