Do not keep the bodies of refusals

What happened: a server that refuses requests (Not-Run) with bodies that do not end made the host keep up to 1 MB of each, outside the bound on held bytes. 500 of them at the same time took 616 MB on a host that may use 136 MB, which the platform ends with the requests of all its callers. Where the bytes came slowly, the caller waited for its deadline although the head had said that the request had not run (504 after 3 s).

Cause: the body of a refusal was read into memory up to the limit of reports, only to find its end and reuse the connection. The same held for the answers to orders, and for hedged requests.

Change: upstream.Response.Discard reads such a body into nothing, up to 64 KB and for at most 100 ms. What is longer ends the connection.

Why it works: nothing of these bodies is used, so none of their bytes is held, whatever their number, and the wait has a bound of its own.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -39,6 +39,8 @@
 	retryAfterNoHolder  = time.Second             // Retry-After of a request that needs it
 	retryAfterNotRun    = 200 * time.Millisecond  // Retry-After of a request that did not run
 	maxLoggedParts      = 8                       // parts of a prompt in a log line
+	maxDiscardedBytes   = 64 << 10                // of a body that is not used, before its connection is closed
+	maxDiscardTime      = 100 * time.Millisecond  // for the end of such a body, which comes with the head from a sound endpoint
 )
 
 var (
@@ -581,7 +583,6 @@
 
 // handleNotRun handles a response that states that the request did not run.
 func (x *exchange) handleNotRun(e *fleet.Endpoint, resp *upstream.Response, a *fleet.Answer) attemptResult {
-	_, more, err := resp.ReadAll(maxReportBytes)
 	r := attemptResult{outcome: attempt.Refused, quiet: a.RetryAfter, err: errors.Errorf("endpoint refused with status %d", resp.StatusCode)}
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest && a.InstanceID != "" && a.InstanceID != e.ID:
@@ -592,7 +593,8 @@
 		r.retrySame = true // an engine refuses with this status what waits for an order in progress
 	}
 	// The request may be sent to the endpoint again. On this connection, a refusal that is written twice would answer it.
-	resp.Close(err == nil && !more && !r.retrySame && !r.missing)
+	whole := resp.Discard(maxDiscardedBytes, maxDiscardTime)
+	resp.Close(whole && !r.retrySame && !r.missing)
 	return r
 }
 
--- a/internal/host/hedgedsend.go
+++ b/internal/host/hedgedsend.go
@@ -41,7 +41,7 @@
 	}
 	r := a.resp
 	switch {
-	case r.StatusCode >= 500 || c.Answer(r.StatusCode, r.Header).NotRun:
+	case r.StatusCode >= 500 && !c.Answer(r.StatusCode, r.Header).NotRun:
 		body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedAnswer+1))
 		r.Body = newReplayedBody(body, err, r.Body)
 	case kind == fleet.Stream && r.StatusCode < 300:
--- a/internal/host/holder.go
+++ b/internal/host/holder.go
@@ -478,8 +478,7 @@
 		result = ph.h.opts.Codec.OrderResult(resp.StatusCode)
 		answer := ph.h.opts.Codec.Answer(resp.StatusCode, resp.Header)
 		ph.h.applySignals(e, time.Time{}, &answer)
-		_, more, readErr := resp.ReadAll(maxReportBytes)
-		resp.Close(readErr == nil && !more)
+		resp.Close(resp.Discard(maxDiscardedBytes, maxDiscardTime))
 	}
 	if result == fleet.OrderFenced {
 		ph.markFenced(order.FencingToken)
--- a/internal/host/troubled_test.go
+++ b/internal/host/troubled_test.go
@@ -319,6 +319,39 @@
 	}
 }
 
+// TestEndlessRefusal guards against a refusal whose body does not end and that is waited out until the deadline, or kept: the head says
+// that the request has not run, so another endpoint can have it at once.
+func TestEndlessRefusal(t *testing.T) {
+	const deadline, soon = 3 * time.Second, time.Second
+	const maxUnread = 8 << 20 // bytes that may be in sockets and buffers
+	for _, path := range []string{nonIdempotentRoute, idempotentRoute, streamRoute, resumeRoute} {
+		for _, slowly := range []bool{false, true} {
+			t.Run(fmt.Sprint(path, " slowly ", slowly), func(t *testing.T) {
+				t.Parallel()
+				s := newScriptedServer(t, func(_ int64, id string, w io.Writer) bool {
+					fmt.Fprintf(w, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Id: %s\r\n\r\n", id)
+					if !slowly {
+						return writeEndlessly(w, "", "x")
+					}
+					for {
+						if _, err := io.WriteString(w, "x"); err != nil {
+							return false
+						}
+						time.Sleep(20 * time.Millisecond)
+					}
+				})
+				_, url := newScriptedHost(t, s)
+				if g := sendRequest(url, path, "r", deadline); g.status != http.StatusServiceUnavailable || g.elapsed > soon {
+					t.Errorf("status %d after %v", g.status, g.elapsed)
+				}
+				if n := s.written.Load(); n > maxUnread {
+					t.Errorf("%d bytes read", n)
+				}
+			})
+		}
+	}
+}
+
 // TestSlowStreams guards against cutting slow streams whose events arrive within their callers' patience, and against stalled
 // streams that never end because a byte arrives now and then.
 func TestSlowStreams(t *testing.T) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -381,6 +381,17 @@
 	return body, false, err
 }
 
+// Discard reads the rest of the body and keeps none of it, so that the connection can be reused. It returns false if the body is longer
+// than maxBytes or does not end within timeout.
+func (r *Response) Discard(maxBytes int64, timeout time.Duration) (whole bool) {
+	c := r.exchange.conn
+	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBytes+1))
+	return err == nil && n <= maxBytes && c.SetReadDeadline(time.Time{}) == nil
+}
+
 // firstReadBytes is the size of the first buffer of ReadAllWithin for a body without a stated length.
 const firstReadBytes = 2 << 10
 
--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -36,6 +36,8 @@
 	engines []*platformtest.Server
 	plain   []*platformtest.Server
 	hosts   map[string]*platformHost
+
+	memoryMB int // of each host, 0 for that of platformtest.Settings
 }
 
 type platformHost struct {
@@ -47,6 +49,9 @@
 // fleetOption changes a fleet before its hosts start.
 type fleetOption func(*platformFleet)
 
+// hostMemory sets the memory of the hosts.
+func hostMemory(mb int) fleetOption { return func(f *platformFleet) { f.memoryMB = mb } }
+
 // proxyPeers puts a proxy before the address at which each host is reached by the others.
 func proxyPeers(f *platformFleet) {
 	f.store.SetRewrite(func(kind, name string, spec json.RawMessage) json.RawMessage {
@@ -124,7 +129,11 @@
 			seeds = append(seeds, o.control)
 		}
 	}
-	f.write(h, platformtest.Settings(name, h.front, h.ready, h.control, h.toStore.Address(), seeds...))
+	settings := platformtest.Settings(name, h.front, h.ready, h.control, h.toStore.Address(), seeds...)
+	if f.memoryMB > 0 {
+		settings = strings.Replace(settings, "memory_mb = 200", fmt.Sprint("memory_mb = ", f.memoryMB), 1)
+	}
+	f.write(h, settings)
 	f.startProcess(name)
 	return h
 }
