Count the memory of long response heads

What happened: a server that answers many requests at the same time with heads of short fields that do not end made the host run out of memory: 528 MB for 500 answers on a host that may use 136 MB, which the platform ends with the requests of all its callers.

Cause: each head was bounded (64 KB), their number was not, and net/http needs about 1 MB for the parsed fields of such a head. They were not part of the bound on held bytes.

Change: before a connection reads more of a head that has not ended, it takes the memory for what it has read beyond 2 KB, 12 times its bytes, from the same eighth of the process's memory as answers, events and copies. Without it the attempt ends like one with a malformed answer: 502, or another endpoint where the request may be repeated. Heads up to 2 KB are never refused, nor are bodies that come with the head.

Why it works: all connections to endpoints take from one bound, so the number of heads does not matter, and the memory is taken before the bytes are read. The error is final for its connection.

--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -516,6 +516,10 @@
 		r.outcome = attempt.NotSent
 	}
 	r.connLost = ue.MaybeSent && isConnectionEnd(err)
+	var held *upstream.HeldError
+	if errors.As(err, &held) {
+		x.f.h.logHeld(held.Report)
+	}
 	switch {
 	case context.Cause(ctx) == errSilent:
 		r.fault, r.err = sched.TimedOut, errSilent
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -124,6 +124,9 @@
 		requestPool: upstream.NewPool(0), orderPool: upstream.NewPool(0), stopStarted: make(chan struct{}), hedges: newHedges()}
 	h.stopEnd, h.endStop = context.WithCancel(context.Background())
 	h.activeDeployment.Store(&o.Deployment)
+	for _, p := range []*upstream.Pool{h.requestPool, h.orderPool} {
+		p.CountHeads(func() upstream.Holding { return h.requestPool.Held().New(upstream.HeldHead, "", h.memoryBytes()) })
+	}
 	h.directory = newDirectory(h)
 	h.retries = newHostRetries(h)
 	h.blocked = newBlockedParts(h)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -47,12 +47,17 @@
 	unreadTolerated atomic.Bool // TCP_USER_TIMEOUT is unreadBodyTimeout
 }
 
-// Read returns errHeaderTooLong once readLimit bytes have been read. http.ReadResponse doesn't limit the size of a
-// header, so an endpoint could otherwise fill the memory with one.
+// Read returns errHeaderTooLong once readLimit bytes have been read, and a *HeldError if there is no memory for more of a header.
+// http.ReadResponse doesn't limit the size of a header, so an endpoint could otherwise fill the memory with one.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.readLimit <= 0 {
 		return 0, errHeaderTooLong
 	}
+	if c.head.active {
+		if err := c.head.reserve(); err != nil {
+			return 0, err
+		}
+	}
 	if int64(len(p)) > c.readLimit {
 		p = p[:c.readLimit]
 	}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -1,17 +1,48 @@
 package upstream
 
-// headReads finds lines that begin with a blank among the bytes that are read while a response's head is read. net/http takes such a
-// line for a part of the value before it (obsolete line folding) and does not report it.
+const (
+	// smallHeadBytes is the size up to which a head is not counted as held. Those of sound endpoints are smaller.
+	smallHeadBytes = 2 << 10
+	// headMemoryFactor is the memory that the parsed fields of a head take for each of its bytes, at most: short fields with different
+	// names take the most.
+	headMemoryFactor = 12
+)
+
+// HeldError is the error of a response whose head needs more memory than there is for it.
+type HeldError struct{ Report *HeldReport } // Report may be nil
+
+// Error implements error.
+func (e *HeldError) Error() string { return "no memory for a long response header" }
+
+// headReads watches the bytes that are read while a response's head is read.
 type headReads struct {
 	active   bool
 	bytes    int64 // read so far
 	last     byte  // the last one of these
-	foldedAt int64 // bytes before the first such line, -1 for none
+	foldedAt int64 // bytes before the first line that begins with a blank, -1 for none
+	held     Holding
+	err      error // ends the head
 }
 
-func newHeadReads() headReads { return headReads{active: true, foldedAt: -1} }
+// begin starts to watch the head of the next response.
+func (h *headReads) begin(held Holding) { *h = headReads{active: true, foldedAt: -1, held: held} }
+
+// reserve takes the memory for what was read, none of which was the end of the head, before more is read. Once it has returned an
+// error, it does so again: bufio.Reader.ReadLine returns a part of a line without the error behind it, so that net/http would take
+// the rest of the line for another one.
+func (h *headReads) reserve() error {
+	if h.err != nil {
+		return h.err
+	}
+	need := headMemoryFactor*(h.bytes-smallHeadBytes) - h.held.bytes
+	if d, report := h.held.Grow(need); d != HeldAdmit {
+		h.err = &HeldError{report}
+	}
+	return h.err
+}
 
-// add records bytes that were read.
+// add records bytes that were read. It finds lines that begin with a blank: net/http takes such a line for a part of the value before
+// it (obsolete line folding) and does not report it.
 func (h *headReads) add(p []byte) {
 	if h.foldedAt < 0 && len(p) > 0 {
 		if h.last == '\n' && isBlank(p[0]) {
--- a/internal/upstream/held.go
+++ b/internal/upstream/held.go
@@ -59,7 +59,7 @@
 func (h *Held) use(kind HeldKind, account string) HeldUse {
 	u := HeldUse{Host: h.bytes[HeldBody]}
 	if kind != HeldBody {
-		u.Host = h.bytes[HeldAnswer] + h.bytes[HeldEvents] + h.bytes[HeldCopy]
+		u.Host = h.bytes[HeldAnswer] + h.bytes[HeldEvents] + h.bytes[HeldCopy] + h.bytes[HeldHead]
 	}
 	if a := h.byAccount[account]; account != "" && a != nil {
 		u.Account = *a.of(kind)
--- a/internal/upstream/heldrules.go
+++ b/internal/upstream/heldrules.go
@@ -9,12 +9,13 @@
 	HeldAnswer                 // answers that are read whole before they are passed on
 	HeldEvents                 // buffers in which the events of streams are separated
 	HeldCopy                   // buffers through which long answers are copied
+	HeldHead                   // heads of answers that are longer than those of sound endpoints
 	HeldKinds                  // number of kinds
 )
 
 // String returns the kind's name in metrics and log lines.
 func (k HeldKind) String() string {
-	return [...]string{"body", "answer", "events", "copy"}[k]
+	return [...]string{"body", "answer", "events", "copy", "head"}[k]
 }
 
 // HeldDecision is what happens to bytes that are about to be held.
@@ -73,7 +74,8 @@
 // Load patterns: many callers that read their answers of up to 1 MB slowly, at once (the answers are then passed on as they
 // arrive, at each caller's pace, and the rest stays with the endpoint); one account whose callers all read slowly, while others
 // need memory (its bound is half of the host's); many long bodies to an endpoint that reads slowly (new requests are refused);
-// endpoints that send events without an end (the stream ends at the bound of one connection).
+// endpoints that send events without an end (the stream ends at the bound of one connection), or heads without an end on many
+// connections (the answers end at the bound of the host).
 func (l HeldLimits) Decide(kind HeldKind, need int64, u HeldUse) HeldDecision {
 	overConnection := u.Connection+need > l.Connection
 	over := overConnection || u.Account+need > l.Account || u.Host+need > l.Host
@@ -83,9 +85,12 @@
 		}
 		return HeldAdmit
 	}
-	if kind == HeldEvents && overConnection {
+	if kind == HeldEvents && overConnection || kind == HeldHead && over {
 		return HeldEnd
 	}
+	if kind == HeldHead {
+		return HeldAdmit
+	}
 	small := u.Connection+need <= smallAnswerBytes
 	if over || !small && l.Pressed(HeldUse{Account: u.Account + need, Host: u.Host + need}) {
 		return HeldSlow
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -80,9 +80,13 @@
 	dials      uint64
 	reuses     uint64
 
-	held Held
+	held        Held
+	headHolding func() Holding // nil if heads are not counted
 }
 
+// CountHeads makes each response count the memory of its head in a holding of its own, which newHolding returns.
+func (p *Pool) CountHeads(newHolding func() Holding) { p.headHolding = newHolding }
+
 // Held returns the count of the bytes that are held for the requests that use the pool.
 func (p *Pool) Held() *Held { return &p.held }
 
@@ -138,9 +142,17 @@
 	return out
 }
 
+func (p *Pool) newHeadHolding() Holding {
+	if p.headHolding == nil {
+		return Holding{}
+	}
+	return p.headHolding()
+}
+
 // closeConn closes a connection that isn't in idleConns and removes it from the count.
 func (p *Pool) closeConn(addr string, c *conn) {
 	c.Close()
+	c.head.held.Release()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.openCounts[addr]--; p.openCounts[addr] <= 0 {
@@ -152,6 +164,7 @@
 // putIdle makes a connection available to later requests for at most idleTimeout.
 func (p *Pool) putIdle(addr string, c *conn, idleTimeout time.Duration) {
 	c.idleSince, c.idleTimeout, c.reused = time.Now(), idleTimeout, true
+	c.head.held.Release()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idleConns[addr] = append(p.idleConns[addr], c)
@@ -246,7 +259,8 @@
 // roundTrip writes the request and reads the header of the response. A long body is written in another goroutine.
 func (x *exchange) roundTrip(req *Request) (*Response, error) {
 	head := encodeHead(req)
-	x.conn.readLimit, x.conn.head = maxHeaderBytes, newHeadReads()
+	x.conn.readLimit = maxHeaderBytes
+	x.conn.head.begin(x.pool.newHeadHolding())
 	if len(head)+len(req.Body) <= maxInlineRequestBytes {
 		n, err := x.conn.Write(append(head, req.Body...))
 		x.writeResult <- err
--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -33,6 +33,9 @@
 	atOnce int // bytes that are written at once; the lines after them come one at a time
 }
 
+// shortField returns a short line of a head whose name differs from those of the other lines.
+func shortField(line int) string { return strconv.FormatInt(int64(line), 36) + ":\r\n" }
+
 func repeated(s string) func(int) string { return func(int) string { return s } }
 
 // startEndlessServer starts a server that begins its answers a second after its first request, so that many are in progress. It
@@ -104,6 +107,7 @@
 	const heads, bodies = 60 << 10, 1000 << 10 // bytes at once, below the sizes at which an answer is given up
 	letters := repeated(strings.Repeat("x", 1000))
 	for name, a := range map[string]endlessAnswer{
+		"fields":     {success, shortField, heads},
 		"long field": {success + "X: ", repeated("y"), heads},
 		"refusal":    {refusal + "\r\n", letters, bodies},
 		"error":      {"HTTP/1.1 500 Error\r\nRequest-Id: %s\r\n\r\n", letters, bodies},
@@ -148,6 +152,9 @@
 			if n := requests.Load(); n < endlessRequests/2 {
 				t.Errorf("the server got %d requests only", n)
 			}
+			if n := counts["200"]; n > 0 && a.atOnce == heads {
+				t.Errorf("%d successes, though no head has ended", n)
+			}
 			if counts["no answer"] > 0 {
 				t.Errorf("%d requests got no answer", counts["no answer"])
 			}
