Count the reports of engines as held bytes

What happened: 300 engines that answer the request for their report with bytes that do not end made the holder of the placement lease take 413 MB on a host that may use 136 MB, which the platform ends with the requests of its callers.

Cause: reports are fetched from all engines at the same time and read whole, up to 1 MB each, outside the bound on held bytes.

Change: a report is read like an answer to a caller, into memory that it takes from that bound first. Without it the report counts as failed and is asked for again.

TestPlatformServes passes.

--- a/internal/host/ledgers.go
+++ b/internal/host/ledgers.go
@@ -171,21 +171,28 @@
 func (em *engineManager) fetchReport(ctx context.Context, e *fleet.Endpoint) (fleet.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	resp, err := em.holder.h.orderPool.RoundTrip(ctx, em.holder.h.opts.Codec.ReportCall(e))
+	h := em.holder.h
+	resp, err := h.orderPool.RoundTrip(ctx, h.opts.Codec.ReportCall(e))
 	if err != nil {
 		return fleet.Report{}, err
 	}
-	body, more, err := resp.ReadAll(maxReportBytes)
+	held := h.newHolding(upstream.HeldAnswer, &fleet.Request{})
+	defer held.Release()
+	body, more, full, err := resp.ReadAllWithin(maxReportBytes, &held)
+	h.logHeld(full)
 	resp.Close(err == nil && !more)
-	if err != nil {
+	switch {
+	case err != nil:
 		return fleet.Report{}, errors.Annotate(err, "report")
+	case more:
+		return fleet.Report{}, errors.Errorf("report is longer than %d bytes, or there is no memory for it", len(body))
 	}
-	answer := em.holder.h.opts.Codec.Answer(resp.StatusCode, resp.Header)
-	em.holder.h.applySignals(e, time.Time{}, &answer)
+	answer := h.opts.Codec.Answer(resp.StatusCode, resp.Header)
+	h.applySignals(e, time.Time{}, &answer)
 	if resp.StatusCode != 200 {
 		return fleet.Report{}, errors.Errorf("report: status %d", resp.StatusCode)
 	}
-	return em.holder.h.opts.Codec.Report(body)
+	return h.opts.Codec.Report(body)
 }
 
 // updateFromReport fetches an engine's report and updates the engine's state from it.
--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -38,9 +38,9 @@
 
 func repeated(s string) func(int) string { return func(int) string { return s } }
 
-// startEndlessServer starts a server that begins its answers a second after its first request, so that many are in progress. It
-// returns its address and the number of requests that it has got.
-func startEndlessServer(t *testing.T, a endlessAnswer) (address string, requests *atomic.Int64) {
+// startEndlessServer starts a server that begins its answers a time after its first request, so that many are in progress. It returns
+// its address and the number of requests that it has got.
+func startEndlessServer(t *testing.T, after time.Duration, a endlessAnswer) (address string, requests *atomic.Int64) {
 	t.Helper()
 	requests = new(atomic.Int64)
 	var first sync.Once
@@ -51,7 +51,7 @@
 			return
 		}
 		requests.Add(1)
-		first.Do(func() { time.AfterFunc(time.Second, func() { close(begin) }) })
+		first.Do(func() { time.AfterFunc(after, func() { close(begin) }) })
 		<-begin
 		var b bytes.Buffer
 		if strings.Contains(a.begin, "%s") {
@@ -119,7 +119,7 @@
 			for _, p := range f.plain {
 				f.store.Delete("servers", p.ID())
 			}
-			address, requests := startEndlessServer(t, a)
+			address, requests := startEndlessServer(t, time.Second, a)
 			f.store.Put("servers", "faulty", map[string]any{
 				"service": platformtest.PlainService, "address": address, "zone": "z", "version": "v1", "slots": 2 * endlessRequests, "state": "ready",
 				"cold_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(), "models": []any{},
@@ -165,6 +165,31 @@
 	}
 }
 
+// TestPlatformEndlessReports has many engines answer the request for their report with bytes that do not end. It guards against a holder
+// of the placement lease that keeps them all, and against other engines that get no orders meanwhile.
+func TestPlatformEndlessReports(t *testing.T) {
+	const engines = 300
+	f := startPlatformFleet(t, 1, hostMemory(endlessMemoryMB))
+	h := f.hosts["h0"]
+	report := endlessAnswer{"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", repeated(strings.Repeat("x", 1000)), 1000 << 10}
+	address, requests := startEndlessServer(t, 0, report)
+	for i := range engines {
+		f.store.Put("servers", fmt.Sprint("faulty-", i), map[string]any{
+			"service": platformtest.EngineService, "address": address, "zone": "z", "version": "v1", "slots": 16, "state": "ready",
+			"cold_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(), "models": []any{},
+		})
+	}
+	f.waitFor("requests for reports", func() bool { return requests.Load() >= 2*engines })
+	peak := peakMemory(t, h.PID())
+	t.Logf("%d requests for reports, peak memory %d MB", requests.Load(), peak>>20)
+	if peak > endlessMemoryMB<<20 {
+		t.Errorf("peak memory %d MB of %d MB", peak>>20, endlessMemoryMB)
+	}
+	if o := platformtest.Do(f.ctx, h.front, chatCall("m0/a2")); o.Status != http.StatusOK || !o.BodyComplete {
+		t.Errorf("a request whose adapter has to be loaded: status %d, whole %v after %v", o.Status, o.BodyComplete, o.Duration)
+	}
+}
+
 // finalStatus sends a request that may not be repeated, discards the answer, and returns its status.
 func finalStatus(address, path string, deadline time.Duration) string {
 	c, err := net.DialTimeout("tcp4", address, time.Second)
