Keep the protocol's names of endless answers in platformtest

platform.TestPlatformNamesStayInFolder failed since: the stand-in of the endless answers in test/integration used headers of the platform's protocol. The stand-in and its client are now in platform/platformtest.

--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -1,117 +1,80 @@
 package integration
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"sycamoredeal/internal/testbed"
 	"sycamoredeal/platform/platformtest"
 )
 
 const (
 	endlessMemoryMB = 136 // of the host, the least of the platform's machines
-	endlessRequests = 600 // in progress at the faulty server at the same time
+	endlessRequests = 600 // that callers send at the same time
 	endlessDeadline = 3 * time.Second
-	endlessInterval = 100 * time.Millisecond
 )
 
-// endlessAnswer is an answer that the faulty server begins with begin and continues until its caller closes the connection.
-type endlessAnswer struct {
-	begin  string // %s stands for the id of the request
-	next   func(line int) string
-	atOnce int // bytes that are written at once; the lines after them come one at a time
-}
+// Sizes of what a faulty server writes at once, below those at which an answer is given up.
+const (
+	endlessHeadBytes = 60 << 10
+	endlessBodyBytes = 1000 << 10
+)
 
 // shortField returns a short line of a head whose name differs from those of the other lines.
 func shortField(line int) string { return strconv.FormatInt(int64(line), 36) + ":\r\n" }
 
 func repeated(s string) func(int) string { return func(int) string { return s } }
 
-// startEndlessServer starts a server that begins its answers a time after its first request, so that many are in progress. It returns
-// its address and the number of requests that it has got.
-func startEndlessServer(t *testing.T, after time.Duration, a endlessAnswer) (address string, requests *atomic.Int64) {
+// endlessBody returns an answer with a body that does not end. The head lacks its empty line.
+func endlessBody(head string) platformtest.EndlessAnswer {
+	return platformtest.EndlessAnswer{Begin: head + "\r\n", Next: repeated(strings.Repeat("x", 1000)), AtOnce: endlessBodyBytes}
+}
+
+func startEndlessServer(t *testing.T, after time.Duration, a platformtest.EndlessAnswer) *platformtest.EndlessServer {
 	t.Helper()
-	requests = new(atomic.Int64)
-	var first sync.Once
-	begin := make(chan struct{})
-	address, end, err := testbed.Serve(func(c net.Conn) {
-		req, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		requests.Add(1)
-		first.Do(func() { time.AfterFunc(after, func() { close(begin) }) })
-		<-begin
-		var b bytes.Buffer
-		if strings.Contains(a.begin, "%s") {
-			fmt.Fprintf(&b, a.begin, req.Header.Get("Request-Id"))
-		} else {
-			b.WriteString(a.begin)
-		}
-		line := 0
-		for ; b.Len() < a.atOnce; line++ {
-			b.WriteString(a.next(line))
-		}
-		for {
-			if _, err := c.Write(b.Bytes()); err != nil {
-				return
-			}
-			time.Sleep(endlessInterval)
-			b.Reset()
-			b.WriteString(a.next(line))
-			line++
-		}
-	})
+	s, err := platformtest.NewEndlessServer(after, a)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(end)
-	return address, requests
+	t.Cleanup(s.Close)
+	return s
 }
 
-// peakMemory returns the largest resident memory that a process has had, in bytes.
-func peakMemory(t *testing.T, pid int) int64 {
+// checkMemory fails if a host has had more resident memory than its machine has.
+func checkMemory(t *testing.T, h *platformHost) {
 	t.Helper()
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.PID()))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for line := range strings.Lines(string(b)) {
-		if v, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kb, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(v), " kB"), 10, 64)
-			if err != nil {
-				t.Fatal(err)
-			}
-			return kb << 10
-		}
+	_, rest, _ := strings.Cut(string(b), "VmHWM:")
+	var kb int
+	if _, err := fmt.Sscan(rest, &kb); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("peak memory %d MB", kb>>10)
+	if kb > endlessMemoryMB<<10 {
+		t.Errorf("peak memory %d MB of %d MB", kb>>10, endlessMemoryMB)
 	}
-	t.Fatal("no VmHWM")
-	return 0
 }
 
 // TestPlatformEndlessAnswers has a server answer many requests at the same time with bytes that do not end. It guards against a host
 // that keeps them all and exceeds the memory of its machine, where the requests of other clients end with it.
 func TestPlatformEndlessAnswers(t *testing.T) {
-	const success, refusal = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nRequest-Id: %s\r\n", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest-Id: %s\r\n"
-	const heads, bodies = 60 << 10, 1000 << 10 // bytes at once, below the sizes at which an answer is given up
-	letters := repeated(strings.Repeat("x", 1000))
-	for name, a := range map[string]endlessAnswer{
-		"fields":     {success, shortField, heads},
-		"long field": {success + "X: ", repeated("y"), heads},
-		"refusal":    {refusal + "\r\n", letters, bodies},
-		"error":      {"HTTP/1.1 500 Error\r\nRequest-Id: %s\r\n\r\n", letters, bodies},
-		"body":       {success + "\r\n", letters, bodies},
+	head := func(begin string, next func(int) string) platformtest.EndlessAnswer {
+		return platformtest.EndlessAnswer{Begin: begin, Next: next, AtOnce: endlessHeadBytes}
+	}
+	for name, a := range map[string]platformtest.EndlessAnswer{
+		"fields":     head(platformtest.SuccessHead, shortField),
+		"long field": head(platformtest.SuccessHead+"X: ", repeated("y")),
+		"refusal":    endlessBody(platformtest.RefusalHead),
+		"error":      endlessBody(platformtest.ErrorHead),
+		"body":       endlessBody(platformtest.SuccessHead),
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := startPlatformFleet(t, 1, hostMemory(endlessMemoryMB))
@@ -119,17 +82,14 @@
 			for _, p := range f.plain {
 				f.store.Delete("servers", p.ID())
 			}
-			address, requests := startEndlessServer(t, time.Second, a)
-			f.store.Put("servers", "faulty", map[string]any{
-				"service": platformtest.PlainService, "address": address, "zone": "z", "version": "v1", "slots": 2 * endlessRequests, "state": "ready",
-				"cold_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(), "models": []any{},
-			})
+			faulty := startEndlessServer(t, time.Second, a)
+			faulty.Register(f.store, "faulty", platformtest.PlainService, 2*endlessRequests)
 			time.Sleep(time.Second) // until the host uses the entry
 			stop := f.load(func(n int) platformtest.Call { return chatCall(fmt.Sprint("m", n%platformModels)) }, "h0")
 			var wg sync.WaitGroup
-			statuses := make(chan string, endlessRequests)
+			statuses := make(chan int, endlessRequests)
 			for range endlessRequests {
-				wg.Go(func() { statuses <- finalStatus(h.front, platformtest.BookingPath+"x", endlessDeadline) })
+				wg.Go(func() { statuses <- platformtest.FinalStatus(h.front, platformtest.BookingPath+"x", endlessDeadline) })
 			}
 			wg.Wait()
 			close(statuses)
@@ -138,29 +98,21 @@
 					t.Errorf("another client's request %s: status %d, whole %v after %v", o.ID, o.Status, o.BodyComplete, o.Duration)
 				}
 			}
-			counts := make(map[string]int)
+			counts := make(map[int]int)
 			for s := range statuses {
 				counts[s]++
 			}
-			select {
-			case <-h.Done():
-				t.Fatal("the host has ended")
-			default:
-			}
-			peak := peakMemory(t, h.PID())
-			t.Logf("%d requests at the server, peak memory %d MB, statuses %v", requests.Load(), peak>>20, counts)
-			if n := requests.Load(); n < endlessRequests/2 {
+			t.Logf("%d requests at the server, statuses %v", faulty.Requests(), counts)
+			if n := faulty.Requests(); n < endlessRequests/2 {
 				t.Errorf("the server got %d requests only", n)
 			}
-			if n := counts["200"]; n > 0 && a.atOnce == heads {
+			if n := counts[http.StatusOK]; n > 0 && a.AtOnce == endlessHeadBytes {
 				t.Errorf("%d successes, though no head has ended", n)
 			}
-			if counts["no answer"] > 0 {
-				t.Errorf("%d requests got no answer", counts["no answer"])
-			}
-			if peak > endlessMemoryMB<<20 {
-				t.Errorf("peak memory %d MB of %d MB", peak>>20, endlessMemoryMB)
+			if counts[0] > 0 {
+				t.Errorf("%d requests got no answer", counts[0])
 			}
+			checkMemory(t, h)
 		})
 	}
 }
@@ -171,40 +123,13 @@
 	const engines = 300
 	f := startPlatformFleet(t, 1, hostMemory(endlessMemoryMB))
 	h := f.hosts["h0"]
-	report := endlessAnswer{"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", repeated(strings.Repeat("x", 1000)), 1000 << 10}
-	address, requests := startEndlessServer(t, 0, report)
+	faulty := startEndlessServer(t, 0, endlessBody("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"))
 	for i := range engines {
-		f.store.Put("servers", fmt.Sprint("faulty-", i), map[string]any{
-			"service": platformtest.EngineService, "address": address, "zone": "z", "version": "v1", "slots": 16, "state": "ready",
-			"cold_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(), "models": []any{},
-		})
-	}
-	f.waitFor("requests for reports", func() bool { return requests.Load() >= 2*engines })
-	peak := peakMemory(t, h.PID())
-	t.Logf("%d requests for reports, peak memory %d MB", requests.Load(), peak>>20)
-	if peak > endlessMemoryMB<<20 {
-		t.Errorf("peak memory %d MB of %d MB", peak>>20, endlessMemoryMB)
+		faulty.Register(f.store, fmt.Sprint("faulty-", i), platformtest.EngineService, 16)
 	}
+	f.waitFor("requests for reports", func() bool { return faulty.Requests() >= 2*engines })
+	checkMemory(t, h)
 	if o := platformtest.Do(f.ctx, h.front, chatCall("m0/a2")); o.Status != http.StatusOK || !o.BodyComplete {
 		t.Errorf("a request whose adapter has to be loaded: status %d, whole %v after %v", o.Status, o.BodyComplete, o.Duration)
 	}
 }
-
-// finalStatus sends a request that may not be repeated, discards the answer, and returns its status.
-func finalStatus(address, path string, deadline time.Duration) string {
-	c, err := net.DialTimeout("tcp4", address, time.Second)
-	if err != nil {
-		return "no connection"
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(deadline + 2*time.Second))
-	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: 0\r\n\r\n", path, platformtest.Host, platformtest.NextID(), deadline.Milliseconds())
-	r := bufio.NewReader(c)
-	line, err := r.ReadString('\n')
-	if err != nil {
-		return "no answer"
-	}
-	c.SetDeadline(time.Now().Add(100 * time.Millisecond))
-	io.Copy(io.Discard, r)
-	return strings.Fields(line)[1]
-}
