Count a response head by its lines

A head counted 12 times its bytes, the most that short fields take, so one long field of 60 KB counted 0.7 MB although it takes little more than its bytes: 24 of them filled the bound of a host with 136 MB, and the rest got 502.

A head now counts its bytes and 128 bytes for each line, beyond 8 KB in all. The lines can be counted exactly: before more of a head is read, all that was read before belongs to it.

TestLongSoundHeads and TestHeadsWithinBound pass.

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -1,11 +1,12 @@
 package upstream
 
+import "bytes"
+
 const (
-	// smallHeadBytes is the size up to which a head is not counted as held. Those of sound endpoints are smaller.
-	smallHeadBytes = 2 << 10
-	// headMemoryFactor is the memory that the parsed fields of a head take for each of its bytes, at most: short fields with different
-	// names take the most.
-	headMemoryFactor = 12
+	// smallHeadBytes is the memory of a head up to which it is not counted as held. Heads of sound endpoints need less.
+	smallHeadBytes = 8 << 10
+	// fieldBytes is the memory of a parsed field of a head, without its text.
+	fieldBytes = 128
 )
 
 // HeldError is the error of a response whose head needs more memory than there is for it.
@@ -18,6 +19,7 @@
 type headReads struct {
 	active   bool
 	bytes    int64 // read so far
+	lines    int64 // among these
 	last     byte  // the last one of these
 	foldedAt int64 // bytes before the first line that begins with a blank, -1 for none
 	held     Holding
@@ -34,7 +36,7 @@
 	if h.err != nil {
 		return h.err
 	}
-	need := headMemoryFactor*(h.bytes-smallHeadBytes) - h.held.bytes
+	need := h.bytes + h.lines*fieldBytes - smallHeadBytes - h.held.bytes
 	if d, report := h.held.Grow(need); d != HeldAdmit {
 		h.err = &HeldError{report}
 	}
@@ -56,6 +58,7 @@
 		h.last = p[len(p)-1]
 	}
 	h.bytes += int64(len(p))
+	h.lines += int64(bytes.Count(p, []byte{'\n'}))
 }
 
 func isBlank(b byte) bool { return b == ' ' || b == '\t' }
