Limit response heads that are read through http.Transport

What happened: an entry, or a client of engines or of a store, read up to 10 MB of a head that does not end, for each answer (13.9 to 15.1 MB written by the server of httphead.TestEndlessHead, the rest in sockets). The parsed fields take several times that.

Cause: http.Transport was used with its own limit of 10 MB.

Change: httphead.NewTransport, which makes the transports of all these readers, limits heads to 16 KB. With the entry's 4,096 requests in progress and 12 bytes for each byte of short fields, that is at most 0.8 GB, instead of 490 GB; heads of usual servers have about 1 KB.

Evidence: the four cases of httphead.TestEndlessHead failed before and pass. httphead.TestConnectionNotReused passes: no request goes to a connection that has carried a malformed head.

--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -2,12 +2,18 @@
 
 import "net/http"
 
-// Transport is an http.RoundTripper that returns an error instead of a final response with a malformed head. Heads of interim
+// Transport is an http.RoundTripper that returns an error instead of a final response with a malformed or long head. Heads of interim
 // responses don't get out of http.Transport.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a transport that sends requests through base.
-func NewTransport(base *http.Transport) *Transport { return &Transport{base} }
+// maxHeadBytes is the size of the longest head. http.Transport allows 10 MB, and the parsed fields can take 12 times the size.
+const maxHeadBytes = 16 << 10
+
+// NewTransport returns a transport that sends requests through base, whose limit for heads it sets.
+func NewTransport(base *http.Transport) *Transport {
+	base.MaxResponseHeaderBytes = maxHeadBytes
+	return &Transport{base}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
