Bound the answers of plain services that an entry reads at the same time

What happened: 60 calls whose service answers with bodies that do not end made an entry keep 335 MB with a limit of 4 MB for one answer. With the default of 16 MB and 4,096 requests there was no bound that a machine could hold, and the end of the process is the end of all callers' requests.

Cause: each answer was bounded, their number was not.

Change: answers are read into memory that is counted in upstream.Held, as at the host: half of it for one caller at most, and the last quarter for answers of up to 64 KB, so that one faulty service does not take all. A call for whose answer there is none ends as one that may have run. The new setting answer-memory (256 MiB) is at least eight times the longest answer.

--- a/cmd/sycamore-entry/main.go
+++ b/cmd/sycamore-entry/main.go
@@ -21,7 +21,7 @@
 	o := entry.Options{
 		Host: s.Host, Zone: s.Zone, Cell: s.Cell, Listen: s.Listen, PeerListen: s.PeerListen, Control: s.Control, Policy: s.Policy,
 		AdminListen: s.AdminListen, AdminToken: s.AdminToken,
-		MaxBody: s.MaxBody, MaxAnswer: s.MaxAnswer, MaxRequests: s.MaxRequests, FirstTokenTimeout: s.FirstTokenTimeout,
+		MaxBody: s.MaxBody, MaxAnswer: s.MaxAnswer, AnswerMemory: s.AnswerMemory, MaxRequests: s.MaxRequests, FirstTokenTimeout: s.FirstTokenTimeout,
 		IdleTimeout: s.IdleTimeout, ReadyDelay: s.ReadyDelay, DrainTimeout: s.DrainTimeout, Log: telemetry.NewLogger(os.Stderr, s.LogLevel, "entry"),
 	}
 	var err error
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"sycamoredeal/internal/routing"
 	"sycamoredeal/internal/telemetry"
+	"sycamoredeal/internal/upstream"
 )
 
 // quiet silences hertz's own log once: the process logs through its own logger.
@@ -35,6 +36,7 @@
 	Policy       string        // name of a routing.Policy, empty for the dispatcher
 	MaxBody      int           // bytes of a request body
 	MaxAnswer    int           // bytes of a plain service's answer
+	AnswerMemory int64         // bytes of such answers that are read at the same time
 	MaxRequests  int           // requests in progress
 	ReadyDelay   time.Duration // time between the failing health check and the end of new work in a stop
 	DrainTimeout time.Duration // longest time that a stop waits for requests in progress
@@ -63,6 +65,7 @@
 	observer *observer
 	failed   func(addr string, err error) // logs failed handshakes
 	counters counters
+	held     upstream.Held // answers of plain services
 
 	unreachable unreachable
 
@@ -84,12 +87,22 @@
 func (o *Options) setDefaults() {
 	o.MaxBody = cmp.Or(o.MaxBody, 4<<20)
 	o.MaxAnswer = cmp.Or(o.MaxAnswer, 16<<20)
+	o.AnswerMemory = max(cmp.Or(o.AnswerMemory, 256<<20), minAnswersInMemory*int64(o.MaxAnswer))
 	o.MaxRequests = cmp.Or(o.MaxRequests, 4096)
 	o.DrainTimeout = cmp.Or(o.DrainTimeout, 10*time.Minute)
 	o.FirstTokenTimeout = cmp.Or(o.FirstTokenTimeout, 20*time.Second)
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, 5*time.Second)
 }
 
+// minAnswersInMemory is the least number of the longest answers for which there is memory: one caller may take half of it, and a
+// buffer that grows is there twice.
+const minAnswersInMemory = 8
+
+// answerLimits returns the bounds on the answers of plain services that are read at the same time.
+func (o *Options) answerLimits() upstream.HeldLimits {
+	return upstream.HeldLimits{Connection: o.AnswerMemory / 2, Account: o.AnswerMemory / 2, Host: o.AnswerMemory}
+}
+
 // Run serves until ctx ends, then finishes the requests in progress and returns.
 func (e *Entry) Run(ctx context.Context) error {
 	if err := e.gauges(); err != nil {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -14,6 +13,7 @@
 
 	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/config"
+	"sycamoredeal/internal/upstream"
 	"sycamoredeal/internal/wire"
 )
 
@@ -29,6 +29,7 @@
 	body       []byte
 	idempotent bool
 	tried      map[string]bool
+	held       upstream.Holding // the answer
 }
 
 // serviceAnswer is an answer that was received completely.
@@ -40,6 +41,8 @@
 
 func (e *Entry) service(ctx context.Context, x *exchange) {
 	s := &serviceCall{e: e, x: x, svc: x.snap.Service(x.c.Param("service")), method: string(x.c.Method()), tried: make(map[string]bool)}
+	s.held = e.held.NewWithin(upstream.HeldAnswer, x.caller.Name, e.opts.answerLimits())
+	defer s.held.Release()
 	if s.svc == nil || !mayUse(s.svc.Callers, x.caller.Name) {
 		x.fail(refusal(http.StatusNotFound, "Unknown service", x.c.Param("service"), 0))
 		return
@@ -220,12 +223,15 @@
 	if got := resp.Header.Get("X-Request-Id"); got != "" && got != s.x.id {
 		return nil, attempt.Unknown, errors.Errorf("answer carries request id %q, want %q", got, s.x.id)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(s.e.opts.MaxAnswer)+1))
-	if err != nil {
+	s.held.Release() // an attempt before has kept nothing
+	body, more, _, err := upstream.ReadWithin(resp.Body, resp.ContentLength, s.e.opts.MaxAnswer, &s.held)
+	switch {
+	case err != nil:
 		return nil, attempt.Unknown, err
-	}
-	if len(body) > s.e.opts.MaxAnswer {
+	case len(body) > s.e.opts.MaxAnswer:
 		return nil, attempt.Unknown, errors.Errorf("answer is longer than %d bytes", s.e.opts.MaxAnswer)
+	case more:
+		return nil, attempt.Unknown, errors.Errorf("no memory for more than %d bytes of the answer", len(body))
 	}
 	return &serviceAnswer{status: resp.StatusCode, header: resp.Header, body: body}, attempt.Answered, nil
 }
--- a/internal/upstream/held.go
+++ b/internal/upstream/held.go
@@ -50,9 +50,14 @@
 	Limits   HeldLimits
 }
 
-// New returns a holding without bytes. The account is empty for requests that have none.
+// New returns a holding without bytes on a host with the given memory. The account is empty for requests that have none.
 func (h *Held) New(kind HeldKind, account string, memory int64) Holding {
-	return Holding{held: h, kind: kind, account: account, limits: LimitsFor(kind, memory)}
+	return h.NewWithin(kind, account, LimitsFor(kind, memory))
+}
+
+// NewWithin is like New, with limits of its own.
+func (h *Held) NewWithin(kind HeldKind, account string, limits HeldLimits) Holding {
+	return Holding{held: h, kind: kind, account: account, limits: limits}
 }
 
 // use returns what is held of the kinds that share a bound with kind. The caller holds the lock.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -406,16 +406,21 @@
 	return err == nil && n <= maxBytes && c.SetReadDeadline(time.Time{}) == nil
 }
 
-// firstReadBytes is the size of the first buffer of ReadAllWithin for a body without a stated length.
+// firstReadBytes is the size of the first buffer of ReadWithin for a body without a stated length.
 const firstReadBytes = 2 << 10
 
-// ReadAllWithin reads the rest of the body into a buffer that it takes from g before it is allocated. If the body is longer than
-// maxBytes, or g does not admit a larger buffer, it returns what was read so far and true for more. A report is returned if the
-// bound is reached.
+// ReadAllWithin reads the rest of the body like ReadWithin.
 func (r *Response) ReadAllWithin(maxBytes int, g *Holding) (body []byte, more bool, report *HeldReport, err error) {
+	return ReadWithin(r.Body, r.ContentLength, maxBytes, g)
+}
+
+// ReadWithin reads a body into a buffer that it takes from g before it is allocated. The length is -1 if it is not stated. If the body
+// is longer than maxBytes, or g does not admit a larger buffer, ReadWithin returns what was read so far and true for more. A report is
+// returned if the bound is reached.
+func ReadWithin(r io.Reader, length int64, maxBytes int, g *Holding) (body []byte, more bool, report *HeldReport, err error) {
 	limit, first := maxBytes+1, firstReadBytes
-	if r.ContentLength >= 0 && r.ContentLength < int64(maxBytes) {
-		limit = int(r.ContentLength) + 1 // a further byte, so that the end of the body is seen
+	if length >= 0 && length < int64(maxBytes) {
+		limit = int(length) + 1 // a further byte, so that the end of the body is seen
 		first = smallAnswerBytes
 	}
 	for {
@@ -434,7 +439,7 @@
 			body = append(make([]byte, 0, size), body...)
 			g.Shrink(int64(old))
 		}
-		n, err := r.Body.Read(body[len(body):min(cap(body), limit)])
+		n, err := r.Read(body[len(body):min(cap(body), limit)])
 		body = body[:len(body)+n]
 		switch {
 		case len(body) > maxBytes:
