Bound the events that an entry reads at the same time

What happened: 100 streams whose engine begins an event and does not end it made an entry keep 106 MB. Each event is bounded by 1 MB, the number of streams by 4,096.

Change: what is read of an event beyond 16 KB is counted with the answers of plain services, twice, since the line and the event are there at the same time. Without memory the attempt ends and the stream may go on at another engine.

The tests of the package pass.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,7 +36,7 @@
 	Policy       string        // name of a routing.Policy, empty for the dispatcher
 	MaxBody      int           // bytes of a request body
 	MaxAnswer    int           // bytes of a plain service's answer
-	AnswerMemory int64         // bytes of such answers that are read at the same time
+	AnswerMemory int64         // bytes of such answers, and of long events, that are read at the same time
 	MaxRequests  int           // requests in progress
 	ReadyDelay   time.Duration // time between the failing health check and the end of new work in a stop
 	DrainTimeout time.Duration // longest time that a stop waits for requests in progress
@@ -65,7 +65,7 @@
 	observer *observer
 	failed   func(addr string, err error) // logs failed handshakes
 	counters counters
-	held     upstream.Held // answers of plain services
+	held     upstream.Held // answers of plain services, and long events
 
 	unreachable unreachable
 
@@ -98,7 +98,7 @@
 // buffer that grows is there twice.
 const minAnswersInMemory = 8
 
-// answerLimits returns the bounds on the answers of plain services that are read at the same time.
+// answerLimits returns the bounds on the answers and events that are read at the same time.
 func (o *Options) answerLimits() upstream.HeldLimits {
 	return upstream.HeldLimits{Connection: o.AnswerMemory / 2, Account: o.AnswerMemory / 2, Host: o.AnswerMemory}
 }
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -6,9 +6,44 @@
 	"io"
 
 	"github.com/juju/errors"
+
+	"sycamoredeal/internal/upstream"
+)
+
+const (
+	maxEventBytes   = 1 << 20  // longest line of a stream, and longest event of several lines
+	smallEventBytes = 16 << 10 // up to which an event is not counted as held
+	eventCopies     = 2        // of the bytes of an event while it is read: the line and the event
 )
 
-const maxEventBytes = 1 << 20 // longest line of a stream, and longest event of several lines
+var errNoEventMemory = errors.New("no memory for a long event")
+
+// heldEvents reads a stream and takes the memory for an event that is not whole.
+type heldEvents struct {
+	r     io.Reader
+	held  upstream.Holding
+	begun int64 // bytes read since the last whole event
+	taken int64
+}
+
+// Read implements io.Reader.
+func (h *heldEvents) Read(p []byte) (int, error) {
+	n, err := h.r.Read(p)
+	h.begun += int64(n)
+	if need := eventCopies*(h.begun-smallEventBytes) - h.taken; need > 0 {
+		if d, _ := h.held.Grow(need); d != upstream.HeldAdmit {
+			return n, errNoEventMemory
+		}
+		h.taken += need
+	}
+	return n, err
+}
+
+// release frees the memory after a whole event.
+func (h *heldEvents) release() {
+	h.held.Release()
+	h.begun, h.taken = 0, 0
+}
 
 // event is one server-sent event.
 type event struct {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -11,6 +11,7 @@
 
 	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/routing"
+	"sycamoredeal/internal/upstream"
 	"sycamoredeal/internal/wire"
 )
 
@@ -117,7 +118,10 @@
 	if got := resp.Header.Get("X-Request-Id"); got != r.upstream {
 		return result{outcome: attempt.Unknown, err: errors.Errorf("answer carries request id %q, want %q", got, r.upstream)}
 	}
-	err = readEvents(resp.Body, func(ev event) error {
+	body := &heldEvents{r: resp.Body, held: r.e.held.NewWithin(upstream.HeldEvents, r.x.caller.Name, r.e.opts.answerLimits())}
+	defer body.release()
+	err = readEvents(body, func(ev event) error {
+		body.release()
 		idle.Stop() // a slow caller is no fault of the endpoint
 		if actx.Err() != nil {
 			return context.Cause(actx)
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -24,7 +24,7 @@
 	TLSCA             string        // PEM file of the authority that the other processes' certificates must come from.
 	MaxBody           int           // Longest request body. In bytes.
 	MaxAnswer         int           // Longest answer of a plain service. In bytes.
-	AnswerMemory      int64         // Answers of plain services that are read at the same time; at least eight times the longest one is used. In bytes.
+	AnswerMemory      int64         // Answers of plain services and long events of streams that are read at the same time; at least eight times the longest answer is used. In bytes.
 	MaxRequests       int           // Requests in progress; further ones are refused. In requests.
 	FirstTokenTimeout time.Duration // An endpoint that sends no first token for so long is left.
 	IdleTimeout       time.Duration // An endpoint that sends no further token for so long is left.
@@ -60,7 +60,7 @@
 	s.settings.register(app, Spec{Flag: "tls-ca", Env: "SYCAMORE_ENTRY_TLS_CA", Kind: "string", Help: "PEM file of the authority that the other processes' certificates must come from."}, &s.TLSCA)
 	s.settings.register(app, Spec{Flag: "max-body", Env: "SYCAMORE_ENTRY_MAX_BODY", Kind: "int", Default: "4194304", Min: "1024", Max: "268435456", Help: "Longest request body."}, &s.MaxBody)
 	s.settings.register(app, Spec{Flag: "max-answer", Env: "SYCAMORE_ENTRY_MAX_ANSWER", Kind: "int", Default: "16777216", Min: "1024", Max: "268435456", Help: "Longest answer of a plain service."}, &s.MaxAnswer)
-	s.settings.register(app, Spec{Flag: "answer-memory", Env: "SYCAMORE_ENTRY_ANSWER_MEMORY", Kind: "bytes", Default: "256MiB", Min: "1MiB", Help: "Answers of plain services that are read at the same time; at least eight times the longest one is used."}, &s.AnswerMemory)
+	s.settings.register(app, Spec{Flag: "answer-memory", Env: "SYCAMORE_ENTRY_ANSWER_MEMORY", Kind: "bytes", Default: "256MiB", Min: "1MiB", Help: "Answers of plain services and long events of streams that are read at the same time; at least eight times the longest answer is used."}, &s.AnswerMemory)
 	s.settings.register(app, Spec{Flag: "max-requests", Env: "SYCAMORE_ENTRY_MAX_REQUESTS", Kind: "int", Default: "4096", Min: "1", Max: "1000000", Help: "Requests in progress; further ones are refused."}, &s.MaxRequests)
 	s.settings.register(app, Spec{Flag: "first-token-timeout", Env: "SYCAMORE_ENTRY_FIRST_TOKEN_TIMEOUT", Kind: "duration", Default: "20s", Min: "10ms", Max: "1h", Help: "An endpoint that sends no first token for so long is left."}, &s.FirstTokenTimeout)
 	s.settings.register(app, Spec{Flag: "idle-timeout", Env: "SYCAMORE_ENTRY_IDLE_TIMEOUT", Kind: "duration", Default: "5s", Min: "10ms", Max: "1h", Help: "An endpoint that sends no further token for so long is left."}, &s.IdleTimeout)
