Count what hedged requests read of an answer before it is chosen

Cause: a request that may be hedged reads an error whole, or a stream up to its first event, outside the bound on held bytes.

Change: both are read into memory from that bound, like all other answers. An error for which there is none is passed on as it arrives if it is the final answer, and is no fallback for a hedge otherwise.

--- a/internal/host/hedgedsend.go
+++ b/internal/host/hedgedsend.go
@@ -31,21 +31,28 @@
 	resp     *upstream.Response // nil without one
 	err      error              // if there is no response
 	beginErr error              // if the response of a stream ended before its first event
+	held     upstream.Holding   // what was read of the body
+	partial  bool               // of an error, the rest is still to be read
 }
 
 // fetch sends the request and reads the response until it shows whether the answer can be passed on: to the end of its header, to
 // the first event of a stream, or to the end of an error. What it reads of the body stays in the response.
-func (a *sentAttempt) fetch(pool *upstream.Pool, c Codec, kind fleet.Kind) {
-	if a.resp, a.err = pool.RoundTrip(a.ctx, a.request); a.err != nil {
+func (a *sentAttempt) fetch(x *exchange) {
+	h := x.f.h
+	if a.resp, a.err = h.requestPool.RoundTrip(a.ctx, a.request); a.err != nil {
 		return
 	}
 	r := a.resp
 	switch {
-	case r.StatusCode >= 500 && !c.Answer(r.StatusCode, r.Header).NotRun:
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedAnswer+1))
-		r.Body = newReplayedBody(body, err, r.Body)
-	case kind == fleet.Stream && r.StatusCode < 300:
-		begin, err := readFirstEvent(r.Body)
+	case r.StatusCode >= 500 && !h.opts.Codec.Answer(r.StatusCode, r.Header).NotRun:
+		a.held = h.newHolding(upstream.HeldAnswer, x.q)
+		body, more, full, err := r.ReadAllWithin(maxBufferedAnswer, &a.held)
+		h.logHeld(full)
+		r.Body, a.partial = newReplayedBody(body, err, r.Body), more
+	case x.q.Route.Kind == fleet.Stream && r.StatusCode < 300:
+		mem := &eventMemory{Holding: h.newHolding(upstream.HeldEvents, x.q), x: x, ctx: a.ctx}
+		begin, err := readFirstEvent(r.Body, mem)
+		a.held = mem.Holding
 		r.Body = newReplayedBody(begin, err, r.Body)
 		if err != nil && !(err == io.EOF && r.Framed() && len(bytes.TrimSpace(begin)) == 0) {
 			a.beginErr = err
@@ -79,9 +86,9 @@
 
 // readFirstEvent reads a stream until a whole event with content has arrived, and returns what it has read. The error is io.EOF if
 // the stream ends before.
-func readFirstEvent(r io.Reader) ([]byte, error) {
+func readFirstEvent(r io.Reader, mem *eventMemory) ([]byte, error) {
 	var begin bytes.Buffer
-	err := splitEvents(io.TeeReader(io.LimitReader(r, maxEventBytes), &begin), nil, func(event []byte) error {
+	err := splitEvents(io.TeeReader(io.LimitReader(r, maxEventBytes), &begin), mem, func(event []byte) error {
 		if hasContent(event) {
 			return errFirstEvent
 		}
@@ -115,6 +122,7 @@
 	delay    time.Duration     // after which the hedge is due, 0 for no hedge
 	fetched  chan *sentAttempt // receives each attempt once
 	fetching int               // attempts that fetched has not returned
+	dropped  *sentAttempt      // cancelled while it was fetched, nil if there is none
 
 	granted     chan hedgeGrant // nil while no slot has been asked for
 	cancelAsk   context.CancelFunc
@@ -175,9 +183,8 @@
 // fetch starts to fetch the response of an attempt.
 func (s *hedgedSend) fetch(a *sentAttempt) {
 	s.fetching++
-	h, kind := s.x.f.h, s.x.q.Route.Kind
 	go func() {
-		a.fetch(h.requestPool, h.opts.Codec, kind)
+		a.fetch(s.x)
 		s.fetched <- a
 	}()
 }
@@ -303,10 +310,13 @@
 		other.b.done(wire.Done{Outcome: uint8(attempt.Unknown)})
 		x.outcome = attempt.Combine(x.outcome, attempt.Unknown)
 		x.exclude = append(x.exclude, other.e.ID)
+		s.dropped = other
 		go func() {
-			if a := <-s.fetched; a.resp != nil {
-				a.resp.Close(false)
+			<-s.fetched
+			if other.resp != nil {
+				other.resp.Close(false)
 			}
+			other.held.Release()
 		}()
 	}
 	result := hedgeFailed
@@ -337,6 +347,11 @@
 	if s.second != nil {
 		s.second.cancel(nil)
 	}
+	for _, a := range []*sentAttempt{s.first, s.second} {
+		if a != nil && a != s.dropped {
+			a.held.Release()
+		}
+	}
 }
 
 // begins reports whether the response of an attempt is an answer to the request that can be passed on, at least in its begin. An
@@ -367,9 +382,13 @@
 	case a.resp.StatusCode >= http.StatusInternalServerError && !ans.NotRun && x.checkOwner(a.resp, &ans) == nil:
 		x.f.h.applySignals(a.e, a.sentAt, &ans)
 		r := attemptResult{outcome: attempt.Unknown, fault: sched.ErrorStatus, err: errors.Errorf("endpoint answered %d", a.resp.StatusCode)}
-		body, more, err := a.resp.ReadAll(maxBufferedAnswer)
-		a.resp.Close(err == nil && !more)
-		if err == nil && !more {
+		if a.partial {
+			a.resp.Close(false)
+			return r
+		}
+		body, _, err := a.resp.ReadAll(maxBufferedAnswer)
+		a.resp.Close(err == nil)
+		if err == nil {
 			x.f.h.opts.Codec.PassOn(a.resp.Header)
 			r.answer = &bufferedAnswer{a.resp.StatusCode, a.resp.Header, body}
 		}
--- a/internal/host/hedgedsend_test.go
+++ b/internal/host/hedgedsend_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -699,7 +700,7 @@
 		{"empty", "", false},
 	} {
 		r := bufio.NewReaderSize(strings.NewReader(c.in), 16)
-		begin, err := readFirstEvent(r)
+		begin, err := readFirstEvent(r, nil)
 		if begun := err == nil; begun != c.begun {
 			t.Errorf("%s: begun %v, %v", c.name, begun, err)
 		}
@@ -709,7 +710,69 @@
 		}
 	}
 	endless := io.MultiReader(strings.NewReader(strings.Repeat(": x\n\n", maxEventBytes)))
-	if begin, err := readFirstEvent(endless); err == nil || len(begin) > maxEventBytes {
+	if begin, err := readFirstEvent(endless, nil); err == nil || len(begin) > maxEventBytes {
 		t.Errorf("%d bytes of comments read, %v", len(begin), err)
 	}
 }
+
+// TestEndlessHedgedAnswers has an endpoint answer many requests that may be hedged with errors or events that do not end. It guards
+// against a host that keeps more of them than its memory has room for.
+func TestEndlessHedgedAnswers(t *testing.T) {
+	const memoryMB, requests = 64, 150
+	for path, begin := range map[string]string{
+		idempotentRoute: "HTTP/1.1 500 Internal Server Error\r\nX-Id: %s\r\n\r\n", resumeRoute: answerHead + "%s\r\nContent-Type: text/event-stream\r\n\r\ndata: ",
+	} {
+		t.Run(path, func(t *testing.T) {
+			s := newScriptedServer(t, func(_ int64, id string, w io.Writer) bool {
+				fmt.Fprintf(w, begin, id)
+				io.WriteString(w, strings.Repeat("x", maxBufferedAnswer-1000))
+				io.Copy(io.Discard, w.(*countingWriter).Conn) // until the host closes the connection
+				return false
+			})
+			h, url := newScriptedHost(t, s)
+			h.opts.HedgeShare = 0.5
+			h.activeDeployment.Store(&fleet.Deployment{Host: "h0", MemoryMB: memoryMB, RetryRatio: 1, RetryExtra: 100, RetryWindow: 10 * time.Second})
+			v := *h.directory.view()
+			v.Endpoints = []fleet.Endpoint{{ID: "e0", Service: "s", Address: s.address, Slots: 2 * requests}}
+			h.directory.currentView.Store(&v)
+			var before, during runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var wg sync.WaitGroup
+			for i := range requests {
+				wg.Go(func() {
+					req, err := http.NewRequestWithContext(t.Context(), "GET", url+path, nil)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					req.Header.Set("X-Id", fmt.Sprint("r", i))
+					req.Header.Set("X-Deadline", "2000")
+					resp, err := http.DefaultClient.Do(req)
+					if err != nil {
+						return
+					}
+					defer resp.Body.Close()
+					if _, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == http.StatusOK {
+						t.Errorf("status %d as if complete", resp.StatusCode)
+					}
+				})
+			}
+			time.Sleep(700 * time.Millisecond)
+			runtime.GC()
+			runtime.ReadMemStats(&during)
+			wg.Wait()
+			if n := s.requests.Load(); n < requests/2 {
+				t.Errorf("the endpoint got %d requests only", n)
+			}
+			if grown := int64(during.HeapAlloc) - int64(before.HeapAlloc); grown > memoryMB<<20 {
+				t.Errorf("%d MB are kept of %d answers", grown>>20, requests)
+			}
+			for kind, n := range h.requestPool.Held().Bytes() {
+				if n != 0 {
+					t.Errorf("%d bytes of kind %s are still held", n, kind)
+				}
+			}
+		})
+	}
+}
