--- a/internal/upstream/heldrules.go
+++ b/internal/upstream/heldrules.go
@@ -85,12 +85,12 @@
 		}
 		return HeldAdmit
 	}
-	if kind == HeldEvents && overConnection || kind == HeldHead && over {
-		return HeldEnd
-	}
-	if kind == HeldHead {
+	if kind == HeldHead && !over {
 		return HeldAdmit
 	}
+	if kind == HeldHead || kind == HeldEvents && overConnection {
+		return HeldEnd
+	}
 	small := u.Connection+need <= smallAnswerBytes
 	if over || !small && l.Pressed(HeldUse{Account: u.Account + need, Host: u.Host + need}) {
 		return HeldSlow
