Bound the bytes of a server that errors quote

What happened: 500 answers whose first line is 60 KB of control bytes made the host take 236 MB on a host that may use 136 MB.

Cause: net/http quotes the line that it can't parse in its error, control bytes four times as long. The error is kept with the request, written to the log, whose queue has 2,048 lines, and by an entry to its caller.

Change: httphead.ShortenError keeps the first 256 bytes of a long error; both places where heads are read use it. Errors that quote the id in an answer keep 64 bytes of it.

--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -221,7 +221,7 @@
 	}
 	defer resp.Body.Close()
 	if got := resp.Header.Get("X-Request-Id"); got != "" && got != s.x.id {
-		return nil, attempt.Unknown, errors.Errorf("answer carries request id %q, want %q", got, s.x.id)
+		return nil, attempt.Unknown, errors.Errorf("answer carries request id %.64q, want %q", got, s.x.id)
 	}
 	s.held.Release() // an attempt before has kept nothing
 	body, more, _, err := upstream.ReadWithin(resp.Body, resp.ContentLength, s.e.opts.MaxAnswer, &s.held)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -116,7 +116,7 @@
 		return to.refused(resp)
 	}
 	if got := resp.Header.Get("X-Request-Id"); got != r.upstream {
-		return result{outcome: attempt.Unknown, err: errors.Errorf("answer carries request id %q, want %q", got, r.upstream)}
+		return result{outcome: attempt.Unknown, err: errors.Errorf("answer carries request id %.64q, want %q", got, r.upstream)}
 	}
 	body := &heldEvents{r: resp.Body, held: r.e.held.NewWithin(upstream.HeldEvents, r.x.caller.Name, r.e.opts.answerLimits())}
 	defer body.release()
--- a/internal/host/exchange.go
+++ b/internal/host/exchange.go
@@ -578,7 +578,7 @@
 func (x *exchange) checkOwner(resp *upstream.Response, a *fleet.Answer) error {
 	switch {
 	case a.RequestID != "" && a.RequestID != x.q.ID:
-		return errors.Errorf("response belongs to request %s", a.RequestID)
+		return errors.Errorf("response belongs to request %.64q", a.RequestID)
 	case a.RequestID == "" && x.q.ID != "" && resp.Reused:
 		return errors.New("response names no request, on a connection that was used before")
 	}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/juju/errors"
 	"golang.org/x/net/http/httpguts"
@@ -11,6 +12,18 @@
 // minFinalStatus is the lowest status of a response that answers a request.
 const minFinalStatus = http.StatusOK
 
+// maxErrorBytes is the length of the longest text of an error. net/http quotes lines of a head in its errors, which reach logs and
+// callers.
+const maxErrorBytes = 256
+
+// ShortenError returns err, or an error with the begin of its text if that is long.
+func ShortenError(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(strings.Clone(text[:maxErrorBytes]) + "...")
+	}
+	return err
+}
+
 // IsInterim reports whether a status announces that the final response follows. Switching protocols ends HTTP instead.
 func IsInterim(status int) bool {
 	return status >= http.StatusContinue && status < minFinalStatus && status != http.StatusSwitchingProtocols
@@ -19,7 +32,7 @@
 // Check returns an error unless the head of a response has a final status and valid field names.
 func Check(resp *http.Response) error {
 	if resp.StatusCode < minFinalStatus {
-		return errors.Errorf("status %q is not that of a final response", resp.Status)
+		return ShortenError(errors.Errorf("status %q is not that of a final response", resp.Status))
 	}
 	return CheckFields(resp.Header)
 }
@@ -29,7 +42,7 @@
 func CheckFields(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return errors.Errorf("field name %q is not a token", name)
+			return ShortenError(errors.Errorf("field name %q is not a token", name))
 		}
 	}
 	return nil
--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -19,7 +19,7 @@
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := t.base.RoundTrip(req)
 	if err != nil {
-		return nil, err
+		return nil, ShortenError(err)
 	}
 	if err := Check(resp); err != nil {
 		resp.Body.Close()
--- a/internal/httphead/transport_test.go
+++ b/internal/httphead/transport_test.go
@@ -12,6 +12,7 @@
 
 	"sycamoredeal/internal/httphead"
 	"sycamoredeal/internal/testbed"
+	"sycamoredeal/internal/upstream"
 )
 
 // TestEndlessHead guards against a head without end of which a reader keeps megabytes.
@@ -81,3 +82,30 @@
 		end()
 	}
 }
+
+// TestErrorsAreShort guards against errors that quote long lines of a head: they are logged, and callers get them.
+func TestErrorsAreShort(t *testing.T) {
+	const most = 300
+	long := strings.Repeat("\x01", 3000)
+	for _, answer := range []string{
+		long + "\r\n\r\n", "HTTP/1.1 000 " + long + "\r\n\r\n", "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nBad Name" + strings.Repeat("x", 3000) + ": x\r\nContent-Length: 0\r\n\r\n",
+	} {
+		address, end, err := testbed.ServeAnswers(func(*http.Request) string { return answer })
+		if err != nil {
+			t.Fatal(err)
+		}
+		req, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := httphead.NewTransport(&http.Transport{}).RoundTrip(req); err == nil || len(err.Error()) > most {
+			t.Errorf("transport: error %.400v", err)
+		}
+		p := upstream.NewPool(0)
+		if _, err := p.RoundTrip(t.Context(), &upstream.Request{Address: address, Method: "GET", Target: "/"}); err == nil || len(err.Error()) > most {
+			t.Errorf("pool: error %.400v", err)
+		}
+		end()
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -293,7 +293,7 @@
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: req.Method})
 		if err != nil {
-			return nil, err
+			return nil, httphead.ShortenError(err)
 		}
 		// A sound server folds no lines (RFC 9112, section 5.2), so the blank is a part of a malformed name.
 		if x.conn.head.folded(x.conn.reader.Buffered()) {
--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -72,6 +72,7 @@
 	for name, a := range map[string]platformtest.EndlessAnswer{
 		"fields":     head(platformtest.SuccessHead, shortField),
 		"long field": head(platformtest.SuccessHead+"X: ", repeated("y")),
+		"no HTTP":    head(strings.Repeat("\x01", endlessHeadBytes)+"\r\n", repeated("\x01")),
 		"refusal":    endlessBody(platformtest.RefusalHead),
 		"error":      endlessBody(platformtest.ErrorHead),
 		"body":       endlessBody(platformtest.SuccessHead),
