Read back before an old index refuses an idempotency key

Cause: an owner that has read a shard refuses claims from its index, without a call of the platform, and learns of another owner's records only by a conflict of its own next write. Here a claim that had timed out at its entry was stored at one owner, the restarted owner read the shard, and the release was stored by a third. The restarted owner was asked first and had nothing left to write. In the same way an answered call lost its outcome when the result reached an owner that had not seen the claim.

Change: what the index decides without a write, by a record that is not final, needs an index of at most 500 ms; else the open segment is read first. That is at most two reads a second and shard.

Why it works: a write without a conflict and a read both prove the index at their time, and a final outcome is never replaced.

claims.TestOldIndex fails on the code before in all 6 cases.

--- a/internal/claims/machine.go
+++ b/internal/claims/machine.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -15,6 +16,9 @@
 	// writes/s of the several hundred that the platform allows. A lone claim finds the gap over and is written at once.
 	writeGap    = 100 * time.Millisecond
 	outagePause = 1 * time.Second // claims are answered at once for so long after the platform failed
+	// maxIndexAge is the age of an index that may refuse a key whose outcome is open. It bounds the reads of a shard to two a
+	// second.
+	maxIndexAge = 500 * time.Millisecond
 )
 
 // Action is an order to the I/O layer. A Load, Write or Delete is answered by Loaded, Written or Deleted; at most one
@@ -81,6 +85,9 @@
 // version of the open segment, and a segment is sealed by such a write before the next is created: a machine that has
 // missed a record of another one gets a conflict and reloads. A machine that has been idle for half of the retention
 // reloads everything first, because segments that it has not seen may have been dropped by then.
+//
+// A write that meets no conflict proves that the index was current. What the index decides without a write may be out of
+// date, unless the outcome of the key is final: the machine reads back first if its index is older than maxIndexAge.
 type Machine struct {
 	shard     int
 	retention time.Duration
@@ -277,8 +284,10 @@
 	if m.busy || now.Before(m.down) {
 		return out
 	}
-	if m.loaded && now.Sub(m.synced) > m.retention/2 {
+	if age := now.Sub(m.synced); m.loaded && age > m.retention/2 {
 		m.loaded, m.all = false, true
+	} else if m.loaded && age > maxIndexAge && slices.ContainsFunc(m.waiting, m.mayBeOutdated) {
+		m.loaded = false
 	}
 	idle := len(m.waiting) == 0
 	if idle && (m.loaded || len(m.segments) == 0) {
@@ -351,6 +360,17 @@
 	return keyID{p.result.Caller, p.result.Key}
 }
 
+// mayBeOutdated reports whether the index decides an input without a write, by what another machine may have replaced.
+func (m *Machine) mayBeOutdated(p pending) bool {
+	h := m.index[p.id()]
+	if p.claim != nil {
+		_, released := m.released[p.claim.Attempt]
+		return !released && h != nil && (h.Outcome == 0 || h.Outcome == attempt.Unknown)
+	}
+	_, released := m.released[p.result.Attempt]
+	return !released && !attempt.Outcome(p.result.Outcome).NotExecuted() && (h == nil || h.Attempt != p.result.Attempt)
+}
+
 // decide returns the record to write, or the final answer if none is needed.
 func (m *Machine) decide(p pending, h *holding) (Record, Action) {
 	if p.claim == nil {
--- a/internal/claims/machine_test.go
+++ b/internal/claims/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +24,7 @@
 	released map[string]bool  // attempts that the platform shows as released
 	freed    map[string]bool  // attempts whose release is confirmed
 	last     *wire.ClaimReply // latest reply to a claim
+	replies  map[uint64]wire.ClaimReply
 	failed   string
 }
 
@@ -34,7 +36,7 @@
 }
 
 func newWorld(n int, retention time.Duration) *world {
-	w := &world{now: time.Unix(1000, 0), objects: make(map[uint64]Stored), holder: make(map[string]string), released: make(map[string]bool), freed: make(map[string]bool)}
+	w := &world{now: time.Unix(1000, 0), objects: make(map[uint64]Stored), holder: make(map[string]string), released: make(map[string]bool), freed: make(map[string]bool), replies: make(map[uint64]wire.ClaimReply)}
 	for range n {
 		w.machines = append(w.machines, &owner{m: NewMachine(3, retention), pending: make(map[uint64]wire.ClaimRequest), results: make(map[uint64]string)})
 	}
@@ -73,7 +75,7 @@
 	for _, a := range as {
 		switch a := a.(type) {
 		case Reply:
-			w.last = &a.ClaimReply
+			w.last, w.replies[a.Token] = &a.ClaimReply, a.ClaimReply
 			c := o.pending[a.Token]
 			if a.State != wire.ClaimGranted {
 				continue
@@ -190,6 +192,10 @@
 				t.Fatal(w.failed)
 			}
 		}
+		w.checkAgreement()
+		if w.failed != "" {
+			t.Fatal(w.failed)
+		}
 	})
 }
 
@@ -202,6 +208,90 @@
 	}
 }
 
+// drain lets time pass without faults until no machine has anything to do. Each input may take a write of its own.
+func (w *world) drain() {
+	for n := 0; n == 0 || slices.ContainsFunc(w.machines, func(o *owner) bool { return len(o.m.waiting) > 0 }); n++ {
+		if n == 1000 {
+			w.failed = "an input is never answered"
+			return
+		}
+		w.now = w.now.Add(2 * outagePause)
+		for _, o := range w.machines {
+			w.take(o, o.m.Tick(w.now))
+		}
+		w.settle()
+	}
+}
+
+// claimLater makes a claim without faults some time after everything before it.
+func (w *world) claimLater(o *owner, c wire.ClaimRequest) wire.ClaimReply {
+	w.drain()
+	w.now = w.now.Add(time.Second)
+	token := uint64(1<<20 + len(w.replies))
+	o.pending[token] = c
+	w.take(o, o.m.Claim(w.now, token, c))
+	w.settle()
+	w.drain()
+	return w.replies[token]
+}
+
+// checkAgreement ends the faults and looks for a machine whose answer to a claim is not what the platform has stored.
+func (w *world) checkAgreement() {
+	w.settle()
+	for i, o := range w.machines {
+		for _, key := range []string{"k0", "k1", "k2"} {
+			c := wire.ClaimRequest{Caller: "c", Key: key, Attempt: fmt.Sprint("last", i, key)}
+			got := w.claimLater(o, c)
+			m := NewMachine(3, 0)
+			m.install(w.load(Load{All: true}))
+			h := m.index[keyID{"c", key}]
+			want := wire.ClaimReply{State: wire.ClaimGranted}
+			if h != nil && h.Attempt != c.Attempt {
+				want = wire.ClaimReply{State: wire.ClaimTaken, Outcome: uint8(h.Outcome), Status: h.Status}
+			}
+			if got != want {
+				w.failed = fmt.Sprintf("claim of %s at machine %d: %+v, want %+v", key, i, got, want)
+			}
+		}
+	}
+}
+
+// TestOldIndex guards against a key that one owner refuses for good although another has recorded that its attempt was
+// not run, and against outcomes that are lost because the owner that gets them has not seen the claim.
+func TestOldIndex(t *testing.T) {
+	claim := wire.ClaimRequest{Caller: "c", Key: "k", Attempt: "a", Fingerprint: 1}
+	for _, c := range []struct {
+		name    string
+		outcome attempt.Outcome
+		next    wire.ClaimRequest
+		want    wire.ClaimReply
+	}{
+		{"released", attempt.NotSent, wire.ClaimRequest{Caller: "c", Key: "k", Attempt: "b", Fingerprint: 1}, wire.ClaimReply{State: wire.ClaimGranted}},
+		{"released, another request", attempt.NotSent, wire.ClaimRequest{Caller: "c", Key: "k", Attempt: "b", Fingerprint: 2}, wire.ClaimReply{State: wire.ClaimGranted}},
+		{"answered", attempt.Answered, wire.ClaimRequest{Caller: "c", Key: "k", Attempt: "b", Fingerprint: 1},
+			wire.ClaimReply{State: wire.ClaimTaken, Outcome: uint8(attempt.Answered), Status: 201}},
+	} {
+		for _, order := range []string{"the refusing owner has the claim", "the recording owner has not seen the claim"} {
+			t.Run(c.name+"/"+order, func(t *testing.T) {
+				w := newWorld(2, 0)
+				one, two := w.machines[0], w.machines[1]
+				w.claimLater(two, wire.ClaimRequest{Caller: "c", Key: "other", Attempt: "x"}) // the second owner has read the shard
+				if r := w.claimLater(one, claim); r.State != wire.ClaimGranted {
+					t.Fatalf("first claim: %+v", r)
+				}
+				if order == "the refusing owner has the claim" {
+					w.claimLater(two, claim)
+				}
+				w.take(two, two.m.Result(w.now, 7, wire.ClaimResult{Caller: "c", Key: "k", Attempt: "a", Outcome: uint8(c.outcome), Status: c.want.Status}))
+				w.settle()
+				if r := w.claimLater(one, c.next); r != c.want {
+					t.Errorf("next claim: %+v, want %+v", r, c.want)
+				}
+			})
+		}
+	}
+}
+
 // TestSealAndDrop guards against segments that grow without bound, lose keys at a seal, or are never dropped.
 func TestSealAndDrop(t *testing.T) {
 	w := newWorld(1, time.Hour)
