Release a claim that was refused after an owner did not answer

What callers would see: a key is answered with 409 "unknown" for good although no call with it was run.

Cause: a claim that got no reply from one owner is asked of the next. If that one answers "not available", the entry releases the claim, since it may still take effect at the first; if it answers "already used" or "used with a different request", it did not. When the key was then released by the attempt that held it, and the first owner went on, the old claim took the key.

Evidence: entry.TestAbandonedClaim, a suspended owner beside one that works: failed 3 of 3 before ("state 2", taken, for 4 s after the release), passes 5 of 5.

Change: every reply but a grant releases a claim that another owner may hold.

Why it works: a release is stored even if the claim is not found, and no owner grants a released attempt. One more record is written only where an owner did not answer.

--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -123,7 +123,8 @@
 	for _, addr := range owners(c.view(), c.base.Hello.Cell, claims.ShardOf(r.Caller, r.Key), c.local) {
 		m, err := c.call(ctx, addr, &r, claimTimeout)
 		if reply, ok := m.(*wire.ClaimReply); ok && err == nil {
-			if reply.State == wire.ClaimUnavailable && (sent || !attempt.Outcome(reply.Outcome).NotExecuted()) {
+			unclear := reply.State == wire.ClaimUnavailable && !attempt.Outcome(reply.Outcome).NotExecuted()
+			if unclear || sent && reply.State != wire.ClaimGranted {
 				c.abandon(r)
 			}
 			return *reply
--- a/internal/entry/claimclient_test.go
+++ b/internal/entry/claimclient_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"sycamoredeal/internal/attempt"
 	"sycamoredeal/internal/claims"
 	"sycamoredeal/internal/claimstore"
 	"sycamoredeal/internal/config"
@@ -144,3 +146,68 @@
 		t.Errorf("all shards are owned by one cell")
 	}
 }
+
+// TestAbandonedClaim guards against a key that stays taken because a claim reaches a suspended owner, is refused by the
+// next one, and takes effect when the suspended owner goes on after the key was released.
+func TestAbandonedClaim(t *testing.T) {
+	plat := httptest.NewServer(standin.New())
+	t.Cleanup(plat.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s := claimstore.New(claimstore.Deps{Store: objects.NewClient(plat.URL, ""), Log: telemetry.Discard()})
+	go s.Run(ctx)
+	type input struct {
+		conn *transport.Conn
+		corr uint64
+		m    wire.Message
+	}
+	suspended := make(chan input, 100)
+	srv, err := transport.Listen(ctx, "127.0.0.1:0", transport.Options{Handler: func(c *transport.Conn, corr uint64, m wire.Message) { suspended <- input{c, corr, m} }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := wire.Member{Host: "h1", ControlAddress: srv.Addr()}
+	addr, _ := claimOwner(t, plat.URL)
+	two := wire.Member{Host: "h2", ControlAddress: addr}
+	client := func(members ...wire.Member) *claimClient {
+		view := &routing.View{Members: members}
+		c := newClaimClient(func() *routing.View { return view }, Options{}, nil)
+		t.Cleanup(func() { c.cancel() })
+		return c
+	}
+	both := client(one, two)
+	claim := wire.ClaimRequest{Caller: "c", Attempt: "first"}
+	for i := 0; claim.Key == "" || owners(both.view(), "", claims.ShardOf("c", claim.Key), "")[0] != one.ControlAddress; i++ {
+		claim.Key = fmt.Sprint("k", i)
+	}
+	expect := func(c *claimClient, attempt string, want wire.ClaimState) {
+		t.Helper()
+		claim.Attempt = attempt
+		if r := c.Claim(ctx, claim); r.State != want {
+			t.Fatalf("claim of %s: %+v, want state %d", attempt, r, want)
+		}
+	}
+	other := client(two)
+	expect(other, "first", wire.ClaimGranted)
+	expect(both, "second", wire.ClaimTaken)
+	other.Finish(wire.ClaimResult{Caller: "c", Key: claim.Key, Attempt: "first", Outcome: uint8(attempt.NotSent)})
+	go func() {
+		for {
+			select {
+			case in := <-suspended:
+				s.Handle(in.conn, in.corr, in.m)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	resumed := client(one)
+	claim.Attempt = "third"
+	r := resumed.Claim(ctx, claim)
+	for end := time.Now().Add(4 * time.Second); r.State != wire.ClaimGranted && time.Now().Before(end); r = resumed.Claim(ctx, claim) {
+		time.Sleep(200 * time.Millisecond)
+	}
+	if r.State != wire.ClaimGranted {
+		t.Errorf("claim after the key was released: %+v, want granted", r)
+	}
+}
