--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -123,6 +123,7 @@
 	for _, addr := range owners(c.view(), c.base.Hello.Cell, claims.ShardOf(r.Caller, r.Key), c.local) {
 		m, err := c.call(ctx, addr, &r, claimTimeout)
 		if reply, ok := m.(*wire.ClaimReply); ok && err == nil {
+			// No attempt may be left at an owner that can still store it: nobody would record its end.
 			unclear := reply.State == wire.ClaimUnavailable && !attempt.Outcome(reply.Outcome).NotExecuted()
 			if unclear || sent && reply.State != wire.ClaimGranted {
 				c.abandon(r)
--- a/internal/entry/claimclient_test.go
+++ b/internal/entry/claimclient_test.go
@@ -176,15 +176,15 @@
 		return c
 	}
 	both := client(one, two)
-	claim := wire.ClaimRequest{Caller: "c", Attempt: "first"}
+	claim := wire.ClaimRequest{Caller: "c"}
 	for i := 0; claim.Key == "" || owners(both.view(), "", claims.ShardOf("c", claim.Key), "")[0] != one.ControlAddress; i++ {
 		claim.Key = fmt.Sprint("k", i)
 	}
-	expect := func(c *claimClient, attempt string, want wire.ClaimState) {
+	expect := func(c *claimClient, id string, want wire.ClaimState) {
 		t.Helper()
-		claim.Attempt = attempt
+		claim.Attempt = id
 		if r := c.Claim(ctx, claim); r.State != want {
-			t.Fatalf("claim of %s: %+v, want state %d", attempt, r, want)
+			t.Fatalf("claim of %s: %+v, want state %d", id, r, want)
 		}
 	}
 	other := client(two)
--- a/internal/host/malformedhead_test.go
+++ b/internal/host/malformedhead_test.go
@@ -133,14 +133,14 @@
 					return true
 				})
 				_, url := newScriptedHost(t, s)
-				got, header := rawAnswer(t, url, path)
+				status, gotBody, gotHead := rawAnswer(t, url, path)
 				final := head[strings.LastIndex(head, "HTTP/1."):]
-				if want := final[len("HTTP/1.1 "):][:3]; got.status != want || got.body != body {
-					t.Errorf("status %s, body %q, want status %s", got.status, got.body, want)
+				if want := final[len("HTTP/1.1 "):][:3]; status != want || gotBody != body {
+					t.Errorf("status %s, body %q, want status %s", status, gotBody, want)
 				}
 				for _, line := range []string{"!#$%&'*+-.^_`|~09aZ: v\r\n", "X-Empty: \r\n", "X-Text: a\tb \xe4\r\n"} {
-					if !strings.Contains(strings.ToLower(header), strings.ToLower(line)) {
-						t.Errorf("%q is missing in the head %q", line, header)
+					if !strings.Contains(strings.ToLower(gotHead), strings.ToLower(line)) {
+						t.Errorf("%q is missing in the head %q", line, gotHead)
 					}
 				}
 			})
@@ -148,11 +148,8 @@
 	}
 }
 
-// rawResult is an answer as its bytes show it.
-type rawResult struct{ status, body string }
-
-// rawAnswer sends a request on a connection of its own, and returns the answer and its head.
-func rawAnswer(t *testing.T, url, path string) (rawResult, string) {
+// rawAnswer sends a request on a connection of its own, and returns the answer as its bytes show it.
+func rawAnswer(t *testing.T, url, path string) (status, body, head string) {
 	t.Helper()
 	c, err := net.Dial("tcp4", strings.TrimPrefix(url, "http://"))
 	if err != nil {
@@ -165,14 +162,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	head, _, _ := strings.Cut(string(raw), "\r\n\r\n")
+	head, _, _ = strings.Cut(string(raw), "\r\n\r\n")
 	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(string(raw))), nil)
 	if err != nil {
 		t.Fatalf("%q: %v", raw, err)
 	}
-	body, err := io.ReadAll(resp.Body)
+	content, err := io.ReadAll(resp.Body)
 	if err != nil {
 		t.Fatalf("%q: %v", raw, err)
 	}
-	return rawResult{head[len("HTTP/1.1 "):][:3], string(body)}, head + "\r\n"
+	return head[len("HTTP/1.1 "):][:3], string(content), head + "\r\n"
 }
--- a/test/integration/integrity_test.go
+++ b/test/integration/integrity_test.go
@@ -299,7 +299,7 @@
 			f.t.Errorf("%s: key %s was executed %d times", name, list[0].key, ran)
 		}
 		if !integritySettled(list) {
-			f.t.Errorf("%s: key %s was executed %d times and has no outcome; %d calls, the first were told %+v", name, list[0].key, ran, len(list), list[:min(6, len(list))])
+			f.t.Errorf("%s: key %s was executed %d times and has no outcome; of %d calls, the first were told %+v, the last %+v", name, list[0].key, ran, len(list), list[:min(6, len(list))], list[len(list)-1])
 		}
 	}
 	f.t.Logf("%s: %d keys, %d calls, %d answered, %d not run, %d unknown or broken", name, len(results), calls, answered, again, unknown)
