Keep the ports of test binaries apart

Cause: testbed.FreeAddr keeps its addresses apart within one process only. A host of the soak that is down for 2 s does not listen meanwhile, and another test binary (that of the entry was rebuilt and ran at the same time) can draw the same port. The host then ends at each start until that test is over.

Evidence: two processes that draw 1,000 addresses each shared 42 (testbed.TestFreeAddrOfProcesses, failed before).

Change: a process takes blocks of 100 ports and listens on the first of each until it ends. The soak's report quotes the last line of a process that ended.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -209,7 +209,8 @@
 	h.endedOutput = append(h.endedOutput, p.Output())
 	h.mu.Unlock()
 	if !endExpected {
-		h.fleet.audit.Report("END", "the process of %s ended unexpectedly", h.name)
+		lines := strings.Split(strings.TrimSpace(p.Output()), "\n")
+		h.fleet.audit.Report("END", "the process of %s ended unexpectedly, its last line is %.300q", h.name, lines[len(lines)-1])
 	}
 	time.Sleep(restartDelay)
 	h.fleet.mu.Lock()
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -115,37 +115,60 @@
 // Range of the ports that FreeAddr returns. It lies below the ephemeral ports of Linux. An ephemeral port could be taken by
 // an outgoing connection before the process that is to listen on it has started.
 const (
-	firstPort = 10000
-	lastPort  = 32000
+	firstPort  = 10000
+	lastPort   = 32000
+	blockPorts = 100 // of which one process takes all
 )
 
 var (
-	usedPortsMu sync.Mutex
-	usedPorts   = make(map[int]bool)
+	portsMu   sync.Mutex
+	freePorts []int          // of the blocks that this process holds
+	blocks    []net.Listener // on the first port of each of them
 )
 
-// FreeAddr returns an unused TCP address on the loopback interface, a different one at each call.
+// FreeAddr returns an unused TCP address on the loopback interface, a different one at each call, also of other processes that run
+// at the same time.
 func FreeAddr() string {
-	usedPortsMu.Lock()
-	defer usedPortsMu.Unlock()
+	portsMu.Lock()
+	defer portsMu.Unlock()
 	for {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		if usedPorts[port] {
-			continue
+		if len(freePorts) == 0 {
+			holdBlock()
 		}
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
-		ln, err := net.Listen("tcp", addr)
-		if errors.Is(err, syscall.EADDRINUSE) {
-			continue
-		} else if err != nil {
-			panic(err)
+		port := freePorts[0]
+		freePorts = freePorts[1:]
+		if ln := listenOn(port); ln != nil {
+			ln.Close()
+			return ln.Addr().String()
 		}
-		ln.Close()
-		usedPorts[port] = true
-		return addr
 	}
 }
 
+// holdBlock takes a block of ports for this process: no other one can listen on its first port until this process ends. The caller
+// holds the lock.
+func holdBlock() {
+	for _, i := range rand.Perm((lastPort - firstPort) / blockPorts) {
+		first := firstPort + i*blockPorts
+		if ln := listenOn(first); ln != nil {
+			blocks = append(blocks, ln)
+			for port := first + 1; port < first+blockPorts; port++ {
+				freePorts = append(freePorts, port)
+			}
+			return
+		}
+	}
+	panic("testbed: no port is free")
+}
+
+// listenOn returns a listener on a port of the loopback interface, or nil if the port is in use.
+func listenOn(port int) net.Listener {
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	if err != nil && !errors.Is(err, syscall.EADDRINUSE) {
+		panic(err)
+	}
+	return ln
+}
+
 // Start starts a program of the project. The name of the process appears in errors.
 func (b *Testbed) Start(name, program string, args ...string) (*Process, error) {
 	p := &Process{Name: name, cmd: exec.Command(filepath.Join(b.programDir, program), args...), output: &syncBuffer{}, done: make(chan struct{})}
