Tell an orderly end of an answer from a reset during an upload

What callers saw: a server answered an upload of 1 MB with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written, or closed it with the upload unread, which is the same to the kernel. The caller got the part as a complete answer, on every kind of route.

Cause: the kernel reports a reset to one system call only. The goroutine that writes the request took the error; the read that followed returned EOF, which is the end of an answer without a length. A look at the socket for unread bytes (Response.Pending) takes the error in the same way. Beside it, a server that closes its connection while its receive buffer is empty ends it in order first and resets it only when the next part of the upload arrives.

Change: upstream.EndError decides at the end of an answer without a length by the state of the connection, which a reset changes for good, whoever was told of it. While a part of the request is on its way, it waits until the peer has acknowledged or reset that part. A peer that has shut down its own side only and takes nothing more for a second has ended its answer in order. Refusals without a length are not read to their end, since their connection can't be reused. The check is in the Read of the connection, so that answers that are kept, passed on, resumed and hedged have it. An answer that was reset counts as before: unknown outcome, fault of the endpoint.

--- a/internal/host/heldbytes_slow_test.go
+++ b/internal/host/heldbytes_slow_test.go
@@ -19,7 +19,7 @@
 	"sycamoredeal/internal/upstream"
 )
 
-// accountCodec is a testCodec that reads the account of a request from X-Account, and passes bodies on.
+// accountCodec is a testCodec that reads the account of a request from X-Account.
 type accountCodec struct{ testCodec }
 
 func (c accountCodec) Request(h http.Header, q *fleet.Request) {
@@ -29,12 +29,6 @@
 	}
 }
 
-func (c accountCodec) Outgoing(q *fleet.Request, e *fleet.Endpoint, left time.Duration, after string) *upstream.Request {
-	r := c.testCodec.Outgoing(q, e, left, after)
-	r.Body = q.Body
-	return r
-}
-
 // newSlowReadHost starts a host like newScriptedHost, with the sockets of front's own server, many slots, and a memory limit.
 func newSlowReadHost(t *testing.T, memoryMB int, servers ...*scriptedServer) (*Host, string) {
 	t.Helper()
--- a/internal/host/troubled_test.go
+++ b/internal/host/troubled_test.go
@@ -37,7 +37,7 @@
 }
 
 func (testCodec) Outgoing(q *fleet.Request, e *fleet.Endpoint, _ time.Duration, after string) *upstream.Request {
-	return &upstream.Request{Address: e.Address, Method: q.Method, Target: q.Target, Header: http.Header{"X-Id": {q.ID}, "X-After": {after}}}
+	return &upstream.Request{Address: e.Address, Method: q.Method, Target: q.Target, Body: q.Body, Header: http.Header{"X-Id": {q.ID}, "X-After": {after}}}
 }
 
 func (testCodec) Answer(_ int, h http.Header) fleet.Answer {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,10 +45,14 @@
 	idleTimeout time.Duration // from the last response
 	reused      bool          // has carried an earlier request
 
+	endsResponse bool        // the end of the connection is that of the response
+	written      atomic.Bool // the request was passed to the socket, or its write has failed
+
 	unreadTolerated atomic.Bool // TCP_USER_TIMEOUT is unreadBodyTimeout
 }
 
-// Read returns errHeaderTooLong once readLimit bytes have been read, and a *HeldError if there is no memory for more of a header.
+// Read returns errHeaderTooLong once readLimit bytes have been read, a *HeldError if there is no memory for more of a header, and
+// EndError in place of io.EOF at the end of a response that has no length.
 // http.ReadResponse doesn't limit the size of a header, so an endpoint could otherwise fill the memory with one.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.readLimit <= 0 {
@@ -62,6 +67,9 @@
 		p = p[:c.readLimit]
 	}
 	n, err := c.Conn.Read(p)
+	if err == io.EOF && c.endsResponse {
+		err = EndError(c.Conn, c.written.Load)
+	}
 	c.readLimit -= int64(n)
 	if c.head.active {
 		c.head.add(p[:n])
--- /dev/null
+++ b/internal/upstream/connend.go
@@ -0,0 +1,67 @@
+package upstream
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// tcpStateClose is TCP_CLOSE of the kernel, the state of a connection that was reset or has timed out. One that the peer has
+	// ended in order is in TCP_CLOSE_WAIT.
+	tcpStateClose = 7
+	// Pauses between two looks at a connection whose peer has ended its response and has not received all of the request.
+	minEndPause = time.Millisecond
+	maxEndPause = 20 * time.Millisecond
+	// maxEndUnread is how long such a peer may take nothing more of the request until its end counts as orderly. It has only shut down
+	// its own side: closing the connection with unread bytes would have reset it.
+	maxEndUnread = time.Second
+)
+
+var errResetAtEnd = fmt.Errorf("the connection was reset at the end of the response: %w", syscall.ECONNRESET)
+
+// EndError returns the error that takes the place of an io.EOF of a connection's Read: io.EOF itself only if the peer ended the
+// connection in order. The EOF alone doesn't tell, because the kernel reports a reset to one system call only. If that was a write of
+// the request or a look at unread bytes, the next read returns EOF.
+//
+// While a part of the request is on its way, EndError waits until the peer has acknowledged or reset it: a peer that closes the
+// connection while its receive buffer is empty ends it first and resets it when the next part arrives. written reports whether the whole
+// request was passed to the connection.
+func EndError(c net.Conn, written func() bool) error {
+	acked, ackedAt := uint64(0), time.Now()
+	for pause := minEndPause; ; pause = min(2*pause, maxEndPause) {
+		whole := written() // before the look, which would miss what is written after it
+		info, err := tcpInfo(c)
+		switch {
+		case err != nil:
+			return err
+		case info == nil:
+			return io.EOF
+		case info.State == tcpStateClose:
+			return errResetAtEnd
+		case whole && info.Unacked == 0 && info.Notsent_bytes == 0:
+			return io.EOF
+		case info.Unacked > 0 || info.Bytes_acked != acked:
+			acked, ackedAt = info.Bytes_acked, time.Now()
+		case time.Since(ackedAt) >= maxEndUnread:
+			return io.EOF
+		}
+		time.Sleep(pause)
+	}
+}
+
+// tcpInfo returns the kernel's state of a connection, nil if it has no socket.
+func tcpInfo(c net.Conn) (info *unix.TCPInfo, err error) {
+	hasSocket, controlErr := controlSocket(c, func(fd int) { info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if !hasSocket {
+		return nil, nil
+	}
+	if controlErr != nil {
+		return nil, controlErr
+	}
+	return info, err
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -260,17 +260,18 @@
 func (x *exchange) roundTrip(req *Request) (*Response, error) {
 	head := encodeHead(req)
 	x.conn.readLimit = maxHeaderBytes
+	x.conn.written.Store(false)
 	x.conn.head.begin(x.pool.newHeadHolding())
 	if len(head)+len(req.Body) <= maxInlineRequestBytes {
 		n, err := x.conn.Write(append(head, req.Body...))
-		x.writeResult <- err
+		x.finishWrite(err)
 		if err != nil {
 			return nil, &Error{MaybeSent: n > 0, Err: err}
 		}
 	} else {
 		n, err := x.conn.Write(head)
 		if err != nil {
-			x.writeResult <- err
+			x.finishWrite(err)
 			return nil, &Error{MaybeSent: n > 0, Err: err}
 		}
 		// A server may respond before it has read a long body and read the rest afterwards, so the write goes on after the
@@ -278,7 +279,7 @@
 		defer x.conn.watchUnreadBody()()
 		go func() {
 			_, err := x.conn.Write(req.Body)
-			x.writeResult <- err
+			x.finishWrite(err)
 		}()
 	}
 	resp, err := x.readResponse(req)
@@ -288,6 +289,12 @@
 	return resp, nil
 }
 
+// finishWrite records that the request was passed to the socket, or that this failed.
+func (x *exchange) finishWrite(err error) {
+	x.conn.written.Store(true)
+	x.writeResult <- err
+}
+
 // readResponse reads the header of the final response. It skips interim responses and rejects malformed ones.
 func (x *exchange) readResponse(req *Request) (*Response, error) {
 	for {
@@ -309,6 +316,7 @@
 			return nil, err
 		}
 		x.conn.readLimit, x.conn.head.active = 1<<62, false // the code that reads the body limits its size
+		x.conn.endsResponse = !isFramed(resp) && resp.Body != http.NoBody
 		x.resp = resp
 		return &Response{Response: resp, Reused: x.conn.reused, exchange: x}, nil
 	}
@@ -396,8 +404,11 @@
 }
 
 // Discard reads the rest of the body and keeps none of it, so that the connection can be reused. It returns false if the body is longer
-// than maxBytes or does not end within timeout.
+// than maxBytes, does not end within timeout, or ends with the connection.
 func (r *Response) Discard(maxBytes int64, timeout time.Duration) (whole bool) {
+	if !r.Framed() {
+		return false
+	}
 	c := r.exchange.conn
 	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return false
