Keep the error that ends the body of an answer

Cause: while a caller holds up the first part of a long answer, the host reads ahead and relies on the next read to return an error again. The body of net/http does not: after io.ErrUnexpectedEOF it returns io.EOF, the mark of a complete body. The length of an answer is a field of one connection, so the caller's answer is in chunks, and nothing else shows that it was cut.

Change: the body of a response returns the error that has ended it on every later read, whoever reads it. The codec of the tests drops the length of answers like that of the platform, so that it doesn't cover up a cut one.

--- a/internal/host/troubled_test.go
+++ b/internal/host/troubled_test.go
@@ -25,7 +25,8 @@
 	"sycamoredeal/internal/upstream"
 )
 
-// testCodec is a Codec that reads and writes a few X- headers, and passes the headers of answers on unchanged.
+// testCodec is a Codec that reads and writes a few X- headers. Like the platform's, it passes on the headers of answers without their
+// length, so that a cut answer is not saved by it.
 type testCodec struct{ Codec }
 
 func (testCodec) Request(h http.Header, q *fleet.Request) {
@@ -44,7 +45,7 @@
 	return fleet.Answer{RequestID: h.Get("X-Id"), Sealed: h.Get("X-Seal") != "", NotRun: h.Get("X-Not-Run") != ""}
 }
 
-func (testCodec) PassOn(http.Header) {}
+func (testCodec) PassOn(h http.Header) { h.Del("Content-Length") }
 
 func (testCodec) OwnAnswer(http.Header, string, time.Duration) {}
 
--- a/internal/upstream/connend.go
+++ b/internal/upstream/connend.go
@@ -65,3 +65,19 @@
 	}
 	return info, err
 }
+
+// responseBody is a body that returns the error that has ended it on each later read. The body of net/http returns io.EOF, the mark of
+// a complete body, after io.ErrUnexpectedEOF.
+type responseBody struct {
+	io.ReadCloser
+	err error
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (n int, err error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, b.err = b.ReadCloser.Read(p)
+	return n, b.err
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -317,6 +317,7 @@
 		}
 		x.conn.readLimit, x.conn.head.active = 1<<62, false // the code that reads the body limits its size
 		x.conn.endsResponse = !isFramed(resp) && resp.Body != http.NoBody
+		resp.Body = &responseBody{ReadCloser: resp.Body}
 		x.resp = resp
 		return &Response{Response: resp, Reused: x.conn.reused, exchange: x}, nil
 	}
