Tell an orderly end from a reset in the answers of plain services

A service answered a call of 1 MB with a 200 without a length and reset the connection, or closed it with the call unread; the caller got the part that had arrived as a complete answer. By the code, an idempotency key was recorded as answered.

In net/http, the goroutine that writes the request takes the error of the reset, and the one that reads the body gets EOF when it is as fast.

Change: the connections of an entry, which already tell whether a byte of an attempt was written, use upstream.EndError at the end of a response. A trace of the attempt tells when the request was written whole. An EOF before a byte of the response is passed on as it is, so that net/http still sees that a kept connection was closed.

The other readers over net/http were looked at. Completions of engines and of other entries end with their end marker. Answers and events of the stores and reports of engines are JSON objects, which don't decode when cut. Answers to orders are their status alone.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+
+	"sycamoredeal/internal/testbed"
 )
 
 // TestOutcome guards against a request that is executed twice because it was retried, or reported as not executed, after
@@ -95,3 +100,32 @@
 		t.Fatalf("late write: %v, want %v", err, errWritesBlocked)
 	}
 }
+
+// TestResetAtEndOfAnswer guards against a part of an answer that counts as complete because the reset of its connection was reported
+// to the write of the request instead of the read.
+func TestResetAtEndOfAnswer(t *testing.T) {
+	address, stop, err := testbed.Serve(func(c net.Conn) {
+		io.WriteString(c, "part")
+		io.ReadFull(c, make([]byte, 1))
+		c.(*net.TCPConn).SetLinger(0)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	nc, err := WrapDial((&net.Dialer{}).DialContext)(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.(*TrackedConn).startAttempt()
+	if _, err := io.ReadFull(nc, make([]byte, len("part"))); err != nil {
+		t.Fatal(err)
+	}
+	for err == nil {
+		_, err = nc.Write([]byte("request"))
+	}
+	if n, err := nc.Read(make([]byte, 8)); n > 0 || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read %d bytes with error %v, want that of a reset", n, err)
+	}
+}
--- a/internal/attempt/trace.go
+++ b/internal/attempt/trace.go
@@ -2,26 +2,47 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
+
+	"sycamoredeal/internal/upstream"
 )
 
 // errWritesBlocked is returned by writes to a connection whose attempt has been classified as NotSent.
 var errWritesBlocked = errors.New("attempt ended before its first write")
 
-// TrackedConn is a connection that records whether the current attempt has written to it.
+// TrackedConn is a connection that records whether the current attempt has written to it, and tells an orderly end of the
+// response from a reset.
 //
 // Invariant: after blockWritesIfUnsent has returned true, no byte reaches the peer.
 type TrackedConn struct {
 	net.Conn
+	readStarted atomic.Bool // a part of the current attempt's response was read
+	writing     atomic.Bool // the current attempt's request has not been written whole, and its write has not failed
+
 	mu            sync.Mutex
 	writeStarted  bool // by the current attempt
 	writesBlocked bool
 }
 
+// Read implements net.Conn. At the end of a response, it returns upstream.EndError in place of io.EOF, because a response without a
+// length ends there.
+func (c *TrackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.readStarted.Store(true)
+	}
+	if err == io.EOF && c.readStarted.Load() {
+		err = upstream.EndError(c.Conn, func() bool { return !c.writing.Load() })
+	}
+	return n, err
+}
+
 // Write implements net.Conn. A failed write counts as well, because part of the data may have left the host.
 func (c *TrackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -34,8 +55,10 @@
 	return c.Conn.Write(p)
 }
 
-// startAttempt is called when a new attempt gets the connection. It forgets the writes of earlier attempts.
+// startAttempt is called when a new attempt gets the connection. It forgets the reads and writes of earlier attempts.
 func (c *TrackedConn) startAttempt() {
+	c.readStarted.Store(false)
+	c.writing.Store(true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeStarted = false
@@ -72,7 +95,19 @@
 
 // NewContext returns a context for the request of the attempt. The trace records each connection that the request gets.
 func (t *Trace) NewContext(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { t.addConn(info.Conn) }})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { t.addConn(info.Conn) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { t.finishWrite() },
+	})
+}
+
+// finishWrite records that the attempt's request was written, or that this failed.
+func (t *Trace) finishWrite() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.conns {
+		c.writing.Store(false)
+	}
 }
 
 func (t *Trace) addConn(nc net.Conn) {
