--- a/internal/objects/malformedhead_test.go
+++ b/internal/objects/malformedhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/juju/errors"
@@ -28,3 +29,23 @@
 		}
 	}
 }
+
+// TestCutAnswer guards against a part of an answer that counts as the platform's confirmation of an update: it has no length, and its
+// connection was reset while the update was still being written.
+func TestCutAnswer(t *testing.T) {
+	const answer = `{"kind":"head","metadata":{"name":"head","resourceVersion":"7"}}`
+	for cut := range answer {
+		end := testbed.AnswerEnd(cut % 2) // by a reset or by a close
+		address, stop, err := testbed.ServeEarlyAnswers(func(*http.Request) testbed.EarlyAnswer {
+			return testbed.EarlyAnswer{Answer: "HTTP/1.1 200 OK\r\n\r\n" + answer[:cut], End: end}
+		}, func(int64) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := objects.Object{Kind: objects.KindHead, Name: "head", Data: []byte(`"` + strings.Repeat("x", 600<<10) + `"`)}
+		if _, err := objects.NewClient("http://"+address, "").Update(t.Context(), o); !errors.Is(err, objects.ErrUnavailable) {
+			t.Errorf("%s, %s: error %v does not match ErrUnavailable", answer[:cut], testbed.AnswerEnds[end], err)
+		}
+		stop()
+	}
+}
