Record the write of a request in one place

Cause: whether a request was written whole stood in a channel for the reuse of a connection and in a flag for the end of a response, and the flag did not tell a failed write from a whole one.

Change: upstream.WriteState has both, for the pool of hosts and the tracked connections of entries. A write that has failed makes the end of a response count as a reset, whatever the state of the connection says.

--- a/internal/attempt/trace.go
+++ b/internal/attempt/trace.go
@@ -22,8 +22,8 @@
 // Invariant: after blockWritesIfUnsent has returned true, no byte reaches the peer.
 type TrackedConn struct {
 	net.Conn
-	readStarted atomic.Bool // a part of the current attempt's response was read
-	writing     atomic.Bool // the current attempt's request has not been written whole, and its write has not failed
+	readStarted atomic.Bool         // a part of the current attempt's response was read
+	request     upstream.WriteState // of the current attempt
 
 	mu            sync.Mutex
 	writeStarted  bool // by the current attempt
@@ -38,7 +38,7 @@
 		c.readStarted.Store(true)
 	}
 	if err == io.EOF && c.readStarted.Load() {
-		err = upstream.EndError(c.Conn, func() bool { return !c.writing.Load() })
+		err = upstream.EndError(c.Conn, &c.request)
 	}
 	return n, err
 }
@@ -58,7 +58,7 @@
 // startAttempt is called when a new attempt gets the connection. It forgets the reads and writes of earlier attempts.
 func (c *TrackedConn) startAttempt() {
 	c.readStarted.Store(false)
-	c.writing.Store(true)
+	c.request.Begin()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeStarted = false
@@ -97,16 +97,16 @@
 func (t *Trace) NewContext(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:      func(info httptrace.GotConnInfo) { t.addConn(info.Conn) },
-		WroteRequest: func(httptrace.WroteRequestInfo) { t.finishWrite() },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { t.endWrite(info.Err) },
 	})
 }
 
-// finishWrite records that the attempt's request was written, or that this failed.
-func (t *Trace) finishWrite() {
+// endWrite records that the attempt's request was written whole, or that this failed.
+func (t *Trace) endWrite(err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range t.conns {
-		c.writing.Store(false)
+		c.request.End(err)
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -45,8 +45,8 @@
 	idleTimeout time.Duration // from the last response
 	reused      bool          // has carried an earlier request
 
-	endsResponse bool        // the end of the connection is that of the response
-	written      atomic.Bool // the request was passed to the socket, or its write has failed
+	endsResponse bool // the end of the connection is that of the response
+	request      WriteState
 
 	unreadTolerated atomic.Bool // TCP_USER_TIMEOUT is unreadBodyTimeout
 }
@@ -68,7 +68,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	if err == io.EOF && c.endsResponse {
-		err = EndError(c.Conn, c.written.Load)
+		err = EndError(c.Conn, &c.request)
 	}
 	c.readLimit -= int64(n)
 	if c.head.active {
--- a/internal/upstream/connend.go
+++ b/internal/upstream/connend.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,31 @@
 	maxEndUnread = time.Second
 )
 
+// WriteState tells how far the request of an exchange has been written to its connection. The zero value is that of a connection
+// without a request.
+type WriteState struct{ state atomic.Int32 }
+
+const (
+	writeDone int32 = iota
+	writeInProgress
+	writeFailed
+)
+
+// Begin records that a request is being written.
+func (s *WriteState) Begin() { s.state.Store(writeInProgress) }
+
+// End records that the request was written whole, or that this failed.
+func (s *WriteState) End(err error) {
+	if err != nil {
+		s.state.Store(writeFailed)
+		return
+	}
+	s.state.Store(writeDone)
+}
+
+// written reports whether the request was written whole.
+func (s *WriteState) written() bool { return s.state.Load() == writeDone }
+
 var errResetAtEnd = fmt.Errorf("the connection was reset at the end of the response: %w", syscall.ECONNRESET)
 
 // EndError returns the error that takes the place of an io.EOF of a connection's Read: io.EOF itself only if the peer ended the
@@ -29,21 +55,20 @@
 // the request or a look at unread bytes, the next read returns EOF.
 //
 // While a part of the request is on its way, EndError waits until the peer has acknowledged or reset it: a peer that closes the
-// connection while its receive buffer is empty ends it first and resets it when the next part arrives. written reports whether the whole
-// request was passed to the connection.
-func EndError(c net.Conn, written func() bool) error {
+// connection while its receive buffer is empty ends it first and resets it when the next part arrives.
+func EndError(c net.Conn, request *WriteState) error {
 	acked, ackedAt := uint64(0), time.Now()
 	for pause := minEndPause; ; pause = min(2*pause, maxEndPause) {
-		whole := written() // before the look, which would miss what is written after it
+		written := request.state.Load() // before the look, which would miss what is written after it
 		info, err := tcpInfo(c)
 		switch {
 		case err != nil:
 			return err
 		case info == nil:
 			return io.EOF
-		case info.State == tcpStateClose:
+		case info.State == tcpStateClose || written == writeFailed:
 			return errResetAtEnd
-		case whole && info.Unacked == 0 && info.Notsent_bytes == 0:
+		case written == writeDone && info.Unacked == 0 && info.Notsent_bytes == 0:
 			return io.EOF
 		case info.Unacked > 0 || info.Bytes_acked != acked:
 			acked, ackedAt = info.Bytes_acked, time.Now()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -65,7 +65,6 @@
 	address       string
 	conn          *conn
 	detachContext func() bool // stops the closing of conn on cancellation; false if the context has ended
-	writeResult   chan error  // receives one value when the request is written or the write failed
 	resp          *http.Response
 	closeOnce     sync.Once
 }
@@ -239,7 +238,7 @@
 		p.reuses++
 		p.mu.Unlock()
 	}
-	x := &exchange{pool: p, address: req.Address, conn: c, writeResult: make(chan error, 1)}
+	x := &exchange{pool: p, address: req.Address, conn: c}
 	x.detachContext = context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := x.roundTrip(req)
 	if err != nil {
@@ -260,18 +259,18 @@
 func (x *exchange) roundTrip(req *Request) (*Response, error) {
 	head := encodeHead(req)
 	x.conn.readLimit = maxHeaderBytes
-	x.conn.written.Store(false)
+	x.conn.request.Begin()
 	x.conn.head.begin(x.pool.newHeadHolding())
 	if len(head)+len(req.Body) <= maxInlineRequestBytes {
 		n, err := x.conn.Write(append(head, req.Body...))
-		x.finishWrite(err)
+		x.conn.request.End(err)
 		if err != nil {
 			return nil, &Error{MaybeSent: n > 0, Err: err}
 		}
 	} else {
 		n, err := x.conn.Write(head)
 		if err != nil {
-			x.finishWrite(err)
+			x.conn.request.End(err)
 			return nil, &Error{MaybeSent: n > 0, Err: err}
 		}
 		// A server may respond before it has read a long body and read the rest afterwards, so the write goes on after the
@@ -279,7 +278,7 @@
 		defer x.conn.watchUnreadBody()()
 		go func() {
 			_, err := x.conn.Write(req.Body)
-			x.finishWrite(err)
+			x.conn.request.End(err)
 		}()
 	}
 	resp, err := x.readResponse(req)
@@ -289,12 +288,6 @@
 	return resp, nil
 }
 
-// finishWrite records that the request was passed to the socket, or that this failed.
-func (x *exchange) finishWrite(err error) {
-	x.conn.written.Store(true)
-	x.writeResult <- err
-}
-
 // readResponse reads the header of the final response. It skips interim responses and rejects malformed ones.
 func (x *exchange) readResponse(req *Request) (*Response, error) {
 	for {
@@ -356,15 +349,7 @@
 
 // connReusable reports whether the connection can carry another request after the response has been read.
 func (x *exchange) connReusable() bool {
-	select {
-	case err := <-x.writeResult:
-		if err != nil {
-			return false
-		}
-	default:
-		return false
-	}
-	return x.conn.expectPrompt() && isFramed(x.resp) && idleTimeoutAfter(x.resp) > 0 && x.conn.reader.Buffered() == 0
+	return x.conn.request.written() && x.conn.expectPrompt() && isFramed(x.resp) && idleTimeoutAfter(x.resp) > 0 && x.conn.reader.Buffered() == 0
 }
 
 // isFramed reports whether the body of a response has a length or chunks. Any other body ends when the endpoint closes the
