--- a/internal/entry/earlyanswer_test.go
+++ b/internal/entry/earlyanswer_test.go
@@ -26,7 +26,7 @@
 			t.Run(name, func(t *testing.T) {
 				addr, stop, err := testbed.ServeEarlyAnswers(func(*http.Request) testbed.EarlyAnswer {
 					return testbed.EarlyAnswer{Answer: "HTTP/1.1 200 OK\r\n\r\nanswer", Read: read, End: end}
-				}, func(int64) {})
+				})
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/testbed/earlyanswer.go
+++ b/internal/testbed/earlyanswer.go
@@ -38,10 +38,9 @@
 	End    AnswerEnd
 }
 
-// write answers a request whose head has been read, and closes the connection. It returns the number of bytes of the request's body that
-// were read.
-func (a *EarlyAnswer) write(c *net.TCPConn, req *http.Request) int64 {
-	bodyBytes, _ := io.CopyN(io.Discard, req.Body, a.Read)
+// write answers a request whose head has been read, and ends the connection.
+func (a *EarlyAnswer) write(c *net.TCPConn, req *http.Request) {
+	io.CopyN(io.Discard, req.Body, a.Read)
 	io.WriteString(c, a.Answer)
 	if a.End == HalfClose {
 		c.CloseWrite()
@@ -51,22 +50,19 @@
 		c.SetLinger(0)
 	}
 	if a.End.Orderly() {
-		rest, _ := io.Copy(io.Discard, req.Body)
-		bodyBytes += rest
+		io.Copy(io.Discard, req.Body)
 	}
 	c.Close()
-	return bodyBytes
 }
 
-// ServeEarlyAnswers starts a server that gives one answer on each connection, and returns its address. It calls read with the number of
-// bytes of each request's body that it has read.
-func ServeEarlyAnswers(answer func(r *http.Request) EarlyAnswer, read func(n int64)) (address string, closeListener func(), err error) {
+// ServeEarlyAnswers starts a server that gives one answer on each connection, and returns its address.
+func ServeEarlyAnswers(answer func(r *http.Request) EarlyAnswer) (address string, closeListener func(), err error) {
 	return Serve(func(c net.Conn) {
 		req, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
 		}
 		a := answer(req)
-		read(a.write(c.(*net.TCPConn), req))
+		a.write(c.(*net.TCPConn), req)
 	})
 }
